--- /dev/null
+++ b/crates/wirehost/src/settings.rs
@@ -0,0 +1,109 @@
+//! Decodes an instance's settings.
+
+use std::collections::HashMap;
+use std::str::FromStr;
+
+use sablecross::{Effect, ObjectKind, Settings, Within};
+
+use crate::codec::Result;
+
+struct Pairs<'a>(HashMap<&'a str, &'a str>);
+
+impl Pairs<'_> {
+    fn text(&self, key: &str) -> Result<&str> {
+        self.0.get(key).copied().ok_or_else(|| format!("setting missing: {key}"))
+    }
+
+    fn get<T: FromStr>(&self, key: &str) -> Result<T> {
+        let text = self.text(key)?;
+        text.parse().map_err(|_| format!("bad setting: {key}={text}"))
+    }
+
+    fn list<T: FromStr>(&self, key: &str) -> Result<Vec<T>> {
+        let text = self.text(key)?;
+        let items = text.split(',').filter(|t| !t.is_empty());
+        items.map(|t| t.parse().map_err(|_| format!("bad setting: {key}={text}"))).collect()
+    }
+
+    fn ns(&self, key: &str) -> Result<u64> {
+        self.get::<u64>(key)?.checked_mul(1_000).ok_or_else(|| format!("bad setting: {key}"))
+    }
+
+    /// A finite number that is not negative.
+    fn amount(&self, key: &str) -> Result<f64> {
+        let x: f64 = self.get(key)?;
+        if x.is_finite() && x >= 0.0 { Ok(x) } else { Err(format!("bad setting: {key}={x}")) }
+    }
+
+    fn of<T: Copy>(&self, list: &[T], i: usize, key: &str) -> Result<T> {
+        list.get(i).copied().ok_or_else(|| format!("bad setting: {key} has no item {i}"))
+    }
+}
+
+pub fn decode(text: &str) -> Result<Settings> {
+    let p = Pairs(text.lines().filter_map(|l| l.split_once('=')).collect());
+    let fresh: Vec<u64> = p.list("extra.freshForUs")?;
+    let grace: Vec<u64> = p.list("extra.usableAfterUs")?;
+    let parts: Vec<bool> = p.list("extra.multiPart")?;
+    let written: Vec<bool> = p.list("extra.neverKept")?;
+    let count: usize = p.get("classes.count")?;
+    let mut object_kinds = Vec::new();
+    for i in 0..count {
+        let at = |field: &str| format!("classes.{i}.{field}");
+        let effect = match p.text(&at("effect"))? {
+            "idempotent" => Effect::Idempotent,
+            "at_most_once" => Effect::SideEffecting,
+            "deduplicated" => Effect::Deduplicated {
+                within: match p.text(&at("group"))? {
+                    "all" => Within::All,
+                    "zone" => Within::Zone,
+                    "cell" => Within::Cell,
+                    other => return Err(format!("bad setting: {}={other}", at("group"))),
+                },
+                memory: p.ns(&at("memorySpanUs"))?,
+            },
+            other => return Err(format!("bad setting: {}={other}", at("effect"))),
+        };
+        let stretch = at("aimStretch");
+        object_kinds.push(ObjectKind {
+            latency_budget: p.ns(&at("aimUs"))?,
+            budget_stretch: p.0.contains_key(stretch.as_str()).then(|| p.amount(&stretch)).transpose()?,
+            utility: p.amount(&at("worth"))?,
+            effect,
+            fresh: p.of(&fresh, i, "extra.freshForUs")?.saturating_mul(1_000),
+            grace: p.of(&grace, i, "extra.usableAfterUs")?.saturating_mul(1_000),
+            parts: p.of(&parts, i, "extra.multiPart")?,
+            written: p.of(&written, i, "extra.neverKept")?,
+        });
+    }
+    if object_kinds.is_empty() {
+        return Err("bad setting: classes.count=0".into());
+    }
+    Ok(Settings {
+        zone: p.get("az")?,
+        number: p.get("index")?,
+        directors: p.list("extra.zoneBalancers")?,
+        object_kinds,
+        parent_kind: usize::try_from(p.get::<i64>("extra.midKind")?).ok(),
+        origin_kind: p.get("extra.masterKind")?,
+        follow_list: p.text("discovery")? == "on_request",
+        cancels: p.get("ceilings.mayCancel")?,
+        second_copies: p.get("ceilings.parallelTries")?,
+        pauses: p.get("ceilings.retryAfter")?,
+        longest_pause: p.ns("ceilings.maxRetryAfterUs")?,
+        most_sends: p.get("ceilings.sendCap")?,
+        cold_from: p.amount("guarantees.coldFrom")?,
+        warm_after: p.ns("guarantees.warmAfterUs")?,
+        fall_multiple: p.amount("guarantees.fallMultiple")?,
+        fall_window: p.ns("guarantees.fallUs")?,
+        parent_cold_from: p.amount("extra.parentStartsAt")?,
+        parent_warm_after: p.ns("extra.parentColdUs")?,
+        parent_fall_multiple: p.amount("extra.upperFallMultiple")?,
+        stream_kb_per_s: p.amount("extra.streamKbPerS")?,
+        direct: p.get("extra.direct")?,
+        joins: p.get("extra.joins")?,
+        purge_grace: p.ns("extra.purgeGraceUs")?,
+        purge_cleared: p.ns("extra.clearedWithinUs")?,
+        tick: p.ns("periodUs")?,
+    })
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,761 @@
+//! All decisions of sablecross. One `Choice` is one director; its values are in `interface.rs`.
+//!
+//! Three calls decide a lookup, which the caller keeps, with its sends, until each send has its outcome:
+//! `route` (where to send it, or not yet, or never), `after` (what next, after an outcome) and `patience`
+//! (how long until `route` is to be asked again). A send that `route` names counts as sent. Facts come by
+//! `listed` and `purged`; `notes` hands out one line for each change of mode.
+//!
+//! The design decides the ordinary path: the cache pie of the own zone picks the cache, the pie of all
+//! parents picks the fill's source, a lost member's slice halves to its neighbours, an object in burst
+//! widens to two. Beside it stand six mechanisms:
+//! 1. health: outcomes judge a member down, trials bring it back;
+//! 2. cold allowance: a fresh member gets a part of its slice that grows with its warmth;
+//! 3. further sends: second copies and other ways after a failure, from a budget that successes feed;
+//! 4. overload: a crowded home spills to its neighbours, then the cheapest utility is nacked early;
+//! 5. copies: rank by reuse, joins, renewal behind, ages bounded by purges;
+//! 6. origin guard: a bound on this director's fetches at the origin that backs off on failure.
+
+use std::collections::HashMap;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+use crate::interface::*;
+
+const MS: Ns = 1_000_000;
+const SEC: Ns = 1_000 * MS;
+
+/// Tiny positions of a pie.
+const POSITIONS: u64 = 1 << 16;
+/// Burst windows: their length, and how far apart the three earlier ones of a prediction lie.
+const WINDOW: Ns = 2 * SEC;
+const SPACING: usize = 3;
+const SIGMAS: f64 = 3.0;
+
+/// Health: weight of one outcome, the share of failures that judges a member down, trials.
+const WEIGHT: f64 = 0.12;
+const DOWN_AT: f64 = 0.4;
+const SLOW_AT: f64 = 2.6;
+const TRIAL_GAP: Ns = SEC;
+const LONGEST_TRIAL_GAP: Ns = 5 * SEC;
+const WINS: u32 = 3;
+
+/// Part of what a cold member can stand, or could do at once, that it is given.
+const COLD_PART: f64 = 0.4;
+const COLD_MOST: f64 = 1.0;
+
+/// Further sends: earned by one success, and the most that is saved up.
+const TOKEN: f64 = 0.15;
+const MOST_TOKENS: f64 = 30.0;
+/// Time that a send takes beside the transfer.
+const BASE: Ns = 40 * MS;
+
+/// Looks at one copy are remembered for one to two of these.
+const MEMORY: Ns = 20 * SEC;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Role {
+    Cache,
+    Parent,
+    Origin,
+}
+
+#[derive(Clone, Debug)]
+struct Down {
+    next_trial: Ns,
+    gap: Ns,
+    wins: u32,
+}
+
+/// All that is known of one node.
+#[derive(Clone, Debug)]
+struct Node {
+    zone: usize,
+    cell: usize,
+    rank: u64,
+    role: Role,
+    state: State,
+    started: Ns,
+    out: u32,
+    /// Share of recent sends that failed by its fault, and how many judged it.
+    failing: f64,
+    judged: f64,
+    /// Share of recent sends that it turned away.
+    refusing: f64,
+    /// Recent time taken over the time predicted.
+    pace: f64,
+    paced: f64,
+    down: Option<Down>,
+    credit: f64,
+    /// Traffic of the closed windows, newest last, and of the open one; residuals of the predictions.
+    windows: Vec<f64>,
+    traffic: f64,
+    spread: f64,
+    residuals: f64,
+}
+
+impl Node {
+    fn prediction(&self) -> Option<f64> {
+        let n = self.windows.len();
+        let mut seen: Vec<f64> =
+            (1..=3).filter_map(|k| n.checked_sub(k * SPACING)).map(|i| self.windows[i]).collect();
+        seen.sort_by(f64::total_cmp);
+        match seen.len() {
+            0 => None,
+            len => Some((seen[(len - 1) / 2] + seen[len / 2]) / 2.0),
+        }
+    }
+
+    fn threshold(&self) -> Option<f64> {
+        let sigma = self.spread.sqrt();
+        (sigma > 0.0).then_some(())?;
+        Some(self.prediction()? + SIGMAS * sigma)
+    }
+
+    fn close_window(&mut self) {
+        if let Some(p) = self.prediction() {
+            self.residuals += 1.0;
+            let gain = (1.0 / self.residuals).max(0.1);
+            self.spread += gain * ((self.traffic - p).powi(2) - self.spread);
+        }
+        if self.windows.len() == 3 * SPACING {
+            self.windows.remove(0);
+        }
+        self.windows.push(self.traffic);
+        self.traffic = 0.0;
+    }
+}
+
+/// An object's own traffic, for bursts.
+#[derive(Clone, Debug, Default)]
+struct Heat {
+    last: f64,
+    open: f64,
+    /// The threshold at which its burst was seen.
+    burst: Option<f64>,
+    turn: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    times: u32,
+    work: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Purge {
+    made: Ns,
+    heed: Ns,
+}
+
+pub struct Choice {
+    set: Settings,
+    rng: Pcg32,
+    nodes: Vec<Option<Node>>,
+    caches: Vec<usize>,
+    parents: Vec<usize>,
+    origin: Option<usize>,
+    /// Mean sending time by object kind.
+    work: Vec<f64>,
+    tokens: f64,
+    seen: HashMap<u64, Seen>,
+    seen_before: HashMap<u64, Seen>,
+    seen_turn: Ns,
+    heat: HashMap<u64, Heat>,
+    window_end: Ns,
+    purges: HashMap<u64, Purge>,
+    group_purges: HashMap<u32, Purge>,
+    /// Fetches at the origin that this director has out, and its bound on them.
+    origin_bound: f64,
+    lines: Vec<String>,
+}
+
+fn mix(x: u64) -> u64 {
+    let mut z = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+fn copy_of(lk: &Lookup) -> u64 {
+    mix(lk.object ^ mix(u64::from(lk.part)))
+}
+
+/// The slice of a pie in which the position lies, or the neighbour that its half passes to.
+fn owner(pie: &[usize], pos: u64, fit: impl Fn(usize) -> bool) -> Option<usize> {
+    let n = pie.len();
+    let scaled = pos * n as u64;
+    let home = (scaled / POSITIONS) as usize;
+    let right = (scaled % POSITIONS) * 2 >= POSITIONS;
+    (0..n).map(|k| if right { (home + k) % n } else { (home + n - k) % n }).map(|i| pie[i]).find(|&m| fit(m))
+}
+
+fn ran(sent: &Sent) -> bool {
+    !matches!(sent.result, Some(Outcome::Full | Outcome::Unconnected | Outcome::NeverSent | Outcome::Miss))
+}
+
+impl Choice {
+    pub fn new(set: Settings, seed: u64, now: Ns) -> Self {
+        let work = set.object_kinds.iter().map(|k| k.latency_budget as f64 / 2.0).collect();
+        Choice {
+            rng: Pcg32::seed_from_u64(seed),
+            nodes: Vec::new(),
+            caches: Vec::new(),
+            parents: Vec::new(),
+            origin: None,
+            work,
+            tokens: MOST_TOKENS / 2.0,
+            seen: HashMap::new(),
+            seen_before: HashMap::new(),
+            seen_turn: now + MEMORY,
+            heat: HashMap::new(),
+            window_end: now + WINDOW,
+            purges: HashMap::new(),
+            group_purges: HashMap::new(),
+            origin_bound: 4.0,
+            lines: Vec::new(),
+            set,
+        }
+    }
+
+    /// Whether the list is to be followed by asking for its changes.
+    pub fn asks_for_list(&self) -> bool {
+        self.set.follow_list
+    }
+
+    pub fn knows_kind(&self, kind: usize) -> bool {
+        kind < self.set.object_kinds.len()
+    }
+
+    pub fn notes(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.lines)
+    }
+
+    /// News of the list; a whole list drops whom it does not name.
+    pub fn listed(&mut self, now: Ns, lines: &[Listed], whole: bool) {
+        if whole {
+            for node in self.nodes.iter_mut().flatten() {
+                node.state = State::Gone;
+            }
+        }
+        for l in lines {
+            if self.nodes.len() <= l.node {
+                self.nodes.resize(l.node + 1, None);
+            }
+            let role = match l.machine {
+                m if m == self.set.origin_kind => Role::Origin,
+                m if Some(m) == self.set.parent_kind => Role::Parent,
+                _ => Role::Cache,
+            };
+            let fresh = Node {
+                zone: l.zone,
+                cell: l.cell,
+                rank: l.rank,
+                role,
+                state: l.state,
+                started: l.started,
+                out: 0,
+                failing: 0.0,
+                judged: 0.0,
+                refusing: 0.0,
+                pace: 1.0,
+                paced: 0.0,
+                down: None,
+                credit: 0.0,
+                windows: Vec::new(),
+                traffic: 0.0,
+                spread: 0.0,
+                residuals: 0.0,
+            };
+            let slot = &mut self.nodes[l.node];
+            match slot {
+                Some(node) if node.started == l.started => {
+                    node.state = l.state;
+                    node.zone = l.zone;
+                }
+                Some(node) => *node = Node { out: node.out, ..fresh },
+                None => *slot = Some(fresh),
+            }
+        }
+        let on = |role: Role, zone: Option<usize>| -> Vec<usize> {
+            let mut pie: Vec<(u64, usize)> = self
+                .nodes
+                .iter()
+                .enumerate()
+                .filter_map(|(i, n)| n.as_ref().map(|n| (i, n)))
+                .filter(|(_, n)| n.role == role && n.state != State::Gone)
+                .filter(|(_, n)| zone.is_none_or(|z| z == n.zone))
+                .map(|(i, n)| (n.rank, i))
+                .collect();
+            pie.sort_unstable();
+            pie.into_iter().map(|(_, i)| i).collect()
+        };
+        let (caches, parents) = (on(Role::Cache, Some(self.set.zone)), on(Role::Parent, None));
+        self.origin = on(Role::Origin, None).first().copied();
+        if caches != self.caches || parents != self.parents {
+            self.lines.push(format!("list caches={} parents={}", caches.len(), parents.len()));
+        }
+        (self.caches, self.parents) = (caches, parents);
+        self.turn(now);
+    }
+
+    /// An object, or with none a whole group, was purged so long ago.
+    pub fn purged(&mut self, now: Ns, object: Option<u64>, group: u32, ago: Ns) {
+        // Spread over the grace by object, so that a mass purge is not refilled in one blow.
+        let purge = Purge { made: now.saturating_sub(ago), heed: now };
+        match object {
+            Some(o) => self.purges.insert(o, purge),
+            None => self.group_purges.insert(group, purge),
+        };
+        let gone = now.saturating_sub(self.set.purge_cleared + SEC);
+        self.purges.retain(|_, p| p.made > gone);
+        self.group_purges.retain(|_, p| p.made > gone);
+    }
+
+    fn node(&self, i: usize) -> Option<&Node> {
+        self.nodes.get(i)?.as_ref()
+    }
+
+    fn node_mut(&mut self, i: usize) -> Option<&mut Node> {
+        self.nodes.get_mut(i)?.as_mut()
+    }
+
+    fn turn(&mut self, now: Ns) {
+        if now >= self.window_end {
+            self.window_end = now + WINDOW;
+            for node in self.nodes.iter_mut().flatten() {
+                node.close_window();
+            }
+            let mut ended = 0;
+            self.heat.retain(|_, h| {
+                if h.burst.is_some_and(|t| h.open < t) {
+                    h.burst = None;
+                    ended += 1;
+                }
+                (h.last, h.open) = (h.open, 0.0);
+                h.last > 0.0
+            });
+            if ended > 0 {
+                self.lines.push(format!("burst over objects={ended}"));
+            }
+        }
+        if now >= self.seen_turn {
+            self.seen_turn = now + MEMORY;
+            self.seen_before = std::mem::take(&mut self.seen);
+        }
+    }
+
+    // ---- what a lookup weighs ----
+
+    fn known(&self, lk: &Lookup) -> Option<Seen> {
+        let c = copy_of(lk);
+        self.seen.get(&c).or_else(|| self.seen_before.get(&c)).copied()
+    }
+
+    /// Predicted sending time, by size where it is told, else as seen before.
+    fn predicted(&self, lk: &Lookup) -> f64 {
+        if lk.size_kb > 0.0 && self.set.stream_kb_per_s > 0.0 {
+            return lk.size_kb / self.set.stream_kb_per_s * SEC as f64;
+        }
+        match self.known(lk) {
+            Some(s) if s.work > 0.0 => s.work,
+            _ => self.work[lk.kind],
+        }
+    }
+
+    fn budget(&self, lk: &Lookup) -> Ns {
+        let kind = &self.set.object_kinds[lk.kind];
+        kind.latency_budget + (kind.budget_stretch.unwrap_or(0.0) * self.predicted(lk)) as Ns
+    }
+
+    // ---- who may be sent to ----
+
+    fn warmth(&self, node: &Node, now: Ns) -> f64 {
+        let (from, after) = match node.role {
+            Role::Parent => (self.set.parent_cold_from, self.set.parent_warm_after),
+            _ => (self.set.cold_from, self.set.warm_after),
+        };
+        if node.started == 0 || node.role == Role::Origin || after == 0 {
+            return 1.0;
+        }
+        let age = now.saturating_sub(node.started) as f64 / after as f64;
+        (from + (1.0 - from) * age).min(1.0)
+    }
+
+    /// The part of its slice that a cold member is given: safe against its fall-over whatever the load.
+    fn cold_part(&self, node: &Node, now: Ns) -> f64 {
+        let multiple = match node.role {
+            Role::Parent => self.set.parent_fall_multiple,
+            _ => self.set.fall_multiple,
+        };
+        (COLD_PART * multiple).min(COLD_MOST) * self.warmth(node, now)
+    }
+
+    fn earn(&mut self, now: Ns, work: f64) {
+        let most = self.work.iter().copied().fold(0.0, f64::max) * 3.0;
+        for pie in [self.caches.clone(), self.parents.clone()] {
+            let share = work / pie.len().max(1) as f64;
+            for m in pie {
+                let Some(part) = self.node(m).map(|n| self.cold_part(n, now)) else { continue };
+                if let Some(n) = self.node_mut(m) {
+                    n.credit = (n.credit + share * part).min(most);
+                }
+            }
+        }
+    }
+
+    fn has_room(&self, m: usize, lk: &Lookup, now: Ns) -> bool {
+        self.node(m).is_some_and(|n| self.warmth(n, now) >= 1.0 || n.credit >= self.work[lk.kind])
+    }
+
+    fn up(&self, m: usize) -> bool {
+        self.node(m).is_some_and(|n| n.state == State::Ready && n.down.is_none())
+    }
+
+    fn trial_due(&self, m: usize, now: Ns) -> bool {
+        self.node(m)
+            .is_some_and(|n| n.state == State::Ready && n.down.as_ref().is_some_and(|d| now >= d.next_trial))
+    }
+
+    /// Whether the effect rules allow one more send of this lookup to this node.
+    fn effect_allows(&self, lk: &Lookup, to: usize, now: Ns) -> bool {
+        if !self.set.second_copies && lk.sends.iter().any(|s| s.result.is_none()) {
+            return false;
+        }
+        let mut maybe = lk.sends.iter().filter(|s| ran(s));
+        match self.set.object_kinds[lk.kind].effect {
+            Effect::Idempotent => true,
+            Effect::SideEffecting => maybe.next().is_none(),
+            Effect::Deduplicated { within, memory } => maybe.all(|s| {
+                let near = match (within, self.node(s.node), self.node(to)) {
+                    (Within::All, _, _) => true,
+                    (Within::Zone, Some(a), Some(b)) => a.zone == b.zone,
+                    (Within::Cell, Some(a), Some(b)) => a.zone == b.zone && a.cell == b.cell,
+                    _ => false,
+                };
+                near && now < s.at + memory
+            }),
+        }
+    }
+
+    fn may_nack(&self, lk: &Lookup) -> bool {
+        match self.set.object_kinds[lk.kind].effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated { within: Within::All, .. } => true,
+            _ => !lk.sends.iter().any(ran),
+        }
+    }
+
+    fn give_up(&mut self, lk: &Lookup, pause: Ns) -> Route {
+        if !self.may_nack(lk) {
+            return Route::Fail;
+        }
+        let jitter = 0.75 + 0.5 * self.rng.random::<f64>();
+        let pause = if self.set.pauses { (pause as f64 * jitter) as Ns } else { 0 };
+        Route::Nack { pause: pause.min(self.set.longest_pause) }
+    }
+
+    // ---- the three calls ----
+
+    /// Where to send this lookup now.
+    pub fn route(&mut self, now: Ns, lk: &Lookup) -> Route {
+        self.turn(now);
+        let out = lk.sends.iter().filter(|s| s.result.is_none()).count();
+        if now + 2 * self.set.tick >= lk.deadline {
+            return if out > 0 { Route::NotYet } else { self.give_up(lk, 0) };
+        }
+        let first = lk.sends.is_empty();
+        if first {
+            self.arrived(now, lk);
+        } else if lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1 {
+            return if out > 0 { Route::NotYet } else { self.give_up(lk, 500 * MS) };
+        }
+        let Some(mut send) = self.pick(now, lk) else {
+            return if out > 0 { Route::NotYet } else { self.give_up(lk, SEC) };
+        };
+        if !self.effect_allows(lk, send.node, now) {
+            return if out > 0 { Route::NotYet } else { self.give_up(lk, 500 * MS) };
+        }
+        if !first {
+            self.tokens -= 1.0;
+        }
+        send.time_out = lk.deadline - now - 2 * self.set.tick;
+        self.sent(lk, &send, now);
+        Route::Send(send)
+    }
+
+    /// What next, after the outcome of a send; `hit` where it is told.
+    pub fn after(&mut self, now: Ns, lk: &Lookup, shot: usize, took: Ns, hit: Option<bool>) -> Next {
+        let Some(sent) = lk.sends.get(shot).copied() else { return Next::Wait };
+        let Some(outcome) = sent.result else { return Next::Wait };
+        for m in [Some(sent.node), sent.source].into_iter().flatten() {
+            if let Some(n) = self.node_mut(m) {
+                n.out = n.out.saturating_sub(1);
+            }
+        }
+        self.judge(now, lk, &sent, outcome, took, hit);
+        let out = lk.sends.iter().any(|s| s.result.is_none());
+        if outcome == Outcome::Satisfied {
+            self.tokens = (self.tokens + TOKEN).min(MOST_TOKENS);
+            return Next::Done { call_off: out && self.set.cancels };
+        }
+        if out { Next::Wait } else { Next::Again }
+    }
+
+    /// How long until `route` is to be asked again, if nothing has come by then.
+    pub fn patience(&self, now: Ns, lk: &Lookup) -> Option<Ns> {
+        let last = lk.sends.last()?;
+        if !self.set.second_copies || lk.sends.len() >= 3.min(self.set.most_sends) {
+            return None;
+        }
+        let work = self.predicted(lk);
+        let budget = (lk.arrived + self.budget(lk)) as f64;
+        let least = last.at as f64 + 1.4 * work + BASE as f64 * 2.0;
+        let latest = budget - 1.3 * work - BASE as f64 * 1.5;
+        let at = latest.max(least) as Ns;
+        (at > now && at < lk.deadline).then(|| at - now)
+    }
+
+    // ---- the ordinary path and its overflow ----
+
+    fn arrived(&mut self, now: Ns, lk: &Lookup) {
+        if lk.size_kb > 0.0 {
+            let work = self.predicted(lk);
+            self.work[lk.kind] += 0.02 * (work - self.work[lk.kind]);
+        }
+        self.earn(now, self.work[lk.kind]);
+        let before = self.known(lk).unwrap_or(Seen { times: 0, work: 0.0 });
+        let seen = Seen { times: before.times + u32::from(!lk.repeat), ..before };
+        self.seen.insert(copy_of(lk), seen);
+        // Bursts: a run of parts counts once, and a client's repeat not at all.
+        if lk.repeat || (self.set.object_kinds[lk.kind].parts && lk.part > 0) {
+            return;
+        }
+        let weight = if lk.size_kb > 0.0 { lk.size_kb } else { 1.0 };
+        let Some(home) = owner(&self.caches, self.cache_pos(lk), |_| true) else { return };
+        let threshold = self.node(home).and_then(Node::threshold);
+        let h = self.heat.entry(lk.object).or_default();
+        h.open += weight;
+        let rate = h.open.max(h.last);
+        let starts = h.burst.is_none() && threshold.is_some_and(|t| rate > t);
+        if starts {
+            h.burst = threshold;
+            let t = threshold.unwrap_or(0.0);
+            self.lines.push(format!("burst object={} rate={rate:.0} over={t:.0}", lk.object));
+        }
+        let burst = h.burst.is_some();
+        if let Some(n) = self.node_mut(home).filter(|_| !burst) {
+            n.traffic += weight;
+        }
+    }
+
+    fn cache_pos(&self, lk: &Lookup) -> u64 {
+        mix(lk.object) % POSITIONS
+    }
+
+    fn parent_pos(&self, lk: &Lookup) -> u64 {
+        mix(!lk.object) % POSITIONS
+    }
+
+    fn pick(&mut self, now: Ns, lk: &Lookup) -> Option<Send> {
+        let tried = |m: usize| lk.sends.iter().any(|s| s.node == m);
+        let blamed =
+            |m: usize| lk.sends.iter().any(|s| s.source == Some(m) && s.result != Some(Outcome::Unconnected));
+        let pos = self.parent_pos(lk);
+        let first = lk.sends.is_empty();
+        let fit = |m: usize| self.up(m) && self.has_room(m, lk, now);
+        let trial_parent = owner(&self.parents, pos, |_| true).filter(|&m| first && self.trial_due(m, now));
+        let parent =
+            owner(&self.parents, pos, |m| fit(m) && !blamed(m)).or_else(|| owner(&self.parents, pos, fit));
+        if let (Some(p), true) = (trial_parent, self.set.direct) {
+            if self.has_room(p, lk, now) {
+                return Some(self.order(lk, now, p, self.origin));
+            }
+        }
+        let source = parent.or_else(|| self.origin_as_source());
+        let pos = self.cache_pos(lk);
+        let home = owner(&self.caches, pos, |_| true);
+        if let Some(h) = home.filter(|&h| first && self.trial_due(h, now) && self.has_room(h, lk, now)) {
+            return Some(self.order(lk, now, h, source));
+        }
+        let mut cache = owner(&self.caches, pos, |m| fit(m) && !tried(m));
+        if let (true, Some(c)) = (first && cache == home, cache) {
+            cache = Some(self.widened(lk, c, now));
+        }
+        if let Some(c) = cache.filter(|_| lk.sends.len() < 2) {
+            return Some(self.order(lk, now, c, source));
+        }
+        let direct = parent.filter(|&p| self.set.direct && !tried(p));
+        match direct {
+            Some(p) => Some(self.order(lk, now, p, self.origin)),
+            None => cache.map(|c| self.order(lk, now, c, source)),
+        }
+    }
+
+    /// An object in burst rotates over its home and up to two neighbours.
+    fn widened(&mut self, lk: &Lookup, home: usize, now: Ns) -> usize {
+        let Some(h) = self.heat.get_mut(&lk.object).filter(|h| h.burst.is_some()) else { return home };
+        h.turn += 1;
+        let turn = h.turn % 3;
+        let n = self.caches.len();
+        let Some(i) = self.caches.iter().position(|&m| m == home) else { return home };
+        let m = self.caches[[i, (i + 1) % n, (i + n - 1) % n][turn]];
+        if self.up(m) && self.has_room(m, lk, now) { m } else { home }
+    }
+
+    /// The origin fills only while no parent is up, within this director's bound.
+    fn origin_as_source(&self) -> Option<usize> {
+        let o = self.origin?;
+        self.node(o).filter(|n| f64::from(n.out) < self.origin_bound && n.state == State::Ready).map(|_| o)
+    }
+
+    fn order(&self, lk: &Lookup, now: Ns, node: usize, source: Option<usize>) -> Send {
+        let kind = &self.set.object_kinds[lk.kind];
+        let straight = self.node(node).is_some_and(|n| n.role != Role::Cache);
+        let times = self.known(lk).map_or(0, |s| s.times);
+        let keep = match times {
+            _ if straight || kind.written || lk.write => 0,
+            0 | 1 => 1,
+            _ => 2,
+        };
+        Send {
+            node,
+            source: source.filter(|&s| s != node),
+            time_out: 0,
+            oldest: self.oldest(lk, now),
+            join: self.set.joins,
+            renew: kind.fresh > 0,
+            keep,
+        }
+    }
+
+    /// The oldest copy that will do under the purges that are known.
+    fn oldest(&self, lk: &Lookup, now: Ns) -> Option<Ns> {
+        let purges = [self.purges.get(&lk.object), self.group_purges.get(&lk.group)];
+        let made = purges
+            .into_iter()
+            .flatten()
+            .filter(|p| now >= p.heed && now < p.made + self.set.purge_cleared + SEC)
+            .map(|p| p.made)
+            .max()?;
+        let age = now.saturating_sub(made).max(1);
+        let fresh = self.set.object_kinds[lk.kind].fresh;
+        (fresh == 0 || age < fresh).then_some(age)
+    }
+
+    fn sent(&mut self, lk: &Lookup, send: &Send, now: Ns) {
+        let cost = self.work[lk.kind];
+        for m in [Some(send.node), send.source].into_iter().flatten() {
+            if let Some(n) = self.node_mut(m) {
+                n.out += 1;
+                n.credit -= cost;
+                if let Some(d) = n.down.as_mut() {
+                    d.next_trial = now + d.gap;
+                }
+            }
+        }
+    }
+
+    // ---- health ----
+
+    fn judge(&mut self, now: Ns, lk: &Lookup, sent: &Sent, outcome: Outcome, took: Ns, hit: Option<bool>) {
+        let work = self.predicted(lk);
+        let told = lk.size_kb > 0.0;
+        match outcome {
+            Outcome::Satisfied => {
+                let ratio = (took as f64 / (work + BASE as f64)).min(12.0);
+                if !told {
+                    self.work[lk.kind] += 0.02 * (took as f64 - self.work[lk.kind]);
+                    if let Some(s) = self.seen.get_mut(&copy_of(lk)) {
+                        s.work = if s.work > 0.0 { s.work.min(took as f64) } else { took as f64 };
+                    }
+                }
+                self.mark(now, sent.node, 0.0, 1.0, Some(ratio));
+                if let Some(s) = sent.source {
+                    let weight = match hit {
+                        Some(true) => 0.0,
+                        Some(false) => 1.0,
+                        None => 0.4,
+                    };
+                    self.mark(now, s, 0.0, weight, None);
+                }
+                if sent.source == self.origin || Some(sent.node) == self.origin {
+                    self.origin_bound = (self.origin_bound + 0.2).min(64.0);
+                }
+            }
+            Outcome::Unconnected => self.mark(now, sent.node, 1.0, 3.0, None),
+            Outcome::Error | Outcome::Broken | Outcome::TimedOut | Outcome::Full => {
+                if sent.source == self.origin || Some(sent.node) == self.origin {
+                    self.origin_bound = (self.origin_bound * 0.7).max(1.0);
+                }
+                let turned_away = outcome == Outcome::Full;
+                let at = |m: Option<usize>| m.and_then(|m| self.node(m)).map_or(0.0, |n| n.failing);
+                let (a, b) = (at(Some(sent.node)), at(sent.source));
+                // Blame the one of the two that fails with others too; both while that is open.
+                if let Some(s) = sent.source.filter(|_| b > a - 0.1) {
+                    self.mark(now, s, 1.0, 1.0, None);
+                }
+                if sent.source.is_none() || a > b - 0.1 {
+                    if turned_away {
+                        if let Some(n) = self.node_mut(sent.node) {
+                            n.refusing += WEIGHT * (1.0 - n.refusing);
+                        }
+                    } else {
+                        self.mark(now, sent.node, 1.0, 1.0, None);
+                    }
+                }
+            }
+            Outcome::Cancelled | Outcome::NeverSent | Outcome::Miss => {}
+        }
+    }
+
+    fn mark(&mut self, now: Ns, m: usize, failed: f64, weight: f64, ratio: Option<f64>) {
+        let peers = match self.node(m).map(|n| n.role) {
+            Some(Role::Cache) => &self.caches,
+            Some(Role::Parent) => &self.parents,
+            _ => return,
+        };
+        let others: Vec<&Node> =
+            peers.iter().filter(|&&p| p != m && self.up(p)).filter_map(|&p| self.node(p)).collect();
+        let least_failing = others.iter().map(|n| n.failing).fold(1.0, f64::min);
+        let quickest = others.iter().filter(|n| n.paced > 5.0).map(|n| n.pace).fold(f64::MAX, f64::min);
+        let Some(n) = self.nodes.get_mut(m).and_then(|n| n.as_mut()) else { return };
+        let gain = 1.0 - (1.0 - WEIGHT).powf(weight);
+        n.failing += gain * (failed - n.failing);
+        n.judged += weight;
+        if failed == 0.0 {
+            n.refusing -= gain * n.refusing;
+        }
+        if let Some(r) = ratio {
+            n.pace += WEIGHT * (r - n.pace);
+            n.paced += 1.0;
+        }
+        let slow = n.paced > 8.0 && n.pace > SLOW_AT * quickest.max(1.0);
+        let (failing, pace) = (n.failing, n.pace);
+        match n.down.as_mut() {
+            None => {
+                let fails = failing > DOWN_AT && failing > 2.0 * least_failing;
+                if failed > 0.0 && fails || slow {
+                    n.down = Some(Down { next_trial: now + TRIAL_GAP, gap: TRIAL_GAP, wins: 0 });
+                    self.lines.push(format!("down node={m} failing={failing:.2} pace={pace:.1}"));
+                }
+            }
+            Some(d) => {
+                if failed > 0.0 || ratio.is_some_and(|r| r > SLOW_AT) {
+                    d.wins = 0;
+                    d.gap = (d.gap * 3 / 2).min(LONGEST_TRIAL_GAP);
+                    d.next_trial = now + d.gap;
+                } else if weight >= 1.0 {
+                    d.wins += 1;
+                    d.next_trial = now;
+                    if d.wins >= WINS {
+                        n.down = None;
+                        n.failing = DOWN_AT / 2.0;
+                        (n.pace, n.paced) = (1.0, 0.0);
+                        self.lines.push(format!("up node={m} pace={pace:.1}"));
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+//! sablecross decides where objects are served, kept and filled from.
+
+mod choice;
+mod interface;
+
+pub use choice::Choice;
+pub use interface::*;
