--- a/src/choice.rs
+++ b/src/choice.rs
@@ -550,7 +550,7 @@
     }
 
     fn cache_pos(&self, lk: &Lookup) -> u64 {
-        mix(lk.object) % POSITIONS
+        copy_of(lk) % POSITIONS
     }
 
     fn parent_pos(&self, lk: &Lookup) -> u64 {
