Bound the sends out at each member by pace; blame parents only by straight trials

Hedges and retries piled on members that were already full, slow-judged homes flapped, and fills refused by a full cache were blamed on the parent, which moved its whole slice. Change: an additive-increase bound on this director's sends out at each member replaces the judgement 'slow'; a source that fails through caches is asked straight without a fill, where a miss proves it well. It also guards against a slow member (its bound shrinks) and a hot home (spills). Harm: a bound that shrank in a trouble grows back slowly.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,10 +35,23 @@
 /// Health: weight of one outcome, the share of failures that judges a member down, trials.
 const WEIGHT: f64 = 0.12;
 const DOWN_AT: f64 = 0.4;
-const SLOW_AT: f64 = 2.6;
 const TRIAL_GAP: Ns = SEC;
 const LONGEST_TRIAL_GAP: Ns = 5 * SEC;
 const WINS: u32 = 3;
+/// A source that fails so often through caches is asked straight, without a fill, to tell whose fault it is.
+const SUSPECT_AT: f64 = 0.25;
+const DIRECT_WEIGHT: f64 = 0.35;
+
+/// Overload: bound on this director's sends out at a member; it grows while they are on pace.
+const FIRST_BOUND: f64 = 24.0;
+const LEAST_BOUND: f64 = 2.0;
+const ON_PACE: f64 = 1.7;
+const GROW: f64 = 0.5;
+const SHRINK: f64 = 0.06;
+/// Parts of its bound up to which a member takes spilt, cheap and dear lookups.
+const SPILL_ROOM: f64 = 0.6;
+const CHEAP_ROOM: f64 = 0.85;
+const DEAR_ROOM: f64 = 1.3;
 
 /// Part of what a cold member can stand, or could do at once, that it is given.
 const COLD_PART: f64 = 0.4;
@@ -77,15 +90,12 @@
     state: State,
     started: Ns,
     out: u32,
-    /// Share of recent sends that failed by its fault, and how many judged it.
+    /// Share of recent sends that failed at it, and of those that failed with it as their source.
     failing: f64,
-    judged: f64,
-    /// Share of recent sends that it turned away.
-    refusing: f64,
-    /// Recent time taken over the time predicted.
-    pace: f64,
-    paced: f64,
+    suspect: f64,
+    next_look: Ns,
     down: Option<Down>,
+    bound: f64,
     credit: f64,
     /// Traffic of the closed windows, newest last, and of the open one; residuals of the predictions.
     windows: Vec<f64>,
@@ -256,11 +266,10 @@
                 started: l.started,
                 out: 0,
                 failing: 0.0,
-                judged: 0.0,
-                refusing: 0.0,
-                pace: 1.0,
-                paced: 0.0,
+                suspect: 0.0,
+                next_look: 0,
                 down: None,
+                bound: FIRST_BOUND,
                 credit: 0.0,
                 windows: Vec::new(),
                 traffic: 0.0,
@@ -413,8 +422,13 @@
     }
 
     fn trial_due(&self, m: usize, now: Ns) -> bool {
-        self.node(m)
-            .is_some_and(|n| n.state == State::Ready && n.down.as_ref().is_some_and(|d| now >= d.next_trial))
+        self.node(m).is_some_and(|n| {
+            n.state == State::Ready
+                && match &n.down {
+                    Some(d) => now >= d.next_trial,
+                    None => n.role == Role::Parent && n.suspect > SUSPECT_AT && now >= n.next_look,
+                }
+        })
     }
 
     /// Whether the effect rules allow one more send of this lookup to this node.
@@ -559,8 +573,10 @@
 
     fn pick(&mut self, now: Ns, lk: &Lookup) -> Option<Send> {
         let tried = |m: usize| lk.sends.iter().any(|s| s.node == m);
-        let blamed =
-            |m: usize| lk.sends.iter().any(|s| s.source == Some(m) && s.result != Some(Outcome::Unconnected));
+        let failed = |r: Option<Outcome>| {
+            matches!(r, Some(Outcome::Full | Outcome::Error | Outcome::Broken | Outcome::TimedOut))
+        };
+        let blamed = |m: usize| lk.sends.iter().any(|s| s.source == Some(m) && failed(s.result));
         let pos = self.parent_pos(lk);
         let first = lk.sends.is_empty();
         let fit = |m: usize| self.up(m) && self.has_room(m, lk, now);
@@ -569,7 +585,7 @@
             owner(&self.parents, pos, |m| fit(m) && !blamed(m)).or_else(|| owner(&self.parents, pos, fit));
         if let (Some(p), true) = (trial_parent, self.set.direct) {
             if self.has_room(p, lk, now) {
-                return Some(self.order(lk, now, p, self.origin));
+                return Some(self.order(lk, now, p, None));
             }
         }
         let source = parent.or_else(|| self.origin_as_source());
@@ -578,7 +594,16 @@
         if let Some(h) = home.filter(|&h| first && self.trial_due(h, now) && self.has_room(h, lk, now)) {
             return Some(self.order(lk, now, h, source));
         }
-        let mut cache = owner(&self.caches, pos, |m| fit(m) && !tried(m));
+        let dear = self.is_dear(lk);
+        let room = |m: usize| {
+            let part = match (Some(m) == home, dear) {
+                (false, _) => SPILL_ROOM,
+                (true, false) => CHEAP_ROOM,
+                (true, true) => DEAR_ROOM,
+            };
+            self.node(m).is_some_and(|n| f64::from(n.out) < part * n.bound)
+        };
+        let mut cache = owner(&self.caches, pos, |m| fit(m) && !tried(m) && room(m));
         if let (true, Some(c)) = (first && cache == home, cache) {
             cache = Some(self.widened(lk, c, now));
         }
@@ -592,6 +617,13 @@
         }
     }
 
+    /// Whether it brings more utility for its sending time than the kinds do on the whole.
+    fn is_dear(&self, lk: &Lookup) -> bool {
+        let of = |k: usize, work: f64| self.set.object_kinds[k].utility / (work + BASE as f64);
+        let kinds = self.work.iter().enumerate().map(|(k, &w)| of(k, w));
+        of(lk.kind, self.predicted(lk)) >= kinds.sum::<f64>() / self.work.len() as f64
+    }
+
     /// An object in burst rotates over its home and up to two neighbours.
     fn widened(&mut self, lk: &Lookup, home: usize, now: Ns) -> usize {
         let Some(h) = self.heat.get_mut(&lk.object).filter(|h| h.burst.is_some()) else { return home };
@@ -649,6 +681,7 @@
             if let Some(n) = self.node_mut(m) {
                 n.out += 1;
                 n.credit -= cost;
+                n.next_look = now + TRIAL_GAP;
                 if let Some(d) = n.down.as_mut() {
                     d.next_trial = now + d.gap;
                 }
@@ -660,102 +693,104 @@
 
     fn judge(&mut self, now: Ns, lk: &Lookup, sent: &Sent, outcome: Outcome, took: Ns, hit: Option<bool>) {
         let work = self.predicted(lk);
-        let told = lk.size_kb > 0.0;
+        let at_origin =
+            self.origin.is_some() && (sent.source == self.origin || Some(sent.node) == self.origin);
         match outcome {
             Outcome::Satisfied => {
-                let ratio = (took as f64 / (work + BASE as f64)).min(12.0);
-                if !told {
+                let known = lk.size_kb > 0.0 || self.known(lk).is_some_and(|s| s.work > 0.0);
+                if lk.size_kb <= 0.0 {
                     self.work[lk.kind] += 0.02 * (took as f64 - self.work[lk.kind]);
                     if let Some(s) = self.seen.get_mut(&copy_of(lk)) {
                         s.work = if s.work > 0.0 { s.work.min(took as f64) } else { took as f64 };
                     }
                 }
-                self.mark(now, sent.node, 0.0, 1.0, Some(ratio));
-                if let Some(s) = sent.source {
-                    let weight = match hit {
-                        Some(true) => 0.0,
-                        Some(false) => 1.0,
-                        None => 0.4,
-                    };
-                    self.mark(now, s, 0.0, weight, None);
+                self.mark(now, sent.node, false);
+                if let Some(n) = self.node_mut(sent.node).filter(|_| known) {
+                    if took as f64 > ON_PACE * (work + 2.0 * BASE as f64) {
+                        n.bound = (n.bound * (1.0 - SHRINK)).max(LEAST_BOUND);
+                    } else if f64::from(n.out) > 0.6 * n.bound {
+                        n.bound += GROW;
+                    }
+                }
+                let weight = match hit {
+                    Some(true) => 0.0,
+                    Some(false) => WEIGHT,
+                    None => 0.4 * WEIGHT,
+                };
+                if let Some(s) = sent.source.and_then(|s| self.node_mut(s)) {
+                    s.suspect -= weight * s.suspect;
                 }
-                if sent.source == self.origin || Some(sent.node) == self.origin {
+                if at_origin {
                     self.origin_bound = (self.origin_bound + 0.2).min(64.0);
                 }
             }
-            Outcome::Unconnected => self.mark(now, sent.node, 1.0, 3.0, None),
+            Outcome::Miss => self.mark(now, sent.node, false),
+            Outcome::Unconnected => {
+                self.mark(now, sent.node, true);
+                self.mark(now, sent.node, true);
+            }
             Outcome::Error | Outcome::Broken | Outcome::TimedOut | Outcome::Full => {
-                if sent.source == self.origin || Some(sent.node) == self.origin {
+                if at_origin {
                     self.origin_bound = (self.origin_bound * 0.7).max(1.0);
                 }
-                let turned_away = outcome == Outcome::Full;
-                let at = |m: Option<usize>| m.and_then(|m| self.node(m)).map_or(0.0, |n| n.failing);
-                let (a, b) = (at(Some(sent.node)), at(sent.source));
+                let failing = self.node(sent.node).map_or(0.0, |n| n.failing);
+                let suspect = sent.source.and_then(|s| self.node(s)).map_or(0.0, |n| n.suspect);
                 // Blame the one of the two that fails with others too; both while that is open.
-                if let Some(s) = sent.source.filter(|_| b > a - 0.1) {
-                    self.mark(now, s, 1.0, 1.0, None);
+                if let Some(s) =
+                    sent.source.and_then(|s| self.node_mut(s)).filter(|_| suspect > failing - 0.1)
+                {
+                    s.suspect += WEIGHT * (1.0 - s.suspect);
                 }
-                if sent.source.is_none() || a > b - 0.1 {
-                    if turned_away {
+                if sent.source.is_none() || failing > suspect - 0.1 {
+                    if outcome == Outcome::Full {
                         if let Some(n) = self.node_mut(sent.node) {
-                            n.refusing += WEIGHT * (1.0 - n.refusing);
+                            n.bound = (n.bound * (1.0 - 2.0 * SHRINK)).max(LEAST_BOUND);
                         }
                     } else {
-                        self.mark(now, sent.node, 1.0, 1.0, None);
+                        self.mark(now, sent.node, true);
                     }
                 }
             }
-            Outcome::Cancelled | Outcome::NeverSent | Outcome::Miss => {}
+            Outcome::Cancelled | Outcome::NeverSent => {}
         }
     }
 
-    fn mark(&mut self, now: Ns, m: usize, failed: f64, weight: f64, ratio: Option<f64>) {
-        let peers = match self.node(m).map(|n| n.role) {
-            Some(Role::Cache) => &self.caches,
-            Some(Role::Parent) => &self.parents,
-            _ => return,
-        };
-        let others: Vec<&Node> =
-            peers.iter().filter(|&&p| p != m && self.up(p)).filter_map(|&p| self.node(p)).collect();
-        let least_failing = others.iter().map(|n| n.failing).fold(1.0, f64::min);
-        let quickest = others.iter().filter(|n| n.paced > 5.0).map(|n| n.pace).fold(f64::MAX, f64::min);
-        let Some(n) = self.nodes.get_mut(m).and_then(|n| n.as_mut()) else { return };
-        let gain = 1.0 - (1.0 - WEIGHT).powf(weight);
-        n.failing += gain * (failed - n.failing);
-        n.judged += weight;
-        if failed == 0.0 {
-            n.refusing -= gain * n.refusing;
-        }
-        if let Some(r) = ratio {
-            n.pace += WEIGHT * (r - n.pace);
-            n.paced += 1.0;
-        }
-        let slow = n.paced > 8.0 && n.pace > SLOW_AT * quickest.max(1.0);
-        let (failing, pace) = (n.failing, n.pace);
-        match n.down.as_mut() {
-            None => {
-                let fails = failing > DOWN_AT && failing > 2.0 * least_failing;
-                if failed > 0.0 && fails || slow {
-                    n.down = Some(Down { next_trial: now + TRIAL_GAP, gap: TRIAL_GAP, wins: 0 });
-                    self.lines.push(format!("down node={m} failing={failing:.2} pace={pace:.1}"));
-                }
+    /// An outcome of a send straight to this member.
+    fn mark(&mut self, now: Ns, m: usize, failed: bool) {
+        let Some(n) = self.node_mut(m) else { return };
+        let weight = if n.role == Role::Cache { WEIGHT } else { DIRECT_WEIGHT };
+        n.failing += weight * (f64::from(u8::from(failed)) - n.failing);
+        if n.role == Role::Origin {
+            return;
+        }
+        if !failed && n.role == Role::Parent {
+            n.suspect *= 0.5;
+        }
+        let failing = n.failing;
+        let line = match n.down.as_mut() {
+            None if failed && failing > DOWN_AT => {
+                n.down = Some(Down { next_trial: now + TRIAL_GAP, gap: TRIAL_GAP, wins: 0 });
+                format!("down node={m} failing={failing:.2}")
             }
-            Some(d) => {
-                if failed > 0.0 || ratio.is_some_and(|r| r > SLOW_AT) {
-                    d.wins = 0;
-                    d.gap = (d.gap * 3 / 2).min(LONGEST_TRIAL_GAP);
-                    d.next_trial = now + d.gap;
-                } else if weight >= 1.0 {
-                    d.wins += 1;
-                    d.next_trial = now;
-                    if d.wins >= WINS {
-                        n.down = None;
-                        n.failing = DOWN_AT / 2.0;
-                        (n.pace, n.paced) = (1.0, 0.0);
-                        self.lines.push(format!("up node={m} pace={pace:.1}"));
-                    }
-                }
+            Some(d) if failed => {
+                d.wins = 0;
+                d.gap = (d.gap * 3 / 2).min(LONGEST_TRIAL_GAP);
+                d.next_trial = now + d.gap;
+                return;
             }
-        }
+            Some(d) if d.wins + 1 < WINS => {
+                d.wins += 1;
+                d.next_trial = now;
+                return;
+            }
+            Some(_) => {
+                n.down = None;
+                n.failing = 0.0;
+                n.suspect = 0.0;
+                format!("up node={m} failing={failing:.2}")
+            }
+            None => return,
+        };
+        self.lines.push(line);
     }
 }
