Deal many small slices by weight, so that a list change moves only one member's share

Cause: with one slice a member, each change of the list moved nearly every object to an empty home. Kept: still a pure function of the members listed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,8 +25,8 @@
 const MS: Ns = 1_000_000;
 const SEC: Ns = 1_000 * MS;
 
-/// Tiny positions of a pie.
-const POSITIONS: u64 = 1 << 16;
+/// A pie is cut into so many small slices, each of two halves.
+const SLICES: u64 = 2048;
 /// Burst windows: their length, and how far apart the three earlier ones of a prediction lie.
 const WINDOW: Ns = 2 * SEC;
 const SPACING: usize = 3;
@@ -162,8 +162,8 @@
     set: Settings,
     rng: Pcg32,
     nodes: Vec<Option<Node>>,
-    caches: Vec<usize>,
-    parents: Vec<usize>,
+    caches: Pie,
+    parents: Pie,
     origin: Option<usize>,
     /// Mean sending time by object kind.
     work: Vec<f64>,
@@ -191,13 +191,39 @@
     mix(lk.object ^ mix(u64::from(lk.part)))
 }
 
-/// The slice of a pie in which the position lies, or the neighbour that its half passes to.
-fn owner(pie: &[usize], pos: u64, fit: impl Fn(usize) -> bool) -> Option<usize> {
-    let n = pie.len();
-    let scaled = pos * n as u64;
-    let home = (scaled / POSITIONS) as usize;
-    let right = (scaled % POSITIONS) * 2 >= POSITIONS;
-    (0..n).map(|k| if right { (home + k) % n } else { (home + n - k) % n }).map(|i| pie[i]).find(|&m| fit(m))
+/// A pie: members in ring order, and who of them owns each small slice. The slices are dealt by weighing
+/// each member with each slice, a pure function of the members listed: directors and restarts agree, and a
+/// change of the list moves only the slices of the member that comes or leaves.
+#[derive(Clone, Debug, Default)]
+struct Pie {
+    members: Vec<usize>,
+    dealt: Vec<usize>,
+}
+
+impl Pie {
+    /// Deals to members given as (rank, index), in order of rank.
+    fn deal(ranked: &[(u64, usize)]) -> Pie {
+        let weigh = |rank: u64, slice: u64| mix(mix(rank) ^ slice);
+        let best = |slice| (0..ranked.len()).max_by_key(|&i| weigh(ranked[i].0, slice));
+        Pie {
+            members: ranked.iter().map(|&(_, i)| i).collect(),
+            dealt: (0..SLICES).filter_map(best).collect(),
+        }
+    }
+
+    fn home(&self, pos: u64) -> Option<usize> {
+        self.owner(pos, |_| true)
+    }
+
+    /// The owner of a position. If it is not fit, one half of the slice passes to its left neighbour and
+    /// the other to its right, and from there on to the next that is.
+    fn owner(&self, pos: u64, fit: impl Fn(usize) -> bool) -> Option<usize> {
+        let n = self.members.len();
+        let home = *self.dealt.get((pos % SLICES) as usize)?;
+        let right = pos / SLICES % 2 == 1;
+        let step = |k| if right { (home + k) % n } else { (home + n - k) % n };
+        (0..n).map(|k| self.members[step(k)]).find(|&m| fit(m))
+    }
 }
 
 fn ran(sent: &Sent) -> bool {
@@ -210,8 +236,8 @@
         Choice {
             rng: Pcg32::seed_from_u64(seed),
             nodes: Vec::new(),
-            caches: Vec::new(),
-            parents: Vec::new(),
+            caches: Pie::default(),
+            parents: Pie::default(),
             origin: None,
             work,
             tokens: MOST_TOKENS / 2.0,
@@ -286,7 +312,7 @@
                 None => *slot = Some(fresh),
             }
         }
-        let on = |role: Role, zone: Option<usize>| -> Vec<usize> {
+        let on = |role: Role, zone: Option<usize>| -> Vec<(u64, usize)> {
             let mut pie: Vec<(u64, usize)> = self
                 .nodes
                 .iter()
@@ -297,14 +323,16 @@
                 .map(|(i, n)| (n.rank, i))
                 .collect();
             pie.sort_unstable();
-            pie.into_iter().map(|(_, i)| i).collect()
+            pie
         };
         let (caches, parents) = (on(Role::Cache, Some(self.set.zone)), on(Role::Parent, None));
-        self.origin = on(Role::Origin, None).first().copied();
-        if caches != self.caches || parents != self.parents {
-            self.lines.push(format!("list caches={} parents={}", caches.len(), parents.len()));
+        self.origin = on(Role::Origin, None).first().map(|&(_, i)| i);
+        for (pie, ranked) in [(&mut self.caches, caches), (&mut self.parents, parents)] {
+            if ranked.iter().map(|&(_, i)| i).ne(pie.members.iter().copied()) {
+                self.lines.push(format!("list members={} before={}", ranked.len(), pie.members.len()));
+                *pie = Pie::deal(&ranked);
+            }
         }
-        (self.caches, self.parents) = (caches, parents);
         self.turn(now);
     }
 
@@ -402,7 +430,7 @@
 
     fn earn(&mut self, now: Ns, work: f64) {
         let most = self.work.iter().copied().fold(0.0, f64::max) * 3.0;
-        for pie in [self.caches.clone(), self.parents.clone()] {
+        for pie in [self.caches.members.clone(), self.parents.members.clone()] {
             let share = work / pie.len().max(1) as f64;
             for m in pie {
                 let Some(part) = self.node(m).map(|n| self.cold_part(n, now)) else { continue };
@@ -546,7 +574,7 @@
             return;
         }
         let weight = if lk.size_kb > 0.0 { lk.size_kb } else { 1.0 };
-        let Some(home) = owner(&self.caches, self.cache_pos(lk), |_| true) else { return };
+        let Some(home) = self.caches.home(self.cache_pos(lk)) else { return };
         let threshold = self.node(home).and_then(Node::threshold);
         let h = self.heat.entry(lk.object).or_default();
         h.open += weight;
@@ -564,11 +592,11 @@
     }
 
     fn cache_pos(&self, lk: &Lookup) -> u64 {
-        copy_of(lk) % POSITIONS
+        copy_of(lk)
     }
 
     fn parent_pos(&self, lk: &Lookup) -> u64 {
-        mix(!lk.object) % POSITIONS
+        mix(!lk.object)
     }
 
     fn pick(&mut self, now: Ns, lk: &Lookup) -> Option<Send> {
@@ -580,9 +608,9 @@
         let pos = self.parent_pos(lk);
         let first = lk.sends.is_empty();
         let fit = |m: usize| self.up(m) && self.has_room(m, lk, now);
-        let trial_parent = owner(&self.parents, pos, |_| true).filter(|&m| first && self.trial_due(m, now));
+        let trial_parent = self.parents.home(pos).filter(|&m| first && self.trial_due(m, now));
         let parent =
-            owner(&self.parents, pos, |m| fit(m) && !blamed(m)).or_else(|| owner(&self.parents, pos, fit));
+            self.parents.owner(pos, |m| fit(m) && !blamed(m)).or_else(|| self.parents.owner(pos, fit));
         if let (Some(p), true) = (trial_parent, self.set.direct) {
             if self.has_room(p, lk, now) {
                 return Some(self.order(lk, now, p, None));
@@ -590,7 +618,7 @@
         }
         let source = parent.or_else(|| self.origin_as_source());
         let pos = self.cache_pos(lk);
-        let home = owner(&self.caches, pos, |_| true);
+        let home = self.caches.home(pos);
         if let Some(h) = home.filter(|&h| first && self.trial_due(h, now) && self.has_room(h, lk, now)) {
             return Some(self.order(lk, now, h, source));
         }
@@ -603,7 +631,7 @@
             };
             self.node(m).is_some_and(|n| f64::from(n.out) < part * n.bound)
         };
-        let mut cache = owner(&self.caches, pos, |m| fit(m) && !tried(m) && room(m));
+        let mut cache = self.caches.owner(pos, |m| fit(m) && !tried(m) && room(m));
         if let (true, Some(c)) = (first && cache == home, cache) {
             cache = Some(self.widened(lk, c, now));
         }
@@ -629,9 +657,9 @@
         let Some(h) = self.heat.get_mut(&lk.object).filter(|h| h.burst.is_some()) else { return home };
         h.turn += 1;
         let turn = h.turn % 3;
-        let n = self.caches.len();
-        let Some(i) = self.caches.iter().position(|&m| m == home) else { return home };
-        let m = self.caches[[i, (i + 1) % n, (i + n - 1) % n][turn]];
+        let n = self.caches.members.len();
+        let Some(i) = self.caches.members.iter().position(|&m| m == home) else { return home };
+        let m = self.caches.members[[i, (i + 1) % n, (i + n - 1) % n][turn]];
         if self.up(m) && self.has_room(m, lk, now) { m } else { home }
     }
 
