--- a/src/choice.rs
+++ b/src/choice.rs
@@ -675,8 +675,8 @@
         let times = self.known(lk).map_or(0, |s| s.times);
         let keep = match times {
             _ if straight || kind.written || lk.write => 0,
-            0 | 1 => 1, //T
-            _ => 1,
+            0 | 1 => 1,
+            _ => 2,
         };
         Send {
             node,
