--- a/src/choice.rs
+++ b/src/choice.rs
@@ -60,6 +60,9 @@
 /// Further sends: earned by one success, and the most that is saved up.
 const TOKEN: f64 = 0.15;
 const MOST_TOKENS: f64 = 30.0;
+/// No second copies while more than this share of the recent sends was off pace: all are slow then, and
+/// one more transfer makes them slower.
+const LATE_AT: f64 = 0.25;
 /// Time that a send takes beside the transfer.
 const BASE: Ns = 40 * MS;
 
@@ -168,6 +171,8 @@
     /// Mean sending time by object kind.
     work: Vec<f64>,
     tokens: f64,
+    /// Share of recent satisfied sends that were off pace.
+    late: f64,
     seen: HashMap<u64, Seen>,
     seen_before: HashMap<u64, Seen>,
     seen_turn: Ns,
@@ -241,6 +246,7 @@
             origin: None,
             work,
             tokens: MOST_TOKENS / 2.0,
+            late: 0.0,
             seen: HashMap::new(),
             seen_before: HashMap::new(),
             seen_turn: now + MEMORY,
@@ -512,6 +518,9 @@
         } else if lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1 {
             return if out > 0 { Route::NotYet } else { self.give_up(lk, 500 * MS) };
         }
+        if out > 0 && self.late > LATE_AT {
+            return Route::NotYet;
+        }
         let Some(mut send) = self.pick(now, lk) else {
             return if out > 0 { Route::NotYet } else { self.give_up(lk, SEC) };
         };
@@ -733,8 +742,12 @@
                     }
                 }
                 self.mark(now, sent.node, false);
+                let late = took as f64 > ON_PACE * (work + 2.0 * BASE as f64);
+                if known {
+                    self.late += 0.03 * (f64::from(u8::from(late)) - self.late);
+                }
                 if let Some(n) = self.node_mut(sent.node).filter(|_| known) {
-                    if took as f64 > ON_PACE * (work + 2.0 * BASE as f64) {
+                    if late {
                         n.bound = (n.bound * (1.0 - SHRINK)).max(LEAST_BOUND);
                     } else if f64::from(n.out) > 0.6 * n.bound {
                         n.bound += GROW;
@@ -758,6 +771,9 @@
                 self.mark(now, sent.node, true);
             }
             Outcome::Error | Outcome::Broken | Outcome::TimedOut | Outcome::Full => {
+                if outcome == Outcome::TimedOut {
+                    self.late += 0.03 * (1.0 - self.late);
+                }
                 if at_origin {
                     self.origin_bound = (self.origin_bound * 0.7).max(1.0);
                 }
