--- a/src/choice.rs
+++ b/src/choice.rs
@@ -92,7 +92,9 @@
     role: Role,
     state: State,
     started: Ns,
+    /// Sends out that name it, and of them those straight at it.
     out: u32,
+    straight: u32,
     /// Share of recent sends that failed at it, and of those that failed with it as their source.
     failing: f64,
     suspect: f64,
@@ -297,11 +299,12 @@
                 state: l.state,
                 started: l.started,
                 out: 0,
+                straight: 0,
                 failing: 0.0,
                 suspect: 0.0,
                 next_look: 0,
                 down: None,
-                bound: FIRST_BOUND,
+                bound: if role == Role::Cache { FIRST_BOUND } else { FIRST_BOUND / 4.0 },
                 credit: 0.0,
                 windows: Vec::new(),
                 traffic: 0.0,
@@ -314,7 +317,7 @@
                     node.state = l.state;
                     node.zone = l.zone;
                 }
-                Some(node) => *node = Node { out: node.out, ..fresh },
+                Some(node) => *node = Node { out: node.out, straight: node.straight, ..fresh },
                 None => *slot = Some(fresh),
             }
         }
@@ -544,6 +547,9 @@
                 n.out = n.out.saturating_sub(1);
             }
         }
+        if let Some(n) = self.node_mut(sent.node) {
+            n.straight = n.straight.saturating_sub(1);
+        }
         self.judge(now, lk, &sent, outcome, took, hit);
         let out = lk.sends.iter().any(|s| s.result.is_none());
         if outcome == Outcome::Satisfied {
@@ -595,6 +601,7 @@
             self.lines.push(format!("burst object={} rate={rate:.0} over={t:.0}", lk.object));
         }
         let burst = h.burst.is_some();
+        h.turn += usize::from(burst);
         if let Some(n) = self.node_mut(home).filter(|_| !burst) {
             n.traffic += weight;
         }
@@ -638,7 +645,7 @@
                 (true, false) => CHEAP_ROOM,
                 (true, true) => DEAR_ROOM,
             };
-            self.node(m).is_some_and(|n| f64::from(n.out) < part * n.bound)
+            self.node(m).is_some_and(|n| f64::from(n.straight) < part * n.bound)
         };
         let mut cache = self.caches.owner(pos, |m| fit(m) && !tried(m) && room(m));
         if let (true, Some(c)) = (first && cache == home, cache) {
@@ -647,7 +654,7 @@
         if let Some(c) = cache.filter(|_| lk.sends.len() < 2) {
             return Some(self.order(lk, now, c, source));
         }
-        let direct = parent.filter(|&p| self.set.direct && !tried(p));
+        let direct = parent.filter(|&p| self.set.direct && !tried(p) && room(p));
         match direct {
             Some(p) => Some(self.order(lk, now, p, self.origin)),
             None => cache.map(|c| self.order(lk, now, c, source)),
@@ -662,10 +669,9 @@
     }
 
     /// An object in burst rotates over its home and up to two neighbours.
-    fn widened(&mut self, lk: &Lookup, home: usize, now: Ns) -> usize {
-        let Some(h) = self.heat.get_mut(&lk.object).filter(|h| h.burst.is_some()) else { return home };
-        h.turn += 1;
-        let turn = h.turn % 3;
+    fn widened(&self, lk: &Lookup, home: usize, now: Ns) -> usize {
+        let Some(h) = self.heat.get(&lk.object).filter(|h| h.burst.is_some()) else { return home };
+        let turn = (h.turn + lk.part as usize) % 3;
         let n = self.caches.members.len();
         let Some(i) = self.caches.members.iter().position(|&m| m == home) else { return home };
         let m = self.caches.members[[i, (i + 1) % n, (i + n - 1) % n][turn]];
@@ -714,6 +720,9 @@
 
     fn sent(&mut self, lk: &Lookup, send: &Send, now: Ns) {
         let cost = self.work[lk.kind];
+        if let Some(n) = self.node_mut(send.node) {
+            n.straight += 1;
+        }
         for m in [Some(send.node), send.source].into_iter().flatten() {
             if let Some(n) = self.node_mut(m) {
                 n.out += 1;
@@ -749,7 +758,7 @@
                 if let Some(n) = self.node_mut(sent.node).filter(|_| known) {
                     if late {
                         n.bound = (n.bound * (1.0 - SHRINK)).max(LEAST_BOUND);
-                    } else if f64::from(n.out) > 0.6 * n.bound {
+                    } else if f64::from(n.straight) > 0.6 * n.bound {
                         n.bound += GROW;
                     }
                 }
