Tell a cache's own quick refusal from its source's slower one

Cause: a refusal may be the cache's (no place for a fill) or its source's; both were blamed. What comes back as quickly as the quickest outcome of that cache is its own. Harm: a cache that always answers slowly hides behind its source.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -99,6 +99,8 @@
     failing: f64,
     suspect: f64,
     next_look: Ns,
+    /// The quickest outcome it gave: a refusal about as quick is its own, a slower one its source's.
+    quickest: Ns,
     down: Option<Down>,
     bound: f64,
     credit: f64,
@@ -303,6 +305,7 @@
                 failing: 0.0,
                 suspect: 0.0,
                 next_look: 0,
+                quickest: Ns::MAX,
                 down: None,
                 bound: if role == Role::Cache { FIRST_BOUND } else { FIRST_BOUND / 4.0 },
                 credit: 0.0,
@@ -550,6 +553,9 @@
         if let Some(n) = self.node_mut(sent.node) {
             n.straight = n.straight.saturating_sub(1);
         }
+        if let Some(n) = self.node_mut(sent.node) {
+            n.quickest = n.quickest.min(took);
+        }
         self.judge(now, lk, &sent, outcome, took, hit);
         let out = lk.sends.iter().any(|s| s.result.is_none());
         if outcome == Outcome::Satisfied {
@@ -788,6 +794,17 @@
                 }
                 let failing = self.node(sent.node).map_or(0.0, |n| n.failing);
                 let suspect = sent.source.and_then(|s| self.node(s)).map_or(0.0, |n| n.suspect);
+                if outcome == Outcome::Full && sent.source.is_some() {
+                    let quick = self.node(sent.node).is_some_and(|n| took <= 2 * n.quickest + self.set.tick);
+                    if quick {
+                        if let Some(n) = self.node_mut(sent.node) {
+                            n.bound = (n.bound * (1.0 - 2.0 * SHRINK)).max(LEAST_BOUND);
+                        }
+                    } else if let Some(s) = sent.source.and_then(|s| self.node_mut(s)) {
+                        s.suspect += WEIGHT * (1.0 - s.suspect);
+                    }
+                    return;
+                }
                 // Blame the one of the two that fails with others too; both while that is open.
                 if let Some(s) =
                     sent.source.and_then(|s| self.node_mut(s)).filter(|_| suspect > failing - 0.1)
@@ -795,13 +812,7 @@
                     s.suspect += WEIGHT * (1.0 - s.suspect);
                 }
                 if sent.source.is_none() || failing > suspect - 0.1 {
-                    if outcome == Outcome::Full {
-                        if let Some(n) = self.node_mut(sent.node) {
-                            n.bound = (n.bound * (1.0 - 2.0 * SHRINK)).max(LEAST_BOUND);
-                        }
-                    } else {
-                        self.mark(now, sent.node, true);
-                    }
+                    self.mark(now, sent.node, true);
                 }
             }
             Outcome::Cancelled | Outcome::NeverSent => {}
