What spills from a crowded home passes through its neighbour unkept

Cause: spilt copies pushed out the neighbours' own slices, so the hit share fell just when all were crowded. Copies of a lost or cold home, and of an object in burst, are kept by the neighbour.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -694,7 +694,12 @@
         let kind = &self.set.object_kinds[lk.kind];
         let straight = self.node(node).is_some_and(|n| n.role != Role::Cache);
         let times = self.known(lk).map_or(0, |s| s.times);
+        // A crowded home keeps its slice: what spills from it passes through, so that neighbours lose nothing.
+        let home = self.caches.home(self.cache_pos(lk)).filter(|&h| h != node && self.up(h));
+        let in_burst = self.heat.get(&lk.object).is_some_and(|h| h.burst.is_some());
+        let spilt = !in_burst && home.is_some_and(|h| self.has_room(h, lk, now));
         let keep = match times {
+            _ if spilt => 0,
             _ if straight || kind.written || lk.write => 0,
             0 | 1 => 1,
             _ => 2,
