--- a/src/choice.rs
+++ b/src/choice.rs
@@ -623,9 +623,8 @@
 
     fn pick(&mut self, now: Ns, lk: &Lookup) -> Option<Send> {
         let tried = |m: usize| lk.sends.iter().any(|s| s.node == m);
-        let failed = |r: Option<Outcome>| {
-            matches!(r, Some(Outcome::Full | Outcome::Error | Outcome::Broken | Outcome::TimedOut))
-        };
+        let failed =
+            |r: Option<Outcome>| matches!(r, Some(Outcome::Error | Outcome::Broken | Outcome::TimedOut));
         let blamed = |m: usize| lk.sends.iter().any(|s| s.source == Some(m) && failed(s.result));
         let pos = self.parent_pos(lk);
         let first = lk.sends.is_empty();
