--- a/src/choice.rs
+++ b/src/choice.rs
@@ -696,7 +696,7 @@
         // A crowded home keeps its slice: what spills from it passes through, so that neighbours lose nothing.
         let home = self.caches.home(self.cache_pos(lk)).filter(|&h| h != node && self.up(h));
         let in_burst = self.heat.get(&lk.object).is_some_and(|h| h.burst.is_some());
-        let spilt = !in_burst && home.is_some_and(|h| self.has_room(h, lk, now));
+        let spilt = !in_burst && home.is_some();
         let keep = match times {
             _ if spilt => 0,
             _ if straight || kind.written || lk.write => 0,
