--- a/src/choice.rs
+++ b/src/choice.rs
@@ -162,7 +162,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Purge {
     made: Ns,
-    heed: Ns,
+    told: Ns,
 }
 
 pub struct Choice {
@@ -350,8 +350,7 @@
 
     /// An object, or with none a whole group, was purged so long ago.
     pub fn purged(&mut self, now: Ns, object: Option<u64>, group: u32, ago: Ns) {
-        // Spread over the grace by object, so that a mass purge is not refilled in one blow.
-        let purge = Purge { made: now.saturating_sub(ago), heed: now };
+        let purge = Purge { made: now.saturating_sub(ago), told: now };
         match object {
             Some(o) => self.purges.insert(o, purge),
             None => self.group_purges.insert(group, purge),
@@ -716,11 +715,14 @@
 
     /// The oldest copy that will do under the purges that are known.
     fn oldest(&self, lk: &Lookup, now: Ns) -> Option<Ns> {
+        // Objects heed a purge at moments spread over most of the grace, so that a mass purge is not refilled
+        // in one blow.
+        let wait = (mix(lk.object) % 1024) * (self.set.purge_grace / 2048);
         let purges = [self.purges.get(&lk.object), self.group_purges.get(&lk.group)];
         let made = purges
             .into_iter()
             .flatten()
-            .filter(|p| now >= p.heed && now < p.made + self.set.purge_cleared + SEC)
+            .filter(|p| now >= p.told + wait && now < p.made + self.set.purge_cleared + SEC)
             .map(|p| p.made)
             .max()?;
         let age = now.saturating_sub(made).max(1);
