--- a/src/choice.rs
+++ b/src/choice.rs
@@ -159,12 +159,6 @@
     work: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Purge {
-    made: Ns,
-    told: Ns,
-}
-
 pub struct Choice {
     set: Settings,
     rng: Pcg32,
@@ -182,8 +176,8 @@
     seen_turn: Ns,
     heat: HashMap<u64, Heat>,
     window_end: Ns,
-    purges: HashMap<u64, Purge>,
-    group_purges: HashMap<u32, Purge>,
+    purges: HashMap<u64, Ns>,
+    group_purges: HashMap<u32, Ns>,
     /// Fetches at the origin that this director has out, and its bound on them.
     origin_bound: f64,
     lines: Vec<String>,
@@ -350,14 +344,14 @@
 
     /// An object, or with none a whole group, was purged so long ago.
     pub fn purged(&mut self, now: Ns, object: Option<u64>, group: u32, ago: Ns) {
-        let purge = Purge { made: now.saturating_sub(ago), told: now };
+        let made = now.saturating_sub(ago);
         match object {
-            Some(o) => self.purges.insert(o, purge),
-            None => self.group_purges.insert(group, purge),
+            Some(o) => self.purges.insert(o, made),
+            None => self.group_purges.insert(group, made),
         };
         let gone = now.saturating_sub(self.set.purge_cleared + SEC);
-        self.purges.retain(|_, p| p.made > gone);
-        self.group_purges.retain(|_, p| p.made > gone);
+        self.purges.retain(|_, made| *made > gone);
+        self.group_purges.retain(|_, made| *made > gone);
     }
 
     fn node(&self, i: usize) -> Option<&Node> {
@@ -439,12 +433,25 @@
         (COLD_PART * multiple).min(COLD_MOST) * self.warmth(node, now)
     }
 
+    /// Directors take turns at a cold member, by their number: all of its allowance in one turn out of so
+    /// many, so that their peaks do not fall together.
+    fn turn_part(&self, role: Role, now: Ns) -> f64 {
+        let own = self.set.directors.get(self.set.zone).copied().unwrap_or(1);
+        let sharers = if role == Role::Parent { self.set.directors.iter().sum() } else { own }.max(1);
+        let slot = (self.set.fall_window / (4 * sharers as Ns)).max(self.set.tick).max(1);
+        let mine = now / slot % sharers as Ns == (self.set.number % sharers) as Ns;
+        if mine { sharers as f64 } else { 0.0 }
+    }
+
     fn earn(&mut self, now: Ns, work: f64) {
         let most = self.work.iter().copied().fold(0.0, f64::max) * 3.0;
         for pie in [self.caches.members.clone(), self.parents.members.clone()] {
             let share = work / pie.len().max(1) as f64;
             for m in pie {
-                let Some(part) = self.node(m).map(|n| self.cold_part(n, now)) else { continue };
+                let Some(part) = self.node(m).map(|n| self.cold_part(n, now) * self.turn_part(n.role, now))
+                else {
+                    continue;
+                };
                 if let Some(n) = self.node_mut(m) {
                     n.credit = (n.credit + share * part).min(most);
                 }
@@ -715,15 +722,12 @@
 
     /// The oldest copy that will do under the purges that are known.
     fn oldest(&self, lk: &Lookup, now: Ns) -> Option<Ns> {
-        // Objects heed a purge at moments spread over most of the grace, so that a mass purge is not refilled
-        // in one blow.
-        let wait = (mix(lk.object) % 1024) * (self.set.purge_grace / 2048);
         let purges = [self.purges.get(&lk.object), self.group_purges.get(&lk.group)];
         let made = purges
             .into_iter()
             .flatten()
-            .filter(|p| now >= p.told + wait && now < p.made + self.set.purge_cleared + SEC)
-            .map(|p| p.made)
+            .copied()
+            .filter(|&made| now < made + self.set.purge_cleared + SEC)
             .max()?;
         let age = now.saturating_sub(made).max(1);
         let fresh = self.set.object_kinds[lk.kind].fresh;
