--- a/src/choice.rs
+++ b/src/choice.rs
@@ -713,25 +713,30 @@
             node,
             source: source.filter(|&s| s != node),
             time_out: 0,
-            oldest: self.oldest(lk, now),
+            oldest: self.oldest(lk, now, source.is_some()),
             join: self.set.joins,
             renew: kind.fresh > 0,
             keep,
         }
     }
 
-    /// The oldest copy that will do under the purges that are known.
-    fn oldest(&self, lk: &Lookup, now: Ns) -> Option<Ns> {
-        let purges = [self.purges.get(&lk.object), self.group_purges.get(&lk.group)];
-        let made = purges
+    /// The oldest copy that will do: within the fresh time, or the grace after it where a fill is unlikely
+    /// to come within the latency budget, and never from before a known purge.
+    fn oldest(&self, lk: &Lookup, now: Ns, filled: bool) -> Option<Ns> {
+        let kind = &self.set.object_kinds[lk.kind];
+        let ageing = kind.fresh > 0 && kind.grace > 0 && (!filled || self.late > LATE_AT);
+        let most = if ageing { Some(kind.fresh + kind.grace) } else { None };
+        let made = [self.purges.get(&lk.object), self.group_purges.get(&lk.group)]
             .into_iter()
             .flatten()
             .copied()
             .filter(|&made| now < made + self.set.purge_cleared + SEC)
-            .max()?;
-        let age = now.saturating_sub(made).max(1);
-        let fresh = self.set.object_kinds[lk.kind].fresh;
-        (fresh == 0 || age < fresh).then_some(age)
+            .max();
+        let Some(age) = made.map(|m| now.saturating_sub(m).max(1)) else { return most };
+        match most {
+            Some(m) => Some(age.min(m)),
+            None => (kind.fresh == 0 || age < kind.fresh).then_some(age),
+        }
     }
 
     fn sent(&mut self, lk: &Lookup, send: &Send, now: Ns) {
