--- a/src/choice.rs
+++ b/src/choice.rs
@@ -724,7 +724,8 @@
     /// to come within the latency budget, and never from before a known purge.
     fn oldest(&self, lk: &Lookup, now: Ns, filled: bool) -> Option<Ns> {
         let kind = &self.set.object_kinds[lk.kind];
-        let ageing = kind.fresh > 0 && kind.grace > 0 && (!filled || self.late > LATE_AT);
+        let refused = lk.sends.iter().any(|s| s.result.is_some());
+        let ageing = kind.fresh > 0 && kind.grace > 0 && (!filled || refused);
         let most = if ageing { Some(kind.fresh + kind.grace) } else { None };
         let made = [self.purges.get(&lk.object), self.group_purges.get(&lk.group)]
             .into_iter()
