Tests of the module; a suspected parent is really asked straight; a refused look is crowding

A test found that each fill that named a suspected parent put its look off, so that no parent was ever judged.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -744,12 +744,12 @@
         let cost = self.work[lk.kind];
         if let Some(n) = self.node_mut(send.node) {
             n.straight += 1;
+            n.next_look = now + TRIAL_GAP;
         }
         for m in [Some(send.node), send.source].into_iter().flatten() {
             if let Some(n) = self.node_mut(m) {
                 n.out += 1;
                 n.credit -= cost;
-                n.next_look = now + TRIAL_GAP;
                 if let Some(d) = n.down.as_mut() {
                     d.next_trial = now + d.gap;
                 }
@@ -810,8 +810,9 @@
                 }
                 let failing = self.node(sent.node).map_or(0.0, |n| n.failing);
                 let suspect = sent.source.and_then(|s| self.node(s)).map_or(0.0, |n| n.suspect);
-                if outcome == Outcome::Full && sent.source.is_some() {
-                    let quick = self.node(sent.node).is_some_and(|n| took <= 2 * n.quickest + self.set.tick);
+                if outcome == Outcome::Full {
+                    let quick = sent.source.is_none()
+                        || self.node(sent.node).is_some_and(|n| took <= 2 * n.quickest + self.set.tick);
                     if quick {
                         if let Some(n) = self.node_mut(sent.node) {
                             n.bound = (n.bound * (1.0 - 2.0 * SHRINK)).max(LEAST_BOUND);
--- /dev/null
+++ b/tests/choice.rs
@@ -0,0 +1,419 @@
+//! Tables of cases for the decision module, without the bench.
+
+mod help;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use help::*;
+use sablecross::*;
+
+/// Where each of many objects goes: the cache and the source.
+fn homes(c: &mut Choice, objects: u64) -> Vec<(usize, Option<usize>)> {
+    let mut go = |o| look(c, START, o, 10 * MS, Outcome::Satisfied).map(|s| (s.node, s.source));
+    (0..objects).map(|o| go(o).expect("sent")).collect()
+}
+
+#[test]
+fn directors_and_restarts_agree_on_the_layout() {
+    let mut turned = list(5, 3);
+    turned.reverse();
+    let first = homes(&mut director(settings(), &list(5, 3)), 400);
+    let other = Settings { number: 3, ..settings() };
+    assert_eq!(first, homes(&mut director(other, &turned), 400));
+    let elsewhere = Settings { zone: 3, ..settings() };
+    let mut theirs: Vec<Listed> = list(0, 3);
+    theirs.extend((10..14).map(|n| Listed { zone: 3, ..line(n, 0) }));
+    let far = homes(&mut director(elsewhere, &theirs), 400);
+    assert!(first.iter().zip(&far).all(|(a, b)| a.1 == b.1), "fills of an object meet at one parent");
+    for (n, share) in (0..5).map(|n| (n, first.iter().filter(|h| h.0 == n).count())) {
+        assert!((40..130).contains(&share), "cache {n} has {share} of 400");
+    }
+}
+
+#[test]
+fn a_lost_members_slice_halves_to_its_neighbours() {
+    // (lost of five caches in ring order, the caches that may take their objects)
+    let cases: [(&[usize], &[usize]); 4] =
+        [(&[2], &[1, 3]), (&[0], &[4, 1]), (&[2, 3], &[1, 4]), (&[1, 2, 3, 4], &[0])];
+    let before = homes(&mut director(settings(), &list(5, 2)), 600);
+    for (lost, heirs) in cases {
+        let mut lines = list(5, 2);
+        lines.iter_mut().filter(|l| lost.contains(&l.node)).for_each(|l| l.state = State::Draining);
+        let after = homes(&mut director(settings(), &lines), 600);
+        let mut taken: BTreeMap<usize, usize> = BTreeMap::new();
+        for (b, a) in before.iter().zip(&after) {
+            if lost.contains(&b.0) {
+                *taken.entry(a.0).or_default() += 1;
+            } else {
+                assert_eq!(a.0, b.0, "positions of live members keep their owner");
+            }
+        }
+        assert_eq!(taken.keys().copied().collect::<BTreeSet<_>>(), heirs.iter().copied().collect());
+        let total: usize = taken.values().sum();
+        assert!(taken.values().all(|&t| 4 * t > total), "halves: {taken:?}");
+    }
+}
+
+#[test]
+fn a_change_of_the_list_moves_one_members_share() {
+    let before = homes(&mut director(settings(), &list(5, 2)), 600);
+    let after = homes(&mut director(settings(), &list(6, 2)), 600);
+    let moved = before.iter().zip(&after).filter(|(b, a)| b.0 != a.0);
+    assert!(moved.clone().all(|(_, a)| a.0 == 5));
+    assert!((60..150).contains(&moved.count()));
+}
+
+#[test]
+fn without_members_a_lookup_goes_on_or_is_nacked_at_once() {
+    // (caches, parents, origin listed, node, source)
+    let cases = [
+        (2, 0, true, Some((true, Some(ORIGIN)))),
+        (0, 1, true, Some((false, Some(ORIGIN)))),
+        (0, 0, true, None),
+        (0, 0, false, None),
+        (2, 0, false, Some((true, None))),
+    ];
+    for (caches, parents, origin, want) in cases {
+        let mut lines = list(caches, parents);
+        lines.retain(|l| origin || l.node != ORIGIN);
+        let mut c = director(settings(), &lines);
+        match (c.route(START, &lookup(5, START)), want) {
+            (Route::Send(s), Some((cache, source))) => {
+                assert_eq!((s.node < 50, s.source), (cache, source));
+            }
+            (Route::Nack { pause }, None) => assert!(pause > 0),
+            (got, want) => panic!("{caches} {parents} {origin}: {got:?}, not {want:?}"),
+        }
+    }
+    let mut unlisted = Choice::new(settings(), 1, START);
+    assert!(matches!(unlisted.route(START, &lookup(5, START)), Route::Nack { .. }));
+}
+
+#[test]
+fn every_lookup_has_its_answer_before_the_deadline() {
+    for left in [0, MS, 4 * MS, 5 * MS, 100 * MS] {
+        let mut c = director(settings(), &list(3, 2));
+        let mut lk = Lookup { deadline: START + left, ..lookup(1, START) };
+        match go(&mut c, START, &mut lk) {
+            Route::Send(s) => {
+                assert!(s.time_out < left, "the last time-out leaves time to answer");
+                let now = START + s.time_out;
+                assert_eq!(end(&mut c, now, &mut lk, Outcome::TimedOut), Next::Again);
+                assert!(matches!(c.route(now, &lk), Route::Nack { .. }));
+            }
+            route => assert!(left <= 4 * MS && matches!(route, Route::Nack { .. }), "{left} {route:?}"),
+        }
+    }
+    // Satisfied ends it, and what is still out is called off.
+    let mut c = director(settings(), &list(3, 2));
+    let mut lk = lookup(1, START);
+    go(&mut c, START, &mut lk);
+    let wait = c.patience(START, &lk).expect("a second copy is possible");
+    assert!(matches!(go(&mut c, START + wait, &mut lk), Route::Send(_)));
+    assert_ne!(lk.sends[0].node, lk.sends[1].node);
+    assert_eq!(end(&mut c, START + wait + MS, &mut lk, Outcome::Satisfied), Next::Done { call_off: true });
+}
+
+#[test]
+fn effects_do_not_happen_twice() {
+    use Outcome::*;
+    let dedup = |within| Effect::Deduplicated { within, memory: SEC };
+    // (effect, outcome of the first send, when, another send, nack allowed once given up)
+    let cases = [
+        (Effect::Idempotent, Error, MS, true, true),
+        (Effect::SideEffecting, Error, MS, false, false),
+        (Effect::SideEffecting, TimedOut, MS, false, false),
+        (Effect::SideEffecting, Broken, MS, false, false),
+        (Effect::SideEffecting, Cancelled, MS, false, false),
+        (Effect::SideEffecting, Full, MS, true, true),
+        (Effect::SideEffecting, Unconnected, MS, true, true),
+        (Effect::SideEffecting, Miss, MS, true, true),
+        (Effect::SideEffecting, NeverSent, MS, true, true),
+        (dedup(Within::All), Error, MS, true, true),
+        (dedup(Within::All), Error, 2 * SEC, false, true),
+        (dedup(Within::All), Full, 2 * SEC, true, true),
+        (dedup(Within::Zone), Error, MS, true, false),
+        (dedup(Within::Zone), Error, 2 * SEC, false, false),
+        (dedup(Within::Cell), Error, 2 * SEC, false, false),
+        (dedup(Within::Cell), Full, MS, true, true),
+    ];
+    for (effect, outcome, after, again, nack) in cases {
+        let set = Settings { object_kinds: vec![kind(effect)], ..settings() };
+        let mut c = director(set, &list(4, 2));
+        let mut lk = lookup(8, START);
+        go(&mut c, START, &mut lk);
+        if effect == Effect::SideEffecting {
+            assert_eq!(c.route(START + SEC, &lk), Route::NotYet, "no second copy");
+        }
+        assert_eq!(end(&mut c, START + after, &mut lk, outcome), Next::Again);
+        let route = c.route(START + after, &lk);
+        assert_eq!(matches!(route, Route::Send(_)), again, "{effect:?} {outcome:?} {route:?}");
+        let route = c.route(lk.deadline, &lk);
+        assert_eq!(matches!(route, Route::Nack { .. }), nack, "{effect:?} {outcome:?}");
+        assert_eq!(route == Route::Fail, !nack);
+    }
+    // A cell's repeats stay in the cell.
+    for object in 0..50 {
+        let set = Settings { object_kinds: vec![kind(dedup(Within::Cell))], ..settings() };
+        let mut c = director(set, &list(4, 2));
+        let mut lk = lookup(object, START);
+        go(&mut c, START, &mut lk);
+        end(&mut c, START + MS, &mut lk, Outcome::Error);
+        if let Route::Send(s) = c.route(START + MS, &lk) {
+            assert_eq!(s.node / 2, lk.sends[0].node / 2);
+        }
+    }
+}
+
+#[test]
+fn nothing_goes_to_a_drained_or_gone_node() {
+    for state in [State::Draining, State::Gone] {
+        for whole in [false, true] {
+            let mut c = director(settings(), &list(4, 3));
+            let lost = |n: usize| n == 1 || n == 51;
+            let mut lines = list(4, 3);
+            lines.retain(
+                |l| if whole && state == State::Gone { !lost(l.node) } else { whole || lost(l.node) },
+            );
+            lines.iter_mut().filter(|l| lost(l.node)).for_each(|l| l.state = state);
+            c.listed(START, &lines, whole);
+            for o in 0..300 {
+                let s = look(&mut c, START + o * 20 * MS, o, 10 * MS, Outcome::Satisfied).expect("sent");
+                assert!(!lost(s.node) && !s.source.is_some_and(lost), "{state:?} {s:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn cold_members_get_a_growing_part() {
+    // (cold node, whether it is a parent, age in seconds, least and most of its full share in the 10 s after)
+    let cases =
+        [(1, 0, 0.1, 0.7), (1, 10, 0.4, 1.0), (1, 20, 0.9, 1.1), (51, 0, 0.02, 0.5), (51, 20, 0.9, 1.1)];
+    for (cold, age, least, most) in cases {
+        let names = |s: &Send| s.node == cold || s.source == Some(cold);
+        let mut counts = [0.0; 2];
+        for (i, started) in [0, START - age * SEC].into_iter().enumerate() {
+            let mut lines = list(4, 2);
+            lines.iter_mut().filter(|l| l.node == cold).for_each(|l| l.started = started);
+            let mut c = director(settings(), &lines);
+            for o in 0..1_000 {
+                let s = look(&mut c, START + o * 10 * MS, o, 5 * MS, Outcome::Satisfied).expect("sent");
+                counts[i] += f64::from(u8::from(names(&s)));
+            }
+        }
+        let part = counts[1] / counts[0];
+        assert!((least..=most).contains(&part), "node {cold} at {age} s: {part}");
+    }
+}
+
+#[test]
+fn all_directors_together_stay_under_a_cold_nodes_fall() {
+    let mut lines = list(3, 2);
+    lines.iter_mut().for_each(|l| l.started = if l.node == ORIGIN { 0 } else { START });
+    let mut team: Vec<Choice> = (0..3)
+        .map(|number| director(Settings { number, directors: vec![0, 0, 3], ..settings() }, &lines))
+        .collect();
+    let mut work = [0.0; 3];
+    for o in 0..1_500_u64 {
+        let now = START + o * 2 * MS;
+        let d = (o % 3) as usize;
+        if let Some(s) = look(&mut team[d], now, o, 5 * MS, Outcome::Satisfied) {
+            if s.node < 3 {
+                work[s.node] += 100.0 * MS as f64;
+            }
+        }
+    }
+    // 500 lookups a second of 100 ms each: 50 at once, about 17 a cache; a full cache would do them all.
+    for w in work {
+        assert!(w / (3.0 * SEC as f64) < 17.0 * 3.0 * 0.3, "{w}");
+    }
+}
+
+#[test]
+fn no_answer_is_older_than_a_known_purge() {
+    let fresh = ObjectKind { fresh: 20 * SEC, grace: 30 * SEC, ..kind(Effect::Idempotent) };
+    let set = Settings { object_kinds: vec![fresh], ..settings() };
+    // (object purged, group purged, made how long ago, asked how long after, oldest copy)
+    let cases = [
+        (Some(5), 9, SEC, 0, Some(SEC)),
+        (Some(5), 9, 0, 0, Some(1)),
+        (Some(5), 9, SEC, 2 * SEC, Some(3 * SEC)),
+        (Some(5), 9, SEC, 9 * SEC, None),
+        (Some(6), 3, SEC, 0, None),
+        (None, 3, SEC, 0, Some(SEC)),
+        (None, 4, SEC, 0, None),
+    ];
+    for (object, group, ago, later, oldest) in cases {
+        let mut c = director(set.clone(), &list(3, 2));
+        c.purged(START, object, group, ago);
+        let now = START + later;
+        let mut lk = lookup(5, now);
+        let Route::Send(s) = go(&mut c, now, &mut lk) else { panic!("sent") };
+        assert_eq!(s.oldest, oldest, "{object:?} {group} {ago} {later}");
+        // A further send after a failed fill takes a grace copy, but none from before the purge.
+        end(&mut c, now + 10 * MS, &mut lk, Outcome::Full);
+        let Route::Send(s) = go(&mut c, now + 10 * MS, &mut lk) else { panic!("sent again") };
+        assert_eq!(
+            s.oldest,
+            oldest
+                .map(|a| (a + 10 * MS).max(10 * MS))
+                .or(Some(50 * SEC))
+                .map(|a| { if a == 10 * MS + 1 { 10 * MS } else { a } })
+        );
+    }
+}
+
+#[test]
+fn bursts_need_history_and_sigma_and_end() {
+    // (lookups of other objects in each 2 s window, whether the hot object is then in burst)
+    let varied = [40, 60, 50, 45, 55, 50, 62, 41, 50, 47, 53, 50];
+    let cases: [(&[u64], bool); 3] = [(&varied, true), (&[50; 12], false), (&varied[..2], false)];
+    for (windows, burst) in cases {
+        let mut c = director(settings(), &list(4, 2));
+        let mut now = START + MS;
+        for &count in windows {
+            for i in 0..count * 4 {
+                look(&mut c, now + i, 10_000 + i, MS, Outcome::Satisfied);
+            }
+            now += 2 * SEC + 3 * MS;
+        }
+        c.notes();
+        let mut nodes = BTreeSet::new();
+        for i in 0..400 {
+            if let Some(s) = look(&mut c, now + i * MS, 3, MS, Outcome::Satisfied) {
+                nodes.insert(s.node);
+            }
+        }
+        assert_eq!(mode_lines(&mut c, "burst object=3"), usize::from(burst), "{windows:?}");
+        assert_eq!(nodes.len(), if burst { 3 } else { 1 });
+        now += 5 * SEC;
+        look(&mut c, now, 3, MS, Outcome::Satisfied);
+        look(&mut c, now + 3 * SEC, 3, MS, Outcome::Satisfied);
+        assert_eq!(mode_lines(&mut c, "burst over"), usize::from(burst));
+    }
+}
+
+#[test]
+fn a_failing_cache_gets_only_trials_until_it_is_well() {
+    for outcome in [Outcome::Error, Outcome::Broken, Outcome::Unconnected] {
+        let mut c = director(settings(), &list(4, 2));
+        let mut now = START;
+        let mut hits = 0;
+        for o in 0..2_000_u64 {
+            now += 5 * MS;
+            let mut lk = lookup(o, now);
+            let Route::Send(s) = go(&mut c, now, &mut lk) else { continue };
+            let ill = s.node == 2;
+            hits += u32::from(ill && o > 400);
+            end(&mut c, now + 2 * MS, &mut lk, if ill { outcome } else { Outcome::Satisfied });
+        }
+        assert_eq!(mode_lines(&mut c, "down node=2"), 1, "{outcome:?}");
+        assert!(hits < 10, "{hits} sends to a failing cache");
+        for o in 0..2_000 {
+            now += 5 * MS;
+            look(&mut c, now, o, 2 * MS, Outcome::Satisfied);
+        }
+        assert_eq!(mode_lines(&mut c, "up node=2"), 1);
+    }
+}
+
+#[test]
+fn a_suspected_parent_is_asked_straight_before_it_is_judged() {
+    // (whether the parent itself fails, whether it is judged down)
+    for ill in [true, false] {
+        let mut c = director(settings(), &list(4, 2));
+        let mut straight = 0;
+        for o in 0..2_000_u64 {
+            let now = START + o * 10 * MS;
+            let mut lk = lookup(o, now);
+            let Route::Send(s) = go(&mut c, now, &mut lk) else { continue };
+            let at_parent = s.node == 51;
+            straight += u32::from(at_parent && s.source.is_none());
+            let outcome = match (at_parent, s.source) {
+                (true, _) if ill => Outcome::Error,
+                (true, _) => Outcome::Miss,
+                (false, Some(51)) if o % 3 == 0 => Outcome::Error,
+                _ => Outcome::Satisfied,
+            };
+            end(&mut c, now + 60 * MS, &mut lk, outcome);
+        }
+        assert!(straight > 0);
+        assert_eq!(mode_lines(&mut c, "down node=51") > 0, ill);
+    }
+}
+
+#[test]
+fn a_crowded_home_spills_unkept_and_then_nacks() {
+    let mut c = director(settings(), &list(3, 2));
+    let home = look(&mut c, START, 1, MS, Outcome::Satisfied).expect("sent").node;
+    let (mut at_home, mut spilt, mut straight, mut nacked) = (0, 0, 0, 0);
+    for _ in 0..200 {
+        let mut lk = Lookup { size_kb: 3_000.0, ..lookup(1, START + MS) };
+        match go(&mut c, START + MS, &mut lk) {
+            Route::Send(s) if s.node == home => at_home += 1,
+            Route::Send(s) if s.node < 50 => {
+                assert_eq!(s.keep, 0);
+                spilt += 1;
+            }
+            Route::Send(_) => straight += 1,
+            Route::Nack { pause } => {
+                assert!(pause > 0);
+                nacked += 1;
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(
+        at_home > 0 && spilt > 0 && straight > 0 && nacked > 100,
+        "{at_home} {spilt} {straight} {nacked}"
+    );
+}
+
+#[test]
+fn unknown_sizes_and_reports_are_no_hindrance() {
+    let mut c = director(settings(), &list(4, 2));
+    for i in 0..300 {
+        let mut lk = Lookup { size_kb: 0.0, ..lookup(i % 20, START + i * 30 * MS) };
+        let now = lk.arrived;
+        assert!(matches!(go(&mut c, now, &mut lk), Route::Send(_)));
+        assert!(c.patience(now, &lk).is_some_and(|w| w < 4 * SEC));
+        end(&mut c, now + 50 * MS, &mut lk, Outcome::Satisfied);
+    }
+}
+
+#[test]
+fn second_copies_stop_while_all_are_slow() {
+    let mut c = director(settings(), &list(4, 2));
+    for (took, copies) in [(120 * MS, true), (3 * SEC, false), (120 * MS, true)] {
+        for o in 0..200 {
+            look(&mut c, START + o * 40 * MS, o, took, Outcome::Satisfied);
+        }
+        let mut lk = lookup(3, START + 30 * SEC);
+        go(&mut c, START + 30 * SEC, &mut lk);
+        let route = c.route(START + 31 * SEC, &lk);
+        assert_eq!(matches!(route, Route::Send(_)), copies, "{took}");
+    }
+}
+
+#[test]
+fn fetches_at_the_origin_stay_bounded_and_back_off() {
+    let mut c = director(settings(), &list(4, 0));
+    let mut bound = Vec::new();
+    for failing in [false, true] {
+        let mut held = Vec::new();
+        for o in 0..100 {
+            let mut lk = lookup(o, START);
+            if let Route::Send(s) = go(&mut c, START, &mut lk) {
+                if s.source == Some(ORIGIN) {
+                    held.push(lk);
+                }
+            }
+        }
+        bound.push(held.len());
+        for mut lk in held {
+            end(&mut c, START + 30 * MS, &mut lk, if failing { Outcome::Satisfied } else { Outcome::Error });
+        }
+    }
+    assert!(bound[0] > bound[1] && bound[1] >= 1 && bound[0] < 20, "{bound:?}");
+}
