Only looks without a fill judge a parent, with a short time-out

Cause: what failed behind a parent was often the origin or a jam, and both parents were judged down together. Harm: a parent that answers looks but fails fills stays up.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -543,6 +543,10 @@
             self.tokens -= 1.0;
         }
         send.time_out = lk.deadline - now - 2 * self.set.tick;
+        if first && send.source.is_none() {
+            // A look is over soon, or the member is not well.
+            send.time_out = send.time_out.min((3.0 * self.predicted(lk)) as Ns + 8 * BASE);
+        }
         self.sent(lk, &send, now);
         Route::Send(send)
     }
@@ -828,7 +832,9 @@
                 {
                     s.suspect += WEIGHT * (1.0 - s.suspect);
                 }
-                if sent.source.is_none() || failing > suspect - 0.1 {
+                // What fails behind a parent may be the origin's fault: only a look without a fill judges it.
+                let parent = self.node(sent.node).is_some_and(|n| n.role == Role::Parent);
+                if sent.source.is_none() || !parent && failing > suspect - 0.1 {
                     self.mark(now, sent.node, true);
                 }
             }
