--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -35,6 +35,12 @@
         if x.is_finite() && x >= 0.0 { Ok(x) } else { Err(format!("bad setting: {key}={x}")) }
     }
 
+    /// A part of a whole.
+    fn share(&self, key: &str) -> Result<f64> {
+        let x = self.amount(key)?;
+        if x <= 1.0 { Ok(x) } else { Err(format!("bad setting: {key}={x}")) }
+    }
+
     fn of<T: Copy>(&self, list: &[T], i: usize, key: &str) -> Result<T> {
         list.get(i).copied().ok_or_else(|| format!("bad setting: {key} has no item {i}"))
     }
@@ -79,10 +85,13 @@
     if object_kinds.is_empty() {
         return Err("bad setting: classes.count=0".into());
     }
+    let zone = p.get("az")?;
+    let directors: Vec<usize> = p.list("extra.zoneBalancers")?;
+    p.of(&directors, zone, "extra.zoneBalancers")?;
     Ok(Settings {
-        zone: p.get("az")?,
+        zone,
         number: p.get("index")?,
-        directors: p.list("extra.zoneBalancers")?,
+        directors,
         object_kinds,
         parent_kind: usize::try_from(p.get::<i64>("extra.midKind")?).ok(),
         origin_kind: p.get("extra.masterKind")?,
@@ -92,17 +101,16 @@
         pauses: p.get("ceilings.retryAfter")?,
         longest_pause: p.ns("ceilings.maxRetryAfterUs")?,
         most_sends: p.get("ceilings.sendCap")?,
-        cold_from: p.amount("guarantees.coldFrom")?,
+        cold_from: p.share("guarantees.coldFrom")?,
         warm_after: p.ns("guarantees.warmAfterUs")?,
         fall_multiple: p.amount("guarantees.fallMultiple")?,
         fall_window: p.ns("guarantees.fallUs")?,
-        parent_cold_from: p.amount("extra.parentStartsAt")?,
+        parent_cold_from: p.share("extra.parentStartsAt")?,
         parent_warm_after: p.ns("extra.parentColdUs")?,
         parent_fall_multiple: p.amount("extra.upperFallMultiple")?,
         stream_kb_per_s: p.amount("extra.streamKbPerS")?,
         direct: p.get("extra.direct")?,
         joins: p.get("extra.joins")?,
-        purge_grace: p.ns("extra.purgeGraceUs")?,
         purge_cleared: p.ns("extra.clearedWithinUs")?,
         tick: p.ns("periodUs")?,
     })
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -363,8 +363,10 @@
     }
 
     fn turn(&mut self, now: Ns) {
-        if now >= self.window_end {
-            self.window_end = now + WINDOW;
+        let idle = now.saturating_sub(self.window_end) / WINDOW;
+        self.window_end += idle.saturating_sub(3 * SPACING as Ns) * WINDOW;
+        while now >= self.window_end {
+            self.window_end += WINDOW;
             for node in self.nodes.iter_mut().flatten() {
                 node.close_window();
             }
@@ -642,10 +644,8 @@
         let trial_parent = self.parents.home(pos).filter(|&m| first && self.trial_due(m, now));
         let parent =
             self.parents.owner(pos, |m| fit(m) && !blamed(m)).or_else(|| self.parents.owner(pos, fit));
-        if let (Some(p), true) = (trial_parent, self.set.direct) {
-            if self.has_room(p, lk, now) {
-                return Some(self.order(lk, now, p, None));
-            }
+        if let Some(p) = trial_parent.filter(|&p| self.set.direct && self.has_room(p, lk, now)) {
+            return Some(self.order(lk, now, p, None));
         }
         let source = parent.or_else(|| self.origin_as_source());
         let pos = self.cache_pos(lk);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -29,7 +29,6 @@
     pub stream_kb_per_s: f64,
     pub direct: bool,
     pub joins: bool,
-    pub purge_grace: Ns,
     pub purge_cleared: Ns,
     pub tick: Ns,
 }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -218,10 +218,9 @@
     for o in 0..1_500_u64 {
         let now = START + o * 2 * MS;
         let d = (o % 3) as usize;
-        if let Some(s) = look(&mut team[d], now, o, 5 * MS, Outcome::Satisfied) {
-            if s.node < 3 {
-                work[s.node] += 100.0 * MS as f64;
-            }
+        let send = look(&mut team[d], now, o, 5 * MS, Outcome::Satisfied);
+        if let Some(s) = send.filter(|s| s.node < 3) {
+            work[s.node] += 100.0 * MS as f64;
         }
     }
     // 500 lookups a second of 100 ms each: 50 at once, about 17 a cache; a full cache would do them all.
@@ -290,7 +289,7 @@
         now += 5 * SEC;
         look(&mut c, now, 3, MS, Outcome::Satisfied);
         look(&mut c, now + 3 * SEC, 3, MS, Outcome::Satisfied);
-        assert_eq!(mode_lines(&mut c, "burst over"), usize::from(burst));
+        assert_eq!(mode_lines(&mut c, "burst over"), usize::from(burst), "{windows:?}");
     }
 }
 
@@ -404,10 +403,8 @@
         let mut held = Vec::new();
         for o in 0..100 {
             let mut lk = lookup(o, START);
-            if let Route::Send(s) = go(&mut c, START, &mut lk) {
-                if s.source == Some(ORIGIN) {
-                    held.push(lk);
-                }
+            if matches!(go(&mut c, START, &mut lk), Route::Send(s) if s.source == Some(ORIGIN)) {
+                held.push(lk);
             }
         }
         bound.push(held.len());
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -44,7 +44,6 @@
         stream_kb_per_s: 1_000.0,
         direct: true,
         joins: true,
-        purge_grace: SEC,
         purge_cleared: 6 * SEC,
         tick: 2 * MS,
     }
