Cold caches get more of their slice while sends are on pace

Cause: in a rolling replacement most caches of a location are cold at once and what they were not given missed. Harm: a jump of traffic on a fleet just on pace; the part falls back with it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,9 +53,10 @@
 const CHEAP_ROOM: f64 = 0.85;
 const DEAR_ROOM: f64 = 1.3;
 
-/// Part of what a cold member can stand, or could do at once, that it is given.
+/// Part of its fall-over load that a cold member is given when its slice would fill a warm one: at any load,
+/// and with a cache while sends are on pace, as no fleet is that full then.
 const COLD_PART: f64 = 0.4;
-const COLD_MOST: f64 = 1.0;
+const COLD_PART_ON_PACE: f64 = 0.75;
 
 /// Further sends: earned by one success, and the most that is saved up.
 const TOKEN: f64 = 0.15;
@@ -432,7 +433,9 @@
             Role::Parent => self.set.parent_fall_multiple,
             _ => self.set.fall_multiple,
         };
-        (COLD_PART * multiple).min(COLD_MOST) * self.warmth(node, now)
+        let on_pace = if node.role == Role::Cache { (1.0 - self.late / LATE_AT).max(0.0) } else { 0.0 };
+        let part = COLD_PART + (COLD_PART_ON_PACE - COLD_PART) * on_pace;
+        (part * multiple * self.warmth(node, now)).min(1.0)
     }
 
     /// Directors take turns at a cold member, by their number: all of its allowance in one turn out of so
