--- a/src/choice.rs
+++ b/src/choice.rs
@@ -560,7 +560,7 @@
     pub fn after(&mut self, now: Ns, lk: &Lookup, shot: usize, took: Ns, hit: Option<bool>) -> Next {
         let Some(sent) = lk.sends.get(shot).copied() else { return Next::Wait };
         let Some(outcome) = sent.result else { return Next::Wait };
-        for m in [Some(sent.node), sent.source].into_iter().flatten() {
+        for m in self.asked(sent.node, sent.source) {
             if let Some(n) = self.node_mut(m) {
                 n.out = n.out.saturating_sub(1);
             }
@@ -747,13 +747,19 @@
         }
     }
 
+    /// Whom a send may put to work; what a parent asks of the origin is the parent's.
+    fn asked(&self, node: usize, source: Option<usize>) -> impl Iterator<Item = usize> + use<> {
+        let cache = self.node(node).is_some_and(|n| n.role == Role::Cache);
+        [Some(node), source.filter(|_| cache)].into_iter().flatten()
+    }
+
     fn sent(&mut self, lk: &Lookup, send: &Send, now: Ns) {
         let cost = self.work[lk.kind];
         if let Some(n) = self.node_mut(send.node) {
             n.straight += 1;
             n.next_look = now + TRIAL_GAP;
         }
-        for m in [Some(send.node), send.source].into_iter().flatten() {
+        for m in self.asked(send.node, send.source) {
             if let Some(n) = self.node_mut(m) {
                 n.out += 1;
                 n.credit -= cost;
