--- a/src/choice.rs
+++ b/src/choice.rs
@@ -64,6 +64,8 @@
 /// No second copies while more than this share of the recent sends was off pace: all are slow then, and
 /// one more transfer makes them slower.
 const LATE_AT: f64 = 0.25;
+/// A lookup with less than this part of its predicted sending time left is given up at once.
+const HOPELESS: f64 = 0.7;
 /// Time that a send takes beside the transfer.
 const BASE: Ns = 40 * MS;
 
@@ -530,9 +532,14 @@
             return if out > 0 { Route::NotYet } else { self.give_up(lk, 0) };
         }
         let first = lk.sends.is_empty();
+        let hopeless = (lk.deadline - now) as f64 <= HOPELESS * self.predicted(lk);
         if first {
             self.arrived(now, lk);
-        } else if lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1 {
+        }
+        if hopeless {
+            return if out > 0 { Route::NotYet } else { self.give_up(lk, 500 * MS) };
+        }
+        if !first && (lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1) {
             return if out > 0 { Route::NotYet } else { self.give_up(lk, 500 * MS) };
         }
         if out > 0 && self.late > LATE_AT {
@@ -774,8 +781,7 @@
 
     fn judge(&mut self, now: Ns, lk: &Lookup, sent: &Sent, outcome: Outcome, took: Ns, hit: Option<bool>) {
         let work = self.predicted(lk);
-        let at_origin =
-            self.origin.is_some() && (sent.source == self.origin || Some(sent.node) == self.origin);
+        let at_origin = self.asked(sent.node, sent.source).any(|m| Some(m) == self.origin);
         match outcome {
             Outcome::Satisfied => {
                 let known = lk.size_kb > 0.0 || self.known(lk).is_some_and(|s| s.work > 0.0);
