No spilling while a quarter of the recent sends is off pace

Cause: in a jam of the whole location each spilt lookup is a miss, so one more fill over the jammed link.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -666,6 +666,7 @@
         let dear = self.is_dear(lk);
         let room = |m: usize| {
             let part = match (Some(m) == home, dear) {
+                (false, _) if self.late > LATE_AT => 0.0,
                 (false, _) => SPILL_ROOM,
                 (true, false) => CHEAP_ROOM,
                 (true, true) => DEAR_ROOM,
