--- a/src/choice.rs
+++ b/src/choice.rs
@@ -664,8 +664,10 @@
             return Some(self.order(lk, now, h, source));
         }
         let dear = self.is_dear(lk);
+        // The heir of a lost slice counts as its home.
+        let heir = self.caches.owner(pos, |m| self.up(m));
         let room = |m: usize| {
-            let part = match (Some(m) == home, dear) {
+            let part = match (Some(m) == heir, dear) {
                 (false, _) if self.late > LATE_AT => 0.0,
                 (false, _) => SPILL_ROOM,
                 (true, false) => CHEAP_ROOM,
