--- a/src/choice.rs
+++ b/src/choice.rs
@@ -542,8 +542,10 @@
         if !first && (lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1) {
             return if out > 0 { Route::NotYet } else { self.give_up(lk, 500 * MS) };
         }
-        if out > 0 && self.late > LATE_AT {
-            return Route::NotYet;
+        let unreached =
+            lk.sends.iter().all(|s| matches!(s.result, Some(Outcome::Unconnected | Outcome::Miss)));
+        if !first && !unreached && self.late > LATE_AT {
+            return if out > 0 { Route::NotYet } else { self.give_up(lk, SEC) };
         }
         let Some(mut send) = self.pick(now, lk) else {
             return if out > 0 { Route::NotYet } else { self.give_up(lk, SEC) };
