--- a/src/choice.rs
+++ b/src/choice.rs
@@ -63,7 +63,7 @@
 const MOST_TOKENS: f64 = 30.0;
 /// No second copies while more than this share of the recent sends was off pace: all are slow then, and
 /// one more transfer makes them slower.
-const LATE_AT: f64 = 0.25;
+const LATE_AT: f64 = 0.18;
 /// A lookup with less than this part of its predicted sending time left is given up at once.
 const HOPELESS: f64 = 0.7;
 /// Time that a send takes beside the transfer.
@@ -232,6 +232,11 @@
     }
 }
 
+fn ill(sent: &Sent) -> bool {
+    use Outcome::*;
+    matches!(sent.result, Some(Error | Broken | Unconnected | Miss | NeverSent))
+}
+
 fn ran(sent: &Sent) -> bool {
     !matches!(sent.result, Some(Outcome::Full | Outcome::Unconnected | Outcome::NeverSent | Outcome::Miss))
 }
@@ -542,9 +547,8 @@
         if !first && (lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1) {
             return if out > 0 { Route::NotYet } else { self.give_up(lk, 500 * MS) };
         }
-        let unreached =
-            lk.sends.iter().all(|s| matches!(s.result, Some(Outcome::Unconnected | Outcome::Miss)));
-        if !first && !unreached && self.late > LATE_AT {
+        // In a jam only what failed by a member's illness is sent again.
+        if !first && self.jammed() && !lk.sends.iter().any(ill) {
             return if out > 0 { Route::NotYet } else { self.give_up(lk, SEC) };
         }
         let Some(mut send) = self.pick(now, lk) else {
@@ -670,7 +674,7 @@
         let heir = self.caches.owner(pos, |m| self.up(m));
         let room = |m: usize| {
             let part = match (Some(m) == heir, dear) {
-                (false, _) if self.late > LATE_AT => 0.0,
+                (false, _) if self.jammed() && !lk.sends.iter().any(ill) => 0.0,
                 (false, _) => SPILL_ROOM,
                 (true, false) => CHEAP_ROOM,
                 (true, true) => DEAR_ROOM,
@@ -691,6 +695,10 @@
         }
     }
 
+    fn jammed(&self) -> bool {
+        self.late > LATE_AT
+    }
+
     /// Whether it brings more utility for its sending time than the kinds do on the whole.
     fn is_dear(&self, lk: &Lookup) -> bool {
         let of = |k: usize, work: f64| self.set.object_kinds[k].utility / (work + BASE as f64);
