--- a/src/choice.rs
+++ b/src/choice.rs
@@ -232,11 +232,6 @@
     }
 }
 
-fn ill(sent: &Sent) -> bool {
-    use Outcome::*;
-    matches!(sent.result, Some(Error | Broken | Unconnected | Miss | NeverSent))
-}
-
 fn ran(sent: &Sent) -> bool {
     !matches!(sent.result, Some(Outcome::Full | Outcome::Unconnected | Outcome::NeverSent | Outcome::Miss))
 }
@@ -547,9 +542,8 @@
         if !first && (lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1) {
             return if out > 0 { Route::NotYet } else { self.give_up(lk, 500 * MS) };
         }
-        // In a jam only what failed by a member's illness is sent again.
-        if !first && self.jammed() && !lk.sends.iter().any(ill) {
-            return if out > 0 { Route::NotYet } else { self.give_up(lk, SEC) };
+        if out > 0 && self.jammed() {
+            return Route::NotYet;
         }
         let Some(mut send) = self.pick(now, lk) else {
             return if out > 0 { Route::NotYet } else { self.give_up(lk, SEC) };
@@ -674,7 +668,7 @@
         let heir = self.caches.owner(pos, |m| self.up(m));
         let room = |m: usize| {
             let part = match (Some(m) == heir, dear) {
-                (false, _) if self.jammed() && !lk.sends.iter().any(ill) => 0.0,
+                (false, _) if first && self.jammed() => 0.0,
                 (false, _) => SPILL_ROOM,
                 (true, false) => CHEAP_ROOM,
                 (true, true) => DEAR_ROOM,
