--- a/src/choice.rs
+++ b/src/choice.rs
@@ -513,13 +513,15 @@
         }
     }
 
-    fn give_up(&mut self, lk: &Lookup, pause: Ns) -> Route {
+    /// A lookup given up is answered at once. A client that repeats soon finds the same trouble and adds to
+    /// it, so it is asked to stay away as long as clients do.
+    fn give_up(&mut self, lk: &Lookup) -> Route {
         if !self.may_nack(lk) {
             return Route::Fail;
         }
-        let jitter = 0.75 + 0.5 * self.rng.random::<f64>();
-        let pause = if self.set.pauses { (pause as f64 * jitter) as Ns } else { 0 };
-        Route::Nack { pause: pause.min(self.set.longest_pause) }
+        let part = 0.75 + 0.25 * self.rng.random::<f64>();
+        let pause = if self.set.pauses { self.set.longest_pause as f64 * part } else { 0.0 };
+        Route::Nack { pause: pause as Ns }
     }
 
     // ---- the three calls ----
@@ -529,7 +531,7 @@
         self.turn(now);
         let out = lk.sends.iter().filter(|s| s.result.is_none()).count();
         if now + 2 * self.set.tick >= lk.deadline {
-            return if out > 0 { Route::NotYet } else { self.give_up(lk, 0) };
+            return if out > 0 { Route::NotYet } else { self.give_up(lk) };
         }
         let first = lk.sends.is_empty();
         let hopeless = (lk.deadline - now) as f64 <= HOPELESS * self.predicted(lk);
@@ -537,19 +539,19 @@
             self.arrived(now, lk);
         }
         if hopeless {
-            return if out > 0 { Route::NotYet } else { self.give_up(lk, 500 * MS) };
+            return if out > 0 { Route::NotYet } else { self.give_up(lk) };
         }
         if !first && (lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1) {
-            return if out > 0 { Route::NotYet } else { self.give_up(lk, 500 * MS) };
+            return if out > 0 { Route::NotYet } else { self.give_up(lk) };
         }
         if out > 0 && self.jammed() {
             return Route::NotYet;
         }
         let Some(mut send) = self.pick(now, lk) else {
-            return if out > 0 { Route::NotYet } else { self.give_up(lk, SEC) };
+            return if out > 0 { Route::NotYet } else { self.give_up(lk) };
         };
         if !self.effect_allows(lk, send.node, now) {
-            return if out > 0 { Route::NotYet } else { self.give_up(lk, 500 * MS) };
+            return if out > 0 { Route::NotYet } else { self.give_up(lk) };
         }
         if !first {
             self.tokens -= 1.0;
