A broken answer is asked of its home once more

From 0:15 ten of 17 caches broke off 28 in 100 answers, near their end and whatever the source, kind or size; the second send went to a neighbour that had to fill. Told from an overload by the time taken (that of satisfied sends) and from a sick source by the even split over sources. Harm: one more try at a cache that is about to be judged down.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -677,7 +677,12 @@
             };
             self.node(m).is_some_and(|n| f64::from(n.straight) < part * n.bound)
         };
-        let mut cache = self.caches.owner(pos, |m| fit(m) && !tried(m) && room(m));
+        // A copy that broke off lies at its home still: as long as that is up, it is asked once more.
+        let broke = |m: usize| match lk.sends.as_slice() {
+            [s] => s.node == m && matches!(s.result, Some(Outcome::Error | Outcome::Broken)),
+            _ => false,
+        };
+        let mut cache = self.caches.owner(pos, |m| fit(m) && (!tried(m) || broke(m)) && room(m));
         if let (true, Some(c)) = (first && cache == home, cache) {
             cache = Some(self.widened(lk, c, now));
         }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -415,3 +415,24 @@
     }
     assert!(bound[0] > bound[1] && bound[1] >= 1 && bound[0] < 20, "{bound:?}");
 }
+
+#[test]
+fn a_broken_answer_is_asked_of_its_home_once_more() {
+    // (outcome of the first send, whether the second goes to the same cache)
+    let cases = [
+        (Outcome::Broken, true),
+        (Outcome::Error, true),
+        (Outcome::Full, false),
+        (Outcome::Unconnected, false),
+    ];
+    for (outcome, same) in cases {
+        let mut c = director(settings(), &list(4, 2));
+        let mut lk = lookup(5, START);
+        for _ in 0..2 {
+            assert!(matches!(go(&mut c, START + MS, &mut lk), Route::Send(_)));
+            end(&mut c, START + 2 * MS, &mut lk, outcome);
+        }
+        assert_eq!(lk.sends[0].node == lk.sends[1].node, same, "{outcome:?}");
+        assert!(!matches!(c.route(START + 3 * MS, &lk), Route::Send(s) if s.node == lk.sends[0].node));
+    }
+}
