--- a/src/choice.rs
+++ b/src/choice.rs
@@ -335,7 +335,9 @@
             pie
         };
         let (caches, parents) = (on(Role::Cache, Some(self.set.zone)), on(Role::Parent, None));
-        self.origin = on(Role::Origin, None).first().map(|&(_, i)| i);
+        let ready = |&(_, i): &(u64, usize)| self.node(i).is_some_and(|n| n.state == State::Ready);
+        let origin = on(Role::Origin, None).into_iter().find(ready).map(|(_, i)| i);
+        self.origin = origin;
         for (pie, ranked) in [(&mut self.caches, caches), (&mut self.parents, parents)] {
             if ranked.iter().map(|&(_, i)| i).ne(pie.members.iter().copied()) {
                 self.lines.push(format!("list members={} before={}", ranked.len(), pie.members.len()));
@@ -682,7 +684,8 @@
             [s] => s.node == m && matches!(s.result, Some(Outcome::Error | Outcome::Broken)),
             _ => false,
         };
-        let mut cache = self.caches.owner(pos, |m| fit(m) && (!tried(m) || broke(m)) && room(m));
+        let may = |m: usize| (!tried(m) || broke(m)) && self.effect_allows(lk, m, now);
+        let mut cache = self.caches.owner(pos, |m| fit(m) && may(m) && room(m));
         if let (true, Some(c)) = (first && cache == home, cache) {
             cache = Some(self.widened(lk, c, now));
         }
@@ -720,7 +723,7 @@
     /// The origin fills only while no parent is up, within this director's bound.
     fn origin_as_source(&self) -> Option<usize> {
         let o = self.origin?;
-        self.node(o).filter(|n| f64::from(n.out) < self.origin_bound && n.state == State::Ready).map(|_| o)
+        self.node(o).filter(|n| f64::from(n.out) < self.origin_bound).map(|_| o)
     }
 
     fn order(&self, lk: &Lookup, now: Ns, node: usize, source: Option<usize>) -> Send {
