--- a/src/choice.rs
+++ b/src/choice.rs
@@ -61,9 +61,9 @@
 /// Further sends: earned by one success, and the most that is saved up.
 const TOKEN: f64 = 0.15;
 const MOST_TOKENS: f64 = 30.0;
-/// No second copies while more than this share of the recent sends was off pace: all are slow then, and
-/// one more transfer makes them slower.
-const LATE_AT: f64 = 0.18;
+/// A jam: with this share of the recent sends off pace all are slow, and one more transfer makes them slower.
+const JAM_AT: f64 = 0.18;
+const JAM_OVER_AT: f64 = 0.13;
 /// A lookup with less than this part of its predicted sending time left is given up at once.
 const HOPELESS: f64 = 0.7;
 /// Time that a send takes beside the transfer.
@@ -174,6 +174,7 @@
     tokens: f64,
     /// Share of recent satisfied sends that were off pace.
     late: f64,
+    jammed: bool,
     seen: HashMap<u64, Seen>,
     seen_before: HashMap<u64, Seen>,
     seen_turn: Ns,
@@ -248,6 +249,7 @@
             work,
             tokens: MOST_TOKENS / 2.0,
             late: 0.0,
+            jammed: false,
             seen: HashMap::new(),
             seen_before: HashMap::new(),
             seen_turn: now + MEMORY,
@@ -437,7 +439,7 @@
             Role::Parent => self.set.parent_fall_multiple,
             _ => self.set.fall_multiple,
         };
-        let on_pace = if node.role == Role::Cache { (1.0 - self.late / LATE_AT).max(0.0) } else { 0.0 };
+        let on_pace = if node.role == Role::Cache { (1.0 - self.late / JAM_AT).max(0.0) } else { 0.0 };
         let part = COLD_PART + (COLD_PART_ON_PACE - COLD_PART) * on_pace;
         (part * multiple * self.warmth(node, now)).min(1.0)
     }
@@ -546,7 +548,7 @@
         if !first && (lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1) {
             return if out > 0 { Route::NotYet } else { self.give_up(lk) };
         }
-        if out > 0 && self.jammed() {
+        if out > 0 && self.jammed {
             return Route::NotYet;
         }
         let Some(mut send) = self.pick(now, lk) else {
@@ -672,7 +674,7 @@
         let heir = self.caches.owner(pos, |m| self.up(m));
         let room = |m: usize| {
             let part = match (Some(m) == heir, dear) {
-                (false, _) if first && self.jammed() => 0.0,
+                (false, _) if first && self.jammed => 0.0,
                 (false, _) => SPILL_ROOM,
                 (true, false) => CHEAP_ROOM,
                 (true, true) => DEAR_ROOM,
@@ -699,10 +701,6 @@
         }
     }
 
-    fn jammed(&self) -> bool {
-        self.late > LATE_AT
-    }
-
     /// Whether it brings more utility for its sending time than the kinds do on the whole.
     fn is_dear(&self, lk: &Lookup) -> bool {
         let of = |k: usize, work: f64| self.set.object_kinds[k].utility / (work + BASE as f64);
@@ -811,7 +809,7 @@
                 self.mark(now, sent.node, false);
                 let late = took as f64 > ON_PACE * (work + 2.0 * BASE as f64);
                 if known {
-                    self.late += 0.03 * (f64::from(u8::from(late)) - self.late);
+                    self.paced(late);
                 }
                 if let Some(n) = self.node_mut(sent.node).filter(|_| known) {
                     if late {
@@ -839,7 +837,7 @@
             }
             Outcome::Error | Outcome::Broken | Outcome::TimedOut | Outcome::Full => {
                 if outcome == Outcome::TimedOut {
-                    self.late += 0.03 * (1.0 - self.late);
+                    self.paced(true);
                 }
                 if at_origin {
                     self.origin_bound = (self.origin_bound * 0.7).max(1.0);
@@ -874,6 +872,16 @@
         }
     }
 
+    /// One more send that was off pace or not.
+    fn paced(&mut self, off: bool) {
+        self.late += 0.03 * (f64::from(u8::from(off)) - self.late);
+        let jammed = self.late > if self.jammed { JAM_OVER_AT } else { JAM_AT };
+        if jammed != self.jammed {
+            self.jammed = jammed;
+            self.lines.push(format!("jam {}late={:.2}", if jammed { "" } else { "over " }, self.late));
+        }
+    }
+
     /// An outcome of a send straight to this member.
     fn mark(&mut self, now: Ns, m: usize, failed: bool) {
         let Some(n) = self.node_mut(m) else { return };
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -385,6 +385,7 @@
 #[test]
 fn second_copies_stop_while_all_are_slow() {
     let mut c = director(settings(), &list(4, 2));
+    let mut jams = Vec::new();
     for (took, copies) in [(120 * MS, true), (3 * SEC, false), (120 * MS, true)] {
         for o in 0..200 {
             look(&mut c, START + o * 40 * MS, o, took, Outcome::Satisfied);
@@ -393,7 +394,9 @@
         go(&mut c, START + 30 * SEC, &mut lk);
         let route = c.route(START + 31 * SEC, &lk);
         assert_eq!(matches!(route, Route::Send(_)), copies, "{took}");
+        jams.push(mode_lines(&mut c, "jam"));
     }
+    assert_eq!(jams, [0, 1, 1], "one line as it begins, one as it ends");
 }
 
 #[test]
