--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,9 +43,9 @@
 const DIRECT_WEIGHT: f64 = 0.35;
 
 /// Overload: bound on this director's sends out at a member; it grows while they are on pace.
-const FIRST_BOUND: f64 = 24.0;
+const FIRST_BOUND: f64 = 16.0;
 const LEAST_BOUND: f64 = 2.0;
-const ON_PACE: f64 = 1.7;
+const ON_PACE: f64 = 1.5;
 const GROW: f64 = 0.5;
 const SHRINK: f64 = 0.06;
 /// Parts of its bound up to which a member takes spilt, cheap and dear lookups.
@@ -728,7 +728,7 @@
         let kind = &self.set.object_kinds[lk.kind];
         let straight = self.node(node).is_some_and(|n| n.role != Role::Cache);
         let times = self.known(lk).map_or(0, |s| s.times);
-        // A crowded home keeps its slice: what spills from it passes through, so that neighbours lose nothing.
+        // A crowded home keeps its slice: what spills passes through, so that neighbours lose nothing.
         let home = self.caches.home(self.cache_pos(lk)).filter(|&h| h != node && self.up(h));
         let in_burst = self.heat.get(&lk.object).is_some_and(|h| h.burst.is_some());
         let spilt = !in_burst && home.is_some();
