--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,7 +49,7 @@
 const GROW: f64 = 0.5;
 const SHRINK: f64 = 0.06;
 /// Parts of its bound up to which a member takes spilt, cheap and dear lookups.
-const SPILL_ROOM: f64 = 0.6;
+const SPILL_ROOM: f64 = 0.4;
 const CHEAP_ROOM: f64 = 0.85;
 const DEAR_ROOM: f64 = 1.3;
 
@@ -670,12 +670,14 @@
             return Some(self.order(lk, now, h, source));
         }
         let dear = self.is_dear(lk);
+        let unseen = self.known(lk).is_none_or(|s| s.times < 2);
         // The heir of a lost slice counts as its home.
         let heir = self.caches.owner(pos, |m| self.up(m));
         let room = |m: usize| {
             let part = match (Some(m) == heir, dear) {
                 (false, _) if first && self.jammed => 0.0,
                 (false, _) => SPILL_ROOM,
+                (true, false) if self.jammed && unseen => CHEAP_ROOM / 2.0,
                 (true, false) => CHEAP_ROOM,
                 (true, true) => DEAR_ROOM,
             };
