--- a/src/choice.rs
+++ b/src/choice.rs
@@ -156,10 +156,12 @@
     turn: usize,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Seen {
     times: u32,
     work: f64,
+    /// The last lookup for it was given up, so that the next may be its repeat.
+    given_up: bool,
 }
 
 pub struct Choice {
@@ -248,7 +250,8 @@
             origin: None,
             work,
             tokens: MOST_TOKENS / 2.0,
-            late: 0.0,
+            // Not known to be on pace: a director restarted amid a trouble must not push its cold nodes.
+            late: JAM_AT,
             jammed: false,
             seen: HashMap::new(),
             seen_before: HashMap::new(),
@@ -520,6 +523,9 @@
     /// A lookup given up is answered at once. A client that repeats soon finds the same trouble and adds to
     /// it, so it is asked to stay away as long as clients do.
     fn give_up(&mut self, lk: &Lookup) -> Route {
+        if let Some(s) = self.seen.get_mut(&copy_of(lk)) {
+            s.given_up = true;
+        }
         if !self.may_nack(lk) {
             return Route::Fail;
         }
@@ -614,10 +620,13 @@
             let work = self.predicted(lk);
             self.work[lk.kind] += 0.02 * (work - self.work[lk.kind]);
         }
-        self.earn(now, self.work[lk.kind]);
-        let before = self.known(lk).unwrap_or(Seen { times: 0, work: 0.0 });
-        let seen = Seen { times: before.times + u32::from(!lk.repeat), ..before };
+        let before = self.known(lk).unwrap_or_default();
+        let seen = Seen { times: before.times + u32::from(!lk.repeat), given_up: false, ..before };
         self.seen.insert(copy_of(lk), seen);
+        // Repeats earn nothing: with them an overloaded fleet is asked for a multiple of what it can do.
+        if !lk.repeat && !before.given_up {
+            self.earn(now, self.work[lk.kind]);
+        }
         // Bursts: a run of parts counts once, and a client's repeat not at all.
         if lk.repeat || (self.set.object_kinds[lk.kind].parts && lk.part > 0) {
             return;
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -439,3 +439,34 @@
         assert!(!matches!(c.route(START + 3 * MS, &lk), Route::Send(s) if s.node == lk.sends[0].node));
     }
 }
+
+#[test]
+fn repeats_and_fresh_directors_do_not_push_a_cold_node() {
+    // (lookups of each object, marked as repeats after the first, most part of the cold node's full share)
+    for (tries, marked, most) in [(1, true, 0.75), (3, true, 0.3), (3, false, 0.3)] {
+        let mut counts = [0.0; 2];
+        for (i, started) in [0, START].into_iter().enumerate() {
+            let mut lines = list(4, 2);
+            lines[1].started = started;
+            let mut c = director(settings(), &lines);
+            for o in 0..900_u64 {
+                let now = START + o * 3 * MS;
+                let mut lk = lookup(o / tries, now);
+                lk.repeat = marked && o % tries > 0;
+                if let Route::Send(s) = go(&mut c, now, &mut lk) {
+                    counts[i] += f64::from(u8::from(s.node == 1));
+                    // Slow, and given up in the end: no proof that the fleet is on pace.
+                    end(
+                        &mut c,
+                        now + MS,
+                        &mut lk,
+                        if tries > 1 { Outcome::Full } else { Outcome::Satisfied },
+                    );
+                    c.route(lk.deadline - MS, &lk);
+                }
+            }
+        }
+        let part = counts[1] / counts[0];
+        assert!(part < most, "{tries} {marked}: {part}");
+    }
+}
