--- a/src/choice.rs
+++ b/src/choice.rs
@@ -251,7 +251,7 @@
             work,
             tokens: MOST_TOKENS / 2.0,
             // Not known to be on pace: a director restarted amid a trouble must not push its cold nodes.
-            late: JAM_AT,
+            late: JAM_OVER_AT,
             jammed: false,
             seen: HashMap::new(),
             seen_before: HashMap::new(),
@@ -442,7 +442,7 @@
             Role::Parent => self.set.parent_fall_multiple,
             _ => self.set.fall_multiple,
         };
-        let on_pace = if node.role == Role::Cache { (1.0 - self.late / JAM_AT).max(0.0) } else { 0.0 };
+        let on_pace = if node.role == Role::Cache { (1.0 - self.late / JAM_OVER_AT).max(0.0) } else { 0.0 };
         let part = COLD_PART + (COLD_PART_ON_PACE - COLD_PART) * on_pace;
         (part * multiple * self.warmth(node, now)).min(1.0)
     }
