Pace is weighed by sending time, so that short fills from far are no jam

Told from a link jam by the large sends, which were on pace. Harm: where all objects are short, a jam is seen later.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -820,7 +820,7 @@
                 self.mark(now, sent.node, false);
                 let late = took as f64 > ON_PACE * (work + 2.0 * BASE as f64);
                 if known {
-                    self.paced(late);
+                    self.paced(late, work);
                 }
                 if let Some(n) = self.node_mut(sent.node).filter(|_| known) {
                     if late {
@@ -848,7 +848,7 @@
             }
             Outcome::Error | Outcome::Broken | Outcome::TimedOut | Outcome::Full => {
                 if outcome == Outcome::TimedOut {
-                    self.paced(true);
+                    self.paced(true, work);
                 }
                 if at_origin {
                     self.origin_bound = (self.origin_bound * 0.7).max(1.0);
@@ -883,9 +883,11 @@
         }
     }
 
-    /// One more send that was off pace or not.
-    fn paced(&mut self, off: bool) {
-        self.late += 0.03 * (f64::from(u8::from(off)) - self.late);
+    /// One more send that was off pace or not. A short one says little of how full the links are: most of
+    /// its time may be the way of a fill.
+    fn paced(&mut self, off: bool, work: f64) {
+        let gain = 0.05 * work / (work + 4.0 * BASE as f64);
+        self.late += gain * (f64::from(u8::from(off)) - self.late);
         let jammed = self.late > if self.jammed { JAM_OVER_AT } else { JAM_AT };
         if jammed != self.jammed {
             self.jammed = jammed;
