--- a/src/choice.rs
+++ b/src/choice.rs
@@ -106,8 +106,6 @@
     quickest: Ns,
     down: Option<Down>,
     bound: f64,
-    /// The bound on sends out that name it as their source.
-    fill_bound: f64,
     credit: f64,
     /// Traffic of the closed windows, newest last, and of the open one; residuals of the predictions.
     windows: Vec<f64>,
@@ -311,7 +309,6 @@
                 next_look: 0,
                 quickest: Ns::MAX,
                 down: None,
-                fill_bound: 4.0 * FIRST_BOUND,
                 bound: if role == Role::Cache { FIRST_BOUND } else { FIRST_BOUND / 4.0 },
                 credit: 0.0,
                 windows: Vec::new(),
@@ -670,10 +667,8 @@
         let first = lk.sends.is_empty();
         let fit = |m: usize| self.up(m) && self.has_room(m, lk, now);
         let trial_parent = self.parents.home(pos).filter(|&m| first && self.trial_due(m, now));
-        let flows = |m: usize| self.node(m).is_some_and(|n| f64::from(n.out) < n.fill_bound);
-        let owner = |ok: &dyn Fn(usize) -> bool| self.parents.owner(pos, |m| fit(m) && ok(m));
-        let parent = owner(&|m| !blamed(m) && flows(m)).or_else(|| owner(&|m| !blamed(m)));
-        let parent = parent.or_else(|| owner(&|_| true));
+        let parent =
+            self.parents.owner(pos, |m| fit(m) && !blamed(m)).or_else(|| self.parents.owner(pos, fit));
         if let Some(p) = trial_parent.filter(|&p| self.set.direct && self.has_room(p, lk, now)) {
             return Some(self.order(lk, now, p, None));
         }
@@ -841,9 +836,6 @@
                 };
                 if let Some(s) = sent.source.and_then(|s| self.node_mut(s)) {
                     s.suspect -= weight * s.suspect;
-                    if !late && f64::from(s.out) > 0.6 * s.fill_bound {
-                        s.fill_bound += GROW;
-                    }
                 }
                 if at_origin {
                     self.origin_bound = (self.origin_bound + 0.2).min(64.0);
@@ -858,9 +850,6 @@
                 if outcome == Outcome::TimedOut {
                     self.paced(true, work);
                 }
-                if let Some(s) = sent.source.and_then(|s| self.node_mut(s)) {
-                    s.fill_bound = (s.fill_bound * (1.0 - SHRINK)).max(4.0 * LEAST_BOUND);
-                }
                 if at_origin {
                     self.origin_bound = (self.origin_bound * 0.7).max(1.0);
                 }
