A parent whose fills fail far more often than the others' is judged down by them

Told from a slow origin, behind which all parents fail alike, by the five times between it and the best other. Its trials are fills of copies not seen before. Harm: with two parents chance can take one down.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,6 +41,8 @@
 /// A source that fails so often through caches is asked straight, without a fill, to tell whose fault it is.
 const SUSPECT_AT: f64 = 0.25;
 const DIRECT_WEIGHT: f64 = 0.35;
+/// Its fills fail so many times as often as those of the best other parent: it is down, whatever looks say.
+const FILLS_APART: f64 = 5.0;
 
 /// Overload: bound on this director's sends out at a member; it grows while they are on pace.
 const FIRST_BOUND: f64 = 16.0;
@@ -84,6 +86,8 @@
     next_trial: Ns,
     gap: Ns,
     wins: u32,
+    /// Judged by the fills that name it, not by sends straight at it; so are its trials.
+    by_fills: bool,
 }
 
 /// All that is known of one node.
@@ -406,6 +410,11 @@
         self.seen.get(&c).or_else(|| self.seen_before.get(&c)).copied()
     }
 
+    /// Not wanted here before of late: surely a miss.
+    fn unseen(&self, lk: &Lookup) -> bool {
+        self.known(lk).is_none_or(|s| s.times < 2)
+    }
+
     /// Predicted sending time, by size where it is told, else as seen before.
     fn predicted(&self, lk: &Lookup) -> f64 {
         if lk.size_kb > 0.0 && self.set.stream_kb_per_s > 0.0 {
@@ -669,17 +678,20 @@
         let trial_parent = self.parents.home(pos).filter(|&m| first && self.trial_due(m, now));
         let parent =
             self.parents.owner(pos, |m| fit(m) && !blamed(m)).or_else(|| self.parents.owner(pos, fit));
-        if let Some(p) = trial_parent.filter(|&p| self.set.direct && self.has_room(p, lk, now)) {
+        let by_fills = |p: usize| self.node(p).and_then(|n| n.down.as_ref()).is_some_and(|d| d.by_fills);
+        let trial_parent = trial_parent.filter(|&p| self.has_room(p, lk, now));
+        if let Some(p) = trial_parent.filter(|&p| self.set.direct && !by_fills(p)) {
             return Some(self.order(lk, now, p, None));
         }
-        let source = parent.or_else(|| self.origin_as_source());
+        let trial = trial_parent.filter(|&p| by_fills(p) && self.unseen(lk));
+        let source = trial.or(parent).or_else(|| self.origin_as_source());
         let pos = self.cache_pos(lk);
         let home = self.caches.home(pos);
         if let Some(h) = home.filter(|&h| first && self.trial_due(h, now) && self.has_room(h, lk, now)) {
             return Some(self.order(lk, now, h, source));
         }
         let dear = self.is_dear(lk);
-        let unseen = self.known(lk).is_none_or(|s| s.times < 2);
+        let unseen = self.unseen(lk);
         // The heir of a lost slice counts as its home.
         let heir = self.caches.owner(pos, |m| self.up(m));
         let room = |m: usize| {
@@ -834,8 +846,9 @@
                     Some(false) => WEIGHT,
                     None => 0.4 * WEIGHT,
                 };
-                if let Some(s) = sent.source.and_then(|s| self.node_mut(s)) {
-                    s.suspect -= weight * s.suspect;
+                if let Some(s) = sent.source {
+                    let sure = hit == Some(false) || hit.is_none() && self.unseen(lk);
+                    self.filled(now, s, false, if sure { WEIGHT } else { weight });
                 }
                 if at_origin {
                     self.origin_bound = (self.origin_bound + 0.2).min(64.0);
@@ -862,16 +875,14 @@
                         if let Some(n) = self.node_mut(sent.node) {
                             n.bound = (n.bound * (1.0 - 2.0 * SHRINK)).max(LEAST_BOUND);
                         }
-                    } else if let Some(s) = sent.source.and_then(|s| self.node_mut(s)) {
-                        s.suspect += WEIGHT * (1.0 - s.suspect);
+                    } else if let Some(s) = sent.source {
+                        self.filled(now, s, true, WEIGHT);
                     }
                     return;
                 }
                 // Blame the one of the two that fails with others too; both while that is open.
-                if let Some(s) =
-                    sent.source.and_then(|s| self.node_mut(s)).filter(|_| suspect > failing - 0.1)
-                {
-                    s.suspect += WEIGHT * (1.0 - s.suspect);
+                if let Some(s) = sent.source.filter(|_| suspect > failing - 0.1) {
+                    self.filled(now, s, true, WEIGHT);
                 }
                 // What fails behind a parent may be the origin's fault: only a look without a fill judges it.
                 let parent = self.node(sent.node).is_some_and(|n| n.role == Role::Parent);
@@ -903,15 +914,34 @@
         if n.role == Role::Origin {
             return;
         }
-        if !failed && n.role == Role::Parent {
-            n.suspect *= 0.5;
-        }
         let failing = n.failing;
+        self.judged(now, m, failed, failing, failing > DOWN_AT, false);
+    }
+
+    /// An outcome of a send that named this member as its source. Guards against a parent that is well but
+    /// cannot fill: its own link or its way to the origin is cut. All parents alike is the origin's fault.
+    fn filled(&mut self, now: Ns, m: usize, failed: bool, weight: f64) {
+        let Some(n) = self.node_mut(m).filter(|n| n.role == Role::Parent) else { return };
+        n.suspect += weight * (f64::from(u8::from(failed)) - n.suspect);
+        let suspect = n.suspect;
+        let others = self.parents.members.iter().filter(|&&p| p != m && self.up(p));
+        let least = others.filter_map(|&p| self.node(p)).map(|n| n.suspect).fold(1.0, f64::min);
+        if failed || weight >= WEIGHT {
+            let down = suspect > DOWN_AT && suspect > FILLS_APART * least;
+            self.judged(now, m, failed, suspect, down, true);
+        }
+    }
+
+    /// Takes a member down, or counts its trials and brings it back.
+    fn judged(&mut self, now: Ns, m: usize, failed: bool, share: f64, ill: bool, by_fills: bool) {
+        let Some(n) = self.node_mut(m) else { return };
         let line = match n.down.as_mut() {
-            None if failed && failing > DOWN_AT => {
-                n.down = Some(Down { next_trial: now + TRIAL_GAP, gap: TRIAL_GAP, wins: 0 });
-                format!("down node={m} failing={failing:.2}")
+            None if failed && ill => {
+                n.down = Some(Down { next_trial: now + TRIAL_GAP, gap: TRIAL_GAP, wins: 0, by_fills });
+                let what = if by_fills { "fills_failing" } else { "failing" };
+                format!("down node={m} {what}={share:.2}")
             }
+            Some(d) if d.by_fills != by_fills => return,
             Some(d) if failed => {
                 d.wins = 0;
                 d.gap = (d.gap * 3 / 2).min(LONGEST_TRIAL_GAP);
@@ -927,7 +957,7 @@
                 n.down = None;
                 n.failing = 0.0;
                 n.suspect = 0.0;
-                format!("up node={m} failing={failing:.2}")
+                format!("up node={m} failing={share:.2}")
             }
             None => return,
         };
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -319,27 +319,38 @@
 }
 
 #[test]
-fn a_suspected_parent_is_asked_straight_before_it_is_judged() {
-    // (whether the parent itself fails, whether it is judged down)
-    for ill in [true, false] {
+fn a_parents_fault_is_told_from_its_way_and_from_the_origin() {
+    // (whether the parent itself fails, whose fills fail, the line that judges it, whether it comes back)
+    let cases: [(bool, &[usize], Option<&str>); 3] = [
+        (true, &[51], Some("down node=51")),
+        (false, &[51], Some("down node=51 fills_failing")),
+        (false, &[50, 51], None),
+    ];
+    for (ill, cut, line) in cases {
         let mut c = director(settings(), &list(4, 2));
-        let mut straight = 0;
-        for o in 0..2_000_u64 {
+        let (mut looks, mut named, mut lines) = (0, 0, Vec::new());
+        for o in 0..3_000_u64 {
             let now = START + o * 10 * MS;
             let mut lk = lookup(o, now);
             let Route::Send(s) = go(&mut c, now, &mut lk) else { continue };
-            let at_parent = s.node == 51;
-            straight += u32::from(at_parent && s.source.is_none());
+            let at_parent = s.node >= 50;
+            looks += u32::from(at_parent && s.source.is_none());
+            named += u32::from(s.source == Some(51) && o > 1_000);
             let outcome = match (at_parent, s.source) {
                 (true, _) if ill => Outcome::Error,
                 (true, _) => Outcome::Miss,
-                (false, Some(51)) if o % 3 == 0 => Outcome::Error,
+                (false, Some(p)) if (ill || o < 2_000) && cut.contains(&p) => Outcome::Error,
                 _ => Outcome::Satisfied,
             };
             end(&mut c, now + 60 * MS, &mut lk, outcome);
+            lines.extend(c.notes().into_iter().filter(|l| l.contains("node=51")));
         }
-        assert!(straight > 0);
-        assert_eq!(mode_lines(&mut c, "down node=51") > 0, ill);
+        assert!(looks > 0);
+        let judged = lines.first().is_some_and(|l| line.is_some_and(|w| l.starts_with(w)));
+        assert_eq!(judged, line.is_some(), "{line:?} {lines:?}");
+        let back = lines.last().is_some_and(|l| l.starts_with("up"));
+        assert_eq!(back, line.is_some() && !ill, "{lines:?}");
+        assert!(ill || named > 200, "the fills come back: {named}");
     }
 }
 
