--- a/src/choice.rs
+++ b/src/choice.rs
@@ -57,8 +57,8 @@
 
 /// Part of its fall-over load that a cold member is given when its slice would fill a warm one: at any load,
 /// and with a cache while sends are on pace, as no fleet is that full then.
-const COLD_PART: f64 = 0.4;
-const COLD_PART_ON_PACE: f64 = 0.75;
+const COLD_PART: f64 = 0.55;
+const COLD_PART_ON_PACE: f64 = 0.85;
 
 /// Further sends: earned by one success, and the most that is saved up.
 const TOKEN: f64 = 0.15;
