--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -192,6 +192,9 @@
                 if scope > 3 {
                     return Err(format!("unknown list scope {scope}"));
                 }
+                if scope == 3 && inst.choice.asks_for_list() {
+                    reply.follow_list(director);
+                }
                 if scope < 3 {
                     let entries = self.sheets.get(&slot).ok_or("list names no sheet")?;
                     let lines: Vec<Listed> = entries
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -188,7 +188,7 @@
     window_end: Ns,
     purges: HashMap<u64, Ns>,
     group_purges: HashMap<u32, Ns>,
-    /// Fetches at the origin that this director has out, and its bound on them.
+    /// Bound on this director's own fetches at the origin.
     origin_bound: f64,
     lines: Vec<String>,
 }
@@ -270,7 +270,7 @@
         }
     }
 
-    /// Whether the list is to be followed by asking for its changes.
+    /// Whether the list is to be followed by asking for its changes, at the start and after each failure.
     pub fn asks_for_list(&self) -> bool {
         self.set.follow_list
     }
@@ -359,10 +359,12 @@
     /// An object, or with none a whole group, was purged so long ago.
     pub fn purged(&mut self, now: Ns, object: Option<u64>, group: u32, ago: Ns) {
         let made = now.saturating_sub(ago);
-        match object {
-            Some(o) => self.purges.insert(o, made),
-            None => self.group_purges.insert(group, made),
+        let known = match object {
+            Some(o) => self.purges.entry(o).or_default(),
+            None => self.group_purges.entry(group).or_default(),
         };
+        // News may overtake each other: the latest purge binds.
+        *known = made.max(*known);
         let gone = now.saturating_sub(self.set.purge_cleared + SEC);
         self.purges.retain(|_, made| *made > gone);
         self.group_purges.retain(|_, made| *made > gone);
@@ -595,8 +597,6 @@
         }
         if let Some(n) = self.node_mut(sent.node) {
             n.straight = n.straight.saturating_sub(1);
-        }
-        if let Some(n) = self.node_mut(sent.node) {
             n.quickest = n.quickest.min(took);
         }
         self.judge(now, lk, &sent, outcome, took, hit);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -247,6 +247,7 @@
     for (object, group, ago, later, oldest) in cases {
         let mut c = director(set.clone(), &list(3, 2));
         c.purged(START, object, group, ago);
+        c.purged(START, object, group, ago + 3 * SEC);
         let now = START + later;
         let mut lk = lookup(5, now);
         let Route::Send(s) = go(&mut c, now, &mut lk) else { panic!("sent") };
