--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -61,6 +61,12 @@
     let moved = before.iter().zip(&after).filter(|(b, a)| b.0 != a.0);
     assert!(moved.clone().all(|(_, a)| a.0 == 5));
     assert!((60..150).contains(&moved.count()));
+    let mut c = director(settings(), &list(5, 2));
+    assert_eq!(mode_lines(&mut c, "list members="), 2, "one line a pie");
+    c.listed(START, &list(5, 2), true);
+    assert_eq!(mode_lines(&mut c, "list"), 0, "no line without a change");
+    c.listed(START, &list(6, 2), true);
+    assert_eq!(mode_lines(&mut c, "list members=6 before=5"), 1);
 }
 
 #[test]
