Fold repeats in the module; its head says what each mechanism guards against

One hold-or-give-up, one weight for a fill, one test of a burst, one shrinking of a bound; a lookup no longer copies both pies to earn for members that are warm. Comments that had gone stale are right again.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,12 +8,18 @@
 //! The design decides the ordinary path: the cache pie of the own zone picks the cache, the pie of all
 //! parents picks the fill's source, a lost member's slice halves to its neighbours, an object in burst
 //! widens to two. Beside it stand six mechanisms:
-//! 1. health: outcomes judge a member down, trials bring it back;
-//! 2. cold allowance: a fresh member gets a part of its slice that grows with its warmth;
-//! 3. further sends: second copies and other ways after a failure, from a budget that successes feed;
-//! 4. overload: a crowded home spills to its neighbours, then the cheapest utility is nacked early;
-//! 5. copies: rank by reuse, joins, renewal behind, ages bounded by purges;
-//! 6. origin guard: a bound on this director's fetches at the origin that backs off on failure.
+//! 1. health: outcomes judge a member down, trials bring it back. Guards against fast errors and dead,
+//!    silent or cut-off nodes; harm: with two parents chance can take one down;
+//! 2. cold allowance: a fresh member gets a part of its slice that grows with its warmth. Guards against its
+//!    fall by all directors together; harm: what warms quickly is held back;
+//! 3. further sends: second copies and other ways after a failure, from a budget that successes feed. Guards
+//!    against single failures and slow answers; harm: in a jam a dead home is found only by failure;
+//! 4. overload: a crowded home spills to its neighbours, then the cheapest utility is nacked early. Guards
+//!    against jams, slow members and hot homes; harm: a bound that shrank grows back slowly;
+//! 5. copies: rank by reuse, joins, renewal behind, ages bounded by purges. Guards against one-timers and
+//!    old copies; harm: what is newly wanted leaves first;
+//! 6. origin guard: a bound on this director's fetches at the origin that backs off on failure. Guards
+//!    against its fall; harm: after a trouble fetches come back slowly.
 
 use std::collections::HashMap;
 
@@ -136,6 +142,10 @@
         Some(self.prediction()? + SIGMAS * sigma)
     }
 
+    fn shrink(&mut self, by: f64) {
+        self.bound = (self.bound * (1.0 - by)).max(LEAST_BOUND);
+    }
+
     fn close_window(&mut self) {
         if let Some(p) = self.prediction() {
             self.residuals += 1.0;
@@ -178,7 +188,7 @@
     /// Mean sending time by object kind.
     work: Vec<f64>,
     tokens: f64,
-    /// Share of recent satisfied sends that were off pace.
+    /// Share of recent sends, weighed by sending time, that were off pace or timed out.
     late: f64,
     jammed: bool,
     seen: HashMap<u64, Seen>,
@@ -470,16 +480,17 @@
 
     fn earn(&mut self, now: Ns, work: f64) {
         let most = self.work.iter().copied().fold(0.0, f64::max) * 3.0;
-        for pie in [self.caches.members.clone(), self.parents.members.clone()] {
-            let share = work / pie.len().max(1) as f64;
-            for m in pie {
-                let Some(part) = self.node(m).map(|n| self.cold_part(n, now) * self.turn_part(n.role, now))
-                else {
-                    continue;
-                };
-                if let Some(n) = self.node_mut(m) {
-                    n.credit = (n.credit + share * part).min(most);
-                }
+        let mut earned = Vec::new();
+        for pie in [&self.caches, &self.parents] {
+            let share = work / pie.members.len().max(1) as f64;
+            let nodes = pie.members.iter().filter_map(|&m| Some((m, self.node(m)?)));
+            let cold = nodes.filter(|(_, n)| self.warmth(n, now) < 1.0);
+            earned
+                .extend(cold.map(|(m, n)| (m, share * self.cold_part(n, now) * self.turn_part(n.role, now))));
+        }
+        for (m, part) in earned {
+            if let Some(n) = self.node_mut(m) {
+                n.credit = (n.credit + part).min(most);
             }
         }
     }
@@ -545,6 +556,11 @@
         Route::Nack { pause: pause as Ns }
     }
 
+    /// Nothing more to send: wait for what is out, or give the lookup up.
+    fn hold(&mut self, lk: &Lookup) -> Route {
+        if lk.sends.iter().any(|s| s.result.is_none()) { Route::NotYet } else { self.give_up(lk) }
+    }
+
     // ---- the three calls ----
 
     /// Where to send this lookup now.
@@ -552,7 +568,7 @@
         self.turn(now);
         let out = lk.sends.iter().filter(|s| s.result.is_none()).count();
         if now + 2 * self.set.tick >= lk.deadline {
-            return if out > 0 { Route::NotYet } else { self.give_up(lk) };
+            return self.hold(lk);
         }
         let first = lk.sends.is_empty();
         let hopeless = (lk.deadline - now) as f64 <= HOPELESS * self.predicted(lk);
@@ -560,19 +576,19 @@
             self.arrived(now, lk);
         }
         if hopeless {
-            return if out > 0 { Route::NotYet } else { self.give_up(lk) };
+            return self.hold(lk);
         }
         if !first && (lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1) {
-            return if out > 0 { Route::NotYet } else { self.give_up(lk) };
+            return self.hold(lk);
         }
         if out > 0 && self.jammed {
             return Route::NotYet;
         }
         let Some(mut send) = self.pick(now, lk) else {
-            return if out > 0 { Route::NotYet } else { self.give_up(lk) };
+            return self.hold(lk);
         };
         if !self.effect_allows(lk, send.node, now) {
-            return if out > 0 { Route::NotYet } else { self.give_up(lk) };
+            return self.hold(lk);
         }
         if !first {
             self.tokens -= 1.0;
@@ -641,7 +657,7 @@
             return;
         }
         let weight = if lk.size_kb > 0.0 { lk.size_kb } else { 1.0 };
-        let Some(home) = self.caches.home(self.cache_pos(lk)) else { return };
+        let Some(home) = self.caches.home(copy_of(lk)) else { return };
         let threshold = self.node(home).and_then(Node::threshold);
         let h = self.heat.entry(lk.object).or_default();
         h.open += weight;
@@ -659,35 +675,27 @@
         }
     }
 
-    fn cache_pos(&self, lk: &Lookup) -> u64 {
-        copy_of(lk)
-    }
-
-    fn parent_pos(&self, lk: &Lookup) -> u64 {
-        mix(!lk.object)
-    }
-
-    fn pick(&mut self, now: Ns, lk: &Lookup) -> Option<Send> {
+    fn pick(&self, now: Ns, lk: &Lookup) -> Option<Send> {
         let tried = |m: usize| lk.sends.iter().any(|s| s.node == m);
         let failed =
             |r: Option<Outcome>| matches!(r, Some(Outcome::Error | Outcome::Broken | Outcome::TimedOut));
         let blamed = |m: usize| lk.sends.iter().any(|s| s.source == Some(m) && failed(s.result));
-        let pos = self.parent_pos(lk);
+        let pos = mix(!lk.object);
         let first = lk.sends.is_empty();
         let fit = |m: usize| self.up(m) && self.has_room(m, lk, now);
-        let trial_parent = self.parents.home(pos).filter(|&m| first && self.trial_due(m, now));
+        let due = |m: usize| first && self.trial_due(m, now) && self.has_room(m, lk, now);
         let parent =
             self.parents.owner(pos, |m| fit(m) && !blamed(m)).or_else(|| self.parents.owner(pos, fit));
         let by_fills = |p: usize| self.node(p).and_then(|n| n.down.as_ref()).is_some_and(|d| d.by_fills);
-        let trial_parent = trial_parent.filter(|&p| self.has_room(p, lk, now));
+        let trial_parent = self.parents.home(pos).filter(|&p| due(p));
         if let Some(p) = trial_parent.filter(|&p| self.set.direct && !by_fills(p)) {
             return Some(self.order(lk, now, p, None));
         }
         let trial = trial_parent.filter(|&p| by_fills(p) && self.unseen(lk));
         let source = trial.or(parent).or_else(|| self.origin_as_source());
-        let pos = self.cache_pos(lk);
+        let pos = copy_of(lk);
         let home = self.caches.home(pos);
-        if let Some(h) = home.filter(|&h| first && self.trial_due(h, now) && self.has_room(h, lk, now)) {
+        if let Some(h) = home.filter(|&h| due(h)) {
             return Some(self.order(lk, now, h, source));
         }
         let dear = self.is_dear(lk);
@@ -731,9 +739,13 @@
         of(lk.kind, self.predicted(lk)) >= kinds.sum::<f64>() / self.work.len() as f64
     }
 
+    fn burst(&self, lk: &Lookup) -> Option<&Heat> {
+        self.heat.get(&lk.object).filter(|h| h.burst.is_some())
+    }
+
     /// An object in burst rotates over its home and up to two neighbours.
     fn widened(&self, lk: &Lookup, home: usize, now: Ns) -> usize {
-        let Some(h) = self.heat.get(&lk.object).filter(|h| h.burst.is_some()) else { return home };
+        let Some(h) = self.burst(lk) else { return home };
         let turn = (h.turn + lk.part as usize) % 3;
         let n = self.caches.members.len();
         let Some(i) = self.caches.members.iter().position(|&m| m == home) else { return home };
@@ -741,7 +753,7 @@
         if self.up(m) && self.has_room(m, lk, now) { m } else { home }
     }
 
-    /// The origin fills only while no parent is up, within this director's bound.
+    /// The origin fills only while no parent can be named, within this director's bound.
     fn origin_as_source(&self) -> Option<usize> {
         let o = self.origin?;
         self.node(o).filter(|n| f64::from(n.out) < self.origin_bound).map(|_| o)
@@ -752,9 +764,8 @@
         let straight = self.node(node).is_some_and(|n| n.role != Role::Cache);
         let times = self.known(lk).map_or(0, |s| s.times);
         // A crowded home keeps its slice: what spills passes through, so that neighbours lose nothing.
-        let home = self.caches.home(self.cache_pos(lk)).filter(|&h| h != node && self.up(h));
-        let in_burst = self.heat.get(&lk.object).is_some_and(|h| h.burst.is_some());
-        let spilt = !in_burst && home.is_some();
+        let home = self.caches.home(copy_of(lk)).filter(|&h| h != node && self.up(h));
+        let spilt = self.burst(lk).is_none() && home.is_some();
         let keep = match times {
             _ if spilt => 0,
             _ if straight || kind.written || lk.write => 0,
@@ -836,19 +847,18 @@
                 }
                 if let Some(n) = self.node_mut(sent.node).filter(|_| known) {
                     if late {
-                        n.bound = (n.bound * (1.0 - SHRINK)).max(LEAST_BOUND);
+                        n.shrink(SHRINK);
                     } else if f64::from(n.straight) > 0.6 * n.bound {
                         n.bound += GROW;
                     }
                 }
-                let weight = match hit {
-                    Some(true) => 0.0,
-                    Some(false) => WEIGHT,
-                    None => 0.4 * WEIGHT,
-                };
                 if let Some(s) = sent.source {
-                    let sure = hit == Some(false) || hit.is_none() && self.unseen(lk);
-                    self.filled(now, s, false, if sure { WEIGHT } else { weight });
+                    let weight = match hit {
+                        Some(true) => 0.0,
+                        None if !self.unseen(lk) => 0.4 * WEIGHT,
+                        _ => WEIGHT,
+                    };
+                    self.filled(now, s, false, weight);
                 }
                 if at_origin {
                     self.origin_bound = (self.origin_bound + 0.2).min(64.0);
@@ -873,7 +883,7 @@
                         || self.node(sent.node).is_some_and(|n| took <= 2 * n.quickest + self.set.tick);
                     if quick {
                         if let Some(n) = self.node_mut(sent.node) {
-                            n.bound = (n.bound * (1.0 - 2.0 * SHRINK)).max(LEAST_BOUND);
+                            n.shrink(2.0 * SHRINK);
                         }
                     } else if let Some(s) = sent.source {
                         self.filled(now, s, true, WEIGHT);
