Pies by nearest place: a lost member's heirs are the same while it is down, gone and cold

Cause: a member that went from down to gone to back-and-cold moved its positions three times (halving in ring order, then a new deal, then halving again), and one lost parent of five burdened two others only. The first list is no change of mode and logs no line; it crowded out what followed. Guards against repeated moves in losses and releases; harm: a slice goes to all others, so each gets unknown objects.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,8 +31,8 @@
 const MS: Ns = 1_000_000;
 const SEC: Ns = 1_000 * MS;
 
-/// A pie is cut into so many small slices, each of two halves.
-const SLICES: u64 = 2048;
+/// Each member has so many small slices of a pie.
+const SLICES: u64 = 256;
 /// Burst windows: their length, and how far apart the three earlier ones of a prediction lie.
 const WINDOW: Ns = 2 * SEC;
 const SPACING: usize = 3;
@@ -214,38 +214,49 @@
     mix(lk.object ^ mix(u64::from(lk.part)))
 }
 
-/// A pie: members in ring order, and who of them owns each small slice. The slices are dealt by weighing
-/// each member with each slice, a pure function of the members listed: directors and restarts agree, and a
-/// change of the list moves only the slices of the member that comes or leaves.
+/// A pie: the members listed, and the places round it at which each of them stands. A position belongs to
+/// the member that stands nearest, so a slice whose member is lost halves to its two neighbours, whether
+/// that one is down, cold or gone from the list: a loss moves a position once, not again at each step.
 #[derive(Clone, Debug, Default)]
 struct Pie {
     members: Vec<usize>,
-    dealt: Vec<usize>,
+    places: Vec<(u64, usize)>,
 }
 
 impl Pie {
-    /// Deals to members given as (rank, index), in order of rank.
+    /// A pure function of the members, given as (rank, index): directors and restarts agree.
     fn deal(ranked: &[(u64, usize)]) -> Pie {
-        let weigh = |rank: u64, slice: u64| mix(mix(rank) ^ slice);
-        let best = |slice| (0..ranked.len()).max_by_key(|&i| weigh(ranked[i].0, slice));
-        Pie {
-            members: ranked.iter().map(|&(_, i)| i).collect(),
-            dealt: (0..SLICES).filter_map(best).collect(),
-        }
+        let stands = |&(rank, i): &(u64, usize)| (0..SLICES).map(move |k| (mix(mix(rank) ^ k), i));
+        let mut places: Vec<(u64, usize)> = ranked.iter().flat_map(stands).collect();
+        places.sort_unstable();
+        Pie { members: ranked.iter().map(|&(_, i)| i).collect(), places }
+    }
+
+    /// The members as they stand round a position, the nearest first.
+    fn around(&self, pos: u64) -> impl Iterator<Item = usize> {
+        let n = self.places.len();
+        let mut right = self.places.partition_point(|p| p.0 < pos);
+        let mut left = right + n;
+        (0..n).map(move |_| {
+            let ahead = self.places[right % n].0.wrapping_sub(pos);
+            let behind = pos.wrapping_sub(self.places[(left - 1) % n].0);
+            if ahead < behind {
+                right += 1;
+                self.places[(right - 1) % n].1
+            } else {
+                left -= 1;
+                self.places[left % n].1
+            }
+        })
     }
 
     fn home(&self, pos: u64) -> Option<usize> {
-        self.owner(pos, |_| true)
+        self.around(pos).next()
     }
 
-    /// The owner of a position. If it is not fit, one half of the slice passes to its left neighbour and
-    /// the other to its right, and from there on to the next that is.
+    /// The owner of a position among the members that are fit.
     fn owner(&self, pos: u64, fit: impl Fn(usize) -> bool) -> Option<usize> {
-        let n = self.members.len();
-        let home = *self.dealt.get((pos % SLICES) as usize)?;
-        let right = pos / SLICES % 2 == 1;
-        let step = |k| if right { (home + k) % n } else { (home + n - k) % n };
-        (0..n).map(|k| self.members[step(k)]).find(|&m| fit(m))
+        self.members.iter().any(|&m| fit(m)).then(|| self.around(pos).find(|&m| fit(m)))?
     }
 }
 
@@ -359,7 +370,9 @@
         self.origin = origin;
         for (pie, ranked) in [(&mut self.caches, caches), (&mut self.parents, parents)] {
             if ranked.iter().map(|&(_, i)| i).ne(pie.members.iter().copied()) {
-                self.lines.push(format!("list members={} before={}", ranked.len(), pie.members.len()));
+                if !pie.members.is_empty() {
+                    self.lines.push(format!("list members={} before={}", ranked.len(), pie.members.len()));
+                }
                 *pie = Pie::deal(&ranked);
             }
         }
@@ -746,10 +759,11 @@
     /// An object in burst rotates over its home and up to two neighbours.
     fn widened(&self, lk: &Lookup, home: usize, now: Ns) -> usize {
         let Some(h) = self.burst(lk) else { return home };
+        let pos = copy_of(lk);
+        let next = self.caches.around(pos).find(|&m| m != home);
+        let other = self.caches.around(pos).find(|&m| m != home && Some(m) != next);
         let turn = (h.turn + lk.part as usize) % 3;
-        let n = self.caches.members.len();
-        let Some(i) = self.caches.members.iter().position(|&m| m == home) else { return home };
-        let m = self.caches.members[[i, (i + 1) % n, (i + n - 1) % n][turn]];
+        let m = [Some(home), next, other][turn].or(next).unwrap_or(home);
         if self.up(m) && self.has_room(m, lk, now) { m } else { home }
     }
 
