--- a/src/choice.rs
+++ b/src/choice.rs
@@ -66,6 +66,15 @@
 const COLD_PART: f64 = 0.55;
 const COLD_PART_ON_PACE: f64 = 0.85;
 
+/// The price of a fill, in standard deviations of the lookups' worth: its range, its rise at an outcome past
+/// the budget and its fall at one within.
+const LEAST_PRICE: f64 = -3.0;
+const MOST_PRICE: f64 = 1.5;
+const DEARER: f64 = 0.4;
+const CHEAPER: f64 = 0.08;
+const ALIKE: f64 = 0.2;
+const FORGOTTEN: f64 = 0.2;
+
 /// Further sends: earned by one success, and the most that is saved up.
 const TOKEN: f64 = 0.15;
 const MOST_TOKENS: f64 = 30.0;
@@ -80,8 +89,9 @@
 /// Looks at one copy are remembered for one to two of these.
 const MEMORY: Ns = 20 * SEC;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Role {
+    #[default]
     Cache,
     Parent,
     Origin,
@@ -97,7 +107,7 @@
 }
 
 /// All that is known of one node.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Node {
     zone: usize,
     cell: usize,
@@ -117,6 +127,8 @@
     down: Option<Down>,
     bound: f64,
     credit: f64,
+    /// Of a parent: lookups that bring less for their sending time get no fill from it.
+    price: f64,
     /// Traffic of the closed windows, newest last, and of the open one; residuals of the predictions.
     windows: Vec<f64>,
     traffic: f64,
@@ -157,6 +169,7 @@
         }
         self.windows.push(self.traffic);
         self.traffic = 0.0;
+        self.price = (self.price - FORGOTTEN).max(LEAST_PRICE);
     }
 }
 
@@ -191,6 +204,10 @@
     /// Share of recent sends, weighed by sending time, that were off pace or timed out.
     late: f64,
     jammed: bool,
+    /// Mean and variance of the logarithm of what lookups bring for their sending time, and the price below
+    /// which none is filled, in standard deviations from that mean.
+    worth: f64,
+    worth_spread: f64,
     seen: HashMap<u64, Seen>,
     seen_before: HashMap<u64, Seen>,
     seen_turn: Ns,
@@ -266,7 +283,7 @@
 
 impl Choice {
     pub fn new(set: Settings, seed: u64, now: Ns) -> Self {
-        let work = set.object_kinds.iter().map(|k| k.latency_budget as f64 / 2.0).collect();
+        let work: Vec<f64> = set.object_kinds.iter().map(|k| k.latency_budget as f64 / 2.0).collect();
         Choice {
             rng: Pcg32::seed_from_u64(seed),
             nodes: Vec::new(),
@@ -278,6 +295,8 @@
             // Not known to be on pace: a director restarted amid a trouble must not push its cold nodes.
             late: JAM_OVER_AT,
             jammed: false,
+            worth: 0.0,
+            worth_spread: 1.0,
             seen: HashMap::new(),
             seen_before: HashMap::new(),
             seen_turn: now + MEMORY,
@@ -327,19 +346,10 @@
                 role,
                 state: l.state,
                 started: l.started,
-                out: 0,
-                straight: 0,
-                failing: 0.0,
-                suspect: 0.0,
-                next_look: 0,
                 quickest: Ns::MAX,
-                down: None,
                 bound: if role == Role::Cache { FIRST_BOUND } else { FIRST_BOUND / 4.0 },
-                credit: 0.0,
-                windows: Vec::new(),
-                traffic: 0.0,
-                spread: 0.0,
-                residuals: 0.0,
+                price: LEAST_PRICE,
+                ..Node::default()
             };
             let slot = &mut self.nodes[l.node];
             match slot {
@@ -569,6 +579,15 @@
         Route::Nack { pause: pause as Ns }
     }
 
+    /// How the utility for its sending time stands among those of other lookups, in standard deviations.
+    fn standing(&self, lk: &Lookup) -> f64 {
+        (self.brings(lk) - self.worth) / self.worth_spread.sqrt().max(0.1)
+    }
+
+    fn brings(&self, lk: &Lookup) -> f64 {
+        (self.set.object_kinds[lk.kind].utility * SEC as f64 / (self.predicted(lk) + BASE as f64)).ln()
+    }
+
     /// Nothing more to send: wait for what is out, or give the lookup up.
     fn hold(&mut self, lk: &Lookup) -> Route {
         if lk.sends.iter().any(|s| s.result.is_none()) { Route::NotYet } else { self.give_up(lk) }
@@ -606,6 +625,13 @@
         if !first {
             self.tokens -= 1.0;
         }
+        let price = send.source.and_then(|s| self.node(s)).map_or(LEAST_PRICE, |n| n.price);
+        if self.standing(lk) < price {
+            if !first {
+                return self.hold(lk);
+            }
+            send.source = None;
+        }
         send.time_out = lk.deadline - now - 2 * self.set.tick;
         if first && send.source.is_none() {
             // A look is over soon, or the member is not well.
@@ -629,6 +655,20 @@
             n.quickest = n.quickest.min(took);
         }
         self.judge(now, lk, &sent, outcome, took, hit);
+        let within = now <= lk.arrived + self.budget(lk);
+        let step = match outcome {
+            Outcome::Satisfied if within => -CHEAPER,
+            Outcome::Satisfied | Outcome::TimedOut | Outcome::Full => DEARER,
+            _ => 0.0,
+        };
+        if let Some(m) = sent.source {
+            for p in self.parents.members.clone() {
+                let part = if p == m { 1.0 } else { ALIKE };
+                if let Some(n) = self.node_mut(p) {
+                    n.price = (n.price + part * step).clamp(LEAST_PRICE, MOST_PRICE);
+                }
+            }
+        }
         let out = lk.sends.iter().any(|s| s.result.is_none());
         if outcome == Outcome::Satisfied {
             self.tokens = (self.tokens + TOKEN).min(MOST_TOKENS);
@@ -658,6 +698,9 @@
             let work = self.predicted(lk);
             self.work[lk.kind] += 0.02 * (work - self.work[lk.kind]);
         }
+        let off = self.brings(lk) - self.worth;
+        self.worth += if self.worth == 0.0 { off } else { 0.05 * off };
+        self.worth_spread += 0.05 * (off * off - self.worth_spread);
         let before = self.known(lk).unwrap_or_default();
         let seen = Seen { times: before.times + u32::from(!lk.repeat), given_up: false, ..before };
         self.seen.insert(copy_of(lk), seen);
@@ -692,7 +735,10 @@
         let tried = |m: usize| lk.sends.iter().any(|s| s.node == m);
         let failed =
             |r: Option<Outcome>| matches!(r, Some(Outcome::Error | Outcome::Broken | Outcome::TimedOut));
-        let blamed = |m: usize| lk.sends.iter().any(|s| s.source == Some(m) && failed(s.result));
+        let refused = |r: Option<Outcome>| r == Some(Outcome::Full);
+        let blamed = |m: usize| {
+            lk.sends.iter().any(|s| s.source == Some(m) && (failed(s.result) || refused(s.result)))
+        };
         let pos = mix(!lk.object);
         let first = lk.sends.is_empty();
         let fit = |m: usize| self.up(m) && self.has_room(m, lk, now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -64,8 +64,9 @@
     Cell,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum State {
+    #[default]
     Ready,
     Draining,
     Gone,
