Try: bounds divided by the root of the directors that share a member

Cause: a bound of 16 sends a cache and director never binds where ten directors share it and each has one or two out, so overload was answered late instead of nacked.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,6 +55,7 @@
 const LEAST_BOUND: f64 = 2.0;
 const ON_PACE: f64 = 1.5;
 const GROW: f64 = 0.5;
+const MOST_AT_ONCE: f64 = 5.0;
 const SHRINK: f64 = 0.06;
 /// Parts of its bound up to which a member takes spilt, cheap and dear lookups.
 const SPILL_ROOM: f64 = 0.4;
@@ -154,8 +155,9 @@
         Some(self.prediction()? + SIGMAS * sigma)
     }
 
-    fn shrink(&mut self, by: f64) {
-        self.bound = (self.bound * (1.0 - by)).max(LEAST_BOUND);
+    fn shrink(&mut self, times: f64, sharers: f64) {
+        self.bound =
+            (self.bound * (1.0 - SHRINK).powf(times * sharers.min(MOST_AT_ONCE))).max(LEAST_BOUND / sharers);
     }
 
     fn close_window(&mut self) {
@@ -347,7 +349,7 @@
                 state: l.state,
                 started: l.started,
                 quickest: Ns::MAX,
-                bound: if role == Role::Cache { FIRST_BOUND } else { FIRST_BOUND / 4.0 },
+                bound: FIRST_BOUND / self.sharers(role).sqrt(),
                 price: LEAST_PRICE,
                 ..Node::default()
             };
@@ -491,11 +493,17 @@
         (part * multiple * self.warmth(node, now)).min(1.0)
     }
 
+    /// How many directors send to such a member: those of its location, or all.
+    fn sharers(&self, role: Role) -> f64 {
+        let own = self.set.directors.get(self.set.zone).copied().unwrap_or(1);
+        let all = self.set.directors.iter().sum();
+        if role == Role::Cache { own } else { all }.max(1) as f64
+    }
+
     /// Directors take turns at a cold member, by their number: all of its allowance in one turn out of so
     /// many, so that their peaks do not fall together.
     fn turn_part(&self, role: Role, now: Ns) -> f64 {
-        let own = self.set.directors.get(self.set.zone).copied().unwrap_or(1);
-        let sharers = if role == Role::Parent { self.set.directors.iter().sum() } else { own }.max(1);
+        let sharers = self.sharers(role) as usize;
         let slot = (self.set.fall_window / (4 * sharers as Ns)).max(self.set.tick).max(1);
         let mine = now / slot % sharers as Ns == (self.set.number % sharers) as Ns;
         if mine { sharers as f64 } else { 0.0 }
@@ -761,6 +769,7 @@
         let unseen = self.unseen(lk);
         // The heir of a lost slice counts as its home.
         let heir = self.caches.owner(pos, |m| self.up(m));
+        let chance = (mix(pos ^ now) % 1024) as f64 / 1024.0;
         let room = |m: usize| {
             let part = match (Some(m) == heir, dear) {
                 (false, _) if first && self.jammed => 0.0,
@@ -769,7 +778,7 @@
                 (true, false) => CHEAP_ROOM,
                 (true, true) => DEAR_ROOM,
             };
-            self.node(m).is_some_and(|n| f64::from(n.straight) < part * n.bound)
+            self.node(m).is_some_and(|n| f64::from(n.straight) < (part * n.bound + chance).floor())
         };
         // A copy that broke off lies at its home still: as long as that is up, it is asked once more.
         let broke = |m: usize| match lk.sends.as_slice() {
@@ -905,11 +914,12 @@
                 if known {
                     self.paced(late, work);
                 }
+                let sharers = self.sharers(self.node(sent.node).map_or(Role::Cache, |n| n.role)).sqrt();
                 if let Some(n) = self.node_mut(sent.node).filter(|_| known) {
                     if late {
-                        n.shrink(SHRINK);
-                    } else if f64::from(n.straight) > 0.6 * n.bound {
-                        n.bound += GROW;
+                        n.shrink(1.0, sharers);
+                    } else if f64::from(n.straight + 1) > 0.6 * n.bound {
+                        n.bound += GROW / sharers;
                     }
                 }
                 if let Some(s) = sent.source {
@@ -942,8 +952,10 @@
                     let quick = sent.source.is_none()
                         || self.node(sent.node).is_some_and(|n| took <= 2 * n.quickest + self.set.tick);
                     if quick {
+                        let sharers =
+                            self.sharers(self.node(sent.node).map_or(Role::Cache, |n| n.role)).sqrt();
                         if let Some(n) = self.node_mut(sent.node) {
-                            n.shrink(2.0 * SHRINK);
+                            n.shrink(2.0, sharers);
                         }
                     } else if let Some(s) = sent.source {
                         self.filled(now, s, true, WEIGHT);
