Cold members earn by time what a warm one bears; steps of the price go by the directors

The location had lost five of seven caches and clients repeated unmarked; the allowance was a share of what was asked by the members left, 400 lookups a second instead of 80. Now a cold member earns by time a part of what a warm one bears, measured by what was served; directors take turns by the place of their first credit. A told fill is no cache's fault.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,12 +10,12 @@
 //! widens to two. Beside it stand six mechanisms:
 //! 1. health: outcomes judge a member down, trials bring it back. Guards against fast errors and dead,
 //!    silent or cut-off nodes; harm: with two parents chance can take one down;
-//! 2. cold allowance: a fresh member gets a part of its slice that grows with its warmth. Guards against its
-//!    fall by all directors together; harm: what warms quickly is held back;
+//! 2. cold allowance: a fresh member earns a growing part of what a warm one bears. Guards against its fall
+//!    by all directors together; harm: what warms quickly is held back;
 //! 3. further sends: second copies and other ways after a failure, from a budget that successes feed. Guards
 //!    against single failures and slow answers; harm: in a jam a dead home is found only by failure;
-//! 4. overload: a crowded home spills to its neighbours, then the cheapest utility is nacked early. Guards
-//!    against jams, slow members and hot homes; harm: a bound that shrank grows back slowly;
+//! 4. overload: a crowded home spills to its neighbours, a crowded parent fills only what pays, and the rest
+//!    is nacked early. Guards against jams, slow members, hot homes; harm: what shrank grows back slowly;
 //! 5. copies: rank by reuse, joins, renewal behind, ages bounded by purges. Guards against one-timers and
 //!    old copies; harm: what is newly wanted leaves first;
 //! 6. origin guard: a bound on this director's fetches at the origin that backs off on failure. Guards
@@ -55,7 +55,6 @@
 const LEAST_BOUND: f64 = 2.0;
 const ON_PACE: f64 = 1.5;
 const GROW: f64 = 0.5;
-const MOST_AT_ONCE: f64 = 5.0;
 const SHRINK: f64 = 0.06;
 /// Parts of its bound up to which a member takes spilt, cheap and dear lookups.
 const SPILL_ROOM: f64 = 0.4;
@@ -67,15 +66,19 @@
 const COLD_PART: f64 = 0.55;
 const COLD_PART_ON_PACE: f64 = 0.85;
 
-/// The price of a fill, in standard deviations of the lookups' worth: its range, its rise at an outcome past
-/// the budget and its fall at one within.
+/// The price of a fill, in standard deviations of the lookups' worth: its range; its rise at an outcome past
+/// the budget and its fall at one within, times the cube root of the directors; the part of both that the
+/// other parents' prices move; its fall in each window.
 const LEAST_PRICE: f64 = -3.0;
 const MOST_PRICE: f64 = 1.5;
-const DEARER: f64 = 0.4;
-const CHEAPER: f64 = 0.08;
+const DEARER: f64 = 0.24;
+const CHEAPER: f64 = 0.05;
 const ALIKE: f64 = 0.2;
 const FORGOTTEN: f64 = 0.2;
 
+/// Part of what is asked that a cold member is trusted with unproven; and the least warmth that proves.
+const UNPROVEN: f64 = 0.25;
+
 /// Further sends: earned by one success, and the most that is saved up.
 const TOKEN: f64 = 0.15;
 const MOST_TOKENS: f64 = 5.0;
@@ -110,12 +113,10 @@
 /// All that is known of one node.
 #[derive(Clone, Debug, Default)]
 struct Node {
-    zone: usize,
-    cell: usize,
-    rank: u64,
+    line: Listed,
     role: Role,
-    state: State,
-    started: Ns,
+    /// Root of the number of directors that share it: the demand of one varies by it, and so do its bounds.
+    sharing: f64,
     /// Sends out that name it, and of them those straight at it.
     out: u32,
     straight: u32,
@@ -134,7 +135,6 @@
     windows: Vec<f64>,
     traffic: f64,
     spread: f64,
-    residuals: f64,
 }
 
 impl Node {
@@ -155,15 +155,14 @@
         Some(self.prediction()? + SIGMAS * sigma)
     }
 
-    fn shrink(&mut self, times: f64, sharers: f64) {
-        self.bound =
-            (self.bound * (1.0 - SHRINK).powf(times * sharers.min(MOST_AT_ONCE))).max(LEAST_BOUND / sharers);
+    fn shrink(&mut self, times: f64) {
+        let left = (1.0 - SHRINK).powf(times * self.sharing);
+        self.bound = (self.bound * left).max(LEAST_BOUND / self.sharing);
     }
 
     fn close_window(&mut self) {
         if let Some(p) = self.prediction() {
-            self.residuals += 1.0;
-            let gain = (1.0 / self.residuals).max(0.1);
+            let gain = 1.0 / (self.windows.len() - SPACING + 1) as f64;
             self.spread += gain * ((self.traffic - p).powi(2) - self.spread);
         }
         if self.windows.len() == 3 * SPACING {
@@ -189,8 +188,6 @@
 struct Seen {
     times: u32,
     work: f64,
-    /// The last lookup for it was given up, so that the next may be its repeat.
-    given_up: bool,
 }
 
 pub struct Choice {
@@ -202,12 +199,17 @@
     origin: Option<usize>,
     /// Mean sending time by object kind.
     work: Vec<f64>,
+    /// Sending time asked for and served in the open window; what a warm cache and a warm parent bear of it.
+    asked_work: f64,
+    served_work: f64,
+    bears: [f64; 2],
+    warm: [f64; 2],
+    earned: Ns,
     tokens: f64,
     /// Share of recent sends, weighed by sending time, that were off pace or timed out.
     late: f64,
     jammed: bool,
-    /// Mean and variance of the logarithm of what lookups bring for their sending time, and the price below
-    /// which none is filled, in standard deviations from that mean.
+    /// Mean and variance of the logarithm of what lookups bring for their sending time.
     worth: f64,
     worth_spread: f64,
     seen: HashMap<u64, Seen>,
@@ -215,8 +217,8 @@
     seen_turn: Ns,
     heat: HashMap<u64, Heat>,
     window_end: Ns,
-    purges: HashMap<u64, Ns>,
-    group_purges: HashMap<u32, Ns>,
+    /// When the latest purge was made that is known of each object, or of each group.
+    purges: HashMap<(Option<u64>, u32), Ns>,
     /// Bound on this director's own fetches at the origin.
     origin_bound: f64,
     lines: Vec<String>,
@@ -293,6 +295,11 @@
             parents: Pie::default(),
             origin: None,
             work,
+            asked_work: 0.0,
+            served_work: 0.0,
+            bears: [0.0; 2],
+            warm: [0.0; 2],
+            earned: now,
             tokens: MOST_TOKENS / 2.0,
             // Not known to be on pace: a director restarted amid a trouble must not push its cold nodes.
             late: JAM_OVER_AT,
@@ -305,7 +312,6 @@
             heat: HashMap::new(),
             window_end: now + WINDOW,
             purges: HashMap::new(),
-            group_purges: HashMap::new(),
             origin_bound: 4.0,
             lines: Vec::new(),
             set,
@@ -329,7 +335,7 @@
     pub fn listed(&mut self, now: Ns, lines: &[Listed], whole: bool) {
         if whole {
             for node in self.nodes.iter_mut().flatten() {
-                node.state = State::Gone;
+                node.line.state = State::Gone;
             }
         }
         for l in lines {
@@ -341,24 +347,21 @@
                 m if Some(m) == self.set.parent_kind => Role::Parent,
                 _ => Role::Cache,
             };
+            let sharers = self.sharers(role);
             let fresh = Node {
-                zone: l.zone,
-                cell: l.cell,
-                rank: l.rank,
+                line: *l,
                 role,
-                state: l.state,
-                started: l.started,
+                sharing: sharers.sqrt(),
                 quickest: Ns::MAX,
-                bound: FIRST_BOUND / self.sharers(role).sqrt(),
+                bound: FIRST_BOUND / sharers.sqrt(),
                 price: LEAST_PRICE,
+                // Directors take turns at a fresh node by their number.
+                credit: -(self.set.number as f64 % sharers / sharers) * self.largest_work(),
                 ..Node::default()
             };
             let slot = &mut self.nodes[l.node];
             match slot {
-                Some(node) if node.started == l.started => {
-                    node.state = l.state;
-                    node.zone = l.zone;
-                }
+                Some(node) if node.line.started == l.started => node.line = *l,
                 Some(node) => *node = Node { out: node.out, straight: node.straight, ..fresh },
                 None => *slot = Some(fresh),
             }
@@ -368,16 +371,16 @@
                 .nodes
                 .iter()
                 .enumerate()
-                .filter_map(|(i, n)| n.as_ref().map(|n| (i, n)))
-                .filter(|(_, n)| n.role == role && n.state != State::Gone)
-                .filter(|(_, n)| zone.is_none_or(|z| z == n.zone))
-                .map(|(i, n)| (n.rank, i))
+                .filter_map(|(i, n)| Some((i, n.as_ref()?)))
+                .filter(|(_, n)| n.role == role && n.line.state != State::Gone)
+                .filter(|(_, n)| zone.is_none_or(|z| z == n.line.zone))
+                .map(|(i, n)| (n.line.rank, i))
                 .collect();
             pie.sort_unstable();
             pie
         };
         let (caches, parents) = (on(Role::Cache, Some(self.set.zone)), on(Role::Parent, None));
-        let ready = |&(_, i): &(u64, usize)| self.node(i).is_some_and(|n| n.state == State::Ready);
+        let ready = |&(_, i): &(u64, usize)| self.node(i).is_some_and(|n| n.line.state == State::Ready);
         let origin = on(Role::Origin, None).into_iter().find(ready).map(|(_, i)| i);
         self.origin = origin;
         for (pie, ranked) in [(&mut self.caches, caches), (&mut self.parents, parents)] {
@@ -394,15 +397,11 @@
     /// An object, or with none a whole group, was purged so long ago.
     pub fn purged(&mut self, now: Ns, object: Option<u64>, group: u32, ago: Ns) {
         let made = now.saturating_sub(ago);
-        let known = match object {
-            Some(o) => self.purges.entry(o).or_default(),
-            None => self.group_purges.entry(group).or_default(),
-        };
+        let known = self.purges.entry((object, if object.is_some() { 0 } else { group })).or_default();
         // News may overtake each other: the latest purge binds.
         *known = made.max(*known);
         let gone = now.saturating_sub(self.set.purge_cleared + SEC);
         self.purges.retain(|_, made| *made > gone);
-        self.group_purges.retain(|_, made| *made > gone);
     }
 
     fn node(&self, i: usize) -> Option<&Node> {
@@ -418,6 +417,7 @@
         self.window_end += idle.saturating_sub(3 * SPACING as Ns) * WINDOW;
         while now >= self.window_end {
             self.window_end += WINDOW;
+            self.bear(now);
             for node in self.nodes.iter_mut().flatten() {
                 node.close_window();
             }
@@ -475,10 +475,10 @@
             Role::Parent => (self.set.parent_cold_from, self.set.parent_warm_after),
             _ => (self.set.cold_from, self.set.warm_after),
         };
-        if node.started == 0 || node.role == Role::Origin || after == 0 {
+        if node.line.started == 0 || node.role == Role::Origin || after == 0 {
             return 1.0;
         }
-        let age = now.saturating_sub(node.started) as f64 / after as f64;
+        let age = now.saturating_sub(node.line.started) as f64 / after as f64;
         (from + (1.0 - from) * age).min(1.0)
     }
 
@@ -500,43 +500,60 @@
         if role == Role::Cache { own } else { all }.max(1) as f64
     }
 
-    /// Directors take turns at a cold member, by their number: all of its allowance in one turn out of so
-    /// many, so that their peaks do not fall together.
-    fn turn_part(&self, role: Role, now: Ns) -> f64 {
-        let sharers = self.sharers(role) as usize;
-        let slot = (self.set.fall_window / (4 * sharers as Ns)).max(self.set.tick).max(1);
-        let mine = now / slot % sharers as Ns == (self.set.number % sharers) as Ns;
-        if mine { sharers as f64 } else { 0.0 }
+    fn largest_work(&self) -> f64 {
+        self.work.iter().copied().fold(0.0, f64::max)
     }
 
-    fn earn(&mut self, now: Ns, work: f64) {
-        let most = self.work.iter().copied().fold(0.0, f64::max) * 3.0;
+    /// Cold members earn by time what a warm one bears from this director, whatever is asked: an overload
+    /// with its repeats, or a location that lost most of its members, must not push them.
+    fn earn(&mut self, now: Ns) {
+        let largest = self.largest_work();
+        let since = now.saturating_sub(self.earned).min(SEC) as f64;
+        self.earned = now;
         let mut earned = Vec::new();
-        for pie in [&self.caches, &self.parents] {
-            let share = work / pie.members.len().max(1) as f64;
+        for (pie, bears) in [(&self.caches, self.bears[0]), (&self.parents, self.bears[1])] {
             let nodes = pie.members.iter().filter_map(|&m| Some((m, self.node(m)?)));
             let cold = nodes.filter(|(_, n)| self.warmth(n, now) < 1.0);
-            earned
-                .extend(cold.map(|(m, n)| (m, share * self.cold_part(n, now) * self.turn_part(n.role, now))));
+            let most = |n: &Node| largest * (1.0 + 2.0 / n.sharing);
+            earned.extend(cold.map(|(m, n)| (m, since * bears * self.cold_part(n, now), most(n))));
         }
-        for (m, part) in earned {
+        for (m, part, most) in earned {
             if let Some(n) = self.node_mut(m) {
                 n.credit = (n.credit + part).min(most);
             }
         }
     }
 
+    /// What a warm member bears from this director, by what the members served in the window, each counted by
+    /// its warmth at the window's start or end; until anything was served, a part of what was asked.
+    fn bear(&mut self, now: Ns) {
+        let window = WINDOW as f64;
+        for (k, pie) in [&self.caches, &self.parents].into_iter().enumerate() {
+            let up = pie.members.iter().filter(|&&m| self.up(m)).filter_map(|&m| self.node(m));
+            let warm: f64 = up.map(|n| self.warmth(n, now)).sum();
+            let seen = self.served_work / window / warm.max(self.warm[k]).max(UNPROVEN);
+            let (gain, seen) = match self.bears[k] {
+                0.0 => (1.0, seen.max(UNPROVEN * self.asked_work / window / pie.members.len().max(1) as f64)),
+                b if b < seen => (0.3, seen),
+                _ => (0.05, seen),
+            };
+            self.bears[k] += gain * (seen - self.bears[k]);
+            self.warm[k] = warm;
+        }
+        (self.asked_work, self.served_work) = (0.0, 0.0);
+    }
+
     fn has_room(&self, m: usize, lk: &Lookup, now: Ns) -> bool {
         self.node(m).is_some_and(|n| self.warmth(n, now) >= 1.0 || n.credit >= self.work[lk.kind])
     }
 
     fn up(&self, m: usize) -> bool {
-        self.node(m).is_some_and(|n| n.state == State::Ready && n.down.is_none())
+        self.node(m).is_some_and(|n| n.line.state == State::Ready && n.down.is_none())
     }
 
     fn trial_due(&self, m: usize, now: Ns) -> bool {
         self.node(m).is_some_and(|n| {
-            n.state == State::Ready
+            n.line.state == State::Ready
                 && match &n.down {
                     Some(d) => now >= d.next_trial,
                     None => n.role == Role::Parent && n.suspect > SUSPECT_AT && now >= n.next_look,
@@ -556,8 +573,10 @@
             Effect::Deduplicated { within, memory } => maybe.all(|s| {
                 let near = match (within, self.node(s.node), self.node(to)) {
                     (Within::All, _, _) => true,
-                    (Within::Zone, Some(a), Some(b)) => a.zone == b.zone,
-                    (Within::Cell, Some(a), Some(b)) => a.zone == b.zone && a.cell == b.cell,
+                    (Within::Zone, Some(a), Some(b)) => a.line.zone == b.line.zone,
+                    (Within::Cell, Some(a), Some(b)) => {
+                        (a.line.zone, a.line.cell) == (b.line.zone, b.line.cell)
+                    }
                     _ => false,
                 };
                 near && now < s.at + memory
@@ -565,21 +584,16 @@
         }
     }
 
-    fn may_nack(&self, lk: &Lookup) -> bool {
-        match self.set.object_kinds[lk.kind].effect {
-            Effect::Idempotent => true,
-            Effect::Deduplicated { within: Within::All, .. } => true,
-            _ => !lk.sends.iter().any(ran),
-        }
-    }
-
-    /// A lookup given up is answered at once. A client that repeats soon finds the same trouble and adds to
-    /// it, so it is asked to stay away as long as clients do.
-    fn give_up(&mut self, lk: &Lookup) -> Route {
-        if let Some(s) = self.seen.get_mut(&copy_of(lk)) {
-            s.given_up = true;
+    /// Nothing more to send: wait for what is out, or give the lookup up at once. A client that repeats soon
+    /// finds the same trouble and adds to it: it is asked to stay away as long as clients do.
+    fn hold(&mut self, lk: &Lookup) -> Route {
+        if lk.sends.iter().any(|s| s.result.is_none()) {
+            return Route::NotYet;
         }
-        if !self.may_nack(lk) {
+        let effect = self.set.object_kinds[lk.kind].effect;
+        let harmless =
+            matches!(effect, Effect::Idempotent | Effect::Deduplicated { within: Within::All, .. });
+        if !harmless && lk.sends.iter().any(ran) {
             return Route::Fail;
         }
         let part = 0.75 + 0.25 * self.rng.random::<f64>();
@@ -596,11 +610,6 @@
         (self.set.object_kinds[lk.kind].utility * SEC as f64 / (self.predicted(lk) + BASE as f64)).ln()
     }
 
-    /// Nothing more to send: wait for what is out, or give the lookup up.
-    fn hold(&mut self, lk: &Lookup) -> Route {
-        if lk.sends.iter().any(|s| s.result.is_none()) { Route::NotYet } else { self.give_up(lk) }
-    }
-
     // ---- the three calls ----
 
     /// Where to send this lookup now.
@@ -615,30 +624,25 @@
         if first {
             self.arrived(now, lk);
         }
-        if hopeless {
-            return self.hold(lk);
-        }
-        if !first && (lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1) {
+        let spent = lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1;
+        if hopeless || !first && spent {
             return self.hold(lk);
         }
         if out > 0 && self.jammed {
             return Route::NotYet;
         }
-        let Some(mut send) = self.pick(now, lk) else {
+        let Some(mut send) = self.pick(now, lk).filter(|s| self.effect_allows(lk, s.node, now)) else {
             return self.hold(lk);
         };
-        if !self.effect_allows(lk, send.node, now) {
-            return self.hold(lk);
-        }
-        if !first {
-            self.tokens -= 1.0;
-        }
         let price = send.source.and_then(|s| self.node(s)).map_or(LEAST_PRICE, |n| n.price);
         if self.standing(lk) < price {
-            if !first {
+            send.source = None;
+        }
+        if !first {
+            if send.source.is_none() {
                 return self.hold(lk);
             }
-            send.source = None;
+            self.tokens -= 1.0;
         }
         send.time_out = lk.deadline - now - 2 * self.set.tick;
         if first && send.source.is_none() {
@@ -669,12 +673,12 @@
             Outcome::Satisfied | Outcome::TimedOut | Outcome::Full => DEARER,
             _ => 0.0,
         };
-        if let Some(m) = sent.source {
-            for p in self.parents.members.clone() {
-                let part = if p == m { 1.0 } else { ALIKE };
-                if let Some(n) = self.node_mut(p) {
-                    n.price = (n.price + part * step).clamp(LEAST_PRICE, MOST_PRICE);
-                }
+        // Of many directors each sees little of a parent, so that each outcome must tell more.
+        let step = step * self.sharers(Role::Parent).cbrt();
+        for &p in self.parents.members.iter().filter(|_| sent.source.is_some()) {
+            let part = if Some(p) == sent.source { 1.0 } else { ALIKE };
+            if let Some(n) = self.nodes[p].as_mut() {
+                n.price = (n.price + part * step).clamp(LEAST_PRICE, MOST_PRICE);
             }
         }
         let out = lk.sends.iter().any(|s| s.result.is_none());
@@ -710,12 +714,10 @@
         self.worth += if self.worth == 0.0 { off } else { 0.05 * off };
         self.worth_spread += 0.05 * (off * off - self.worth_spread);
         let before = self.known(lk).unwrap_or_default();
-        let seen = Seen { times: before.times + u32::from(!lk.repeat), given_up: false, ..before };
+        let seen = Seen { times: before.times + u32::from(!lk.repeat), ..before };
         self.seen.insert(copy_of(lk), seen);
-        // Repeats earn nothing: with them an overloaded fleet is asked for a multiple of what it can do.
-        if !lk.repeat && !before.given_up {
-            self.earn(now, self.work[lk.kind]);
-        }
+        self.asked_work += self.work[lk.kind];
+        self.earn(now);
         // Bursts: a run of parts counts once, and a client's repeat not at all.
         if lk.repeat || (self.set.object_kinds[lk.kind].parts && lk.part > 0) {
             return;
@@ -726,10 +728,8 @@
         let h = self.heat.entry(lk.object).or_default();
         h.open += weight;
         let rate = h.open.max(h.last);
-        let starts = h.burst.is_none() && threshold.is_some_and(|t| rate > t);
-        if starts {
+        if let Some(t) = threshold.filter(|&t| h.burst.is_none() && rate > t) {
             h.burst = threshold;
-            let t = threshold.unwrap_or(0.0);
             self.lines.push(format!("burst object={} rate={rate:.0} over={t:.0}", lk.object));
         }
         let burst = h.burst.is_some();
@@ -740,13 +740,10 @@
     }
 
     fn pick(&self, now: Ns, lk: &Lookup) -> Option<Send> {
+        use Outcome::{Broken, Error, Full, TimedOut};
         let tried = |m: usize| lk.sends.iter().any(|s| s.node == m);
-        let failed =
-            |r: Option<Outcome>| matches!(r, Some(Outcome::Error | Outcome::Broken | Outcome::TimedOut));
-        let refused = |r: Option<Outcome>| r == Some(Outcome::Full);
-        let blamed = |m: usize| {
-            lk.sends.iter().any(|s| s.source == Some(m) && (failed(s.result) || refused(s.result)))
-        };
+        let failed = |s: &Sent| matches!(s.result, Some(Error | Broken | TimedOut | Full));
+        let blamed = |m: usize| lk.sends.iter().any(|s| s.source == Some(m) && failed(s));
         let pos = mix(!lk.object);
         let first = lk.sends.is_empty();
         let fit = |m: usize| self.up(m) && self.has_room(m, lk, now);
@@ -765,26 +762,21 @@
         if let Some(h) = home.filter(|&h| due(h)) {
             return Some(self.order(lk, now, h, source));
         }
-        let dear = self.is_dear(lk);
-        let unseen = self.unseen(lk);
         // The heir of a lost slice counts as its home.
         let heir = self.caches.owner(pos, |m| self.up(m));
         let chance = (mix(pos ^ now) % 1024) as f64 / 1024.0;
         let room = |m: usize| {
-            let part = match (Some(m) == heir, dear) {
+            let part = match (Some(m) == heir, self.standing(lk) >= 0.0) {
                 (false, _) if first && self.jammed => 0.0,
                 (false, _) => SPILL_ROOM,
-                (true, false) if self.jammed && unseen => CHEAP_ROOM / 2.0,
                 (true, false) => CHEAP_ROOM,
                 (true, true) => DEAR_ROOM,
             };
             self.node(m).is_some_and(|n| f64::from(n.straight) < (part * n.bound + chance).floor())
         };
         // A copy that broke off lies at its home still: as long as that is up, it is asked once more.
-        let broke = |m: usize| match lk.sends.as_slice() {
-            [s] => s.node == m && matches!(s.result, Some(Outcome::Error | Outcome::Broken)),
-            _ => false,
-        };
+        let broke =
+            |m| matches!(lk.sends[..], [s] if s.node == m && matches!(s.result, Some(Error | Broken)));
         let may = |m: usize| (!tried(m) || broke(m)) && self.effect_allows(lk, m, now);
         let mut cache = self.caches.owner(pos, |m| fit(m) && may(m) && room(m));
         if let (true, Some(c)) = (first && cache == home, cache) {
@@ -800,13 +792,6 @@
         }
     }
 
-    /// Whether it brings more utility for its sending time than the kinds do on the whole.
-    fn is_dear(&self, lk: &Lookup) -> bool {
-        let of = |k: usize, work: f64| self.set.object_kinds[k].utility / (work + BASE as f64);
-        let kinds = self.work.iter().enumerate().map(|(k, &w)| of(k, w));
-        of(lk.kind, self.predicted(lk)) >= kinds.sum::<f64>() / self.work.len() as f64
-    }
-
     fn burst(&self, lk: &Lookup) -> Option<&Heat> {
         self.heat.get(&lk.object).filter(|h| h.burst.is_some())
     }
@@ -824,8 +809,7 @@
 
     /// The origin fills only while no parent can be named, within this director's bound.
     fn origin_as_source(&self) -> Option<usize> {
-        let o = self.origin?;
-        self.node(o).filter(|n| f64::from(n.out) < self.origin_bound).map(|_| o)
+        self.origin.filter(|&o| self.node(o).is_some_and(|n| f64::from(n.out) < self.origin_bound))
     }
 
     fn order(&self, lk: &Lookup, now: Ns, node: usize, source: Option<usize>) -> Send {
@@ -835,12 +819,7 @@
         // A crowded home keeps its slice: what spills passes through, so that neighbours lose nothing.
         let home = self.caches.home(copy_of(lk)).filter(|&h| h != node && self.up(h));
         let spilt = self.burst(lk).is_none() && home.is_some();
-        let keep = match times {
-            _ if spilt => 0,
-            _ if straight || kind.written || lk.write => 0,
-            0 | 1 => 1,
-            _ => 2,
-        };
+        let unkept = spilt || straight || kind.written || lk.write;
         Send {
             node,
             source: source.filter(|&s| s != node),
@@ -848,7 +827,7 @@
             oldest: self.oldest(lk, now, source.is_some()),
             join: self.set.joins,
             renew: kind.fresh > 0,
-            keep,
+            keep: if unkept { 0 } else { 1 + u8::from(times > 1) },
         }
     }
 
@@ -858,17 +837,13 @@
         let kind = &self.set.object_kinds[lk.kind];
         let refused = lk.sends.iter().any(|s| s.result.is_some());
         let ageing = kind.fresh > 0 && kind.grace > 0 && (!filled || refused);
-        let most = if ageing { Some(kind.fresh + kind.grace) } else { None };
-        let made = [self.purges.get(&lk.object), self.group_purges.get(&lk.group)]
-            .into_iter()
-            .flatten()
-            .copied()
-            .filter(|&made| now < made + self.set.purge_cleared + SEC)
-            .max();
-        let Some(age) = made.map(|m| now.saturating_sub(m).max(1)) else { return most };
-        match most {
-            Some(m) => Some(age.min(m)),
-            None => (kind.fresh == 0 || age < kind.fresh).then_some(age),
+        let most = ageing.then_some(kind.fresh + kind.grace);
+        let made = [(Some(lk.object), 0), (None, lk.group)].into_iter().filter_map(|k| self.purges.get(&k));
+        let bind = made.filter(|&&made| now < made + self.set.purge_cleared + SEC);
+        match (bind.max().map(|&made| now.saturating_sub(made).max(1)), most) {
+            (Some(age), Some(most)) => Some(age.min(most)),
+            (Some(age), None) => (kind.fresh == 0 || age < kind.fresh).then_some(age),
+            (None, most) => most,
         }
     }
 
@@ -910,16 +885,16 @@
                     }
                 }
                 self.mark(now, sent.node, false);
+                self.served_work += self.work[lk.kind];
                 let late = took as f64 > ON_PACE * (work + 2.0 * BASE as f64);
                 if known {
                     self.paced(late, work);
                 }
-                let sharers = self.sharers(self.node(sent.node).map_or(Role::Cache, |n| n.role)).sqrt();
                 if let Some(n) = self.node_mut(sent.node).filter(|_| known) {
-                    if late {
-                        n.shrink(1.0, sharers);
-                    } else if f64::from(n.straight + 1) > 0.6 * n.bound {
-                        n.bound += GROW / sharers;
+                    if !late && f64::from(n.straight + 1) > 0.6 * n.bound {
+                        n.bound += GROW / n.sharing;
+                    } else if late && hit != Some(false) {
+                        n.shrink(1.0);
                     }
                 }
                 if let Some(s) = sent.source {
@@ -952,10 +927,8 @@
                     let quick = sent.source.is_none()
                         || self.node(sent.node).is_some_and(|n| took <= 2 * n.quickest + self.set.tick);
                     if quick {
-                        let sharers =
-                            self.sharers(self.node(sent.node).map_or(Role::Cache, |n| n.role)).sqrt();
                         if let Some(n) = self.node_mut(sent.node) {
-                            n.shrink(2.0, sharers);
+                            n.shrink(2.0);
                         }
                     } else if let Some(s) = sent.source {
                         self.filled(now, s, true, WEIGHT);
@@ -993,11 +966,8 @@
         let Some(n) = self.node_mut(m) else { return };
         let weight = if n.role == Role::Cache { WEIGHT } else { DIRECT_WEIGHT };
         n.failing += weight * (f64::from(u8::from(failed)) - n.failing);
-        if n.role == Role::Origin {
-            return;
-        }
-        let failing = n.failing;
-        self.judged(now, m, failed, failing, failing > DOWN_AT, false);
+        let (failing, judged) = (n.failing, n.role != Role::Origin);
+        self.judged(now, m, failed, failing, judged && failing > DOWN_AT, false);
     }
 
     /// An outcome of a send that named this member as its source. Guards against a parent that is well but
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -73,7 +73,7 @@
 }
 
 /// One line of the list of nodes.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listed {
     pub node: usize,
     /// The order in which all directors sort the nodes.
