Cold members earn by what warm ones served, node by node; a lost parent's fills push no fresh one

Now only what warm members themselves served counts, and a loss leaves the figure. Test: what_is_left_after_a_loss_does_not_push_a_cold_member.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -76,7 +76,7 @@
 const ALIKE: f64 = 0.2;
 const FORGOTTEN: f64 = 0.2;
 
-/// Part of what is asked that a cold member is trusted with unproven; and the least warmth that proves.
+/// Part of what is asked that a cold member is trusted with while no warm one has shown what it bears.
 const UNPROVEN: f64 = 0.25;
 
 /// Further sends: earned by one success, and the most that is saved up.
@@ -129,6 +129,8 @@
     down: Option<Down>,
     bound: f64,
     credit: f64,
+    /// Sending time of what it served or was to fill, in the open window.
+    served: f64,
     /// Of a parent: lookups that bring less for their sending time get no fill from it.
     price: f64,
     /// Traffic of the closed windows, newest last, and of the open one; residuals of the predictions.
@@ -168,8 +170,8 @@
         if self.windows.len() == 3 * SPACING {
             self.windows.remove(0);
         }
-        self.windows.push(self.traffic);
-        self.traffic = 0.0;
+        self.windows.push(std::mem::take(&mut self.traffic));
+        self.served = 0.0;
         self.price = (self.price - FORGOTTEN).max(LEAST_PRICE);
     }
 }
@@ -199,11 +201,9 @@
     origin: Option<usize>,
     /// Mean sending time by object kind.
     work: Vec<f64>,
-    /// Sending time asked for and served in the open window; what a warm cache and a warm parent bear of it.
+    /// Sending time asked for in the open window; what of it a warm cache and a warm parent bear.
     asked_work: f64,
-    served_work: f64,
     bears: [f64; 2],
-    warm: [f64; 2],
     earned: Ns,
     tokens: f64,
     /// Share of recent sends, weighed by sending time, that were off pace or timed out.
@@ -296,9 +296,7 @@
             origin: None,
             work,
             asked_work: 0.0,
-            served_work: 0.0,
             bears: [0.0; 2],
-            warm: [0.0; 2],
             earned: now,
             tokens: MOST_TOKENS / 2.0,
             // Not known to be on pace: a director restarted amid a trouble must not push its cold nodes.
@@ -524,23 +522,23 @@
         }
     }
 
-    /// What a warm member bears from this director, by what the members served in the window, each counted by
-    /// its warmth at the window's start or end; until anything was served, a part of what was asked.
+    /// What a warm member bears from this director, by what such members served in the window; with none, a
+    /// part of what was asked. A loss leaves the figure: what is left must not be pushed for it.
     fn bear(&mut self, now: Ns) {
-        let window = WINDOW as f64;
         for (k, pie) in [&self.caches, &self.parents].into_iter().enumerate() {
             let up = pie.members.iter().filter(|&&m| self.up(m)).filter_map(|&m| self.node(m));
-            let warm: f64 = up.map(|n| self.warmth(n, now)).sum();
-            let seen = self.served_work / window / warm.max(self.warm[k]).max(UNPROVEN);
-            let (gain, seen) = match self.bears[k] {
-                0.0 => (1.0, seen.max(UNPROVEN * self.asked_work / window / pie.members.len().max(1) as f64)),
-                b if b < seen => (0.3, seen),
-                _ => (0.05, seen),
+            let warm: Vec<f64> = up.filter(|n| self.warmth(n, now) >= 1.0).map(|n| n.served).collect();
+            let seen = warm.iter().sum::<f64>() / warm.len() as f64 / WINDOW as f64;
+            let unproven = UNPROVEN * self.asked_work / pie.members.len().max(1) as f64 / WINDOW as f64;
+            let bears = &mut self.bears[k];
+            *bears = match *bears {
+                0.0 if seen > 0.0 => seen,
+                0.0 => unproven,
+                b if warm.is_empty() => b,
+                b => b + if b < seen { 0.3 } else { 0.05 } * (seen - b),
             };
-            self.bears[k] += gain * (seen - self.bears[k]);
-            self.warm[k] = warm;
         }
-        (self.asked_work, self.served_work) = (0.0, 0.0);
+        self.asked_work = 0.0;
     }
 
     fn has_room(&self, m: usize, lk: &Lookup, now: Ns) -> bool {
@@ -657,9 +655,11 @@
     pub fn after(&mut self, now: Ns, lk: &Lookup, shot: usize, took: Ns, hit: Option<bool>) -> Next {
         let Some(sent) = lk.sends.get(shot).copied() else { return Next::Wait };
         let Some(outcome) = sent.result else { return Next::Wait };
+        let cost = self.work[lk.kind];
         for m in self.asked(sent.node, sent.source) {
             if let Some(n) = self.node_mut(m) {
                 n.out = n.out.saturating_sub(1);
+                n.served += if outcome == Outcome::Satisfied { cost } else { 0.0 };
             }
         }
         if let Some(n) = self.node_mut(sent.node) {
@@ -885,7 +885,6 @@
                     }
                 }
                 self.mark(now, sent.node, false);
-                self.served_work += self.work[lk.kind];
                 let late = took as f64 > ON_PACE * (work + 2.0 * BASE as f64);
                 if known {
                     self.paced(late, work);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -244,25 +244,31 @@
 }
 
 #[test]
-fn a_location_that_lost_its_members_does_not_push_a_cold_one() {
-    let mut team: Vec<Choice> = (0..4)
-        .map(|number| director(Settings { number, directors: vec![0, 0, 4], ..settings() }, &list(7, 2)))
-        .collect();
-    let usual = 10 * 800;
-    for o in 0..usual {
-        look(&mut team[o as usize % 4], START + o * SEC / 800, o, 50 * MS, Outcome::Satisfied);
-    }
-    // One of seven bore 114 lookups a second. Now one is left, another fresh, and clients repeat unmarked.
-    let then = START + 10 * SEC;
-    let mut lines = list(2, 2);
-    lines[1].started = then;
-    team.iter_mut().for_each(|c| c.listed(then, &lines, true));
-    let mut pushed = 0;
-    for o in 0..3_200 {
-        let sent = look(&mut team[o as usize % 4], then + o * SEC / 3_200, o / 4, 50 * MS, Outcome::Full);
-        pushed += usize::from(sent.is_some_and(|s| s.node == 1));
+fn what_is_left_after_a_loss_does_not_push_a_cold_member() {
+    // (caches and parents left, the fresh one, one in how many is served, most sends a second that name it).
+    // Before, one of seven caches bore 114 lookups a second and one of two parents 400. In its first three
+    // seconds a cache falls at three times 0.26 of that, a parent at twice 0.17. Clients repeat unmarked.
+    for (caches, parents, fresh, served, most) in [(2, 2, 1, 28, 89), (7, 1, 50, 1, 134)] {
+        let mut team: Vec<Choice> = (0..4)
+            .map(|number| director(Settings { number, directors: vec![0, 0, 4], ..settings() }, &list(7, 2)))
+            .collect();
+        for o in 0..8_000 {
+            look(&mut team[o as usize % 4], START + o * SEC / 800, o, 50 * MS, Outcome::Satisfied);
+        }
+        let then = START + 10 * SEC;
+        let mut lines = list(caches, parents);
+        lines.iter_mut().filter(|l| l.node == fresh).for_each(|l| l.started = then);
+        team.iter_mut().for_each(|c| c.listed(then, &lines, true));
+        let mut pushed = 0;
+        for o in 0..9_600 {
+            let now = then + o * SEC / 3_200;
+            let outcome = if o % served == 0 { Outcome::Satisfied } else { Outcome::Full };
+            let sent = look(&mut team[o as usize % 4], now, o / 4, 50 * MS, outcome);
+            let names = |s: &Send| s.node == fresh || s.source == Some(fresh);
+            pushed += usize::from(sent.as_ref().is_some_and(names));
+        }
+        assert!((5..3 * most).contains(&pushed), "{fresh}: {pushed} in three seconds");
     }
-    assert!((5..69).contains(&pushed), "under three times a fifth of 114: {pushed}");
 }
 
 #[test]
