--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,8 +47,6 @@
 /// A source that fails so often through caches is asked straight, without a fill, to tell whose fault it is.
 const SUSPECT_AT: f64 = 0.25;
 const DIRECT_WEIGHT: f64 = 0.35;
-/// Its fills fail so many times as often as those of the best other parent: it is down, whatever looks say.
-const FILLS_APART: f64 = 5.0;
 
 /// Overload: bound on this director's sends out at a member; it grows while they are on pace.
 const FIRST_BOUND: f64 = 16.0;
@@ -70,10 +68,11 @@
 /// the budget and its fall at one within, times the cube root of the directors; the part of both that the
 /// other parents' prices move; its fall in each window.
 const LEAST_PRICE: f64 = -3.0;
-const MOST_PRICE: f64 = 1.5;
+const MOST_PRICE: f64 = 0.5;
 const DEARER: f64 = 0.24;
 const CHEAPER: f64 = 0.05;
 const ALIKE: f64 = 0.2;
+const FILLS: f64 = 0.35;
 const FORGOTTEN: f64 = 0.2;
 
 /// Part of what is asked that a cold member is trusted with while no warm one has shown what it bears.
@@ -106,8 +105,6 @@
     next_trial: Ns,
     gap: Ns,
     wins: u32,
-    /// Judged by the fills that name it, not by sends straight at it; so are its trials.
-    by_fills: bool,
 }
 
 /// All that is known of one node.
@@ -669,7 +666,8 @@
         self.judge(now, lk, &sent, outcome, took, hit);
         let within = now <= lk.arrived + self.budget(lk);
         let step = match outcome {
-            Outcome::Satisfied if within => -CHEAPER,
+            Outcome::Satisfied if hit == Some(true) => 0.0,
+            Outcome::Satisfied if within => -CHEAPER * if hit.is_none() { FILLS } else { 1.0 },
             Outcome::Satisfied | Outcome::TimedOut | Outcome::Full => DEARER,
             _ => 0.0,
         };
@@ -750,13 +748,10 @@
         let due = |m: usize| first && self.trial_due(m, now) && self.has_room(m, lk, now);
         let parent =
             self.parents.owner(pos, |m| fit(m) && !blamed(m)).or_else(|| self.parents.owner(pos, fit));
-        let by_fills = |p: usize| self.node(p).and_then(|n| n.down.as_ref()).is_some_and(|d| d.by_fills);
-        let trial_parent = self.parents.home(pos).filter(|&p| due(p));
-        if let Some(p) = trial_parent.filter(|&p| self.set.direct && !by_fills(p)) {
+        if let Some(p) = self.parents.home(pos).filter(|&p| self.set.direct && due(p)) {
             return Some(self.order(lk, now, p, None));
         }
-        let trial = trial_parent.filter(|&p| by_fills(p) && self.unseen(lk));
-        let source = trial.or(parent).or_else(|| self.origin_as_source());
+        let source = parent.or_else(|| self.origin_as_source());
         let pos = copy_of(lk);
         let home = self.caches.home(pos);
         if let Some(h) = home.filter(|&h| due(h)) {
@@ -902,7 +897,7 @@
                         None if !self.unseen(lk) => 0.4 * WEIGHT,
                         _ => WEIGHT,
                     };
-                    self.filled(now, s, false, weight);
+                    self.filled(s, false, weight);
                 }
                 if at_origin {
                     self.origin_bound = (self.origin_bound + 0.2).min(64.0);
@@ -930,13 +925,13 @@
                             n.shrink(2.0);
                         }
                     } else if let Some(s) = sent.source {
-                        self.filled(now, s, true, WEIGHT);
+                        self.filled(s, true, WEIGHT);
                     }
                     return;
                 }
                 // Blame the one of the two that fails with others too; both while that is open.
                 if let Some(s) = sent.source.filter(|_| suspect > failing - 0.1) {
-                    self.filled(now, s, true, WEIGHT);
+                    self.filled(s, true, WEIGHT);
                 }
                 // What fails behind a parent may be the origin's fault: only a look without a fill judges it.
                 let parent = self.node(sent.node).is_some_and(|n| n.role == Role::Parent);
@@ -966,33 +961,25 @@
         let weight = if n.role == Role::Cache { WEIGHT } else { DIRECT_WEIGHT };
         n.failing += weight * (f64::from(u8::from(failed)) - n.failing);
         let (failing, judged) = (n.failing, n.role != Role::Origin);
-        self.judged(now, m, failed, failing, judged && failing > DOWN_AT, false);
+        self.judged(now, m, failed, failing, judged && failing > DOWN_AT);
     }
 
-    /// An outcome of a send that named this member as its source. Guards against a parent that is well but
-    /// cannot fill: its own link or its way to the origin is cut. All parents alike is the origin's fault.
-    fn filled(&mut self, now: Ns, m: usize, failed: bool, weight: f64) {
-        let Some(n) = self.node_mut(m).filter(|n| n.role == Role::Parent) else { return };
-        n.suspect += weight * (f64::from(u8::from(failed)) - n.suspect);
-        let suspect = n.suspect;
-        let others = self.parents.members.iter().filter(|&&p| p != m && self.up(p));
-        let least = others.filter_map(|&p| self.node(p)).map(|n| n.suspect).fold(1.0, f64::min);
-        if failed || weight >= WEIGHT {
-            let down = suspect > DOWN_AT && suspect > FILLS_APART * least;
-            self.judged(now, m, failed, suspect, down, true);
+    /// An outcome of a send that named this parent as its source: a suspect is looked at, no more, as a fill
+    /// may fail for the origin's sake.
+    fn filled(&mut self, m: usize, failed: bool, weight: f64) {
+        if let Some(n) = self.node_mut(m) {
+            n.suspect += weight * (f64::from(u8::from(failed)) - n.suspect);
         }
     }
 
     /// Takes a member down, or counts its trials and brings it back.
-    fn judged(&mut self, now: Ns, m: usize, failed: bool, share: f64, ill: bool, by_fills: bool) {
+    fn judged(&mut self, now: Ns, m: usize, failed: bool, share: f64, ill: bool) {
         let Some(n) = self.node_mut(m) else { return };
         let line = match n.down.as_mut() {
             None if failed && ill => {
-                n.down = Some(Down { next_trial: now + TRIAL_GAP, gap: TRIAL_GAP, wins: 0, by_fills });
-                let what = if by_fills { "fills_failing" } else { "failing" };
-                format!("down node={m} {what}={share:.2}")
+                n.down = Some(Down { next_trial: now + TRIAL_GAP, gap: TRIAL_GAP, wins: 0 });
+                format!("down node={m} failing={share:.2}")
             }
-            Some(d) if d.by_fills != by_fills => return,
             Some(d) if failed => {
                 d.wins = 0;
                 d.gap = (d.gap * 3 / 2).min(LONGEST_TRIAL_GAP);
