--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -401,7 +401,7 @@
         let mut c = director(set, &list(1, 1));
         let mut ask = |i: u64, took: Ns| {
             let now = START + i * 250 * MS;
-            let size_kb = if i % 5 == 0 { 800.0 } else { 40.0 };
+            let size_kb = if i.is_multiple_of(5) { 800.0 } else { 40.0 };
             let mut lk = Lookup { size_kb, deadline: now + 9 * SEC, ..lookup(i, now) };
             let Route::Send(s) = go(&mut c, now, &mut lk) else { return (size_kb, false) };
             end(&mut c, now + took, &mut lk, Outcome::Satisfied);
