--- a/src/choice.rs
+++ b/src/choice.rs
@@ -757,8 +757,8 @@
         if let Some(h) = home.filter(|&h| due(h)) {
             return Some(self.order(lk, now, h, source));
         }
-        // The heir of a lost slice counts as its home.
-        let heir = self.caches.owner(pos, |m| self.up(m));
+        // The heir of a lost slice counts as its home, also of one that is cold and has used its allowance.
+        let heir = self.caches.owner(pos, fit);
         let chance = (mix(pos ^ now) % 1024) as f64 / 1024.0;
         let room = |m: usize| {
             let part = match (Some(m) == heir, self.standing(lk) >= 0.0) {
