The origin bound is divided by the root of the directors, and late answers back it off

Hundreds of directors with a bound of 4 to 64 each bound nothing. First bound and growth go by the root of their number, a fraction is a chance.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -307,7 +307,7 @@
             heat: HashMap::new(),
             window_end: now + WINDOW,
             purges: HashMap::new(),
-            origin_bound: 4.0,
+            origin_bound: 4.0 / (set.directors.iter().sum::<usize>().max(1) as f64).sqrt(),
             lines: Vec::new(),
             set,
         }
@@ -751,7 +751,7 @@
         if let Some(p) = self.parents.home(pos).filter(|&p| self.set.direct && due(p)) {
             return Some(self.order(lk, now, p, None));
         }
-        let source = parent.or_else(|| self.origin_as_source());
+        let source = parent.or_else(|| self.origin_as_source(now));
         let pos = copy_of(lk);
         let home = self.caches.home(pos);
         if let Some(h) = home.filter(|&h| due(h)) {
@@ -803,8 +803,11 @@
     }
 
     /// The origin fills only while no parent can be named, within this director's bound.
-    fn origin_as_source(&self) -> Option<usize> {
-        self.origin.filter(|&o| self.node(o).is_some_and(|n| f64::from(n.out) < self.origin_bound))
+    fn origin_as_source(&self, now: Ns) -> Option<usize> {
+        self.origin.filter(|&o| {
+            self.node(o)
+                .is_some_and(|n| f64::from(n.out) + (mix(now) % 1024) as f64 / 1024.0 < self.origin_bound)
+        })
     }
 
     fn order(&self, lk: &Lookup, now: Ns, node: usize, source: Option<usize>) -> Send {
@@ -899,8 +902,11 @@
                     };
                     self.filled(s, false, weight);
                 }
-                if at_origin {
-                    self.origin_bound = (self.origin_bound + 0.2).min(64.0);
+                if at_origin && now > lk.arrived + self.budget(lk) {
+                    self.origin_bound *= 0.85;
+                } else if at_origin {
+                    let more = 0.2 / self.sharers(Role::Parent).sqrt();
+                    self.origin_bound = (self.origin_bound + more).min(64.0);
                 }
             }
             Outcome::Miss => self.mark(now, sent.node, false),
@@ -913,7 +919,7 @@
                     self.paced(true, work);
                 }
                 if at_origin {
-                    self.origin_bound = (self.origin_bound * 0.7).max(1.0);
+                    self.origin_bound = (self.origin_bound * 0.7).max(0.1);
                 }
                 let failing = self.node(sent.node).map_or(0.0, |n| n.failing);
                 let suspect = sent.source.and_then(|s| self.node(s)).map_or(0.0, |n| n.suspect);
