--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use sablecross::{Choice, Listed, Lookup, Next, Ns, Outcome, Route, Sent, State};
+use sablecross::{Choice, Listed, Load, Lookup, Next, Ns, Outcome, Route, Sent, State};
 
 use crate::codec::{Address, Reader, Reply, Result};
 use crate::settings;
@@ -16,6 +16,7 @@
 
 struct Instance {
     choice: Choice,
+    report: settings::Report,
     nodes: HashMap<Address, usize>,
     addresses: Vec<Address>,
     held: HashMap<u32, Held>,
@@ -48,6 +49,15 @@
         index
     }
 
+    /// The load report of a record, where one came along.
+    fn load(&self, r: &mut Reader) -> Result<Option<Load>> {
+        let n = r.u8()?;
+        let values = (0..n).map(|_| r.f32().map(f64::from)).collect::<Result<Vec<f64>>>()?;
+        let value = |at: Option<usize>| at.and_then(|i| values.get(i)).copied().filter(|v| v.is_finite());
+        let load = Load { busy: value(self.report.busy), link: value(self.report.link) };
+        Ok((n > 0).then_some(load))
+    }
+
     /// Asks the module where to send a lookup and carries that out.
     fn step(&mut self, director: u32, txn: u32, now: Ns, reply: &mut Reply) {
         let Some(held) = self.held.get_mut(&txn).filter(|h| !h.ended) else { return };
@@ -93,7 +103,7 @@
         reply: &mut Reply,
     ) -> Result<()> {
         let shot = usize::from(r.u16()?);
-        r.array::<6>()?;
+        let address = r.array()?;
         let outcome = match r.u8()? {
             0 => Outcome::Satisfied,
             5 => Outcome::Error,
@@ -114,8 +124,11 @@
             _ => None,
         };
         r.u32()?;
-        let reports = usize::from(r.u8()?);
-        r.take(reports * 4)?;
+        if let Some(load) = self.load(r)?
+            && let Some(&node) = self.nodes.get(&address)
+        {
+            self.choice.reported(now, node, load);
+        }
         let Some(held) = self.held.get_mut(&txn) else { return Ok(()) };
         let Some(sent) = held.lookup.sends.get_mut(shot) else { return Ok(()) };
         sent.result = Some(outcome);
@@ -300,7 +313,9 @@
         if choice.asks_for_list() {
             self.reply.follow_list(director);
         }
-        let inst = Instance { choice, nodes: HashMap::new(), addresses: Vec::new(), held: HashMap::new() };
+        let report = settings::report(text);
+        let inst =
+            Instance { choice, report, nodes: HashMap::new(), addresses: Vec::new(), held: HashMap::new() };
         self.instances.insert(director, inst);
         Ok(())
     }
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -46,8 +46,26 @@
     }
 }
 
+/// Where in a load report the values that are read stand.
+#[derive(Clone, Copy, Default)]
+pub struct Report {
+    pub busy: Option<usize>,
+    pub link: Option<usize>,
+}
+
+fn pairs(text: &str) -> Pairs<'_> {
+    Pairs(text.lines().filter_map(|l| l.split_once('=')).collect())
+}
+
+pub fn report(text: &str) -> Report {
+    let p = pairs(text);
+    let names = p.0.get("report.names").copied().unwrap_or_default();
+    let place = |name: &str| names.split(',').position(|n| n == name);
+    Report { busy: place("cpu"), link: place("x1") }
+}
+
 pub fn decode(text: &str) -> Result<Settings> {
-    let p = Pairs(text.lines().filter_map(|l| l.split_once('=')).collect());
+    let p = pairs(text);
     let fresh: Vec<u64> = p.list("extra.freshForUs")?;
     let grace: Vec<u64> = p.list("extra.usableAfterUs")?;
     let parts: Vec<bool> = p.list("extra.multiPart")?;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,7 @@
 //! Three calls decide a lookup, which the caller keeps, with its sends, until each send has its outcome:
 //! `route` (where to send it, or not yet, or never), `after` (what next, after an outcome) and `patience`
 //! (how long until `route` is to be asked again). A send that `route` names counts as sent. Facts come by
-//! `listed` and `purged`; `notes` hands out one line for each change of mode.
+//! `listed`, `purged` and `reported`; `notes` hands out one line for each change of mode.
 //!
 //! The design decides the ordinary path: the cache pie of the own zone picks the cache, the pie of all
 //! parents picks the fill's source, a lost member's slice halves to its neighbours, an object in burst
@@ -51,6 +51,7 @@
 /// Overload: bound on this director's sends out at a member; it grows while they are on pace.
 const FIRST_BOUND: f64 = 16.0;
 const LEAST_BOUND: f64 = 2.0;
+const BUSY: f64 = 0.95; // of its cores or its link: no more room
 const ON_PACE: f64 = 1.5;
 const GROW: f64 = 0.5;
 const SHRINK: f64 = 0.06;
@@ -126,6 +127,8 @@
     down: Option<Down>,
     bound: f64,
     credit: f64,
+    /// Until when a load report holds that showed room to spare.
+    spare_until: Ns,
     /// Sending time of what it served or was to fill, in the open window.
     served: f64,
     /// Of a parent: lookups that bring less for their sending time get no fill from it.
@@ -389,6 +392,14 @@
         self.turn(now);
     }
 
+    /// A node's load report. One with room to spare is not to blame for what was slow.
+    pub fn reported(&mut self, now: Ns, node: usize, load: Load) {
+        let spare = load.busy.is_some_and(|b| b < BUSY) && load.link.is_none_or(|l| l < BUSY);
+        if let Some(n) = self.node_mut(node) {
+            n.spare_until = if spare { now + SEC } else { 0 };
+        }
+    }
+
     /// An object, or with none a whole group, was purged so long ago.
     pub fn purged(&mut self, now: Ns, object: Option<u64>, group: u32, ago: Ns) {
         let made = now.saturating_sub(ago);
@@ -890,7 +901,7 @@
                 if let Some(n) = self.node_mut(sent.node).filter(|_| known) {
                     if !late && f64::from(n.straight + 1) > 0.6 * n.bound {
                         n.bound += GROW / n.sharing;
-                    } else if late && hit != Some(false) {
+                    } else if late && hit != Some(false) && now >= n.spare_until {
                         n.shrink(1.0);
                     }
                 }
@@ -905,8 +916,7 @@
                 if at_origin && now > lk.arrived + self.budget(lk) {
                     self.origin_bound *= 0.85;
                 } else if at_origin {
-                    let more = 0.2 / self.sharers(Role::Parent).sqrt();
-                    self.origin_bound = (self.origin_bound + more).min(64.0);
+                    self.origin_bound += 0.2 / self.sharers(Role::Parent).sqrt();
                 }
             }
             Outcome::Miss => self.mark(now, sent.node, false),
@@ -970,8 +980,7 @@
         self.judged(now, m, failed, failing, judged && failing > DOWN_AT);
     }
 
-    /// An outcome of a send that named this parent as its source: a suspect is looked at, no more, as a fill
-    /// may fail for the origin's sake.
+    /// An outcome of a fill from this parent: it is looked at, no more, as the origin may be to blame.
     fn filled(&mut self, m: usize, failed: bool, weight: f64) {
         if let Some(n) = self.node_mut(m) {
             n.suspect += weight * (f64::from(u8::from(failed)) - n.suspect);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -121,6 +121,13 @@
     Miss,
 }
 
+/// A load report, as far as it says so: how busy the node is, and how full its location's link.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub busy: Option<f64>,
+    pub link: Option<f64>,
+}
+
 /// What one send asks for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Send {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -454,6 +454,40 @@
     }
 }
 
+#[test]
+fn slow_answers_shrink_a_bound_only_where_the_cache_may_be_to_blame() {
+    let (idle, full) = (Load { busy: Some(0.4), link: Some(0.2) }, Load { busy: Some(1.0), link: None });
+    // (report, told hit, whether its bound shrinks)
+    let cases = [
+        (None, None, true),
+        (None, Some(true), true),
+        (None, Some(false), false),
+        (Some(idle), None, false),
+        (Some(full), None, true),
+        (Some(Load::default()), None, true),
+        (Some(Load { link: Some(3.0), ..idle }), None, true),
+    ];
+    for (load, hit, shrinks) in cases {
+        let mut c = director(settings(), &list(1, 0));
+        for o in 0..40 {
+            let now = START + o * 20 * MS;
+            let mut lk = Lookup { deadline: now + 9 * SEC, ..lookup(o, now) };
+            let Route::Send(s) = go(&mut c, now, &mut lk) else { continue };
+            if let Some(load) = load {
+                c.reported(now + SEC, s.node, load);
+            }
+            lk.sends[0].result = Some(Outcome::Satisfied);
+            c.after(now + SEC, &lk, 0, SEC, hit);
+        }
+        let mut taken = 0;
+        let later = START + 2 * SEC;
+        while let Route::Send(_) = go(&mut c, later, &mut lookup(1_000 + taken, later)) {
+            taken += 1;
+        }
+        assert_eq!(taken < 10, shrinks, "{load:?} {hit:?}: {taken}");
+    }
+}
+
 #[test]
 fn second_copies_stop_while_all_are_slow() {
     let mut c = director(settings(), &list(4, 2));
