--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,8 +14,8 @@
 //!    by all directors together; harm: what warms quickly is held back;
 //! 3. further sends: second copies and other ways after a failure, from a budget that successes feed. Guards
 //!    against single failures and slow answers; harm: in a jam a dead home is found only by failure;
-//! 4. overload: a crowded home spills to its neighbours, a crowded parent fills only what pays, and the rest
-//!    is nacked early. Guards against jams, slow members, hot homes; harm: what shrank grows back slowly;
+//! 4. overload: a crowded home takes first what brings most, a crowded parent fills only what pays, some spills
+//!    and the rest is nacked early. Guards against jams, slow members, hot homes; harm: what shrank grows back slowly;
 //! 5. copies: rank by reuse, joins, renewal behind, ages bounded by purges. Guards against one-timers and
 //!    old copies; harm: what is newly wanted leaves first;
 //! 6. origin guard: a bound on this director's fetches at the origin that backs off on failure. Guards
@@ -55,10 +55,10 @@
 const ON_PACE: f64 = 1.5;
 const GROW: f64 = 0.5;
 const SHRINK: f64 = 0.06;
-/// Parts of its bound up to which a member takes spilt, cheap and dear lookups.
+/// Parts of its bound that a member gives to spilt lookups, as a home to those of mean worth, and by worth.
 const SPILL_ROOM: f64 = 0.4;
-const CHEAP_ROOM: f64 = 0.85;
-const DEAR_ROOM: f64 = 1.3;
+const HOME_ROOM: f64 = 1.05;
+const SLOPE: f64 = 0.35;
 
 /// Part of its fall-over load that a cold member is given when its slice would fill a warm one: at any load,
 /// and with a cache while sends are on pace, as no fleet is that full then.
@@ -771,12 +771,12 @@
         // The heir of a lost slice counts as its home, also of one that is cold and has used its allowance.
         let heir = self.caches.owner(pos, fit);
         let chance = (mix(pos ^ now) % 1024) as f64 / 1024.0;
+        let standing = self.standing(lk);
         let room = |m: usize| {
-            let part = match (Some(m) == heir, self.standing(lk) >= 0.0) {
-                (false, _) if first && self.jammed => 0.0,
-                (false, _) => SPILL_ROOM,
-                (true, false) => CHEAP_ROOM,
-                (true, true) => DEAR_ROOM,
+            let part = match Some(m) == heir {
+                false if first && self.jammed => 0.0,
+                false => SPILL_ROOM,
+                true => (HOME_ROOM + SLOPE * standing).clamp(SPILL_ROOM, 2.0 * HOME_ROOM),
             };
             self.node(m).is_some_and(|n| f64::from(n.straight) < (part * n.bound + chance).floor())
         };
