--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,8 +14,8 @@
 //!    by all directors together; harm: what warms quickly is held back;
 //! 3. further sends: second copies and other ways after a failure, from a budget that successes feed. Guards
 //!    against single failures and slow answers; harm: in a jam a dead home is found only by failure;
-//! 4. overload: a crowded home takes first what brings most, a crowded parent fills only what pays, some spills
-//!    and the rest is nacked early. Guards against jams, slow members, hot homes; harm: what shrank grows back slowly;
+//! 4. overload: a crowded home takes what brings most and spills some, a crowded parent fills only what pays,
+//!    the rest is nacked early. Guards against jams, slow members, hot homes; harm: recovery is slow;
 //! 5. copies: rank by reuse, joins, renewal behind, ages bounded by purges. Guards against one-timers and
 //!    old copies; harm: what is newly wanted leaves first;
 //! 6. origin guard: a bound on this director's fetches at the origin that backs off on failure. Guards
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -586,3 +586,41 @@
         assert!(part < most, "{tries} {marked}: {part}");
     }
 }
+
+#[test]
+fn odd_lists_and_numbers_find_their_way_or_are_nacked() {
+    let other = |n: usize, zone| Listed { zone, ..line(n, 0) };
+    let hundreds: Vec<Listed> = list(5, 8).into_iter().chain((100..400).map(|n| other(n, 3))).collect();
+    let twice: Vec<Listed> = list(3, 2).into_iter().chain(list(3, 2)).collect();
+    let same_rank: Vec<Listed> = list(3, 2).into_iter().map(|l| Listed { rank: 7, ..l }).collect();
+    let state = |state| move |l: Listed| Listed { state, ..l };
+    let drained: Vec<Listed> = list(1, 0).into_iter().map(state(State::Draining)).collect();
+    let gone: Vec<Listed> = list(1, 0).into_iter().map(state(State::Gone)).collect();
+    // (lists in turn, whole or changes, the director's number, whether a lookup is sent)
+    let cases = [
+        ("hundreds of members", vec![(hundreds.clone(), true)], 0, true),
+        ("a number beyond the count", vec![(hundreds, true)], 999, true),
+        ("each member twice", vec![(twice, true)], 0, true),
+        ("members of one rank", vec![(same_rank, true)], 0, true),
+        ("drains and is gone in one message", vec![([drained, gone.clone()].concat(), true)], 0, false),
+        ("unknown nodes are gone", vec![(list(2, 1), true), (gone, false)], 0, true),
+        ("all vanish", vec![(list(2, 1), true), (vec![], true)], 0, false),
+        ("caches of other locations only", vec![(vec![other(1, 3), line(ORIGIN, 2)], true)], 0, false),
+    ];
+    for (what, lists, number, sends) in cases {
+        let fresh = |l: &Listed| Listed { started: START, ..*l };
+        for cold in [false, true] {
+            let set = Settings { number, directors: vec![0, 0, 9], ..settings() };
+            let mut c = Choice::new(set, 1, START);
+            for (lines, whole) in &lists {
+                let lines: Vec<Listed> = lines.iter().map(|l| if cold { fresh(l) } else { *l }).collect();
+                c.listed(START, &lines, *whole);
+            }
+            c.purged(START, Some(77), 9_999, u64::MAX);
+            c.reported(START, 5_000, Load::default());
+            let route = c.route(START + MS, &lookup(1, START + MS));
+            assert!(cold || matches!(route, Route::Send(_)) == sends, "{what}: {route:?}");
+            assert!(matches!(route, Route::Send(_) | Route::Nack { .. }), "{what}: {route:?}");
+        }
+    }
+}
