--- a/src/choice.rs
+++ b/src/choice.rs
@@ -80,8 +80,8 @@
 const UNPROVEN: f64 = 0.25;
 
 /// Further sends: earned by one success, and the most that is saved up.
-const TOKEN: f64 = 0.15;
-const MOST_TOKENS: f64 = 5.0;
+const TOKEN: f64 = 0.1;
+const MOST_TOKENS: f64 = 3.0;
 /// A jam: with this share of the recent sends off pace all are slow, and one more transfer makes them slower.
 const JAM_AT: f64 = 0.18;
 const JAM_OVER_AT: f64 = 0.13;
