A time-out of a node that was not heard of since the send counts thrice

A slow member answers others meanwhile, so a time-out after which nothing was heard since the send is told from a jam.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,12 +38,13 @@
 const SPACING: usize = 3;
 const SIGMAS: f64 = 3.0;
 
-/// Health: weight of one outcome, the share of failures that judges a member down, trials.
+/// Health: weight of one outcome, share of failures that judges down, trials, failures that a silence is.
 const WEIGHT: f64 = 0.12;
 const DOWN_AT: f64 = 0.4;
 const TRIAL_GAP: Ns = SEC;
 const LONGEST_TRIAL_GAP: Ns = 5 * SEC;
 const WINS: u32 = 3;
+const SILENT: i32 = 3;
 /// A source that fails so often through caches is asked straight, without a fill, to tell whose fault it is.
 const SUSPECT_AT: f64 = 0.25;
 const DIRECT_WEIGHT: f64 = 0.35;
@@ -124,6 +125,8 @@
     next_look: Ns,
     /// The quickest outcome it gave: a refusal about as quick is its own, a slower one its source's.
     quickest: Ns,
+    /// When it was last heard of.
+    heard: Ns,
     down: Option<Down>,
     bound: f64,
     credit: f64,
@@ -167,9 +170,7 @@
             let gain = 1.0 / (self.windows.len() - SPACING + 1) as f64;
             self.spread += gain * ((self.traffic - p).powi(2) - self.spread);
         }
-        if self.windows.len() == 3 * SPACING {
-            self.windows.remove(0);
-        }
+        self.windows.drain(..usize::from(self.windows.len() == 3 * SPACING));
         self.windows.push(std::mem::take(&mut self.traffic));
         self.served = 0.0;
         self.price = (self.price - FORGOTTEN).max(LEAST_PRICE);
@@ -378,9 +379,9 @@
             pie
         };
         let (caches, parents) = (on(Role::Cache, Some(self.set.zone)), on(Role::Parent, None));
-        let ready = |&(_, i): &(u64, usize)| self.node(i).is_some_and(|n| n.line.state == State::Ready);
-        let origin = on(Role::Origin, None).into_iter().find(ready).map(|(_, i)| i);
-        self.origin = origin;
+        let ready =
+            |&(_, i): &(u64, usize)| self.nodes[i].as_ref().is_some_and(|n| n.line.state == State::Ready);
+        self.origin = on(Role::Origin, None).into_iter().find(ready).map(|(_, i)| i);
         for (pie, ranked) in [(&mut self.caches, caches), (&mut self.parents, parents)] {
             if ranked.iter().map(|&(_, i)| i).ne(pie.members.iter().copied()) {
                 if !pie.members.is_empty() {
@@ -597,9 +598,8 @@
             return Route::NotYet;
         }
         let effect = self.set.object_kinds[lk.kind].effect;
-        let harmless =
-            matches!(effect, Effect::Idempotent | Effect::Deduplicated { within: Within::All, .. });
-        if !harmless && lk.sends.iter().any(ran) {
+        let free = matches!(effect, Effect::Idempotent | Effect::Deduplicated { within: Within::All, .. });
+        if !free && lk.sends.iter().any(ran) {
             return Route::Fail;
         }
         let part = 0.75 + 0.25 * self.rng.random::<f64>();
@@ -673,6 +673,8 @@
         if let Some(n) = self.node_mut(sent.node) {
             n.straight = n.straight.saturating_sub(1);
             n.quickest = n.quickest.min(took);
+            let unheard = matches!(outcome, Outcome::TimedOut | Outcome::Unconnected | Outcome::Cancelled);
+            n.heard = if unheard { n.heard } else { now };
         }
         self.judge(now, lk, &sent, outcome, took, hit);
         let within = now <= lk.arrived + self.budget(lk);
@@ -705,9 +707,8 @@
             return None;
         }
         let work = self.predicted(lk);
-        let budget = (lk.arrived + self.budget(lk)) as f64;
         let least = last.at as f64 + 1.4 * work + BASE as f64 * 2.0;
-        let latest = budget - 1.3 * work - BASE as f64 * 1.5;
+        let latest = (lk.arrived + self.budget(lk)) as f64 - 1.3 * work - BASE as f64 * 1.5;
         let at = latest.max(least) as Ns;
         (at > now && at < lk.deadline).then(|| at - now)
     }
@@ -824,7 +825,6 @@
     fn order(&self, lk: &Lookup, now: Ns, node: usize, source: Option<usize>) -> Send {
         let kind = &self.set.object_kinds[lk.kind];
         let straight = self.node(node).is_some_and(|n| n.role != Role::Cache);
-        let times = self.known(lk).map_or(0, |s| s.times);
         // A crowded home keeps its slice: what spills passes through, so that neighbours lose nothing.
         let home = self.caches.home(copy_of(lk)).filter(|&h| h != node && self.up(h));
         let spilt = self.burst(lk).is_none() && home.is_some();
@@ -836,7 +836,7 @@
             oldest: self.oldest(lk, now, source.is_some()),
             join: self.set.joins,
             renew: kind.fresh > 0,
-            keep: if unkept { 0 } else { 1 + u8::from(times > 1) },
+            keep: if unkept { 0 } else { 1 + u8::from(!self.unseen(lk)) },
         }
     }
 
@@ -893,7 +893,7 @@
                         s.work = if s.work > 0.0 { s.work.min(took as f64) } else { took as f64 };
                     }
                 }
-                self.mark(now, sent.node, false);
+                self.mark(now, sent.node, false, 1);
                 let late = took as f64 > ON_PACE * (work + 2.0 * BASE as f64);
                 if known {
                     self.paced(late, work);
@@ -919,11 +919,8 @@
                     self.origin_bound += 0.2 / self.sharers(Role::Parent).sqrt();
                 }
             }
-            Outcome::Miss => self.mark(now, sent.node, false),
-            Outcome::Unconnected => {
-                self.mark(now, sent.node, true);
-                self.mark(now, sent.node, true);
-            }
+            Outcome::Miss => self.mark(now, sent.node, false, 1),
+            Outcome::Unconnected => self.mark(now, sent.node, true, 2),
             Outcome::Error | Outcome::Broken | Outcome::TimedOut | Outcome::Full => {
                 if outcome == Outcome::TimedOut {
                     self.paced(true, work);
@@ -951,8 +948,11 @@
                 }
                 // What fails behind a parent may be the origin's fault: only a look without a fill judges it.
                 let parent = self.node(sent.node).is_some_and(|n| n.role == Role::Parent);
-                if sent.source.is_none() || !parent && failing > suspect - 0.1 {
-                    self.mark(now, sent.node, true);
+                // A slow member answers others meanwhile; one not heard of since the send is likely dead.
+                let heard = self.node(sent.node).is_some_and(|n| n.heard >= sent.at);
+                let times = if heard || outcome != Outcome::TimedOut { 1 } else { SILENT };
+                if sent.source.is_none() || !parent && (times > 1 || failing > suspect - 0.1) {
+                    self.mark(now, sent.node, true, times);
                 }
             }
             Outcome::Cancelled | Outcome::NeverSent => {}
@@ -972,9 +972,9 @@
     }
 
     /// An outcome of a send straight to this member.
-    fn mark(&mut self, now: Ns, m: usize, failed: bool) {
+    fn mark(&mut self, now: Ns, m: usize, failed: bool, times: i32) {
         let Some(n) = self.node_mut(m) else { return };
-        let weight = if n.role == Role::Cache { WEIGHT } else { DIRECT_WEIGHT };
+        let weight = 1.0 - (1.0 - if n.role == Role::Cache { WEIGHT } else { DIRECT_WEIGHT }).powi(times);
         n.failing += weight * (f64::from(u8::from(failed)) - n.failing);
         let (failing, judged) = (n.failing, n.role != Role::Origin);
         self.judged(now, m, failed, failing, judged && failing > DOWN_AT);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -535,6 +535,28 @@
     }
 }
 
+#[test]
+fn a_silent_cache_is_found_sooner_than_a_slow_one() {
+    // (whether the cache answers other lookups meanwhile, most time-outs until it is down)
+    for (answers, least, most) in [(false, 2, 2), (true, 4, 20)] {
+        let mut c = director(settings(), &list(1, 2));
+        let mut times = 0;
+        while mode_lines(&mut c, "down node=0") == 0 && times < 30 {
+            let now = START + times * 10 * SEC;
+            let (mut lk, mut other) = (lookup(times, now), lookup(900 + times, now));
+            go(&mut c, now, &mut lk);
+            go(&mut c, now, &mut other);
+            if answers {
+                end(&mut c, now + SEC, &mut other, Outcome::Satisfied);
+            }
+            lk.sends[0].result = Some(Outcome::TimedOut);
+            c.after(now + 3 * SEC, &lk, 0, 3 * SEC, None);
+            times += 1;
+        }
+        assert!((least..=most).contains(&times), "{answers}: {times}");
+    }
+}
+
 #[test]
 fn a_broken_answer_is_asked_of_its_home_once_more() {
     // (outcome of the first send, whether the second goes to the same cache)
