--- a/src/choice.rs
+++ b/src/choice.rs
@@ -62,7 +62,7 @@
 const SLOPE: f64 = 0.35;
 
 /// Part of its fall-over load that a cold member is given when its slice would fill a warm one.
-const COLD_PART: f64 = 0.6;
+const COLD_PART: f64 = 0.5;
 
 /// The price of a fill, in standard deviations of the lookups' worth: its range; its rise at an outcome past
 /// the budget and its fall at one within, times the cube root of the directors; the part of both that the
