--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -52,9 +52,15 @@
     /// The load report of a record, where one came along.
     fn load(&self, r: &mut Reader) -> Result<Option<Load>> {
         let n = r.u8()?;
-        let values = (0..n).map(|_| r.f32().map(f64::from)).collect::<Result<Vec<f64>>>()?;
-        let value = |at: Option<usize>| at.and_then(|i| values.get(i)).copied().filter(|v| v.is_finite());
-        let load = Load { busy: value(self.report.busy), link: value(self.report.link) };
+        let mut load = Load::default();
+        for i in 0..usize::from(n) {
+            let value = Some(f64::from(r.f32()?)).filter(|v| v.is_finite());
+            if self.report.busy == Some(i) {
+                load.busy = value;
+            } else if self.report.link == Some(i) {
+                load.link = value;
+            }
+        }
         Ok((n > 0).then_some(load))
     }
 
@@ -309,11 +315,11 @@
         let seed = r.u64()?;
         let n = r.u32()? as usize;
         let text = std::str::from_utf8(r.take(n)?).map_err(|_| "settings are not text")?;
-        let choice = Choice::new(settings::decode(text)?, seed, now);
+        let (set, report) = settings::decode(text)?;
+        let choice = Choice::new(set, seed, now);
         if choice.asks_for_list() {
             self.reply.follow_list(director);
         }
-        let report = settings::report(text);
         let inst =
             Instance { choice, report, nodes: HashMap::new(), addresses: Vec::new(), held: HashMap::new() };
         self.instances.insert(director, inst);
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -47,25 +47,17 @@
 }
 
 /// Where in a load report the values that are read stand.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy)]
 pub struct Report {
     pub busy: Option<usize>,
     pub link: Option<usize>,
 }
 
-fn pairs(text: &str) -> Pairs<'_> {
-    Pairs(text.lines().filter_map(|l| l.split_once('=')).collect())
-}
-
-pub fn report(text: &str) -> Report {
-    let p = pairs(text);
+pub fn decode(text: &str) -> Result<(Settings, Report)> {
+    let p = Pairs(text.lines().filter_map(|l| l.split_once('=')).collect());
     let names = p.0.get("report.names").copied().unwrap_or_default();
     let place = |name: &str| names.split(',').position(|n| n == name);
-    Report { busy: place("cpu"), link: place("x1") }
-}
-
-pub fn decode(text: &str) -> Result<Settings> {
-    let p = pairs(text);
+    let report = Report { busy: place("cpu"), link: place("x1") };
     let fresh: Vec<u64> = p.list("extra.freshForUs")?;
     let grace: Vec<u64> = p.list("extra.usableAfterUs")?;
     let parts: Vec<bool> = p.list("extra.multiPart")?;
@@ -106,7 +98,7 @@
     let zone = p.get("az")?;
     let directors: Vec<usize> = p.list("extra.zoneBalancers")?;
     p.of(&directors, zone, "extra.zoneBalancers")?;
-    Ok(Settings {
+    let set = Settings {
         zone,
         number: p.get("index")?,
         directors,
@@ -122,7 +114,6 @@
         cold_from: p.share("guarantees.coldFrom")?,
         warm_after: p.ns("guarantees.warmAfterUs")?,
         fall_multiple: p.amount("guarantees.fallMultiple")?,
-        fall_window: p.ns("guarantees.fallUs")?,
         parent_cold_from: p.share("extra.parentStartsAt")?,
         parent_warm_after: p.ns("extra.parentColdUs")?,
         parent_fall_multiple: p.amount("extra.upperFallMultiple")?,
@@ -131,5 +122,6 @@
         joins: p.get("extra.joins")?,
         purge_cleared: p.ns("extra.clearedWithinUs")?,
         tick: p.ns("periodUs")?,
-    })
+    };
+    Ok((set, report))
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -66,7 +66,7 @@
 
 /// The price of a fill, in standard deviations of the lookups' worth: its range; its rise at an outcome past
 /// the budget and its fall at one within, times the cube root of the directors; the part of both that the
-/// other parents' prices move; its fall in each window.
+/// other parents' prices move; the part of untold answers that are fills; its fall in each window.
 const LEAST_PRICE: f64 = -3.0;
 const MOST_PRICE: f64 = 0.5;
 const DEARER: f64 = 0.24;
@@ -134,7 +134,7 @@
     served: f64,
     /// Of a parent: lookups that bring less for their sending time get no fill from it.
     price: f64,
-    /// Traffic of the closed windows, newest last, and of the open one; residuals of the predictions.
+    /// Traffic of the closed windows, newest last, and of the open one; variance of the residuals.
     windows: Vec<f64>,
     traffic: f64,
     spread: f64,
@@ -280,6 +280,18 @@
     }
 }
 
+/// A number from 0 to 1 that is the same wherever and whenever it is drawn for the same thing.
+fn chance(of: u64) -> f64 {
+    (mix(of) % 1024) as f64 / 1024.0
+}
+
+/// How many directors send to such a member: those of its location, or all.
+fn sharers(set: &Settings, role: Role) -> f64 {
+    let own = set.directors.get(set.zone).copied().unwrap_or(1);
+    let all = set.directors.iter().sum();
+    if role == Role::Cache { own } else { all }.max(1) as f64
+}
+
 fn ran(sent: &Sent) -> bool {
     !matches!(sent.result, Some(Outcome::Full | Outcome::Unconnected | Outcome::NeverSent | Outcome::Miss))
 }
@@ -299,7 +311,7 @@
             usual: 0,
             earned: now,
             tokens: MOST_TOKENS / 2.0,
-            // Not known to be on pace: a director restarted amid a trouble must not push its cold nodes.
+            // Not known to be on pace: a director may start amid a jam.
             late: JAM_OVER_AT,
             jammed: false,
             worth: 0.0,
@@ -310,7 +322,7 @@
             heat: HashMap::new(),
             window_end: now + WINDOW,
             purges: HashMap::new(),
-            origin_bound: 4.0 / (set.directors.iter().sum::<usize>().max(1) as f64).sqrt(),
+            origin_bound: 4.0 / sharers(&set, Role::Origin).sqrt(),
             lines: Vec::new(),
             set,
         }
@@ -345,7 +357,7 @@
                 m if Some(m) == self.set.parent_kind => Role::Parent,
                 _ => Role::Cache,
             };
-            let sharers = self.sharers(role);
+            let sharers = sharers(&self.set, role);
             let fresh = Node {
                 line: *l,
                 role,
@@ -470,9 +482,10 @@
         }
     }
 
-    fn budget(&self, lk: &Lookup) -> Ns {
+    /// When its latency budget ends.
+    fn budget_end(&self, lk: &Lookup) -> Ns {
         let kind = &self.set.object_kinds[lk.kind];
-        kind.latency_budget + (kind.budget_stretch.unwrap_or(0.0) * self.predicted(lk)) as Ns
+        lk.arrived + kind.latency_budget + (kind.budget_stretch.unwrap_or(0.0) * self.predicted(lk)) as Ns
     }
 
     // ---- who may be sent to ----
@@ -498,13 +511,6 @@
         (COLD_PART * multiple * self.warmth(node, now)).min(1.0)
     }
 
-    /// How many directors send to such a member: those of its location, or all.
-    fn sharers(&self, role: Role) -> f64 {
-        let own = self.set.directors.get(self.set.zone).copied().unwrap_or(1);
-        let all = self.set.directors.iter().sum();
-        if role == Role::Cache { own } else { all }.max(1) as f64
-    }
-
     fn largest_work(&self) -> f64 {
         self.work.iter().copied().fold(0.0, f64::max)
     }
@@ -519,12 +525,11 @@
         for (pie, bears) in [(&self.caches, self.bears[0]), (&self.parents, self.bears[1])] {
             let nodes = pie.members.iter().filter_map(|&m| Some((m, self.node(m)?)));
             let cold = nodes.filter(|(_, n)| self.warmth(n, now) < 1.0);
-            let most = |n: &Node| largest * (1.0 + 2.0 / n.sharing);
-            earned.extend(cold.map(|(m, n)| (m, since * bears * self.cold_part(n, now), most(n))));
+            earned.extend(cold.map(|(m, n)| (m, since * bears * self.cold_part(n, now))));
         }
-        for (m, part, most) in earned {
+        for (m, part) in earned {
             if let Some(n) = self.node_mut(m) {
-                n.credit = (n.credit + part).min(most);
+                n.credit = (n.credit + part).min(largest * (1.0 + 2.0 / n.sharing));
             }
         }
     }
@@ -637,11 +642,13 @@
         if out > 0 && self.jammed {
             return Route::NotYet;
         }
-        let Some(mut send) = self.pick(now, lk).filter(|s| self.effect_allows(lk, s.node, now)) else {
+        let standing = self.standing(lk);
+        let allowed = |s: &Send| self.effect_allows(lk, s.node, now);
+        let Some(mut send) = self.pick(now, lk, standing).filter(allowed) else {
             return self.hold(lk);
         };
         let price = send.source.and_then(|s| self.node(s)).map_or(LEAST_PRICE, |n| n.price);
-        if self.standing(lk) < price {
+        if standing < price {
             send.source = None;
         }
         if !first {
@@ -677,7 +684,7 @@
             n.heard = if unheard { n.heard } else { now };
         }
         self.judge(now, lk, &sent, outcome, took, hit);
-        let within = now <= lk.arrived + self.budget(lk);
+        let within = now <= self.budget_end(lk);
         let step = match outcome {
             Outcome::Satisfied if hit == Some(true) => 0.0,
             Outcome::Satisfied if within => -CHEAPER * if hit.is_none() { FILLS } else { 1.0 },
@@ -685,7 +692,7 @@
             _ => 0.0,
         };
         // Of many directors each sees little of a parent, so that each outcome must tell more.
-        let step = step * self.sharers(Role::Parent).cbrt();
+        let step = step * sharers(&self.set, Role::Parent).cbrt();
         for &p in self.parents.members.iter().filter(|_| sent.source.is_some()) {
             let part = if Some(p) == sent.source { 1.0 } else { ALIKE };
             if let Some(n) = self.nodes[p].as_mut() {
@@ -708,7 +715,7 @@
         }
         let work = self.predicted(lk);
         let least = last.at as f64 + 1.4 * work + BASE as f64 * 2.0;
-        let latest = (lk.arrived + self.budget(lk)) as f64 - 1.3 * work - BASE as f64 * 1.5;
+        let latest = self.budget_end(lk) as f64 - 1.3 * work - BASE as f64 * 1.5;
         let at = latest.max(least) as Ns;
         (at > now && at < lk.deadline).then(|| at - now)
     }
@@ -749,7 +756,7 @@
         }
     }
 
-    fn pick(&self, now: Ns, lk: &Lookup) -> Option<Send> {
+    fn pick(&self, now: Ns, lk: &Lookup, standing: f64) -> Option<Send> {
         use Outcome::{Broken, Error, Full, TimedOut};
         let tried = |m: usize| lk.sends.iter().any(|s| s.node == m);
         let failed = |s: &Sent| matches!(s.result, Some(Error | Broken | TimedOut | Full));
@@ -771,8 +778,7 @@
         }
         // The heir of a lost slice counts as its home, also of one that is cold and has used its allowance.
         let heir = self.caches.owner(pos, fit);
-        let chance = (mix(pos ^ now) % 1024) as f64 / 1024.0;
-        let standing = self.standing(lk);
+        let chance = chance(pos ^ now);
         let room = |m: usize| {
             let part = match Some(m) == heir {
                 false if first && self.jammed => 0.0,
@@ -793,10 +799,8 @@
             return Some(self.order(lk, now, c, source));
         }
         let direct = parent.filter(|&p| self.set.direct && !tried(p) && room(p));
-        match direct {
-            Some(p) => Some(self.order(lk, now, p, self.origin)),
-            None => cache.map(|c| self.order(lk, now, c, source)),
-        }
+        let overflow = direct.map(|p| self.order(lk, now, p, self.origin));
+        overflow.or_else(|| cache.map(|c| self.order(lk, now, c, source)))
     }
 
     fn burst(&self, lk: &Lookup) -> Option<&Heat> {
@@ -816,10 +820,8 @@
 
     /// The origin fills only while no parent can be named, within this director's bound.
     fn origin_as_source(&self, now: Ns) -> Option<usize> {
-        self.origin.filter(|&o| {
-            self.node(o)
-                .is_some_and(|n| f64::from(n.out) + (mix(now) % 1024) as f64 / 1024.0 < self.origin_bound)
-        })
+        let room = |n: &Node| f64::from(n.out) + chance(now) < self.origin_bound;
+        self.origin.filter(|&o| self.node(o).is_some_and(room))
     }
 
     fn order(&self, lk: &Lookup, now: Ns, node: usize, source: Option<usize>) -> Send {
@@ -913,10 +915,10 @@
                     };
                     self.filled(s, false, weight);
                 }
-                if at_origin && now > lk.arrived + self.budget(lk) {
+                if at_origin && now > self.budget_end(lk) {
                     self.origin_bound *= 0.85;
                 } else if at_origin {
-                    self.origin_bound += 0.2 / self.sharers(Role::Parent).sqrt();
+                    self.origin_bound += 0.2 / sharers(&self.set, Role::Origin).sqrt();
                 }
             }
             Outcome::Miss => self.mark(now, sent.node, false, 1),
@@ -971,15 +973,6 @@
         }
     }
 
-    /// An outcome of a send straight to this member.
-    fn mark(&mut self, now: Ns, m: usize, failed: bool, times: i32) {
-        let Some(n) = self.node_mut(m) else { return };
-        let weight = 1.0 - (1.0 - if n.role == Role::Cache { WEIGHT } else { DIRECT_WEIGHT }).powi(times);
-        n.failing += weight * (f64::from(u8::from(failed)) - n.failing);
-        let (failing, judged) = (n.failing, n.role != Role::Origin);
-        self.judged(now, m, failed, failing, judged && failing > DOWN_AT);
-    }
-
     /// An outcome of a fill from this parent: it is looked at, no more, as the origin may be to blame.
     fn filled(&mut self, m: usize, failed: bool, weight: f64) {
         if let Some(n) = self.node_mut(m) {
@@ -987,13 +980,17 @@
         }
     }
 
-    /// Takes a member down, or counts its trials and brings it back.
-    fn judged(&mut self, now: Ns, m: usize, failed: bool, share: f64, ill: bool) {
+    /// An outcome of a send straight to this member: takes it down, or counts its trials and brings it back.
+    fn mark(&mut self, now: Ns, m: usize, failed: bool, times: i32) {
         let Some(n) = self.node_mut(m) else { return };
+        let weight = 1.0 - (1.0 - if n.role == Role::Cache { WEIGHT } else { DIRECT_WEIGHT }).powi(times);
+        n.failing += weight * (f64::from(u8::from(failed)) - n.failing);
+        let failing = n.failing;
+        let ill = n.role != Role::Origin && failing > DOWN_AT;
         let line = match n.down.as_mut() {
             None if failed && ill => {
                 n.down = Some(Down { next_trial: now + TRIAL_GAP, gap: TRIAL_GAP, wins: 0 });
-                format!("down node={m} failing={share:.2}")
+                format!("down node={m} failing={failing:.2}")
             }
             Some(d) if failed => {
                 d.wins = 0;
@@ -1010,7 +1007,7 @@
                 n.down = None;
                 n.failing = 0.0;
                 n.suspect = 0.0;
-                format!("up node={m} failing={share:.2}")
+                format!("up node={m} failing={failing:.2}")
             }
             None => return,
         };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -22,7 +22,6 @@
     pub cold_from: f64,
     pub warm_after: Ns,
     pub fall_multiple: f64,
-    pub fall_window: Ns,
     pub parent_cold_from: f64,
     pub parent_warm_after: Ns,
     pub parent_fall_multiple: f64,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -225,9 +225,7 @@
 fn all_directors_together_stay_under_a_cold_nodes_fall() {
     let mut lines = list(3, 2);
     lines.iter_mut().for_each(|l| l.started = if l.node == ORIGIN { 0 } else { START });
-    let mut team: Vec<Choice> = (0..3)
-        .map(|number| director(Settings { number, directors: vec![0, 0, 3], ..settings() }, &lines))
-        .collect();
+    let mut team = team(3, &lines);
     let mut work = [0.0; 3];
     for o in 0..1_500_u64 {
         let now = START + o * 2 * MS;
@@ -250,9 +248,7 @@
     // seconds a cache falls at three times 0.26 of that, a parent at twice 0.17. Clients repeat unmarked.
     for (caches, parents, fresh, served, most) in [(2, 2, 1, 28, 89), (7, 1, 50, 1, 134), (7, 2, 50, 1, 134)]
     {
-        let mut team: Vec<Choice> = (0..4)
-            .map(|number| director(Settings { number, directors: vec![0, 0, 4], ..settings() }, &list(7, 2)))
-            .collect();
+        let mut team = team(4, &list(7, 2));
         for o in 0..8_000 {
             look(&mut team[o as usize % 4], START + o * SEC / 800, o, 50 * MS, Outcome::Satisfied);
         }
@@ -274,9 +270,7 @@
 
 #[test]
 fn the_parent_that_serves_all_is_no_measure_for_a_fresh_one() {
-    let mut team: Vec<Choice> = (0..4)
-        .map(|number| director(Settings { number, directors: vec![0, 0, 4], ..settings() }, &list(7, 3)))
-        .collect();
+    let mut team = team(4, &list(7, 3));
     let then = START + 10 * SEC;
     let mut lines = list(7, 2);
     lines.iter_mut().filter(|l| l.node == 51).for_each(|l| l.started = then);
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -37,7 +37,6 @@
         cold_from: 0.2,
         warm_after: 20 * SEC,
         fall_multiple: 3.0,
-        fall_window: SEC,
         parent_cold_from: 0.1,
         parent_warm_after: 20 * SEC,
         parent_fall_multiple: 2.0,
@@ -67,6 +66,12 @@
     c
 }
 
+/// Directors that share one location.
+pub fn team(size: usize, list: &[Listed]) -> Vec<Choice> {
+    let of = |number| Settings { number, directors: vec![0, 0, size], ..settings() };
+    (0..size).map(|number| director(of(number), list)).collect()
+}
+
 pub fn lookup(object: u64, now: Ns) -> Lookup {
     Lookup {
         object,
