--- /dev/null
+++ b/crates/director/src/exchange.rs
@@ -0,0 +1,96 @@
+//! Where the client side and the node side meet: plain values, and the one queue that leads to the desk.
+
+use std::net::TcpStream;
+use std::sync::Arc;
+
+use crossbeam_channel::Sender;
+use sablecross::{Load, Ns, Outcome};
+
+use crate::memory::bodies::Body;
+use crate::wire::clients::Reply;
+use crate::wire::feed::Fact;
+
+/// A client's connection, a connection to a node.
+pub type Client = u64;
+pub type Link = u64;
+
+/// The 16 digits that name a lookup all its way.
+pub type Name = [u8; 16];
+
+/// What a client asks for.
+#[derive(Debug)]
+pub struct Asked {
+    pub client: Client,
+    /// Its number on that connection.
+    pub call: u32,
+    pub name: Name,
+    pub kind: usize,
+    pub object: u64,
+    pub part: u32,
+    pub group: u32,
+    pub size_kb: f64,
+    /// The tag of the copy that the client holds.
+    pub tag: Option<Box<str>>,
+    pub body: Arc<Body>,
+    pub arrived: Ns,
+    pub budget: Ns,
+}
+
+/// A copy as a node gave it out.
+#[derive(Debug, Clone)]
+pub struct Copy {
+    pub tag: Box<str>,
+    /// None: the client's copy is the one.
+    pub body: Option<Arc<Body>>,
+}
+
+/// How a node ended a send.
+#[derive(Debug)]
+pub struct Ended {
+    pub name: Name,
+    pub outcome: Outcome,
+    pub hit: Option<bool>,
+    pub load: Option<Load>,
+    pub copy: Option<Copy>,
+    pub at: Ns,
+}
+
+/// All that the desk hears of.
+pub enum Event {
+    Joined {
+        client: Client,
+        replies: Sender<Reply>,
+        stream: Arc<TcpStream>,
+    },
+    Asked(Box<Asked>),
+    /// An id is known, but what was asked can't be used, or there is no room for it.
+    Unfit {
+        client: Client,
+        call: u32,
+        crowded: bool,
+    },
+    Alive {
+        client: Client,
+        call: u32,
+    },
+    Cancelled {
+        client: Client,
+        call: u32,
+    },
+    Left {
+        client: Client,
+    },
+    Ended {
+        link: Link,
+        ended: Box<Ended>,
+    },
+    /// A connection to a node is over; `reached`: it had come up.
+    Lost {
+        link: Link,
+        reached: bool,
+    },
+    Fact(Fact),
+    Stop,
+    Report,
+    Died(&'static str),
+}
--- /dev/null
+++ b/crates/director/src/life/config.rs
@@ -0,0 +1,125 @@
+//! The one place where the configuration is read and checked.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use sablecross::Settings;
+use sablecross_inhand::settings::{self, Pairs};
+use serde_json::Value;
+
+use super::limits::Limits;
+use crate::wire::feed::{Known, Numbered};
+
+type Result<T> = std::result::Result<T, String>;
+
+/// The names by which the outside calls what the module numbers.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub kinds: Vec<String>,
+    pub zones: HashMap<String, usize>,
+    pub machines: HashMap<String, usize>,
+}
+
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub feed: SocketAddr,
+    pub seed: u64,
+    pub settings: Settings,
+    pub names: Names,
+    pub limits: Limits,
+    pub known: Known,
+}
+
+impl Config {
+    /// From the file that `NODE_CONFIG` names; errors name the key at fault.
+    pub fn load() -> Result<Config> {
+        let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG: not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+        Config::parse(&text)
+    }
+
+    pub fn parse(text: &str) -> Result<Config> {
+        let all: Value = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
+        let seed = string(&all, "seed")?;
+        let known = all.get("known").ok_or("known: missing")?;
+        let events = known.get("events").and_then(Value::as_array).ok_or("known.events: not a list")?;
+        let events = events.iter().map(|e| Numbered::of(e).map_err(|e| format!("known.events: {e}")));
+        let events = events.collect::<Result<_>>()?;
+        let last = known.get("n").and_then(Value::as_u64).ok_or("known.n: not a whole number")?;
+        let mut pairs = Vec::new();
+        flatten(String::new(), all.get("settings").ok_or("settings: missing")?, &mut pairs);
+        let pairs: Pairs = pairs.into_iter().collect();
+        let in_settings = |e: String| format!("settings: {e}");
+        let count = |key: &str| -> Result<usize> {
+            let value = all.pointer(&format!("/limits/{key}")).ok_or(format!("limits.{key}: missing"))?;
+            let n = value.as_u64().filter(|&n| n > 0).ok_or(format!("limits.{key}: not a count: {value}"))?;
+            usize::try_from(n).map_err(|_| format!("limits.{key}: too large: {n}"))
+        };
+        let time = |key: &str| pairs.ns(key).map_err(in_settings);
+        Ok(Config {
+            name: string(&all, "name")?.to_owned(),
+            listen: address(&all, "listen")?,
+            feed: address(&all, "feed")?,
+            seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: not hexadecimal: {seed}"))?,
+            settings: settings::decode(&pairs).map_err(in_settings)?,
+            names: Names::of(&pairs).map_err(in_settings)?,
+            limits: Limits::of(
+                count("sockets")?,
+                count("memory_mb")?,
+                time("ceilings.dialTimeoutUs")?,
+                time("ceilings.keepaliveUs")?,
+            ),
+            known: Known { last, events },
+        })
+    }
+}
+
+impl Names {
+    fn of(p: &Pairs) -> Result<Names> {
+        let count: usize = p.get("classes.count")?;
+        let kinds = (0..count).map(|i| p.text(&format!("classes.{i}.name")).map(str::to_owned));
+        let numbered = |key: &str| -> Result<HashMap<String, usize>> {
+            Ok(p.list::<String>(key)?.into_iter().enumerate().map(|(i, name)| (name, i)).collect())
+        };
+        Ok(Names {
+            kinds: kinds.collect::<Result<_>>()?,
+            zones: numbered("zones")?,
+            machines: numbered("kinds")?,
+        })
+    }
+}
+
+fn string<'a>(all: &'a Value, key: &str) -> Result<&'a str> {
+    all.get(key).ok_or(format!("{key}: missing"))?.as_str().ok_or(format!("{key}: not a string"))
+}
+
+fn address(all: &Value, key: &str) -> Result<SocketAddr> {
+    let text = string(all, key)?;
+    text.parse().map_err(|_| format!("{key}: not an address: {text}"))
+}
+
+/// Nested settings as the pairs of a path and a value in which the module's decoder reads them.
+fn flatten(path: String, value: &Value, to: &mut Vec<(String, String)>) {
+    let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, v)| flatten(under(name), v, to)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            to.push((under("count"), items.len().to_string()));
+            items.iter().enumerate().for_each(|(i, v)| flatten(under(&i.to_string()), v, to));
+        }
+        Value::Array(items) => {
+            let items: Vec<String> = items.iter().map(plain).collect();
+            to.push((path, items.join(",")));
+        }
+        other => to.push((path, plain(other))),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.replace([' ', ','], "_"),
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/director/src/life/counters.rs
@@ -0,0 +1,120 @@
+//! What was taken in, sent and answered.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use sablecross::Outcome;
+
+/// Kept by the desk alone.
+#[derive(Default, Debug)]
+pub struct Counters {
+    pub taken: u64,
+    pub satisfied: u64,
+    pub unchanged: u64,
+    pub nacked: u64,
+    pub crowded: u64,
+    pub failed: u64,
+    pub unfit: u64,
+    pub cancelled: u64,
+    pub in_hand: u64,
+    pub sends: u64,
+    pub further: u64,
+    pub ends: [u64; 9],
+    pub late: u64,
+    pub links: u64,
+    pub links_open: u64,
+    pub clients: u64,
+    pub clients_open: u64,
+    pub facts: u64,
+}
+
+/// Kept by the threads that serve connections.
+#[derive(Default, Debug)]
+pub struct Shared {
+    pub answers: AtomicU64,
+    pub answer_bytes: AtomicU64,
+    /// Answers that were not begun, or not finished, by their time.
+    pub unsent: AtomicU64,
+    pub body_bytes: AtomicU64,
+    pub bad_messages: AtomicU64,
+    pub bad_lines: AtomicU64,
+    pub turned_away: AtomicU64,
+    pub feed_calls: AtomicU64,
+    pub feed_gaps: AtomicU64,
+    pub feed_skipped: AtomicU64,
+}
+
+pub fn add(counter: &AtomicU64, n: usize) {
+    counter.fetch_add(n as u64, Ordering::Relaxed);
+}
+
+impl Counters {
+    pub fn end(&mut self, outcome: Outcome) {
+        self.ends[place(outcome)] += 1;
+    }
+}
+
+fn place(outcome: Outcome) -> usize {
+    match outcome {
+        Outcome::Satisfied => 0,
+        Outcome::Error => 1,
+        Outcome::Full => 2,
+        Outcome::TimedOut => 3,
+        Outcome::Unconnected => 4,
+        Outcome::Broken => 5,
+        Outcome::Cancelled => 6,
+        Outcome::NeverSent => 7,
+        Outcome::Miss => 8,
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let [ok, error, full, timed_out, unconnected, broken, called_off, never_sent, miss] = self.ends;
+        write!(
+            f,
+            "taken={} satisfied={} nacked={} failed={} cancelled={} in_hand={} unchanged={} crowded={} unfit={} \
+             sends={} further={} ok={ok} miss={miss} full={full} error={error} timed_out={timed_out} \
+             unconnected={unconnected} broken={broken} called_off={called_off} never_sent={never_sent} \
+             late={} links={} links_open={} clients={} clients_open={} facts={}",
+            self.taken,
+            self.satisfied,
+            self.nacked,
+            self.failed,
+            self.cancelled,
+            self.in_hand,
+            self.unchanged,
+            self.crowded,
+            self.unfit,
+            self.sends,
+            self.further,
+            self.late,
+            self.links,
+            self.links_open,
+            self.clients,
+            self.clients_open,
+            self.facts,
+        )
+    }
+}
+
+impl fmt::Display for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let of = |c: &AtomicU64| c.load(Ordering::Relaxed);
+        write!(
+            f,
+            "answers={} answer_bytes={} unsent={} body_bytes={} bad_messages={} bad_lines={} turned_away={} \
+             feed_calls={} feed_gaps={} feed_skipped={}",
+            of(&self.answers),
+            of(&self.answer_bytes),
+            of(&self.unsent),
+            of(&self.body_bytes),
+            of(&self.bad_messages),
+            of(&self.bad_lines),
+            of(&self.turned_away),
+            of(&self.feed_calls),
+            of(&self.feed_gaps),
+            of(&self.feed_skipped),
+        )
+    }
+}
--- /dev/null
+++ b/crates/director/src/life/limits.rs
@@ -0,0 +1,76 @@
+//! All sizes, counts and times that bound this program; what to decide within them is the module's.
+
+use std::time::Duration;
+
+use sablecross::Ns;
+
+const MS: Ns = 1_000_000;
+
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Connections: of clients, to nodes in all, to one node; descriptors kept spare for the rest.
+    pub clients: usize,
+    pub links: usize,
+    pub links_a_node: usize,
+    /// Open on one connection of a client, and to a node.
+    pub open_a_client: usize,
+    pub open_a_link: usize,
+    pub lookups: usize,
+    /// Bytes: of one body, of all bodies in hand, of a message without its body, of a line.
+    pub body: usize,
+    pub bodies: usize,
+    pub head: usize,
+    pub line: usize,
+    /// Queues: to the desk, to the writer of a client, to that of a node.
+    pub events: usize,
+    pub replies: usize,
+    pub orders: usize,
+    /// Stacks: of the threads that serve a connection, and of the one that reads the feed.
+    pub stack: usize,
+    pub feed_stack: usize,
+    pub feed_event: usize,
+    /// Times: to connect to a node; after which an idle connection is not used again.
+    pub dial: Duration,
+    pub idle: Ns,
+    /// An answer is decided this much before its client gives up.
+    pub margin: Ns,
+    pub longest_budget: Ns,
+    /// Silence of the feed that is a dead link, and the pause after a failed call.
+    pub feed_silence: Duration,
+    pub feed_pause: Duration,
+    /// After the signal to stop: how long new lookups come still, and the time for last bytes to leave.
+    pub stopping: Ns,
+    pub last_bytes: Duration,
+}
+
+impl Limits {
+    /// From what the machine allows and what the nodes' side is told to do.
+    pub fn of(sockets: usize, memory_mb: usize, dial: Ns, keepalive: Ns) -> Limits {
+        Limits {
+            clients: sockets / 3 + 8,
+            links: sockets / 2,
+            links_a_node: (sockets / 16).max(4),
+            open_a_client: 32,
+            open_a_link: 32,
+            lookups: 16 * memory_mb.max(1),
+            body: 240_000,
+            bodies: (memory_mb << 20) / 4,
+            head: 16 << 10,
+            line: 4 << 10,
+            events: 4_096,
+            replies: 128,
+            orders: 128,
+            stack: 64 << 10,
+            feed_stack: 512 << 10,
+            feed_event: 4 << 20,
+            dial: Duration::from_nanos(dial),
+            idle: keepalive * 4 / 5,
+            margin: 20 * MS,
+            longest_budget: 600_000 * MS,
+            feed_silence: Duration::from_secs(3),
+            feed_pause: Duration::from_millis(100),
+            stopping: 700 * MS,
+            last_bytes: Duration::from_millis(50),
+        }
+    }
+}
--- /dev/null
+++ b/crates/director/src/memory/desk.rs
@@ -0,0 +1,394 @@
+//! The desk: one thread owns the module, the lookups in hand and the timers. It waits for events alone.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use sablecross::{Choice, Lookup, Ns, Outcome, Send};
+use sablecross_inhand::{Carrier, Hand};
+
+use crate::exchange::{Asked, Client, Copy, Ended, Event, Link};
+use crate::life::counters::{Counters, Shared};
+use crate::life::{Clock, limits::Limits};
+use crate::wire::clients::{Reply, Say};
+use crate::wire::feed::Fact;
+use crate::wire::nodes::{Nodes, Out};
+
+/// A connection of a client, and its lookups in hand by their numbers on it.
+struct Caller {
+    replies: Sender<Reply>,
+    stream: Arc<TcpStream>,
+    calls: HashMap<u32, u64>,
+}
+
+struct Kept {
+    asked: Box<Asked>,
+    deadline: Ns,
+    /// The connection on which each of its sends is out.
+    links: Vec<Option<Link>>,
+    answered: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    TimeOut { id: u64, shot: usize },
+    Ask { id: u64, turn: u32 },
+}
+
+/// The end of a send that came without an event.
+struct End {
+    id: u64,
+    shot: usize,
+    outcome: Outcome,
+    took: Ns,
+}
+
+/// Carries out what the module decides.
+struct Floor {
+    now: Ns,
+    limits: Limits,
+    nodes: Nodes,
+    callers: HashMap<Client, Caller>,
+    kept: HashMap<u64, Kept>,
+    timers: BinaryHeap<Reverse<(Ns, Timer)>>,
+    ends: VecDeque<End>,
+    counters: Counters,
+    unwritten: Arc<AtomicUsize>,
+}
+
+pub struct Desk {
+    hand: Hand,
+    floor: Floor,
+    clock: Clock,
+    shared: Arc<Shared>,
+    next: u64,
+    ready: bool,
+    /// When the signal to stop came.
+    stopped: Option<Ns>,
+}
+
+impl Floor {
+    fn tell(&mut self, client: Client, call: u32, until: Ns, say: Say) {
+        let Some(caller) = self.callers.get_mut(&client) else { return };
+        caller.calls.remove(&call);
+        self.unwritten.fetch_add(1, Ordering::Relaxed);
+        if caller.replies.try_send(Reply { call, until, say }).is_err() {
+            // It takes no answers: the connection is of no more use.
+            self.unwritten.fetch_sub(1, Ordering::Relaxed);
+            let _ = caller.stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// The one final answer.
+    fn answer(&mut self, id: u64, say: Say) {
+        let Some(kept) = self.kept.get_mut(&id).filter(|k| !k.answered) else { return };
+        kept.answered = true;
+        let (client, call, until) = (kept.asked.client, kept.asked.call, kept.deadline + self.limits.margin);
+        match say {
+            Say::Satisfied(Copy { ref body, .. }) => {
+                self.counters.satisfied += 1;
+                self.counters.unchanged += u64::from(body.is_none());
+            }
+            Say::Nacked { .. } => self.counters.nacked += 1,
+            Say::Failed | Say::Alive(_) => self.counters.failed += 1,
+        }
+        self.tell(client, call, until, say);
+    }
+
+    /// Gives a send up; its end comes from the queue.
+    fn give_up(&mut self, id: u64, shot: usize, outcome: Outcome) {
+        let Some(kept) = self.kept.get_mut(&id) else { return };
+        let Some(link) = kept.links.get_mut(shot).and_then(Option::take) else { return };
+        let out = self.nodes.give_up(link, &kept.asked.name, outcome == Outcome::TimedOut);
+        let took = out.map_or(0, |out| self.now.saturating_sub(out.at));
+        self.ends.push_back(End { id, shot, outcome, took });
+    }
+}
+
+impl Carrier for Floor {
+    fn send(&mut self, id: u64, shot: usize, send: &Send) {
+        let Some(kept) = self.kept.get_mut(&id) else { return };
+        let out = Out { id, shot, at: self.now };
+        self.counters.sends += 1;
+        self.counters.further += u64::from(shot > 0);
+        let link = match self.nodes.pull(out, &kept.asked, send) {
+            Ok(link) => {
+                let when = self.now + send.time_out;
+                self.timers.push(Reverse((when, Timer::TimeOut { id, shot })));
+                Some(link)
+            }
+            Err(outcome) => {
+                self.ends.push_back(End { id, shot, outcome, took: 0 });
+                None
+            }
+        };
+        kept.links.push(link);
+    }
+
+    fn nack(&mut self, id: u64, pause: Ns) {
+        self.answer(id, Say::Nacked { pause_ms: pause / 1_000_000 });
+    }
+
+    fn fail(&mut self, id: u64) {
+        self.answer(id, Say::Failed);
+    }
+
+    fn call_off(&mut self, id: u64, shot: usize) {
+        self.give_up(id, shot, Outcome::Cancelled);
+    }
+
+    fn ask_again(&mut self, id: u64, turn: u32, wait: Ns) {
+        self.timers.push(Reverse((self.now + wait, Timer::Ask { id, turn })));
+    }
+
+    fn dropped(&mut self, id: u64) {
+        self.kept.remove(&id);
+    }
+}
+
+impl Desk {
+    pub fn new(
+        choice: Choice,
+        nodes: Nodes,
+        limits: Limits,
+        clock: Clock,
+        shared: Arc<Shared>,
+        unwritten: Arc<AtomicUsize>,
+    ) -> Desk {
+        let floor = Floor {
+            now: clock.now(),
+            limits,
+            nodes,
+            callers: HashMap::new(),
+            kept: HashMap::new(),
+            timers: BinaryHeap::new(),
+            ends: VecDeque::new(),
+            counters: Counters::default(),
+            unwritten,
+        };
+        Desk { hand: Hand::new(choice), floor, clock, shared, next: 0, ready: false, stopped: None }
+    }
+
+    /// Serves until it was told to stop and nothing is open; an error is the end of a thread that must not end.
+    pub fn serve(&mut self, events: &Receiver<Event>) -> Result<(), String> {
+        loop {
+            self.floor.now = self.clock.now();
+            self.due();
+            if self.over() {
+                return Ok(());
+            }
+            let next = self.floor.timers.peek().map_or(Ns::MAX, |Reverse((when, _))| *when);
+            let next = if self.stopped.is_some() { next.min(self.floor.now + 10_000_000) } else { next };
+            let event = if next == Ns::MAX {
+                events.recv().map_err(|_| RecvTimeoutError::Disconnected)
+            } else {
+                events.recv_timeout(self.clock.until(next))
+            };
+            match event {
+                Ok(event) => {
+                    self.floor.now = self.clock.now();
+                    self.event(event)?;
+                    self.settle();
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Err("nobody is left to listen to".into()),
+            }
+        }
+    }
+
+    fn over(&self) -> bool {
+        self.stopped.is_some_and(|at| self.floor.now >= at + self.floor.limits.stopping)
+            && self.floor.kept.is_empty()
+            && self.floor.unwritten.load(Ordering::Acquire) == 0
+    }
+
+    /// Tells all clients that no more comes.
+    pub fn close(&self) {
+        for caller in self.floor.callers.values() {
+            let _ = caller.stream.shutdown(Shutdown::Write);
+        }
+    }
+
+    pub fn report(&mut self) {
+        let f = &mut self.floor;
+        f.counters.in_hand = f.kept.values().filter(|k| !k.answered).count() as u64;
+        (f.counters.links, f.counters.links_open) = (f.nodes.opened(), f.nodes.open() as u64);
+        f.counters.clients_open = f.callers.len() as u64;
+        log::info!("counters {} {}", f.counters, self.shared);
+    }
+
+    /// Timers whose time has come.
+    fn due(&mut self) {
+        while let Some(&Reverse((when, timer))) = self.floor.timers.peek() {
+            if when > self.floor.now {
+                return;
+            }
+            self.floor.timers.pop();
+            match timer {
+                Timer::TimeOut { id, shot } => self.floor.give_up(id, shot, Outcome::TimedOut),
+                Timer::Ask { id, turn } => self.hand.ask(id, turn, self.floor.now, &mut self.floor),
+            }
+            self.settle();
+        }
+    }
+
+    /// Ends that came without an event, and the notes of the module.
+    fn settle(&mut self) {
+        while let Some(end) = self.floor.ends.pop_front() {
+            self.ended(&end, None);
+        }
+        for line in self.hand.choice.notes() {
+            log::info!("{line}");
+        }
+    }
+
+    fn ended(&mut self, end: &End, hit: Option<bool>) {
+        let (now, satisfied) = (self.floor.now, end.outcome == Outcome::Satisfied);
+        self.floor.counters.end(end.outcome);
+        self.hand.ended(end.id, end.shot, end.outcome, end.took, hit, satisfied, now, &mut self.floor);
+    }
+
+    fn event(&mut self, event: Event) -> Result<(), String> {
+        let now = self.floor.now;
+        match event {
+            Event::Joined { client, replies, stream } => {
+                self.floor.counters.clients += 1;
+                self.floor.callers.insert(client, Caller { replies, stream, calls: HashMap::new() });
+            }
+            Event::Asked(asked) => self.asked(asked),
+            Event::Unfit { client, call, crowded } => self.unfit(client, call, crowded),
+            Event::Alive { client, call } => {
+                let alive = Say::Alive(self.ready && self.stopped.is_none());
+                self.floor.tell(client, call, Ns::MAX, alive);
+            }
+            Event::Cancelled { client, call } => {
+                let id = self.floor.callers.get_mut(&client).and_then(|c| c.calls.remove(&call));
+                if let Some(id) = id {
+                    self.cancelled(id);
+                }
+            }
+            Event::Left { client } => {
+                let Some(caller) = self.floor.callers.remove(&client) else { return Ok(()) };
+                let mut left: Vec<u64> = caller.calls.into_values().collect();
+                left.sort_unstable();
+                left.into_iter().for_each(|id| self.cancelled(id));
+            }
+            Event::Ended { link, ended } => self.answered(link, *ended),
+            Event::Lost { link, reached } => {
+                let outcome = if reached { Outcome::Broken } else { Outcome::Unconnected };
+                for Out { id, shot, at } in self.floor.nodes.lost(link) {
+                    if let Some(kept) = self.floor.kept.get_mut(&id) {
+                        kept.links[shot] = None;
+                    }
+                    self.floor.ends.push_back(End { id, shot, outcome, took: now.saturating_sub(at) });
+                }
+            }
+            Event::Fact(fact) => self.fact(fact),
+            Event::Stop => {
+                if self.stopped.is_none() {
+                    log::info!("stopping in_hand={}", self.floor.kept.len());
+                    self.stopped = Some(now);
+                }
+            }
+            Event::Report => self.report(),
+            Event::Died(name) => return Err(format!("thread {name} ended")),
+        }
+        Ok(())
+    }
+
+    pub fn fact(&mut self, fact: Fact) {
+        let now = self.floor.now;
+        self.floor.counters.facts += 1;
+        match fact {
+            Fact::Members { members, whole } => {
+                let lines = self.floor.nodes.listed(&members, whole);
+                self.ready |= !lines.is_empty();
+                self.hand.choice.listed(now, &lines, whole);
+            }
+            Fact::Purge { object, group, at } => {
+                self.hand.choice.purged(now, object, group, now.saturating_sub(at));
+            }
+        }
+    }
+
+    fn asked(&mut self, asked: Box<Asked>) {
+        let (client, call, f) = (asked.client, asked.call, &mut self.floor);
+        // Its connection may have ended meanwhile.
+        let Some(caller) = f.callers.get_mut(&client) else { return };
+        if caller.calls.contains_key(&call) {
+            log::debug!("client {client}: call {call} is open already");
+            let _ = caller.stream.shutdown(Shutdown::Both);
+            return;
+        }
+        let open = caller.calls.len();
+        if open >= f.limits.open_a_client || f.kept.len() >= f.limits.lookups {
+            return self.unfit(client, call, true);
+        }
+        let id = self.next;
+        self.next += 1;
+        caller.calls.insert(call, id);
+        f.counters.taken += 1;
+        let deadline = (asked.arrived + asked.budget).saturating_sub(f.limits.margin);
+        let lookup = Lookup {
+            object: asked.object,
+            part: asked.part,
+            group: asked.group,
+            kind: asked.kind,
+            size_kb: asked.size_kb,
+            arrived: asked.arrived,
+            deadline,
+            repeat: false,
+            write: false,
+            sends: Vec::new(),
+        };
+        f.kept.insert(id, Kept { asked, deadline, links: Vec::new(), answered: false });
+        self.hand.take(id, lookup, f.now, f);
+    }
+
+    fn unfit(&mut self, client: Client, call: u32, crowded: bool) {
+        let c = &mut self.floor.counters;
+        c.taken += 1;
+        let say = if crowded {
+            c.crowded += 1;
+            c.nacked += 1;
+            Say::Nacked { pause_ms: 0 }
+        } else {
+            c.unfit += 1;
+            c.failed += 1;
+            Say::Failed
+        };
+        // A call that is open keeps its own answer.
+        if self.floor.callers.get(&client).is_some_and(|c| !c.calls.contains_key(&call)) {
+            self.floor.tell(client, call, Ns::MAX, say);
+        }
+    }
+
+    fn cancelled(&mut self, id: u64) {
+        let Some(kept) = self.floor.kept.get_mut(&id).filter(|k| !k.answered) else { return };
+        kept.answered = true;
+        let sends = kept.links.len();
+        self.floor.counters.cancelled += 1;
+        self.hand.abandon(id, &mut self.floor);
+        (0..sends).for_each(|shot| self.floor.give_up(id, shot, Outcome::Cancelled));
+    }
+
+    fn answered(&mut self, link: Link, ended: Ended) {
+        let node = self.floor.nodes.node(link);
+        if let (Some(load), Some(node)) = (ended.load, node) {
+            self.hand.choice.reported(self.floor.now, node, load);
+        }
+        if let Some(out) = self.floor.nodes.ended(link, &ended.name, ended.at) {
+            let Some(kept) = self.floor.kept.get_mut(&out.id) else { return };
+            kept.links[out.shot] = None;
+            if let Some(copy) = ended.copy.filter(|_| self.hand.owed(out.id)) {
+                self.floor.answer(out.id, Say::Satisfied(copy));
+            }
+            let took = ended.at.saturating_sub(out.at);
+            let end = End { id: out.id, shot: out.shot, outcome: ended.outcome, took };
+            self.ended(&end, ended.hit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/director/src/memory/mod.rs
@@ -0,0 +1,4 @@
+//! What is kept in memory.
+
+pub mod bodies;
+pub mod desk;
--- /dev/null
+++ b/crates/director/src/wire/clients.rs
@@ -0,0 +1,217 @@
+//! The client side: a reader and a writer for each connection.
+
+use std::io::IoSlice;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, Sender, bounded};
+use sablecross::Ns;
+
+use super::intake::Intake;
+use super::rpc::{self, Flaw, Message};
+use super::write_all;
+use crate::exchange::{Asked, Client, Copy, Event};
+use crate::life::counters::{self, Shared};
+use crate::life::{Clock, config::Names, limits::Limits, thread};
+use crate::memory::bodies::Room;
+
+/// What a client is told, and until when it listens.
+pub struct Reply {
+    pub call: u32,
+    pub until: Ns,
+    pub say: Say,
+}
+
+pub enum Say {
+    Satisfied(Copy),
+    Nacked { pause_ms: u64 },
+    Failed,
+    Alive(bool),
+}
+
+pub struct Clients {
+    pub names: Names,
+    pub limits: Limits,
+    pub clock: Clock,
+    pub counters: Arc<Shared>,
+    pub room: Arc<Room>,
+    pub events: Sender<Event>,
+    /// Answers that no writer has done with.
+    pub unwritten: Arc<AtomicUsize>,
+}
+
+/// Tells the desk that a connection is over, however its reader ends.
+struct Leaving<'a>(&'a Clients, Client);
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        // The desk outlives all connections, but for the end of the program.
+        let _ = self.0.events.send(Event::Left { client: self.1 });
+    }
+}
+
+/// Takes connections in for ever.
+pub fn accept(listener: &TcpListener, clients: &Arc<Clients>) {
+    let open = Arc::new(AtomicUsize::new(0));
+    for client in 0.. {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                // Out of descriptors, most likely: leave time for some to close.
+                log::warn!("accept failed: {e}");
+                std::thread::sleep(Duration::from_millis(10));
+                continue;
+            }
+        };
+        if open.load(Ordering::Relaxed) >= clients.limits.clients {
+            counters::add(&clients.counters.turned_away, 1);
+            continue;
+        }
+        let held = Held::one_more(&open);
+        if let Err(e) = serve(client, stream, clients, held) {
+            log::warn!("connection of a client not served: {e}");
+        }
+    }
+}
+
+/// Counts an open connection for as long as its reader lives.
+struct Held(Arc<AtomicUsize>);
+
+impl Held {
+    fn one_more(open: &Arc<AtomicUsize>) -> Held {
+        open.fetch_add(1, Ordering::Relaxed);
+        Held(Arc::clone(open))
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn serve(client: Client, stream: TcpStream, clients: &Arc<Clients>, held: Held) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let stream = Arc::new(stream);
+    let (replies, from_desk) = bounded(clients.limits.replies);
+    let (theirs, of) = (Arc::clone(&stream), Arc::clone(clients));
+    thread("client-writer", clients.limits.stack, move || write(&theirs, &from_desk, &of))?;
+    let joined = Event::Joined { client, replies, stream: Arc::clone(&stream) };
+    if clients.events.send(joined).is_err() {
+        return Ok(());
+    }
+    let of = Arc::clone(clients);
+    let reader = thread("client-reader", clients.limits.stack, move || {
+        let _held = held;
+        let _leaving = Leaving(&of, client);
+        if let Err(why) = read(client, &stream, &of) {
+            counters::add(&of.counters.bad_messages, 1);
+            log::debug!("client {client}: {why}");
+        }
+        let _ = stream.shutdown(Shutdown::Both);
+    });
+    if reader.is_err() {
+        drop(Leaving(clients, client));
+    }
+    reader
+}
+
+/// Passes on what a client asks; ends with the connection, or at bytes that are no message.
+fn read(client: Client, stream: &TcpStream, of: &Clients) -> Result<(), &'static str> {
+    let mut intake = Intake::new(of.limits.line, of.limits.head + of.limits.body);
+    loop {
+        match rpc::read(intake.seen(), &of.names, &of.limits) {
+            Ok((message, length)) => {
+                let event = event(client, message, of);
+                intake.used(length);
+                if of.events.send(event).is_err() {
+                    return Ok(());
+                }
+            }
+            Err(Flaw::Bad(why)) => return Err(why),
+            Err(Flaw::Short) => match intake.more(stream) {
+                Ok(true) => {}
+                Ok(false) => return Ok(()),
+                Err(e) if e.kind() == std::io::ErrorKind::InvalidData => return Err("message too long"),
+                Err(_) => return Ok(()),
+            },
+        }
+    }
+}
+
+fn event(client: Client, message: Message, of: &Clients) -> Event {
+    match message {
+        Message::Alive { call } => Event::Alive { client, call },
+        Message::Cancel { call } => Event::Cancelled { client, call },
+        Message::Unfit { call, why } => {
+            counters::add(&of.counters.bad_messages, 1);
+            log::debug!("client {client}, call {call}: {why}");
+            Event::Unfit { client, call, crowded: false }
+        }
+        Message::Lookup { call, fields, body: bytes } => {
+            let arrived = of.clock.now();
+            let Some(mut body) = of.room.body(bytes.len()) else {
+                return Event::Unfit { client, call, crowded: true };
+            };
+            body.bytes_mut().copy_from_slice(bytes);
+            Event::Asked(Box::new(Asked {
+                client,
+                call,
+                name: fields.name,
+                kind: fields.kind,
+                object: fields.object,
+                part: fields.part,
+                group: fields.group,
+                size_kb: fields.size_kb,
+                tag: fields.tag.map(Into::into),
+                body: Arc::new(body),
+                arrived,
+                budget: (fields.budget_ms.saturating_mul(1_000_000)).min(of.limits.longest_budget),
+            }))
+        }
+    }
+}
+
+/// Writes answers in the order in which the desk gives them. A slow client delays its own alone; what it has
+/// not taken by its time cuts the connection off, so that it can tell that the answer is not whole.
+fn write(stream: &TcpStream, replies: &Receiver<Reply>, of: &Clients) {
+    let mut cut = false;
+    for reply in replies {
+        let late = of.clock.now() >= reply.until;
+        if cut || late {
+            counters::add(&of.counters.unsent, 1);
+        } else if let Err(e) = say(stream, &reply, of) {
+            counters::add(&of.counters.unsent, 1);
+            log::debug!("answer not written: {e}");
+            let _ = stream.shutdown(Shutdown::Both);
+            cut = true;
+        }
+        of.unwritten.fetch_sub(1, Ordering::Release);
+    }
+    let _ = stream.shutdown(Shutdown::Write);
+}
+
+fn say(stream: &TcpStream, reply: &Reply, of: &Clients) -> std::io::Result<()> {
+    let call = reply.call;
+    let whole = |bytes: Vec<u8>| rpc::Frame { before: bytes, after: Vec::new() };
+    let (frame, body) = match &reply.say {
+        Say::Satisfied(copy) => {
+            let body = copy.body.as_deref();
+            (rpc::satisfied(call, body.map_or(0, |b| b.bytes().len()), body.is_none()), body)
+        }
+        Say::Nacked { pause_ms: 0 } => (whole(rpc::error(call, "Rejected", &[])), None),
+        Say::Nacked { pause_ms } => {
+            (whole(rpc::error(call, "Rejected", &[("backoff", &pause_ms.to_string())])), None)
+        }
+        Say::Failed => (whole(rpc::error(call, "Failed", &[])), None),
+        Say::Alive(alive) => (whole(rpc::alive(call, *alive)), None),
+    };
+    let body = body.map_or(&[][..], |b| b.bytes());
+    let mut parts = [IoSlice::new(&frame.before), IoSlice::new(body), IoSlice::new(&frame.after)];
+    write_all(stream, &mut parts, reply.until, &of.clock)?;
+    counters::add(&of.counters.answers, 1);
+    counters::add(&of.counters.answer_bytes, body.len());
+    Ok(())
+}
--- /dev/null
+++ b/crates/director/src/wire/feed.rs
@@ -0,0 +1,307 @@
+//! The control feed: numbered events over HTTP, each taken once and in order.
+
+use std::io::{self, ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+
+use crossbeam_channel::Sender;
+use sablecross::{Ns, State};
+use serde::Deserialize;
+use serde_json::Value;
+
+use super::intake::Intake;
+use crate::exchange::Event;
+use crate::life::counters::{self, Shared};
+use crate::life::limits::Limits;
+
+/// What an event of the feed says.
+#[derive(Debug, PartialEq)]
+pub enum Fact {
+    Members { members: Vec<Member>, whole: bool },
+    Purge { object: Option<u64>, group: u32, at: Ns },
+}
+
+/// A line of the list of nodes, as the feed names it.
+#[derive(Debug, PartialEq)]
+pub struct Member {
+    pub name: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub kind: String,
+    pub cell: usize,
+    pub state: State,
+    pub started: Ns,
+}
+
+#[derive(Debug)]
+pub struct Numbered {
+    pub n: u64,
+    pub fact: Fact,
+}
+
+/// The events of the start.
+#[derive(Debug)]
+pub struct Known {
+    pub last: u64,
+    pub events: Vec<Numbered>,
+}
+
+#[derive(Deserialize)]
+struct RawMembers {
+    snapshot: bool,
+    endpoints: Vec<RawMember>,
+}
+
+#[derive(Deserialize)]
+struct RawMember {
+    name: String,
+    address: SocketAddr,
+    zone: String,
+    #[serde(rename = "type")]
+    kind: String,
+    group: usize,
+    status: String,
+    since_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct RawPurge {
+    key: Option<String>,
+    #[serde(default)]
+    group: u32,
+    at: u64,
+}
+
+const MS: Ns = 1_000_000;
+
+impl Numbered {
+    pub fn of(event: &Value) -> Result<Numbered, String> {
+        let n = event.get("n").and_then(Value::as_u64).ok_or("an event has no number")?;
+        let bad = |e: serde_json::Error| format!("event {n}: {e}");
+        let fact = if let Some(raw) = event.get("members") {
+            let raw = RawMembers::deserialize(raw).map_err(bad)?;
+            let members = raw.endpoints.into_iter().map(member).collect::<Result<_, _>>();
+            Fact::Members { members: members.map_err(|e| format!("event {n}: {e}"))?, whole: raw.snapshot }
+        } else if let Some(raw) = event.get("purge") {
+            let raw = RawPurge::deserialize(raw).map_err(bad)?;
+            let object = raw.key.map(|k| u64::from_str_radix(&k, 16)).transpose();
+            let object = object.map_err(|_| format!("event {n}: key is no object"))?;
+            Fact::Purge { object, group: raw.group, at: raw.at.saturating_mul(MS) }
+        } else {
+            return Err(format!("event {n}: neither members nor a purge"));
+        };
+        Ok(Numbered { n, fact })
+    }
+}
+
+fn member(raw: RawMember) -> Result<Member, String> {
+    let state = match raw.status.as_str() {
+        "ready" => State::Ready,
+        "draining" => State::Draining,
+        "gone" => State::Gone,
+        other => return Err(format!("{}: unknown status {other}", raw.name)),
+    };
+    let (name, address, zone, kind, cell) = (raw.name, raw.address, raw.zone, raw.kind, raw.group);
+    Ok(Member { name, address, zone, kind, cell, state, started: raw.since_ms.saturating_mul(MS) })
+}
+
+/// Follows the feed for ever, or until the desk is gone.
+pub struct Follower {
+    pub address: SocketAddr,
+    pub last: u64,
+    pub limits: Limits,
+    pub counters: Arc<Shared>,
+    pub events: Sender<Event>,
+    /// The number after which events were missing once already: then they are not to be had.
+    pub gap: Option<u64>,
+}
+
+enum Over {
+    /// The call failed or the stream ended; it is called again.
+    Call(String),
+    Desk,
+}
+
+impl From<io::Error> for Over {
+    fn from(e: io::Error) -> Over {
+        Over::Call(e.to_string())
+    }
+}
+
+impl Follower {
+    pub fn follow(mut self) {
+        let mut up = true;
+        loop {
+            let before = self.last;
+            let came = match self.call() {
+                Err(Over::Desk) => return,
+                Err(Over::Call(why)) => {
+                    if up {
+                        log::warn!("feed over after={} why={why}", self.last);
+                    }
+                    false
+                }
+                Ok(()) => true,
+            };
+            up = came || self.last > before;
+            if !up {
+                std::thread::sleep(self.limits.feed_pause);
+            }
+        }
+    }
+
+    /// One connection, read until its end.
+    fn call(&mut self) -> Result<(), Over> {
+        counters::add(&self.counters.feed_calls, 1);
+        let stream = TcpStream::connect_timeout(&self.address, self.limits.dial)?;
+        stream.set_read_timeout(Some(self.limits.feed_silence))?;
+        stream.set_write_timeout(Some(self.limits.feed_silence))?;
+        let request = format!(
+            "GET /v1/events HTTP/1.1\r\nHost: {}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
+            self.address, self.last
+        );
+        (&stream).write_all(request.as_bytes())?;
+        let mut intake = Intake::new(self.limits.head, self.limits.feed_event);
+        let chunked = self.answer_head(&mut intake, &stream)?;
+        let mut body = Chunks { left: if chunked { 0 } else { usize::MAX }, chunked, begun: false };
+        let mut text = Vec::new();
+        loop {
+            while !body.take(&mut intake, &mut text)? {
+                if !intake.more(&stream)? {
+                    return Ok(());
+                }
+            }
+            if text.len() > self.limits.feed_event {
+                return Err(Over::Call("an event is too long".into()));
+            }
+            let mut used = 0;
+            while let Some((event, length)) = first(&text[used..]) {
+                self.event(event)?;
+                used += length;
+            }
+            text.drain(..used);
+        }
+    }
+
+    /// Reads the head of the answer; whether its body comes in chunks.
+    fn answer_head(&self, intake: &mut Intake, stream: &TcpStream) -> Result<bool, Over> {
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; 32];
+            let mut answer = httparse::Response::new(&mut headers);
+            match answer.parse(intake.seen()) {
+                Ok(httparse::Status::Complete(length)) => {
+                    if answer.code != Some(200) {
+                        return Err(Over::Call(format!("answer {}", answer.code.unwrap_or(0))));
+                    }
+                    let chunked = answer.headers.iter().any(|h| {
+                        h.name.eq_ignore_ascii_case("transfer-encoding")
+                            && h.value.to_ascii_lowercase().ends_with(b"chunked")
+                    });
+                    intake.used(length);
+                    return Ok(chunked);
+                }
+                Ok(httparse::Status::Partial) => {
+                    if !intake.more(stream)? {
+                        return Err(Over::Call("ended in its head".into()));
+                    }
+                }
+                Err(e) => return Err(Over::Call(format!("not HTTP: {e}"))),
+            }
+        }
+    }
+
+    /// Takes one event in, unless it is a repeat or others are missing before it.
+    fn event(&mut self, block: &[u8]) -> Result<(), Over> {
+        let block = String::from_utf8_lossy(block);
+        let mut id = None;
+        let mut data = String::new();
+        for line in block.lines() {
+            let (field, value) = line.split_once(':').unwrap_or((line, ""));
+            let value = value.strip_prefix(' ').unwrap_or(value);
+            match field {
+                "id" => id = value.parse().ok(),
+                "data" if data.is_empty() => data.push_str(value),
+                "data" => data = data + "\n" + value,
+                _ => {}
+            }
+        }
+        if data.is_empty() {
+            return Ok(());
+        }
+        let parsed = serde_json::from_str(&data).map_err(|e| e.to_string());
+        let parsed = parsed.and_then(|v: Value| Numbered::of(&v));
+        let Some(n) = id.or(parsed.as_ref().ok().map(|e| e.n)) else {
+            counters::add(&self.counters.feed_skipped, 1);
+            log::warn!("feed skipped after={}: an event without a number", self.last);
+            return Ok(());
+        };
+        if n <= self.last {
+            return Ok(());
+        }
+        if n > self.last + 1 && self.gap != Some(self.last) {
+            self.gap = Some(self.last);
+            counters::add(&self.counters.feed_gaps, 1);
+            return Err(Over::Call(format!("gap before={n}")));
+        }
+        self.last = n;
+        match parsed {
+            Ok(event) => self.events.send(Event::Fact(event.fact)).map_err(|_| Over::Desk),
+            Err(why) => {
+                counters::add(&self.counters.feed_skipped, 1);
+                log::warn!("feed skipped n={n}: {why}");
+                Ok(())
+            }
+        }
+    }
+}
+
+/// The first block of lines that an empty line ends, and the length up to behind that.
+fn first(text: &[u8]) -> Option<(&[u8], usize)> {
+    let plain = text.windows(2).position(|w| w == b"\n\n").map(|i| (i, 2));
+    let returns = text.windows(4).position(|w| w == b"\r\n\r\n").map(|i| (i, 4));
+    let (at, width) = [plain, returns].into_iter().flatten().min()?;
+    Some((&text[..at], at + width))
+}
+
+/// The body of an answer, plain or in chunks.
+struct Chunks {
+    chunked: bool,
+    left: usize,
+    /// A chunk was read, so that a line's end stands before the next.
+    begun: bool,
+}
+
+impl Chunks {
+    /// Moves what has come to the text; false if nothing has.
+    fn take(&mut self, intake: &mut Intake, text: &mut Vec<u8>) -> io::Result<bool> {
+        let bad = |why: &'static str| io::Error::new(ErrorKind::InvalidData, why);
+        let mut moved = false;
+        loop {
+            let seen = intake.seen();
+            if self.left == 0 && self.chunked {
+                let skip = if self.begun { 2 } else { 0 };
+                if seen.len() < skip {
+                    return Ok(moved);
+                }
+                match httparse::parse_chunk_size(&seen[skip..]).map_err(|_| bad("bad chunk"))? {
+                    httparse::Status::Complete((_, 0)) => return Err(bad("stream ended")),
+                    httparse::Status::Complete((length, size)) => {
+                        self.left = usize::try_from(size).map_err(|_| bad("chunk too long"))?;
+                        self.begun = true;
+                        intake.used(skip + length);
+                    }
+                    httparse::Status::Partial => return Ok(moved),
+                }
+                continue;
+            }
+            let n = seen.len().min(self.left);
+            if n == 0 {
+                return Ok(moved);
+            }
+            text.extend_from_slice(&seen[..n]);
+            intake.used(n);
+            self.left -= if self.chunked { n } else { 0 };
+            moved = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/director/src/wire/rpc.rs
@@ -0,0 +1,290 @@
+//! MessagePack-RPC as clients speak it.
+
+use std::io::ErrorKind;
+
+use rmp::Marker;
+use rmp::decode::{self, RmpReadErr, ValueReadError};
+use rmp::encode;
+
+use crate::life::config::Names;
+use crate::life::limits::Limits;
+
+#[derive(Debug, PartialEq)]
+pub enum Message<'a> {
+    Lookup {
+        call: u32,
+        fields: Fields<'a>,
+        body: &'a [u8],
+    },
+    Alive {
+        call: u32,
+    },
+    Cancel {
+        call: u32,
+    },
+    /// An id is known, but what it asks for can't be used.
+    Unfit {
+        call: u32,
+        why: &'static str,
+    },
+}
+
+/// The fields of a lookup as they lie in the message.
+#[derive(Debug, Default, PartialEq)]
+pub struct Fields<'a> {
+    pub name: [u8; 16],
+    pub kind: usize,
+    pub budget_ms: u64,
+    pub object: u64,
+    pub part: u32,
+    pub group: u32,
+    pub size_kb: f64,
+    pub tag: Option<&'a str>,
+}
+
+/// Why bytes are no message: more must come, or none will ever make it one.
+#[derive(Debug, PartialEq)]
+pub enum Flaw {
+    Short,
+    Bad(&'static str),
+}
+
+type Read<T> = Result<T, Flaw>;
+
+impl<E: RmpReadErr> From<ValueReadError<E>> for Flaw {
+    fn from(_: ValueReadError<E>) -> Flaw {
+        Flaw::Bad("not of the type that belongs there")
+    }
+}
+
+impl<E: RmpReadErr> From<decode::NumValueReadError<E>> for Flaw {
+    fn from(_: decode::NumValueReadError<E>) -> Flaw {
+        Flaw::Bad("not a number of the range that belongs there")
+    }
+}
+
+/// The first message in the bytes and its length.
+pub fn read<'a>(bytes: &'a [u8], names: &Names, limits: &Limits) -> Read<(Message<'a>, usize)> {
+    let mut rest = bytes;
+    match skip(&mut rest, limits, 0) {
+        Err(Flaw::Short) if bytes.len() > limits.head + limits.body => {
+            return Err(Flaw::Bad("message too long"));
+        }
+        other => other?,
+    }
+    let length = bytes.len() - rest.len();
+    Ok((message(&bytes[..length], names)?, length))
+}
+
+fn message<'a>(mut b: &'a [u8], names: &Names) -> Read<Message<'a>> {
+    let parts = decode::read_array_len(&mut b)?;
+    match (parts, decode::read_int::<u8, _>(&mut b)?) {
+        (4, 0) => {
+            let call = decode::read_int(&mut b)?;
+            // An id is known from here on.
+            request(b, call, names).or_else(|flaw| match flaw {
+                Flaw::Bad(why) => Ok(Message::Unfit { call, why }),
+                Flaw::Short => Err(Flaw::Bad("cut short")),
+            })
+        }
+        (3, 2) => {
+            let method = text(&mut b)?;
+            if method != "cancelRequest" || decode::read_array_len(&mut b)? != 1 {
+                return Err(Flaw::Bad("unknown notice"));
+            }
+            Ok(Message::Cancel { call: decode::read_int(&mut b)? })
+        }
+        _ => Err(Flaw::Bad("neither a request nor a notice")),
+    }
+}
+
+fn request<'a>(mut b: &'a [u8], call: u32, names: &Names) -> Read<Message<'a>> {
+    let method = text(&mut b)?;
+    let parts = decode::read_array_len(&mut b)?;
+    if method == "alive" {
+        return Ok(Message::Alive { call });
+    }
+    let kind = names.kinds.iter().position(|k| k == method).ok_or(Flaw::Bad("unknown method"))?;
+    if parts != 2 {
+        return Err(Flaw::Bad("not fields and a body"));
+    }
+    let mut fields = Fields { kind, ..Fields::default() };
+    let mut found = 0;
+    for _ in 0..decode::read_map_len(&mut b)? {
+        let (name, value) = (text(&mut b)?, text(&mut b)?);
+        let known = match name {
+            "rid" => {
+                fields.name = digits(value)?;
+                1
+            }
+            "budget" => {
+                fields.budget_ms = number(value)?;
+                2
+            }
+            "obj" => {
+                digits(value)?;
+                fields.object = u64::from_str_radix(value, 16).map_err(|_| Flaw::Bad("no object"))?;
+                4
+            }
+            "piece" => {
+                fields.part = number(value)?;
+                8
+            }
+            "lot" => {
+                fields.group = number(value)?;
+                0
+            }
+            "mem" => {
+                let size: f64 = number(value)?;
+                fields.size_kb = Some(size)
+                    .filter(|s| s.is_finite() && *s >= 0.0)
+                    .ok_or(Flaw::Bad("size out of range"))?;
+                0
+            }
+            "ver" => {
+                // It becomes a word of a line, in a list of fields.
+                let word = !value.is_empty() && value.bytes().all(|c| c.is_ascii_graphic() && c != b',');
+                fields.tag = Some(value).filter(|_| word);
+                0
+            }
+            _ => 0,
+        };
+        found |= known;
+    }
+    if found != 15 {
+        return Err(Flaw::Bad("a field is missing"));
+    }
+    let length = decode::read_bin_len(&mut b)? as usize;
+    let body = b.get(..length).ok_or(Flaw::Short)?;
+    Ok(Message::Lookup { call, fields, body })
+}
+
+fn number<T: std::str::FromStr>(text: &str) -> Read<T> {
+    text.parse().map_err(|_| Flaw::Bad("a field is not a number"))
+}
+
+/// 16 hex digits, small ones: the text goes on as it came.
+fn digits(text: &str) -> Read<[u8; 16]> {
+    let digits: [u8; 16] = text.as_bytes().try_into().map_err(|_| Flaw::Bad("not 16 hex digits"))?;
+    let hex = digits.iter().all(|c| matches!(c, b'0'..=b'9' | b'a'..=b'f'));
+    hex.then_some(digits).ok_or(Flaw::Bad("not 16 hex digits"))
+}
+
+fn text<'a>(b: &mut &'a [u8]) -> Read<&'a str> {
+    let bytes: &'a [u8] = b;
+    let (text, rest) = decode::read_str_from_slice(bytes).map_err(|_| Flaw::Bad("not a text"))?;
+    *b = rest;
+    Ok(text)
+}
+
+/// Passes over one value, of any kind: where a message ends is known before it is looked into.
+fn skip(b: &mut &[u8], limits: &Limits, depth: usize) -> Read<()> {
+    if depth > 6 {
+        return Err(Flaw::Bad("nested too deep"));
+    }
+    let marker = decode::read_marker(b).map_err(|e| match e.0.kind() {
+        ErrorKind::UnexpectedEof => Flaw::Short,
+        _ => Flaw::Bad("unreadable"),
+    })?;
+    let (bytes, values) = match marker {
+        Marker::FixPos(_) | Marker::FixNeg(_) | Marker::Null | Marker::True | Marker::False => (0, 0),
+        Marker::U8 | Marker::I8 => (1, 0),
+        Marker::U16 | Marker::I16 => (2, 0),
+        Marker::U32 | Marker::I32 | Marker::F32 => (4, 0),
+        Marker::U64 | Marker::I64 | Marker::F64 => (8, 0),
+        Marker::FixStr(n) => (usize::from(n), 0),
+        Marker::Str8 | Marker::Bin8 => (length(b, 1)?, 0),
+        Marker::Str16 | Marker::Bin16 => (length(b, 2)?, 0),
+        Marker::Str32 | Marker::Bin32 => (length(b, 4)?, 0),
+        Marker::FixArray(n) => (0, usize::from(n)),
+        Marker::Array16 => (0, length(b, 2)?),
+        Marker::Array32 => (0, length(b, 4)?),
+        Marker::FixMap(n) => (0, 2 * usize::from(n)),
+        Marker::Map16 => (0, 2 * length(b, 2)?),
+        Marker::Map32 => (0, 2 * length(b, 4)?),
+        _ => return Err(Flaw::Bad("a type that no message holds")),
+    };
+    if bytes > limits.body || values > limits.head {
+        return Err(Flaw::Bad("too long"));
+    }
+    take(b, bytes)?;
+    (0..values).try_for_each(|_| skip(b, limits, depth + 1))
+}
+
+fn length(b: &mut &[u8], bytes: usize) -> Read<usize> {
+    Ok(take(b, bytes)?.iter().fold(0, |n, &byte| n << 8 | usize::from(byte)))
+}
+
+fn take<'a>(b: &mut &'a [u8], n: usize) -> Read<&'a [u8]> {
+    let (head, rest) = b.split_at_checked(n).ok_or(Flaw::Short)?;
+    *b = rest;
+    Ok(head)
+}
+
+/// What stands before and after the body of an answer.
+pub struct Frame {
+    pub before: Vec<u8>,
+    pub after: Vec<u8>,
+}
+
+/// Writing into memory does not fail.
+fn built(write: impl FnOnce(&mut Vec<u8>) -> Result<(), ValueWriteError>) -> Vec<u8> {
+    let mut out = Vec::with_capacity(64);
+    let done = write(&mut out);
+    debug_assert!(done.is_ok());
+    out
+}
+
+type ValueWriteError = encode::ValueWriteError<std::io::Error>;
+
+fn answer(out: &mut Vec<u8>, call: u32) -> Result<(), ValueWriteError> {
+    encode::write_array_len(out, 4)?;
+    encode::write_uint(out, 1)?;
+    encode::write_uint(out, u64::from(call))?;
+    Ok(())
+}
+
+fn fields(out: &mut Vec<u8>, fields: &[(&str, &str)]) -> Result<(), ValueWriteError> {
+    encode::write_map_len(out, fields.len() as u32)?;
+    for (name, value) in fields {
+        encode::write_str(out, name)?;
+        encode::write_str(out, value)?;
+    }
+    Ok(())
+}
+
+fn nil(out: &mut Vec<u8>) -> Result<(), ValueWriteError> {
+    encode::write_nil(out).map_err(ValueWriteError::InvalidMarkerWrite)
+}
+
+pub fn satisfied(call: u32, length: usize, unchanged: bool) -> Frame {
+    let before = built(|out| {
+        answer(out, call)?;
+        nil(out)?;
+        encode::write_array_len(out, 2)?;
+        encode::write_bin_len(out, length as u32)?;
+        Ok(())
+    });
+    let told: &[_] = if unchanged { &[("unchanged", "1")] } else { &[] };
+    Frame { before, after: built(|out| fields(out, told)) }
+}
+
+pub fn error(call: u32, word: &str, told: &[(&str, &str)]) -> Vec<u8> {
+    built(|out| {
+        answer(out, call)?;
+        encode::write_array_len(out, 2)?;
+        encode::write_str(out, word)?;
+        fields(out, told)?;
+        nil(out)
+    })
+}
+
+pub fn alive(call: u32, alive: bool) -> Vec<u8> {
+    built(|out| {
+        answer(out, call)?;
+        nil(out)?;
+        encode::write_array_len(out, 2)?;
+        encode::write_bool(out, alive).map_err(ValueWriteError::InvalidMarkerWrite)?;
+        fields(out, &[])
+    })
+}
--- a/crates/wirehost/src/settings.rs
+++ b/crates/inhand/src/settings.rs
@@ -1,31 +1,38 @@
-//! Decodes an instance's settings.
+//! Decodes an instance's settings, and the words of its load reports and notes.
 
 use std::collections::HashMap;
 use std::str::FromStr;
 
-use sablecross::{Effect, ObjectKind, Settings, Within};
+use sablecross::{Effect, Load, ObjectKind, Settings, Within};
 
-use crate::codec::Result;
+pub type Result<T> = std::result::Result<T, String>;
 
-struct Pairs<'a>(HashMap<&'a str, &'a str>);
+/// The settings as pairs of a path and a value.
+pub struct Pairs(HashMap<String, String>);
 
-impl Pairs<'_> {
-    fn text(&self, key: &str) -> Result<&str> {
-        self.0.get(key).copied().ok_or_else(|| format!("setting missing: {key}"))
+impl FromIterator<(String, String)> for Pairs {
+    fn from_iter<I: IntoIterator<Item = (String, String)>>(pairs: I) -> Self {
+        Pairs(pairs.into_iter().collect())
+    }
+}
+
+impl Pairs {
+    pub fn text(&self, key: &str) -> Result<&str> {
+        self.0.get(key).map(String::as_str).ok_or_else(|| format!("setting missing: {key}"))
     }
 
-    fn get<T: FromStr>(&self, key: &str) -> Result<T> {
+    pub fn get<T: FromStr>(&self, key: &str) -> Result<T> {
         let text = self.text(key)?;
         text.parse().map_err(|_| format!("bad setting: {key}={text}"))
     }
 
-    fn list<T: FromStr>(&self, key: &str) -> Result<Vec<T>> {
+    pub fn list<T: FromStr>(&self, key: &str) -> Result<Vec<T>> {
         let text = self.text(key)?;
         let items = text.split(',').filter(|t| !t.is_empty());
         items.map(|t| t.parse().map_err(|_| format!("bad setting: {key}={text}"))).collect()
     }
 
-    fn ns(&self, key: &str) -> Result<u64> {
+    pub fn ns(&self, key: &str) -> Result<u64> {
         self.get::<u64>(key)?.checked_mul(1_000).ok_or_else(|| format!("bad setting: {key}"))
     }
 
@@ -46,18 +53,29 @@
     }
 }
 
-/// Where in a load report the values that are read stand.
-#[derive(Clone, Copy)]
-pub struct Report {
-    pub busy: Option<usize>,
-    pub link: Option<usize>,
+/// The values that are read of a load report, by the names that `report.names` gives them.
+pub fn load<'a>(values: impl Iterator<Item = (&'a str, f64)>) -> Load {
+    let mut load = Load::default();
+    for (name, value) in values.filter(|(_, v)| v.is_finite()) {
+        match name {
+            "cpu" => load.busy = Some(value),
+            "x1" => load.link = Some(value),
+            _ => {}
+        }
+    }
+    load
+}
+
+/// Whether a note, by its number, tells of a hit.
+pub fn hit(note: u32) -> Option<bool> {
+    match note {
+        1 | 5 => Some(true),
+        2..=4 => Some(false),
+        _ => None,
+    }
 }
 
-pub fn decode(text: &str) -> Result<(Settings, Report)> {
-    let p = Pairs(text.lines().filter_map(|l| l.split_once('=')).collect());
-    let names = p.0.get("report.names").copied().unwrap_or_default();
-    let place = |name: &str| names.split(',').position(|n| n == name);
-    let report = Report { busy: place("cpu"), link: place("x1") };
+pub fn decode(p: &Pairs) -> Result<Settings> {
     let fresh: Vec<u64> = p.list("extra.freshForUs")?;
     let grace: Vec<u64> = p.list("extra.usableAfterUs")?;
     let parts: Vec<bool> = p.list("extra.multiPart")?;
@@ -83,7 +101,7 @@
         let stretch = at("aimStretch");
         object_kinds.push(ObjectKind {
             latency_budget: p.ns(&at("aimUs"))?,
-            budget_stretch: p.0.contains_key(stretch.as_str()).then(|| p.amount(&stretch)).transpose()?,
+            budget_stretch: p.0.contains_key(&stretch).then(|| p.amount(&stretch)).transpose()?,
             utility: p.amount(&at("worth"))?,
             effect,
             fresh: p.of(&fresh, i, "extra.freshForUs")?.saturating_mul(1_000),
@@ -98,7 +116,7 @@
     let zone = p.get("az")?;
     let directors: Vec<usize> = p.list("extra.zoneBalancers")?;
     p.of(&directors, zone, "extra.zoneBalancers")?;
-    let set = Settings {
+    Ok(Settings {
         zone,
         number: p.get("index")?,
         directors,
@@ -122,6 +140,5 @@
         joins: p.get("extra.joins")?,
         purge_cleared: p.ns("extra.clearedWithinUs")?,
         tick: p.ns("periodUs")?,
-    };
-    Ok((set, report))
+    })
 }
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -2,24 +2,49 @@
 
 use std::collections::HashMap;
 
-use sablecross::{Choice, Listed, Load, Lookup, Next, Ns, Outcome, Route, Sent, State};
+use sablecross::{Choice, Listed, Load, Lookup, Ns, Outcome, Send, State};
+use sablecross_inhand::{Carrier, Hand, settings};
 
 use crate::codec::{Address, Reader, Reply, Result};
-use crate::settings;
-
-struct Held {
-    lookup: Lookup,
-    ended: bool,
-    /// The latest timer set; earlier ones are passed over.
-    timer: u32,
-}
 
 struct Instance {
-    choice: Choice,
-    report: settings::Report,
+    hand: Hand,
+    /// The names of the values in a load report.
+    report: Vec<String>,
     nodes: HashMap<Address, usize>,
     addresses: Vec<Address>,
-    held: HashMap<u32, Held>,
+}
+
+/// Writes what the module decides for one instance into the reply.
+struct Actions<'a> {
+    director: u32,
+    addresses: &'a [Address],
+    reply: &'a mut Reply,
+}
+
+impl Carrier for Actions<'_> {
+    fn send(&mut self, id: u64, _: usize, send: &Send) {
+        let to = [send.node, send.source.unwrap_or(send.node)].map(|n| self.addresses[n]);
+        self.reply.read_through(self.director, id as u32, send, to);
+    }
+
+    fn nack(&mut self, id: u64, pause: Ns) {
+        self.reply.nack(self.director, id as u32, pause);
+    }
+
+    fn fail(&mut self, id: u64) {
+        self.reply.fail(self.director, id as u32);
+    }
+
+    fn call_off(&mut self, id: u64, shot: usize) {
+        self.reply.call_off(self.director, id as u32, shot as u16);
+    }
+
+    fn ask_again(&mut self, id: u64, turn: u32, wait: Ns) {
+        self.reply.timer(self.director, wait, u64::from(turn) << 32 | id);
+    }
+
+    fn dropped(&mut self, _: u64) {}
 }
 
 #[derive(Clone, Copy)]
@@ -52,52 +77,9 @@
     /// The load report of a record, where one came along.
     fn load(&self, r: &mut Reader) -> Result<Option<Load>> {
         let n = r.u8()?;
-        let mut load = Load::default();
-        for i in 0..usize::from(n) {
-            let value = Some(f64::from(r.f32()?)).filter(|v| v.is_finite());
-            if self.report.busy == Some(i) {
-                load.busy = value;
-            } else if self.report.link == Some(i) {
-                load.link = value;
-            }
-        }
-        Ok((n > 0).then_some(load))
-    }
-
-    /// Asks the module where to send a lookup and carries that out.
-    fn step(&mut self, director: u32, txn: u32, now: Ns, reply: &mut Reply) {
-        let Some(held) = self.held.get_mut(&txn).filter(|h| !h.ended) else { return };
-        match self.choice.route(now, &held.lookup) {
-            Route::Send(send) => {
-                let node = self.addresses[send.node];
-                let source = self.addresses[send.source.unwrap_or(send.node)];
-                reply.read_through(director, txn, &send, [node, source]);
-                let sent = Sent { node: send.node, source: send.source, at: now, result: None };
-                held.lookup.sends.push(sent);
-            }
-            Route::NotYet => {}
-            Route::Nack { pause } => {
-                reply.nack(director, txn, pause);
-                held.ended = true;
-            }
-            Route::Fail => {
-                reply.fail(director, txn);
-                held.ended = true;
-            }
-        }
-        if held.ended {
-            self.drop_if_idle(txn);
-        } else if let Some(wait) = self.choice.patience(now, &held.lookup) {
-            held.timer = held.timer.wrapping_add(1);
-            reply.timer(director, wait, u64::from(held.timer) << 32 | u64::from(txn));
-        }
-    }
-
-    fn drop_if_idle(&mut self, txn: u32) {
-        let idle = |h: &Held| h.ended && h.lookup.sends.iter().all(|s| s.result.is_some());
-        if self.held.get(&txn).is_some_and(idle) {
-            self.held.remove(&txn);
-        }
+        let values: Vec<f64> = (0..n).map(|_| r.f32().map(f64::from)).collect::<Result<_>>()?;
+        let named = self.report.iter().map(String::as_str).zip(values);
+        Ok((n > 0).then(|| settings::load(named)))
     }
 
     fn returned(
@@ -124,35 +106,15 @@
         };
         let took = Ns::from(r.u32()?) * 1_000;
         let over = r.u8()? != 0;
-        let hit = match r.u32()? {
-            1 | 5 => Some(true),
-            2..=4 => Some(false),
-            _ => None,
-        };
+        let hit = settings::hit(r.u32()?);
         r.u32()?;
         if let Some(load) = self.load(r)?
             && let Some(&node) = self.nodes.get(&address)
         {
-            self.choice.reported(now, node, load);
-        }
-        let Some(held) = self.held.get_mut(&txn) else { return Ok(()) };
-        let Some(sent) = held.lookup.sends.get_mut(shot) else { return Ok(()) };
-        sent.result = Some(outcome);
-        let next = self.choice.after(now, &held.lookup, shot, took, hit);
-        let ended = held.ended;
-        held.ended |= over;
-        match next {
-            Next::Done { call_off } if call_off && !ended => {
-                for (i, s) in held.lookup.sends.iter().enumerate() {
-                    if s.result.is_none() {
-                        reply.call_off(director, txn, i as u16);
-                    }
-                }
-            }
-            Next::Again => self.step(director, txn, now, reply),
-            Next::Done { .. } | Next::Wait => {}
+            self.hand.choice.reported(now, node, load);
         }
-        self.drop_if_idle(txn);
+        let mut to = Actions { director, addresses: &self.addresses, reply };
+        self.hand.ended(u64::from(txn), shot, outcome, took, hit, over, now, &mut to);
         Ok(())
     }
 }
@@ -190,16 +152,14 @@
         match code {
             1 => {
                 let txn = r.u32()?;
-                if let Some(held) = inst.held.get_mut(&txn) {
-                    held.ended = true;
-                }
-                inst.drop_if_idle(txn);
+                let mut to = Actions { director, addresses: &inst.addresses, reply };
+                inst.hand.abandon(u64::from(txn), &mut to);
             }
             2 => {
                 let object = r.u64()?;
                 let ago = Ns::from(r.u32()?) * 1_000;
                 let group = u32::from(r.u16()?);
-                inst.choice.purged(now, (object != 0).then_some(object), group, ago);
+                inst.hand.choice.purged(now, (object != 0).then_some(object), group, ago);
             }
             4 => {
                 r.take(16)?;
@@ -211,7 +171,7 @@
                 if scope > 3 {
                     return Err(format!("unknown list scope {scope}"));
                 }
-                if scope == 3 && inst.choice.asks_for_list() {
+                if scope == 3 && inst.hand.choice.asks_for_list() {
                     reply.follow_list(director);
                 }
                 if scope < 3 {
@@ -228,7 +188,7 @@
                             state: e.state,
                         })
                         .collect();
-                    inst.choice.listed(now, &lines, scope != 0);
+                    inst.hand.choice.listed(now, &lines, scope != 0);
                 }
             }
             6 => {
@@ -241,7 +201,7 @@
                 let size_kb = f64::from(r.f32()?);
                 let deadline = r.u64()?.saturating_mul(1_000);
                 let attrs = r.u16()?;
-                if !inst.choice.knows_kind(kind) || !size_kb.is_finite() {
+                if !inst.hand.choice.knows_kind(kind) || !size_kb.is_finite() {
                     return Err(format!("lookup of unknown kind {kind} or size {size_kb}"));
                 }
                 let lookup = Lookup {
@@ -256,8 +216,8 @@
                     write: attrs & 4 != 0,
                     sends: Vec::new(),
                 };
-                inst.held.insert(txn, Held { lookup, ended: false, timer: 0 });
-                inst.step(director, txn, now, reply);
+                let mut to = Actions { director, addresses: &inst.addresses, reply };
+                inst.hand.take(u64::from(txn), lookup, now, &mut to);
             }
             7 => {
                 r.u16()?;
@@ -275,14 +235,13 @@
             }
             11 => {
                 let handle = r.u64()?;
-                let (timer, txn) = ((handle >> 32) as u32, handle as u32);
-                if inst.held.get(&txn).is_some_and(|h| h.timer == timer) {
-                    inst.step(director, txn, now, reply);
-                }
+                let (turn, id) = ((handle >> 32) as u32, handle & u64::from(u32::MAX));
+                let mut to = Actions { director, addresses: &inst.addresses, reply };
+                inst.hand.ask(id, turn, now, &mut to);
             }
             other => return Err(format!("unknown record code {other}")),
         }
-        for line in inst.choice.notes() {
+        for line in inst.hand.choice.notes() {
             reply.print(director, &line);
         }
         Ok(())
@@ -315,13 +274,15 @@
         let seed = r.u64()?;
         let n = r.u32()? as usize;
         let text = std::str::from_utf8(r.take(n)?).map_err(|_| "settings are not text")?;
-        let (set, report) = settings::decode(text)?;
-        let choice = Choice::new(set, seed, now);
+        let owned = |(path, value): (&str, &str)| (path.to_owned(), value.to_owned());
+        let pairs: settings::Pairs = text.lines().filter_map(|l| l.split_once('=')).map(owned).collect();
+        let choice = Choice::new(settings::decode(&pairs)?, seed, now);
         if choice.asks_for_list() {
             self.reply.follow_list(director);
         }
-        let inst =
-            Instance { choice, report, nodes: HashMap::new(), addresses: Vec::new(), held: HashMap::new() };
+        let report = pairs.list("report.names").unwrap_or_default();
+        let hand = Hand::new(choice);
+        let inst = Instance { hand, report, nodes: HashMap::new(), addresses: Vec::new() };
         self.instances.insert(director, inst);
         Ok(())
     }
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -2,7 +2,6 @@
 
 mod codec;
 mod host;
-mod settings;
 
 use std::io::{Read, Write, stdin, stdout};
 use std::process::ExitCode;
