--- a/crates/director/src/life/counters.rs
+++ b/crates/director/src/life/counters.rs
@@ -20,6 +20,7 @@
     pub sends: u64,
     pub further: u64,
     pub ends: [u64; 9],
+    /// Answers decided after their client had given up.
     pub late: u64,
     pub links: u64,
     pub links_open: u64,
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -86,11 +86,14 @@
         last: config.known.last,
         limits: limits.clone(),
         counters: Arc::clone(&counters),
+        room: Arc::clone(&room),
         events: events.clone(),
         gap: None,
+        up: false,
     };
     vital("feed", limits.feed_stack, Box::new(move || follower.follow()))?;
     let listener = TcpListener::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let listen = listener.local_addr().unwrap_or(config.listen);
     let clients = Arc::new(Clients {
         names: config.names,
         limits: limits.clone(),
@@ -101,7 +104,7 @@
         unwritten,
     });
     vital("accept", limits.stack, Box::new(move || clients::accept(&listener, &clients)))?;
-    log::info!("serving name={} listen={}", config.name, config.listen);
+    log::info!("serving name={} listen={listen}", config.name);
 
     let served = desk.serve(&to_desk);
     desk.report();
--- a/crates/director/src/memory/bodies.rs
+++ b/crates/director/src/memory/bodies.rs
@@ -9,10 +9,17 @@
     taken: AtomicUsize,
 }
 
+/// Room that is taken, until it is dropped.
+#[derive(Debug)]
+pub struct Hold {
+    bytes: usize,
+    room: Arc<Room>,
+}
+
 #[derive(Debug)]
 pub struct Body {
     bytes: Vec<u8>,
-    room: Arc<Room>,
+    _hold: Hold,
 }
 
 impl Room {
@@ -20,11 +27,17 @@
         Arc::new(Room { most, taken: AtomicUsize::new(0) })
     }
 
-    /// Room for a body of this length, if there is so much left.
-    pub fn body(self: &Arc<Room>, length: usize) -> Option<Body> {
-        let fits = |taken: usize| taken.checked_add(length).filter(|&t| t <= self.most);
+    /// Takes room, if there is so much left.
+    pub fn hold(self: &Arc<Room>, bytes: usize) -> Option<Hold> {
+        let fits = |taken: usize| taken.checked_add(bytes).filter(|&t| t <= self.most);
         self.taken.fetch_update(Ordering::Relaxed, Ordering::Relaxed, fits).ok()?;
-        Some(Body { bytes: vec![0; length], room: Arc::clone(self) })
+        Some(Hold { bytes, room: Arc::clone(self) })
+    }
+
+    /// A body of this length, if there is room for it.
+    pub fn body(self: &Arc<Room>, length: usize) -> Option<Body> {
+        let hold = self.hold(length)?;
+        Some(Body { bytes: vec![0; length], _hold: hold })
     }
 }
 
@@ -38,8 +51,8 @@
     }
 }
 
-impl Drop for Body {
+impl Drop for Hold {
     fn drop(&mut self) {
-        self.room.taken.fetch_sub(self.bytes.len(), Ordering::Relaxed);
+        self.room.taken.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -8,9 +8,9 @@
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use sablecross::{Choice, Lookup, Ns, Outcome, Send};
-use sablecross_inhand::{Carrier, Hand};
+use sablecross_inhand::{Carrier, End, Hand};
 
-use crate::exchange::{Asked, Client, Copy, Ended, Event, Link};
+use crate::exchange::{Asked, Client, Ended, Event, Link};
 use crate::life::counters::{Counters, Shared};
 use crate::life::{Clock, limits::Limits};
 use crate::wire::clients::{Reply, Say};
@@ -29,6 +29,8 @@
     deadline: Ns,
     /// The connection on which each of its sends is out.
     links: Vec<Option<Link>>,
+    /// All connections that carried one.
+    before: Vec<Link>,
     answered: bool,
 }
 
@@ -38,14 +40,6 @@
     Ask { id: u64, turn: u32 },
 }
 
-/// The end of a send that came without an event.
-struct End {
-    id: u64,
-    shot: usize,
-    outcome: Outcome,
-    took: Ns,
-}
-
 /// Carries out what the module decides.
 struct Floor {
     now: Ns,
@@ -54,7 +48,8 @@
     callers: HashMap<Client, Caller>,
     kept: HashMap<u64, Kept>,
     timers: BinaryHeap<Reverse<(Ns, Timer)>>,
-    ends: VecDeque<End>,
+    /// Ends of sends that came without an event.
+    ends: VecDeque<(u64, usize, End)>,
     counters: Counters,
     unwritten: Arc<AtomicUsize>,
 }
@@ -71,6 +66,10 @@
 }
 
 impl Floor {
+    fn end(&mut self, id: u64, shot: usize, outcome: Outcome, took: Ns) {
+        self.ends.push_back((id, shot, End { outcome, took, hit: None, over: false }));
+    }
+
     fn tell(&mut self, client: Client, call: u32, until: Ns, say: Say) {
         let Some(caller) = self.callers.get_mut(&client) else { return };
         caller.calls.remove(&call);
@@ -87,8 +86,9 @@
         let Some(kept) = self.kept.get_mut(&id).filter(|k| !k.answered) else { return };
         kept.answered = true;
         let (client, call, until) = (kept.asked.client, kept.asked.call, kept.deadline + self.limits.margin);
+        self.counters.late += u64::from(self.now >= until);
         match say {
-            Say::Satisfied(Copy { ref body, .. }) => {
+            Say::Satisfied(ref body) => {
                 self.counters.satisfied += 1;
                 self.counters.unchanged += u64::from(body.is_none());
             }
@@ -104,7 +104,7 @@
         let Some(link) = kept.links.get_mut(shot).and_then(Option::take) else { return };
         let out = self.nodes.give_up(link, &kept.asked.name, outcome == Outcome::TimedOut);
         let took = out.map_or(0, |out| self.now.saturating_sub(out.at));
-        self.ends.push_back(End { id, shot, outcome, took });
+        self.end(id, shot, outcome, took);
     }
 }
 
@@ -114,18 +114,13 @@
         let out = Out { id, shot, at: self.now };
         self.counters.sends += 1;
         self.counters.further += u64::from(shot > 0);
-        let link = match self.nodes.pull(out, &kept.asked, send) {
-            Ok(link) => {
-                let when = self.now + send.time_out;
-                self.timers.push(Reverse((when, Timer::TimeOut { id, shot })));
-                Some(link)
-            }
-            Err(outcome) => {
-                self.ends.push_back(End { id, shot, outcome, took: 0 });
-                None
-            }
-        };
-        kept.links.push(link);
+        let link = self.nodes.pull(out, &kept.asked, send, &kept.before);
+        kept.links.push(link.ok());
+        kept.before.extend(link.ok());
+        match link {
+            Ok(_) => self.timers.push(Reverse((self.now + send.time_out, Timer::TimeOut { id, shot }))),
+            Err(outcome) => self.end(id, shot, outcome, 0),
+        }
     }
 
     fn nack(&mut self, id: u64, pause: Ns) {
@@ -237,18 +232,17 @@
 
     /// Ends that came without an event, and the notes of the module.
     fn settle(&mut self) {
-        while let Some(end) = self.floor.ends.pop_front() {
-            self.ended(&end, None);
+        while let Some((id, shot, end)) = self.floor.ends.pop_front() {
+            self.ended(id, shot, end);
         }
         for line in self.hand.choice.notes() {
             log::info!("{line}");
         }
     }
 
-    fn ended(&mut self, end: &End, hit: Option<bool>) {
-        let (now, satisfied) = (self.floor.now, end.outcome == Outcome::Satisfied);
+    fn ended(&mut self, id: u64, shot: usize, end: End) {
         self.floor.counters.end(end.outcome);
-        self.hand.ended(end.id, end.shot, end.outcome, end.took, hit, satisfied, now, &mut self.floor);
+        self.hand.ended(id, shot, end, self.floor.now, &mut self.floor);
     }
 
     fn event(&mut self, event: Event) -> Result<(), String> {
@@ -283,7 +277,7 @@
                     if let Some(kept) = self.floor.kept.get_mut(&id) {
                         kept.links[shot] = None;
                     }
-                    self.floor.ends.push_back(End { id, shot, outcome, took: now.saturating_sub(at) });
+                    self.floor.end(id, shot, outcome, now.saturating_sub(at));
                 }
             }
             Event::Fact(fact) => self.fact(fact),
@@ -344,7 +338,7 @@
             write: false,
             sends: Vec::new(),
         };
-        f.kept.insert(id, Kept { asked, deadline, links: Vec::new(), answered: false });
+        f.kept.insert(id, Kept { asked, deadline, links: Vec::new(), before: Vec::new(), answered: false });
         self.hand.take(id, lookup, f.now, f);
     }
 
@@ -380,15 +374,21 @@
         if let (Some(load), Some(node)) = (ended.load, node) {
             self.hand.choice.reported(self.floor.now, node, load);
         }
-        if let Some(out) = self.floor.nodes.ended(link, &ended.name, ended.at) {
-            let Some(kept) = self.floor.kept.get_mut(&out.id) else { return };
-            kept.links[out.shot] = None;
-            if let Some(copy) = ended.copy.filter(|_| self.hand.owed(out.id)) {
-                self.floor.answer(out.id, Say::Satisfied(copy));
+        let Some(Out { id, shot, at }) = self.floor.nodes.ended(link, &ended.name, ended.at) else { return };
+        let Some(kept) = self.floor.kept.get_mut(&id) else { return };
+        kept.links[shot] = None;
+        let mut outcome = ended.outcome;
+        if let Some(copy) = ended.copy {
+            let held = kept.asked.tag.as_deref();
+            if copy.body.is_none() && held.is_none() {
+                // Nothing to pass on: the client holds no copy that could be unchanged.
+                outcome = Outcome::Error;
+            } else if self.hand.owed(id) {
+                let body = copy.body.filter(|_| copy.tag.is_empty() || held != Some(&*copy.tag));
+                self.floor.answer(id, Say::Satisfied(body));
             }
-            let took = ended.at.saturating_sub(out.at);
-            let end = End { id: out.id, shot: out.shot, outcome: ended.outcome, took };
-            self.ended(&end, ended.hit);
         }
+        let (took, over) = (ended.at.saturating_sub(at), outcome == Outcome::Satisfied);
+        self.ended(id, shot, End { outcome, took, hit: ended.hit, over });
     }
 }
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -1,6 +1,6 @@
 //! The client side: a reader and a writer for each connection.
 
-use std::io::IoSlice;
+use std::io::{ErrorKind, IoSlice};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -12,10 +12,10 @@
 use super::intake::Intake;
 use super::rpc::{self, Flaw, Message};
 use super::write_all;
-use crate::exchange::{Asked, Client, Copy, Event};
+use crate::exchange::{Asked, Client, Event};
 use crate::life::counters::{self, Shared};
 use crate::life::{Clock, config::Names, limits::Limits, thread};
-use crate::memory::bodies::Room;
+use crate::memory::bodies::{Body, Room};
 
 /// What a client is told, and until when it listens.
 pub struct Reply {
@@ -25,8 +25,11 @@
 }
 
 pub enum Say {
-    Satisfied(Copy),
-    Nacked { pause_ms: u64 },
+    /// Without a body: the client's copy is the one.
+    Satisfied(Option<Arc<Body>>),
+    Nacked {
+        pause_ms: u64,
+    },
     Failed,
     Alive(bool),
 }
@@ -120,7 +123,7 @@
 
 /// Passes on what a client asks; ends with the connection, or at bytes that are no message.
 fn read(client: Client, stream: &TcpStream, of: &Clients) -> Result<(), &'static str> {
-    let mut intake = Intake::new(of.limits.line, of.limits.head + of.limits.body);
+    let mut intake = Intake::new(of.limits.line, of.limits.head + of.limits.body, &of.room);
     loop {
         match rpc::read(intake.seen(), &of.names, &of.limits) {
             Ok((message, length)) => {
@@ -134,7 +137,8 @@
             Err(Flaw::Short) => match intake.more(stream) {
                 Ok(true) => {}
                 Ok(false) => return Ok(()),
-                Err(e) if e.kind() == std::io::ErrorKind::InvalidData => return Err("message too long"),
+                Err(e) if e.kind() == ErrorKind::InvalidData => return Err("message too long"),
+                Err(e) if e.kind() == ErrorKind::OutOfMemory => return Err("no room for its message"),
                 Err(_) => return Ok(()),
             },
         }
@@ -197,8 +201,8 @@
     let call = reply.call;
     let whole = |bytes: Vec<u8>| rpc::Frame { before: bytes, after: Vec::new() };
     let (frame, body) = match &reply.say {
-        Say::Satisfied(copy) => {
-            let body = copy.body.as_deref();
+        Say::Satisfied(body) => {
+            let body = body.as_deref();
             (rpc::satisfied(call, body.map_or(0, |b| b.bytes().len()), body.is_none()), body)
         }
         Say::Nacked { pause_ms: 0 } => (whole(rpc::error(call, "Rejected", &[])), None),
--- a/crates/director/src/wire/feed.rs
+++ b/crates/director/src/wire/feed.rs
@@ -3,6 +3,7 @@
 use std::io::{self, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::time::Instant;
 
 use crossbeam_channel::Sender;
 use sablecross::{Ns, State};
@@ -13,6 +14,7 @@
 use crate::exchange::Event;
 use crate::life::counters::{self, Shared};
 use crate::life::limits::Limits;
+use crate::memory::bodies::Room;
 
 /// What an event of the feed says.
 #[derive(Debug, PartialEq)]
@@ -111,9 +113,11 @@
     pub last: u64,
     pub limits: Limits,
     pub counters: Arc<Shared>,
+    pub room: Arc<Room>,
     pub events: Sender<Event>,
     /// The number after which events were missing once already: then they are not to be had.
     pub gap: Option<u64>,
+    pub up: bool,
 }
 
 enum Over {
@@ -130,21 +134,18 @@
 
 impl Follower {
     pub fn follow(mut self) {
-        let mut up = true;
         loop {
-            let before = self.last;
-            let came = match self.call() {
+            let (start, before) = (Instant::now(), self.last);
+            let why = match self.call() {
                 Err(Over::Desk) => return,
-                Err(Over::Call(why)) => {
-                    if up {
-                        log::warn!("feed over after={} why={why}", self.last);
-                    }
-                    false
-                }
-                Ok(()) => true,
+                Err(Over::Call(why)) => why,
+                Ok(()) => "ended".into(),
             };
-            up = came || self.last > before;
-            if !up {
+            if std::mem::take(&mut self.up) {
+                log::info!("feed over after={} why={why}", self.last);
+            }
+            // Called again at once, but for one that fails or ends at once: no loop without a pause.
+            if self.last == before && start.elapsed() < self.limits.feed_pause {
                 std::thread::sleep(self.limits.feed_pause);
             }
         }
@@ -161,8 +162,10 @@
             self.address, self.last
         );
         (&stream).write_all(request.as_bytes())?;
-        let mut intake = Intake::new(self.limits.head, self.limits.feed_event);
+        let mut intake = Intake::new(self.limits.head, self.limits.feed_event, &self.room);
         let chunked = self.answer_head(&mut intake, &stream)?;
+        self.up = true;
+        log::info!("feed up after={}", self.last);
         let mut body = Chunks { left: if chunked { 0 } else { usize::MAX }, chunked, begun: false };
         let mut text = Vec::new();
         loop {
--- a/crates/director/src/wire/intake.rs
+++ b/crates/director/src/wire/intake.rs
@@ -1,6 +1,9 @@
 //! Bytes that have come and are not used yet; heads are parsed where they lie.
 
 use std::io::{self, ErrorKind, Read};
+use std::sync::Arc;
+
+use crate::memory::bodies::{Hold, Room};
 
 pub struct Intake {
     bytes: Vec<u8>,
@@ -8,12 +11,16 @@
     to: usize,
     first: usize,
     most: usize,
+    /// What it has grown by counts with the bodies: many half messages must not fill the memory.
+    room: Arc<Room>,
+    grown: Option<Hold>,
 }
 
 impl Intake {
     /// Grows from its first size to hold a message of at most this size.
-    pub fn new(first: usize, most: usize) -> Intake {
-        Intake { bytes: vec![0; first], from: 0, to: 0, first, most }
+    pub fn new(first: usize, most: usize, room: &Arc<Room>) -> Intake {
+        let room = Arc::clone(room);
+        Intake { bytes: vec![0; first], from: 0, to: 0, first, most, room, grown: None }
     }
 
     pub fn seen(&self) -> &[u8] {
@@ -26,6 +33,7 @@
             (self.from, self.to) = (0, 0);
             if self.bytes.len() > self.first {
                 self.bytes = vec![0; self.first];
+                self.grown = None;
             }
         }
     }
@@ -39,7 +47,10 @@
                 if self.to >= self.most {
                     return Err(io::Error::new(ErrorKind::InvalidData, "too long"));
                 }
-                self.bytes.resize((2 * self.to).min(self.most), 0);
+                let length = (2 * self.to).min(self.most);
+                self.grown = None;
+                self.grown = Some(self.room.hold(length).ok_or(ErrorKind::OutOfMemory)?);
+                self.bytes.resize(length, 0);
             }
         }
         let n = read(&mut source, &mut self.bytes[self.to..])?;
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -1,7 +1,7 @@
 //! The node side: a small pool of connections to each node, opened when they are wanted. The desk's thread
 //! holds the pools; a writer and a reader serve each connection, and no call here waits for a socket.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::io::IoSlice;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -27,8 +27,8 @@
 }
 
 enum Order {
-    Pull { head: Vec<u8>, body: Arc<Body>, until: Ns },
-    Kill(Vec<u8>),
+    Pull { name: Name, head: Vec<u8>, body: Arc<Body>, until: Ns },
+    Kill(Name),
 }
 
 /// One send on a connection.
@@ -43,8 +43,6 @@
     node: usize,
     orders: Sender<Order>,
     out: BTreeMap<Name, Out>,
-    /// Sends given up here, whose answers may come still: none of that name goes here again.
-    given_up: HashSet<Name>,
     /// When it was opened or last heard of.
     heard: Ns,
     /// When its last send was made or ended.
@@ -154,13 +152,20 @@
     }
 
     /// Writes a send to a connection of its node; else the outcome that this stands for.
-    pub fn pull(&mut self, out: Out, asked: &Asked, send: &sablecross::Send) -> Result<Link, Outcome> {
+    /// One that carried this lookup before is left out: a late answer could be taken for that of this send.
+    pub fn pull(
+        &mut self,
+        out: Out,
+        asked: &Asked,
+        send: &sablecross::Send,
+        before: &[Link],
+    ) -> Result<Link, Outcome> {
         let kind = self.names.kinds.get(asked.kind).ok_or(Outcome::NeverSent)?;
         let head = lines::pull(asked, send, kind, send.source.map(|s| self.name(s)));
-        let link = self.choose(send.node, &asked.name, out.at)?;
+        let link = self.choose(send.node, before, out.at)?;
         let open = self.links.get_mut(&link).ok_or(Outcome::NeverSent)?;
         let until = out.at + send.time_out;
-        let order = Order::Pull { head, body: Arc::clone(&asked.body), until };
+        let order = Order::Pull { name: asked.name, head, body: Arc::clone(&asked.body), until };
         match open.orders.try_send(order) {
             Ok(()) => {
                 open.out.insert(asked.name, out);
@@ -168,13 +173,17 @@
                 Ok(link)
             }
             Err(TrySendError::Full(_)) => Err(Outcome::NeverSent),
-            Err(TrySendError::Disconnected(_)) => Err(Outcome::Unconnected),
+            Err(TrySendError::Disconnected(_)) => {
+                self.retire(link);
+                Err(Outcome::Unconnected)
+            }
         }
     }
 
     /// An idle connection, as one body blocks those behind it; else a new one; else the least laden.
-    fn choose(&mut self, node: usize, name: &Name, now: Ns) -> Result<Link, Outcome> {
-        let limits = self.shared.limits.clone();
+    fn choose(&mut self, node: usize, before: &[Link], now: Ns) -> Result<Link, Outcome> {
+        let shared = Arc::clone(&self.shared);
+        let limits = &shared.limits;
         let pool = self.pools.get(node).ok_or(Outcome::NeverSent)?;
         let mut best: Option<(usize, Ns, Link)> = None;
         let mut stale = Vec::new();
@@ -184,9 +193,7 @@
                 stale.push(link);
                 continue;
             }
-            let fits = open.out.len() < limits.open_a_link
-                && !open.out.contains_key(name)
-                && !open.given_up.contains(name);
+            let fits = open.out.len() < limits.open_a_link && !before.contains(&link);
             let rank = (open.out.len(), now.saturating_sub(open.used), link);
             if fits && best.is_none_or(|b| rank < b) {
                 best = Some(rank);
@@ -215,8 +222,7 @@
             Outcome::NeverSent
         })?;
         self.next += 1;
-        let (out, given_up) = (BTreeMap::new(), HashSet::new());
-        let open = Open { node, orders, out, given_up, heard: now, used: now, retired: false };
+        let open = Open { node, orders, out: BTreeMap::new(), heard: now, used: now, retired: false };
         self.links.insert(link, open);
         self.pools[node].links.push(link);
         Ok(link)
@@ -232,7 +238,6 @@
         let open = self.links.get_mut(&link)?;
         open.heard = open.heard.max(at);
         open.used = open.used.max(at);
-        open.given_up.remove(name);
         let out = open.out.remove(name);
         if open.retired && open.out.is_empty() {
             self.forget(link);
@@ -244,9 +249,8 @@
     pub fn give_up(&mut self, link: Link, name: &Name, timed_out: bool) -> Option<Out> {
         let open = self.links.get_mut(&link)?;
         let out = open.out.remove(name)?;
-        open.given_up.insert(*name);
         // A queue that is full belongs to a connection that is stuck.
-        let stuck = open.orders.try_send(Order::Kill(lines::kill(name))).is_err();
+        let stuck = open.orders.try_send(Order::Kill(*name)).is_err();
         if stuck || timed_out && open.heard <= out.at || open.retired {
             self.retire(link);
         }
@@ -298,17 +302,22 @@
         return log::warn!("link {link} not served: {e}");
     }
     losing.reached = true;
+    let mut skipped = BTreeSet::new();
     for order in orders {
         let written = match &order {
             // Its time was over before the connection came up.
-            Order::Pull { until, .. } if of.clock.now() >= *until => Ok(()),
-            Order::Pull { head, body, until } => {
+            Order::Pull { name, until, .. } if of.clock.now() >= *until => {
+                skipped.insert(*name);
+                Ok(())
+            }
+            Order::Kill(name) if skipped.remove(name) => Ok(()),
+            Order::Pull { head, body, until, .. } => {
                 let mut parts = [IoSlice::new(head), IoSlice::new(body.bytes()), IoSlice::new(b"\r\n")];
                 write_all(&stream, &mut parts, *until, &of.clock)
             }
-            Order::Kill(line) => {
+            Order::Kill(name) => {
                 let by = of.clock.now() + of.limits.margin;
-                write_all(&stream, &mut [IoSlice::new(line)], by, &of.clock)
+                write_all(&stream, &mut [IoSlice::new(&lines::kill(name))], by, &of.clock)
             }
         };
         if written.is_err() {
@@ -320,7 +329,7 @@
 
 /// Passes on whole answers; ends with the connection, or at bytes that are no answer.
 fn read(link: Link, stream: &TcpStream, of: &Links) -> Result<(), &'static str> {
-    let mut intake = Intake::new(of.limits.line, of.limits.line);
+    let mut intake = Intake::new(of.limits.line, of.limits.line, &of.room);
     loop {
         let Some(end) = intake.seen().windows(2).position(|w| w == b"\r\n") else {
             match intake.more(stream) {
--- /dev/null
+++ b/crates/director/tests/codec.rs
@@ -0,0 +1,267 @@
+//! Tables of what is read and written, without sockets.
+
+use std::collections::HashMap;
+
+use sablecross::{Outcome, Send};
+use sablecross_director::exchange::Asked;
+use sablecross_director::life::config::{Config, Names};
+use sablecross_director::life::limits::Limits;
+use sablecross_director::memory::bodies::Room;
+use sablecross_director::wire::lines;
+use sablecross_director::wire::rpc::{self, Fields, Flaw, Message};
+
+const SAMPLE: &str = include_str!("../../../deploy/sample.json");
+
+fn limits() -> Limits {
+    Limits::of(1_024, 192, 400_000_000, 30_000_000_000)
+}
+
+fn names() -> Names {
+    Names { kinds: vec!["footage".into(), "readings".into()], ..Names::default() }
+}
+
+fn text(out: &mut Vec<u8>, text: &str) {
+    rmp::encode::write_str(out, text).expect("written");
+}
+
+/// A lookup with these fields and a body.
+fn lookup(method: &str, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut out = vec![0x94, 0, 7];
+    text(&mut out, method);
+    out.push(0x92);
+    rmp::encode::write_map_len(&mut out, fields.len() as u32).expect("written");
+    for (name, value) in fields {
+        text(&mut out, name);
+        text(&mut out, value);
+    }
+    rmp::encode::write_bin(&mut out, body).expect("written");
+    out
+}
+
+const FIELDS: [(&str, &str); 7] = [
+    ("rid", "9b1f03aa5c7e2d41"),
+    ("budget", "1500"),
+    ("obj", "7f3a9c21e0b4d655"),
+    ("piece", "3"),
+    ("lot", "17"),
+    ("mem", "412.5"),
+    ("ver", "4be0c1927d55a6f3"),
+];
+
+#[test]
+fn a_lookup_is_read_whole_or_not_at_all() {
+    let (names, limits) = (names(), limits());
+    let bytes = lookup("readings", &FIELDS, b"body");
+    let fields = Fields {
+        name: *b"9b1f03aa5c7e2d41",
+        kind: 1,
+        budget_ms: 1_500,
+        object: 0x7f3a_9c21_e0b4_d655,
+        part: 3,
+        group: 17,
+        size_kb: 412.5,
+        tag: Some("4be0c1927d55a6f3"),
+    };
+    let whole = Message::Lookup { call: 7, fields, body: b"body" };
+    assert_eq!(rpc::read(&bytes, &names, &limits), Ok((whole, bytes.len())));
+    for n in 0..bytes.len() {
+        assert_eq!(rpc::read(&bytes[..n], &names, &limits), Err(Flaw::Short), "first {n} bytes");
+    }
+}
+
+#[test]
+fn what_no_lookup_can_be_made_of_is_told_apart_from_what_ends_a_connection() {
+    let (names, limits) = (names(), limits());
+    let with = |name: &str, value: &str| {
+        let fields: Vec<_> = FIELDS.iter().map(|&(n, v)| (n, if n == name { value } else { v })).collect();
+        lookup("footage", &fields, b"")
+    };
+    let without = |name: &str| {
+        let fields: Vec<_> = FIELDS.iter().copied().filter(|f| f.0 != name).collect();
+        lookup("footage", &fields, b"")
+    };
+    let mut no_body = lookup("footage", &FIELDS, b"");
+    no_body.truncate(no_body.len() - 2);
+    no_body.push(0xc0);
+    let unfit = [
+        lookup("other", &FIELDS, b""),
+        with("rid", "9b1f"),
+        with("rid", "9B1F03AA5C7E2D41"),
+        with("budget", "soon"),
+        with("budget", "-1"),
+        with("obj", "xx3a9c21e0b4d655"),
+        with("piece", "1.5"),
+        with("lot", "many"),
+        with("mem", "NaN"),
+        with("mem", "-4"),
+        without("rid"),
+        without("budget"),
+        without("obj"),
+        without("piece"),
+        no_body,
+        vec![0x94, 0, 7, 0xa7, b'f', b'o', b'o', b't', b'a', b'g', b'e', 0x91, 0x80],
+    ];
+    for (i, bytes) in unfit.iter().enumerate() {
+        let read = rpc::read(bytes, &names, &limits);
+        assert!(matches!(read, Ok((Message::Unfit { call: 7, .. }, n)) if n == bytes.len()), "{i}: {read:?}");
+    }
+    let deep: Vec<u8> = std::iter::repeat_n(0x91, 40).collect();
+    let ends: [&[u8]; 9] = [
+        &[0xc1],
+        &[0x07],
+        &[0x93, 2, 0xa1, b'x'],
+        &[0x93, 2, 0xa1, b'x', 0x91, 1],
+        &[0x94, 1, 7, 0xc0, 0xc0],
+        &[0x94, 0, 0xa1, b'x', 0xa1, b'y', 0x90],
+        &[0xc6, 0xff, 0xff, 0xff, 0xff],
+        &[0xdd, 0xff, 0xff, 0xff, 0xff],
+        &deep,
+    ];
+    for bytes in ends {
+        let read = rpc::read(bytes, &names, &limits);
+        // What is cut short may still be a message; here it may not.
+        let over = matches!(read, Err(Flaw::Bad(_))) || bytes == [0x93, 2, 0xa1, b'x'];
+        assert!(over, "{bytes:?}: {read:?}");
+    }
+    let endless = vec![0; limits.head + limits.body + 1];
+    assert!(rpc::read(&[&[0xdc, 0x3f, 0xff], &endless[..]].concat(), &names, &limits).is_err());
+}
+
+#[test]
+fn other_messages_and_all_answers() {
+    let (names, limits) = (names(), limits());
+    let mut alive = vec![0x94, 0, 8];
+    text(&mut alive, "alive");
+    alive.extend([0x91, 0x80]);
+    let mut cancel = vec![0x93, 2];
+    text(&mut cancel, "cancelRequest");
+    cancel.extend([0x91, 0xcd, 1, 0]);
+    assert_eq!(rpc::read(&alive, &names, &limits), Ok((Message::Alive { call: 8 }, alive.len())));
+    assert_eq!(rpc::read(&cancel, &names, &limits), Ok((Message::Cancel { call: 256 }, cancel.len())));
+
+    let satisfied = rpc::satisfied(7, 3, false);
+    assert_eq!(satisfied.before, [0x94, 1, 7, 0xc0, 0x92, 0xc4, 3]);
+    assert_eq!(satisfied.after, [0x80]);
+    assert_eq!(rpc::satisfied(7, 0, true).after, *b"\x81\xa9unchanged\xa11");
+    assert_eq!(rpc::alive(300, true), [0x94, 1, 0xcd, 1, 44, 0xc0, 0x92, 0xc3, 0x80]);
+    assert_eq!(rpc::error(7, "Rejected", &[]), *b"\x94\x01\x07\x92\xa8Rejected\x80\xc0");
+    assert_eq!(
+        rpc::error(7, "Rejected", &[("backoff", "40")]),
+        *b"\x94\x01\x07\x92\xa8Rejected\x81\xa7backoff\xa240\xc0"
+    );
+}
+
+#[test]
+fn heads_of_answers() {
+    const NAME: &str = "9b1f03aa5c7e2d41";
+    let cases = [
+        ("ACK how=HIT,entity=t1,issued=17 5", Some((Outcome::Satisfied, Some(true), Some("t1"), false, 5))),
+        ("ACK how=MISS,entity=t1 5", Some((Outcome::Satisfied, Some(false), Some("t1"), false, 5))),
+        ("ACK how=COLLAPSED 0", Some((Outcome::Satisfied, Some(false), None, false, 0))),
+        ("ACK how=STALE 0", Some((Outcome::Satisfied, Some(true), None, false, 0))),
+        ("NOMOD entity=t1 0", Some((Outcome::Satisfied, None, Some("t1"), true, 0))),
+        ("NOENT - 0", Some((Outcome::Miss, None, None, false, 0))),
+        ("AGAIN how=UP_BUSY 0", Some((Outcome::Full, None, None, false, 0))),
+        ("EIO - 0", Some((Outcome::Error, None, None, false, 0))),
+        ("STALE - 0", Some((Outcome::NeverSent, None, None, false, 0))),
+        ("NOMOD entity=t1 5", None),
+        ("ACK - many", None),
+        ("ACK - -1", None),
+        ("ACK -", None),
+        ("ACK - 0 0", None),
+        ("ACK entity 0", None),
+        ("WHAT - 0", None),
+    ];
+    for (rest, want) in cases {
+        let line = format!("{NAME} {rest}");
+        let head = lines::head(line.as_bytes());
+        let got = head.map(|h| (h.outcome, h.hit, h.tag, h.unchanged, h.length));
+        assert_eq!(got, want, "{rest}");
+    }
+    assert_eq!(lines::head(b"short ACK - 0"), None);
+    assert_eq!(lines::head(b"\xff\xfe ACK - 0"), None);
+    let line = format!("{NAME} ACK stats=active:7;cpu:0.61;x1:x 0");
+    let load = lines::head(line.as_bytes()).and_then(|h| h.load).expect("a report");
+    assert_eq!((load.busy, load.link), (Some(0.61), None));
+}
+
+#[test]
+fn every_field_of_a_send_is_written() {
+    let room = Room::of(100);
+    let asked = |tag: Option<&str>| Asked {
+        client: 1,
+        call: 7,
+        name: *b"9b1f03aa5c7e2d41",
+        kind: 0,
+        object: 0x00ff,
+        part: 3,
+        group: 17,
+        size_kb: 1.0,
+        tag: tag.map(Into::into),
+        body: room.body(2).expect("room").into(),
+        arrived: 0,
+        budget: 0,
+    };
+    let bare = Send {
+        node: 0,
+        source: None,
+        time_out: 1_500_400_000,
+        oldest: None,
+        join: false,
+        renew: false,
+        keep: 0,
+    };
+    let full = Send { oldest: Some(1), join: true, renew: true, keep: 2, ..bare };
+    let start = "PULL 9b1f03aa5c7e2d41 class=footage,key=00000000000000ff,part=3,wait=1500";
+    let line = |asked: &Asked, send: &Send, source| {
+        String::from_utf8(lines::pull(asked, send, "footage", source)).expect("text")
+    };
+    assert_eq!(line(&asked(None), &bare, None), format!("{start} 2\r\n"));
+    assert_eq!(
+        line(&asked(Some("t1")), &full, Some("parent-a")),
+        format!("{start},miss=parent-a,prio=2,within=1,f=collapse+refresh,mine=t1 2\r\n")
+    );
+    assert_eq!(lines::kill(b"9b1f03aa5c7e2d41"), b"KILL 9b1f03aa5c7e2d41\r\n");
+}
+
+#[test]
+fn bodies_in_hand_are_bounded() {
+    let room = Room::of(10);
+    let first = room.body(6).expect("room");
+    assert!(room.body(5).is_none() && room.body(usize::MAX).is_none());
+    let second = room.body(4).expect("room");
+    drop(first);
+    assert!(room.body(6).is_some() && room.body(7).is_none());
+    drop(second);
+}
+
+#[test]
+fn a_faulty_configuration_is_named_by_its_key() {
+    let config = Config::parse(SAMPLE).expect("the sample is good");
+    assert_eq!((config.settings.zone, config.names.kinds.len()), (1, 2));
+    assert_eq!(config.names.zones, HashMap::from([("hub".into(), 0), ("edge".into(), 1)]));
+    let cases = [
+        ("\"name\": \"sample\"", "\"name\": 7", "name:"),
+        ("\"listen\": \"127.0.0.1:10080\"", "\"listen\": \"here\"", "listen:"),
+        ("\"feed\": \"127.0.0.1:7070\",", "", "feed:"),
+        ("6e1f0c27a4d59b83", "no number", "seed:"),
+        ("\"memory_mb\": 192", "\"memory_mb\": -1", "limits.memory_mb:"),
+        ("\"sockets\": 1024", "\"sockets\": 0", "limits.sockets:"),
+        ("\"known\": {\"n\": 1,", "\"known\": {\"n\": \"x\",", "known.n:"),
+        ("\"snapshot\": true", "\"snapshot\": 7", "known.events:"),
+        ("\"status\": \"ready\"", "\"status\": \"odd\"", "known.events:"),
+        ("127.0.0.1:11001", "nowhere", "known.events:"),
+        ("\"dialTimeoutUs\": 400000,", "", "ceilings.dialTimeoutUs"),
+        ("\"coldFrom\": 0.25", "\"coldFrom\": 1.5", "guarantees.coldFrom"),
+        ("\"effect\": \"idempotent\"", "\"effect\": \"odd\"", "classes.0.effect"),
+        ("\"name\": \"readings\", ", "", "classes.1.name"),
+        ("\"zones\": [\"hub\", \"edge\"],", "", "zones"),
+        ("\"zoneBalancers\": [0, 1]", "\"zoneBalancers\": [0]", "extra.zoneBalancers"),
+    ];
+    for (from, to, key) in cases {
+        assert!(SAMPLE.contains(from), "{from}");
+        let error = Config::parse(&SAMPLE.replace(from, to)).expect_err(key);
+        assert!(error.contains(key) && error.lines().count() == 1, "{key}: {error}");
+    }
+    assert!(Config::parse("{").is_err_and(|e| e.starts_with("configuration:")));
+}
--- /dev/null
+++ b/crates/director/tests/sockets.rs
@@ -0,0 +1,640 @@
+//! The program on loopback, against small stand-ins for clients, nodes and the feed that each test drives.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rmp::decode;
+
+const SAMPLE: &str = include_str!("../../../deploy/sample.json");
+const LONG: Duration = Duration::from_secs(5);
+const SHORT: Duration = Duration::from_millis(200);
+
+/// A line that a node was told, or the end of a connection.
+struct Told {
+    line: String,
+    connection: usize,
+    stream: Arc<TcpStream>,
+}
+
+impl Told {
+    fn name(&self) -> &str {
+        self.line.split(' ').nth(1).expect("a name")
+    }
+
+    fn field(&self, name: &str) -> Option<&str> {
+        let fields = self.line.split(' ').nth(2)?;
+        fields.split(',').find_map(|f| f.strip_prefix(name)?.strip_prefix('='))
+    }
+
+    fn write(&self, bytes: &[u8]) {
+        (&*self.stream).write_all(bytes).expect("written");
+    }
+
+    fn answer(&self, word: &str, fields: &str, body: &[u8]) {
+        self.write(format!("{} {word} {fields} {}\r\n", self.name(), body.len()).as_bytes());
+        self.write(body);
+        self.write(b"\r\n");
+    }
+}
+
+struct Node {
+    address: SocketAddr,
+    told: Receiver<Told>,
+}
+
+impl Node {
+    fn start() -> Node {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+        let address = listener.local_addr().expect("bound");
+        let (tell, told) = channel();
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().enumerate() {
+                let (stream, tell) = (Arc::new(stream.expect("taken")), tell.clone());
+                thread::spawn(move || listen(connection, &stream, &tell));
+            }
+        });
+        Node { address, told }
+    }
+
+    fn next(&self) -> Told {
+        self.told.recv_timeout(LONG).expect("told")
+    }
+
+    fn pull(&self) -> Told {
+        let told = self.next();
+        assert!(told.line.starts_with("PULL "), "{}", told.line);
+        told
+    }
+
+    fn quiet(&self) {
+        let told = self.told.recv_timeout(SHORT).map(|t| t.line);
+        assert_eq!(told.err(), Some(RecvTimeoutError::Timeout));
+    }
+}
+
+fn listen(connection: usize, stream: &Arc<TcpStream>, tell: &Sender<Told>) {
+    let mut reader = BufReader::new(&**stream);
+    loop {
+        let mut line = String::new();
+        let n = reader.read_line(&mut line).unwrap_or(0);
+        let line = if n == 0 { "closed".into() } else { line.trim_end().to_owned() };
+        if line.starts_with("PULL ") {
+            let length: usize = line.rsplit(' ').next().and_then(|l| l.parse().ok()).expect("a length");
+            reader.read_exact(&mut vec![0; length + 2]).expect("a body");
+        }
+        let told = Told { line, connection, stream: Arc::clone(stream) };
+        if tell.send(told).is_err() || n == 0 {
+            return;
+        }
+    }
+}
+
+/// The feed: each call is taken by the test.
+struct Feed(TcpListener);
+
+impl Feed {
+    /// Takes the next call; the number after which it wants events.
+    fn call(&self) -> (u64, TcpStream) {
+        let (stream, _) = self.0.accept().expect("called");
+        let mut reader = BufReader::new(&stream);
+        let mut last = None;
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line).expect("a line");
+            if let Some(n) = line.strip_prefix("Last-Event-ID: ") {
+                last = n.trim_end().parse().ok();
+            }
+            if line == "\r\n" {
+                break;
+            }
+        }
+        (&stream).write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n").expect("written");
+        (last.expect("a number"), stream)
+    }
+}
+
+fn tell(mut stream: &TcpStream, n: u64, data: &str) {
+    stream.write_all(format!(": tick\n\nid: {n}\ndata: {data}\n\n").as_bytes()).expect("written");
+}
+
+fn member(n: u64, name: &str, address: SocketAddr, status: &str) -> String {
+    format!(
+        "{{\"n\":{n},\"members\":{{\"index\":{n},\"snapshot\":false,\"endpoints\":[{{\"name\":\"{name}\",\
+         \"address\":\"{address}\",\"zone\":\"edge\",\"type\":\"small\",\"group\":0,\"status\":\"{status}\",\
+         \"weight\":1,\"since_ms\":0}}]}}}}"
+    )
+}
+
+struct World {
+    cache: Node,
+    parent: Node,
+    feed: Feed,
+    child: Child,
+    address: SocketAddr,
+    log: Receiver<String>,
+}
+
+impl World {
+    fn start() -> World {
+        World::with(|config| config)
+    }
+
+    fn with(change: impl Fn(String) -> String) -> World {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let (cache, parent, origin) = (Node::start(), Node::start(), Node::start());
+        let feed = Feed(TcpListener::bind("127.0.0.1:0").expect("bound"));
+        let at = feed.0.local_addr().expect("bound");
+        let config = SAMPLE
+            .replace("127.0.0.1:11001", &cache.address.to_string())
+            .replace("127.0.0.1:11002", &parent.address.to_string())
+            .replace("127.0.0.1:11003", &origin.address.to_string())
+            .replace("127.0.0.1:7070", &at.to_string())
+            .replace("127.0.0.1:10080", "127.0.0.1:0");
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("sablecross-{}-{number}.json", std::process::id()));
+        std::fs::write(&path, change(config)).expect("written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_sablecross-director"))
+            .env("NODE_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("starts");
+        let (line, log) = channel();
+        let stderr = BufReader::new(child.stderr.take().expect("piped"));
+        thread::spawn(move || stderr.lines().map_while(Result::ok).all(|l| line.send(l).is_ok()));
+        let mut world = World { cache, parent, feed, child, address: at, log };
+        let serving = world.logged("serving ");
+        std::fs::remove_file(path).expect("removed");
+        world.address = serving.rsplit('=').next().and_then(|a| a.parse().ok()).expect("an address");
+        world
+    }
+
+    /// The next line of the log that holds these words.
+    fn logged(&self, words: &str) -> String {
+        let start = Instant::now();
+        loop {
+            let wait = LONG.saturating_sub(start.elapsed());
+            let line = self.log.recv_timeout(wait).unwrap_or_else(|_| panic!("no line with {words}"));
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("connected");
+        stream.set_read_timeout(Some(LONG)).expect("set");
+        Client(stream)
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let done = Command::new("kill").args(["-s", name, &pid]).status().expect("signalled");
+        assert!(done.success());
+    }
+
+    /// The figures of the next line of counters.
+    fn counters(&self) -> HashMap<String, u64> {
+        let line = self.logged("counters ");
+        let pairs = line.split(' ').filter_map(|w| w.split_once('='));
+        let counters: HashMap<String, u64> =
+            pairs.filter_map(|(k, v)| Some((k.to_owned(), v.parse().ok()?))).collect();
+        let ends = ["satisfied", "nacked", "failed", "cancelled", "in_hand"];
+        assert_eq!(counters["taken"], ends.iter().map(|k| counters[*k]).sum::<u64>(), "{line}");
+        counters
+    }
+
+    /// Waits until so many events of the feed were taken in, with those of the start.
+    fn told(&self, facts: u64) {
+        let start = Instant::now();
+        while self.reported()["facts"] < facts {
+            assert!(start.elapsed() < LONG, "{facts} facts");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn reported(&self) -> HashMap<String, u64> {
+        self.signal("USR1");
+        self.counters()
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Client(TcpStream);
+
+#[derive(Debug, PartialEq)]
+enum Answer {
+    Satisfied(Vec<u8>, Vec<(String, String)>),
+    Error(String, Vec<(String, String)>),
+    Alive(bool),
+}
+
+impl Client {
+    fn write(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).expect("written");
+    }
+
+    fn ask(&mut self, call: u8, object: u64, budget_ms: u64) {
+        self.ask_with(call, object, budget_ms, &[]);
+    }
+
+    fn ask_with(&mut self, call: u8, object: u64, budget_ms: u64, more: &[(&str, &str)]) {
+        let (name, budget) = (format!("{:08x}{object:08x}", u32::from(call)), budget_ms.to_string());
+        let object = format!("{object:016x}");
+        let mut fields = vec![("rid", &*name), ("budget", &*budget), ("obj", &*object), ("piece", "0")];
+        fields.extend([("lot", "17"), ("mem", "10.5")].iter().chain(more));
+        let mut out = vec![0x94, 0, 0xcc, call];
+        rmp::encode::write_str(&mut out, "footage").expect("written");
+        out.push(0x92);
+        rmp::encode::write_map_len(&mut out, fields.len() as u32).expect("written");
+        for text in fields.iter().flat_map(|(name, value)| [name, value]) {
+            rmp::encode::write_str(&mut out, text).expect("written");
+        }
+        out.extend([0xc4, 0]);
+        self.write(&out);
+    }
+
+    fn alive(&mut self) -> bool {
+        self.write(b"\x94\x00\xcc\xff\xa5alive\x91\x80");
+        self.answer() == (255, Answer::Alive(true))
+    }
+
+    fn text(&mut self) -> String {
+        let length = decode::read_str_len(&mut self.0).expect("a text");
+        let mut text = vec![0; length as usize];
+        self.0.read_exact(&mut text).expect("a text");
+        String::from_utf8(text).expect("a text")
+    }
+
+    fn fields(&mut self) -> Vec<(String, String)> {
+        let length = decode::read_map_len(&mut self.0).expect("fields");
+        (0..length).map(|_| (self.text(), self.text())).collect()
+    }
+
+    fn answer(&mut self) -> (u8, Answer) {
+        assert_eq!(decode::read_array_len(&mut self.0).expect("an answer"), 4);
+        assert_eq!(decode::read_int::<u8, _>(&mut self.0).expect("a type"), 1);
+        let call = decode::read_int(&mut self.0).expect("a call");
+        let mut first = [0; 1];
+        self.0.read_exact(&mut first).expect("an error or nil");
+        if first == [0x92] {
+            let answer = Answer::Error(self.text(), self.fields());
+            decode::read_nil(&mut self.0).expect("nil");
+            return (call, answer);
+        }
+        assert_eq!((first, decode::read_array_len(&mut self.0).expect("a result")), ([0xc0], 2));
+        self.0.read_exact(&mut first).expect("a result");
+        let length = match first[0] {
+            0xc2 | 0xc3 => {
+                assert_eq!(self.fields(), []);
+                return (call, Answer::Alive(first == [0xc3]));
+            }
+            0xc4 => 1,
+            0xc5 => 2,
+            0xc6 => 4,
+            other => panic!("no result: {other}"),
+        };
+        let mut bytes = vec![0; length];
+        self.0.read_exact(&mut bytes).expect("a length");
+        let mut body = vec![0; bytes.iter().fold(0, |n, &b| n << 8 | usize::from(b))];
+        self.0.read_exact(&mut body).expect("a body");
+        (call, Answer::Satisfied(body, self.fields()))
+    }
+
+    fn nacked(&mut self) -> u8 {
+        let (call, answer) = self.answer();
+        assert!(matches!(&answer, Answer::Error(word, _) if word == "Rejected"), "{answer:?}");
+        call
+    }
+
+    fn satisfied(&mut self, call: u8, body: &[u8]) {
+        let (answered, answer) = self.answer();
+        assert_eq!(answered, call);
+        assert!(answer == Answer::Satisfied(body.to_vec(), vec![]), "call {call} has other bytes");
+    }
+
+    /// Nothing more comes, and the connection ends.
+    fn closed(&mut self) {
+        let end = self.0.read(&mut [0; 8]).map_err(|e| e.kind());
+        assert!(matches!(end, Ok(0) | Err(ErrorKind::ConnectionReset)), "{end:?}");
+    }
+}
+
+#[test]
+fn answers_come_back_whole_and_in_any_order() {
+    let w = World::start();
+    let mut c = w.client();
+    assert!(c.alive());
+    c.ask(1, 0x77, 2_000);
+    let first = w.cache.pull();
+    let want = "PULL 0000000100000077 class=footage,key=0000000000000077,part=0,wait=";
+    assert!(first.line.starts_with(want), "{}", first.line);
+    assert_eq!(first.field("miss"), Some("parent-a"));
+    assert_eq!((first.field("prio"), first.field("f")), (Some("1"), Some("collapse")));
+    let wait: u64 = first.field("wait").and_then(|w| w.parse().ok()).expect("a time");
+    assert!((1_500..2_000).contains(&wait), "{wait}");
+    c.ask_with(2, 0x78, 2_000, &[("ver", "t9")]);
+    let second = w.cache.pull();
+    assert_ne!(first.connection, second.connection, "one body blocks those behind it");
+    assert_eq!((first.field("mine"), second.field("mine")), (None, Some("t9")));
+    second.answer("NOMOD", "how=HIT,entity=t9,issued=1", b"");
+    assert_eq!(c.answer(), (2, Answer::Satisfied(vec![], vec![("unchanged".into(), "1".into())])));
+    let body: Vec<u8> = (0..240_000_u32).map(|i| (i * 7 % 251) as u8).collect();
+    first.answer("ACK", "how=MISS,entity=t1,issued=1", &body);
+    c.satisfied(1, &body);
+    c.ask(3, 0x79, 2_000);
+    let third = w.cache.pull();
+    assert!([first.connection, second.connection].contains(&third.connection), "idle ones are used again");
+    third.answer("ACK", "how=HIT,entity=t1,issued=1", b"");
+    c.satisfied(3, b"");
+    let counters = w.reported();
+    assert_eq!((counters["satisfied"], counters["unchanged"], counters["links"]), (3, 1, 2));
+}
+
+#[test]
+fn each_answer_word_means_its_outcome() {
+    let cases = [("NOENT", "miss"), ("AGAIN", "full"), ("EIO", "error"), ("STALE", "never_sent")];
+    for (word, counter) in cases {
+        let w = World::start();
+        let mut c = w.client();
+        c.ask(1, 0x77, 1_000);
+        let first = w.cache.pull();
+        first.answer(word, "-", b"");
+        // A further send is the module's to make; whatever it asks is refused as well.
+        let mut sends = 1;
+        c.0.set_read_timeout(Some(Duration::from_millis(20))).expect("set");
+        while c.0.peek(&mut [0]).is_err() {
+            for node in [&w.cache, &w.parent] {
+                if let Ok(told) = node.told.try_recv() {
+                    told.answer(word, "-", b"");
+                    sends += 1;
+                }
+            }
+            assert!(sends < 7, "{word}");
+        }
+        assert_eq!(c.nacked(), 1, "{word}");
+        assert_eq!(w.reported()[counter], sends, "{word}");
+    }
+}
+
+#[test]
+fn a_silent_node_costs_no_deadline() {
+    let w = World::start();
+    let mut c = w.client();
+    let start = Instant::now();
+    c.ask(1, 0x77, 500);
+    let pull = w.cache.pull();
+    assert_eq!(c.nacked(), 1);
+    assert!(start.elapsed() < Duration::from_millis(500), "{:?}", start.elapsed());
+    assert_eq!(w.cache.next().line, format!("KILL {}", pull.name()));
+    assert_eq!(w.cache.next().line, "closed", "a connection silent since the send is not used again");
+    c.ask(2, 0x78, 500);
+    assert_ne!(w.cache.pull().connection, pull.connection);
+    let counters = w.reported();
+    assert_eq!((counters["nacked"], counters["in_hand"]), (1, 1));
+}
+
+#[test]
+fn a_cancelled_lookup_is_killed_and_its_late_answer_read_off() {
+    let w = World::start();
+    let mut c = w.client();
+    c.ask(1, 0x77, 2_000);
+    let first = w.cache.pull();
+    c.write(b"\x93\x02\xadcancelRequest\x91\x01");
+    assert_eq!(w.cache.next().line, format!("KILL {}", first.name()));
+    first.answer("ACK", "how=HIT,entity=t1,issued=1", b"late");
+    c.ask(2, 0x78, 2_000);
+    let second = w.cache.pull();
+    assert_eq!(second.connection, first.connection, "the connection goes on");
+    second.answer("ACK", "how=HIT,entity=t1,issued=1", b"own");
+    c.satisfied(2, b"own");
+    // A client that leaves gives all up.
+    c.ask(3, 0x79, 2_000);
+    let third = w.cache.pull();
+    drop(c);
+    assert_eq!(w.cache.next().line, format!("KILL {}", third.name()));
+    let counters = w.reported();
+    assert_eq!((counters["cancelled"], counters["satisfied"], counters["called_off"]), (2, 1, 2));
+}
+
+#[test]
+fn a_node_that_breaks_off_or_babbles_loses_its_connection_alone() {
+    type Fault = fn(&Told);
+    let cases: [(&str, Fault); 6] = [
+        ("reset", |t| t.stream.shutdown(Shutdown::Both).expect("shut")),
+        ("no answer", |t| t.write(b"what is this\r\n")),
+        ("endless line", |t| t.write(&[b'x'; 5_000])),
+        ("too long", |t| t.write(format!("{} ACK - 240001\r\n", t.name()).as_bytes())),
+        ("wrong length", |t| t.write(format!("{} ACK - 2\r\nlonger\r\n", t.name()).as_bytes())),
+        ("cut short", |t| {
+            t.write(format!("{} ACK entity=t1 9\r\nhalf", t.name()).as_bytes());
+            t.stream.shutdown(Shutdown::Both).expect("shut");
+        }),
+    ];
+    for (name, fault) in cases {
+        let w = World::start();
+        let mut c = w.client();
+        c.ask(1, 0x77, 2_000);
+        let first = w.cache.pull();
+        fault(&first);
+        let again = loop {
+            let told = w.cache.next();
+            if told.line.starts_with("PULL ") {
+                break told;
+            }
+        };
+        assert_ne!(again.connection, first.connection, "{name}");
+        again.answer("ACK", "how=HIT,entity=t1,issued=1", b"whole");
+        c.satisfied(1, b"whole");
+        assert_eq!(w.reported()["broken"], 1, "{name}");
+    }
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_ran() {
+    let nobody = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("bound").to_string();
+    let w = World::with(|config| {
+        let at = config.find("\"cache-a\", \"address\": \"").expect("named") + 23;
+        let end = at + config[at..].find('"').expect("ends");
+        format!("{}{nobody}{}", &config[..at], &config[end..])
+    });
+    let mut c = w.client();
+    c.ask(1, 0x77, 2_000);
+    let pull = w.parent.pull();
+    assert_eq!(pull.field("miss"), Some("origin"));
+    pull.answer("ACK", "how=HIT,entity=t1,issued=1", b"from the parent");
+    c.satisfied(1, b"from the parent");
+    assert_eq!(w.reported()["unconnected"], 1);
+}
+
+#[test]
+fn bad_clients_harm_themselves_alone() {
+    // Caches enough that the module takes all that a client may open.
+    let w = World::with(|config| {
+        let cache = config.lines().find(|l| l.contains("cache-a")).expect("listed").to_owned();
+        let more: String =
+            ["b", "c", "d", "e"].map(|n| cache.replace("cache-a", &format!("cache-{n}"))).concat();
+        config.replace(&cache, &(cache.clone() + &more))
+    });
+    let mut good = w.client();
+    let garbage: [&[u8]; 3] =
+        [b"GET / HTTP/1.1\r\n\r\n", &[0xc1], &[0x94, 0, 1, 0xc6, 0xff, 0xff, 0xff, 0xff]];
+    for bytes in garbage {
+        let mut bad = w.client();
+        bad.write(bytes);
+        bad.closed();
+    }
+    let mut bad = w.client();
+    bad.write(b"\x94\x00\x05\xa5other\x92\x80\xc4\x00");
+    assert_eq!(bad.answer(), (5, Answer::Error("Failed".into(), vec![])));
+    // Fields cut short, then nothing: others go on.
+    bad.write(&[0x94, 0, 6, 0xa7]);
+    assert!(good.alive());
+    for call in 1..=32 {
+        good.ask(call, u64::from(call), 3_000);
+    }
+    good.ask(33, 33, 3_000);
+    assert_eq!(good.nacked(), 33, "too many open");
+    // The same number again: two answers could not be told apart.
+    good.ask(32, 34, 3_000);
+    good.closed();
+    assert!(w.client().alive());
+    let counters = w.reported();
+    assert_eq!((counters["cancelled"], counters["crowded"], counters["unfit"]), (32, 1, 1));
+}
+
+#[test]
+fn a_client_that_does_not_read_delays_nobody() {
+    let w = World::start();
+    let (mut slow, mut quick) = (w.client(), w.client());
+    let body = vec![7; 240_000];
+    for call in 1..=30 {
+        slow.ask(call, u64::from(call), 3_000);
+        w.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", &body);
+    }
+    let start = Instant::now();
+    quick.ask(1, 0x99, 2_000);
+    w.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"quick");
+    quick.satisfied(1, b"quick");
+    assert!(start.elapsed() < Duration::from_millis(500), "{:?}", start.elapsed());
+    // What it takes in time is whole, in whatever order it comes.
+    for _ in 0..2 {
+        assert!(slow.answer().1 == Answer::Satisfied(body.clone(), vec![]));
+    }
+}
+
+#[test]
+fn the_feed_is_taken_up_where_it_broke_off() {
+    let w = World::start();
+    let (last, stream) = w.feed.call();
+    assert_eq!(last, 1, "after what was known at the start");
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    let purge = |n: u64| format!("{{\"n\":{n},\"purge\":{{\"group\":17,\"at\":{}}}}}", now.as_millis());
+    tell(&stream, 2, &purge(2));
+    tell(&stream, 2, &purge(2));
+    tell(&stream, 3, "{\"n\":3,\"odd\":{}}");
+    w.logged("feed skipped n=3");
+    let mut c = w.client();
+    c.ask(1, 0x77, 2_000);
+    let pull = w.cache.pull();
+    let within: u64 = pull.field("within").and_then(|w| w.parse().ok()).expect("an age");
+    assert!(within <= now.as_millis() as u64, "no copy from before the purge: {within}");
+    pull.answer("ACK", "how=MISS,entity=t1,issued=1", b"new");
+    c.satisfied(1, b"new");
+    // Number 4 is missing: it is asked for.
+    tell(&stream, 5, &purge(5));
+    let (last, stream) = w.feed.call();
+    assert_eq!(last, 3);
+    tell(&stream, 4, &member(4, "cache-a", w.cache.address, "draining"));
+    drop(stream);
+    let (last, stream) = w.feed.call();
+    assert_eq!(last, 4);
+    c.ask(2, 0x78, 2_000);
+    assert!(w.parent.pull().line.contains("key=0000000000000078"), "nothing goes to what drains");
+    w.cache.quiet();
+    // The same gap twice: the missing ones are not to be had.
+    tell(&stream, 6, &purge(6));
+    let (last, stream) = w.feed.call();
+    assert_eq!(last, 4);
+    tell(&stream, 6, &purge(6));
+    tell(&stream, 7, "no JSON");
+    w.logged("feed skipped n=7");
+    let counters = w.reported();
+    assert_eq!((counters["facts"], counters["feed_gaps"], counters["feed_skipped"]), (4, 2, 2));
+}
+
+#[test]
+fn a_new_node_at_an_old_address_gets_no_old_connection() {
+    let w = World::start();
+    let (_, stream) = w.feed.call();
+    let mut c = w.client();
+    c.ask(1, 0x77, 2_000);
+    let old = w.cache.pull();
+    old.answer("ACK", "how=HIT,entity=t1,issued=1", b"old");
+    c.satisfied(1, b"old");
+    tell(&stream, 2, &member(2, "cache-a", w.cache.address, "gone"));
+    assert_eq!(w.cache.next().line, "closed");
+    tell(&stream, 3, &member(3, "cache-b", w.cache.address, "ready"));
+    w.told(3);
+    c.ask(2, 0x78, 2_000);
+    let new = w.cache.pull();
+    assert_ne!(new.connection, old.connection);
+    new.answer("ACK", "how=HIT,entity=t1,issued=1", b"new");
+    c.satisfied(2, b"new");
+}
+
+#[test]
+fn a_signal_to_stop_lets_all_that_is_open_end() {
+    let mut w = World::start();
+    let mut c = w.client();
+    c.ask(1, 0x77, 2_500);
+    let open = w.cache.pull();
+    w.signal("TERM");
+    w.logged("stopping in_hand=1");
+    let mut late = w.client();
+    assert!(!late.alive(), "the front need not send here any more");
+    late.ask(2, 0x78, 2_000);
+    w.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"late");
+    late.satisfied(2, b"late");
+    thread::sleep(Duration::from_millis(900));
+    assert_eq!(w.child.try_wait().expect("asked"), None, "a lookup is open");
+    open.answer("ACK", "how=HIT,entity=t1,issued=1", b"open");
+    c.satisfied(1, b"open");
+    c.closed();
+    let counters = w.counters();
+    assert_eq!((counters["taken"], counters["satisfied"], counters["in_hand"]), (2, 2, 0));
+    assert!(w.child.wait().expect("ends").success());
+}
+
+#[test]
+fn a_start_that_cannot_be_ends_with_one_line() {
+    let path = std::env::temp_dir().join(format!("sablecross-{}-bad.json", std::process::id()));
+    std::fs::write(&path, SAMPLE.replace("\"snapshot\": true", "\"snapshot\": 7")).expect("written");
+    let cases = [
+        (None, "NODE_CONFIG: not set"),
+        (Some("/nowhere".into()), "NODE_CONFIG: /nowhere"),
+        (Some(path.clone()), "known.events: event 1"),
+    ];
+    for (config, words) in cases {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sablecross-director"));
+        command.env_remove("NODE_CONFIG");
+        config.map(|c| command.env("NODE_CONFIG", c));
+        let out = command.output().expect("runs");
+        let err = String::from_utf8_lossy(&out.stderr);
+        assert!(!out.status.success() && err.contains(words) && err.lines().count() == 1, "{words}: {err}");
+    }
+    std::fs::remove_file(path).expect("removed");
+}
--- a/crates/inhand/src/hand.rs
+++ b/crates/inhand/src/hand.rs
@@ -17,6 +17,17 @@
     fn dropped(&mut self, id: u64);
 }
 
+/// How a send ended.
+#[derive(Clone, Copy, Debug)]
+pub struct End {
+    pub outcome: Outcome,
+    pub took: Ns,
+    /// Whether it came from a copy, where that is told.
+    pub hit: Option<bool>,
+    /// With this send, or before, the lookup ended.
+    pub over: bool,
+}
+
 struct Held {
     lookup: Lookup,
     ended: bool,
@@ -60,25 +71,13 @@
         self.held.get(&id).is_some_and(|h| !h.ended)
     }
 
-    /// A send has ended; `over`: and with it, or before, the lookup.
-    #[allow(clippy::too_many_arguments)]
-    pub fn ended(
-        &mut self,
-        id: u64,
-        shot: usize,
-        outcome: Outcome,
-        took: Ns,
-        hit: Option<bool>,
-        over: bool,
-        now: Ns,
-        to: &mut impl Carrier,
-    ) {
+    pub fn ended(&mut self, id: u64, shot: usize, end: End, now: Ns, to: &mut impl Carrier) {
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(sent) = held.lookup.sends.get_mut(shot) else { return };
-        sent.result = Some(outcome);
-        let next = self.choice.after(now, &held.lookup, shot, took, hit);
+        sent.result = Some(end.outcome);
+        let next = self.choice.after(now, &held.lookup, shot, end.took, end.hit);
         let ended = held.ended;
-        held.ended |= over;
+        held.ended |= end.over;
         match next {
             Next::Done { call_off } if call_off && !ended => {
                 for (i, s) in held.lookup.sends.iter().enumerate() {
--- a/crates/inhand/src/lib.rs
+++ b/crates/inhand/src/lib.rs
@@ -3,4 +3,4 @@
 mod hand;
 pub mod settings;
 
-pub use hand::{Carrier, Hand};
+pub use hand::{Carrier, End, Hand};
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use sablecross::{Choice, Listed, Load, Lookup, Ns, Outcome, Send, State};
-use sablecross_inhand::{Carrier, Hand, settings};
+use sablecross_inhand::{Carrier, End, Hand, settings};
 
 use crate::codec::{Address, Reader, Reply, Result};
 
@@ -114,7 +114,7 @@
             self.hand.choice.reported(now, node, load);
         }
         let mut to = Actions { director, addresses: &self.addresses, reply };
-        self.hand.ended(u64::from(txn), shot, outcome, took, hit, over, now, &mut to);
+        self.hand.ended(u64::from(txn), shot, End { outcome, took, hit, over }, now, &mut to);
         Ok(())
     }
 }
