--- a/crates/director/src/life/counters.rs
+++ b/crates/director/src/life/counters.rs
@@ -119,3 +119,13 @@
         )
     }
 }
+
+/// Threads and the most memory used so far, where the system tells.
+pub fn usage() -> String {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let of = |key: &str, name: &str| {
+        let line = status.lines().find_map(|l| l.strip_prefix(key))?;
+        Some(format!(" {name}={}", line.split_whitespace().next()?))
+    };
+    [of("Threads:", "threads"), of("VmHWM:", "memory_peak_kb")].into_iter().flatten().collect()
+}
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -11,7 +11,7 @@
 use sablecross_inhand::{Carrier, End, Hand};
 
 use crate::exchange::{Asked, Client, Ended, Event, Link};
-use crate::life::counters::{Counters, Shared};
+use crate::life::counters::{self, Counters, Shared};
 use crate::life::{Clock, limits::Limits};
 use crate::wire::clients::{Reply, Say};
 use crate::wire::feed::Fact;
@@ -119,7 +119,8 @@
         kept.before.extend(link.ok());
         match link {
             Ok(_) => self.timers.push(Reverse((self.now + send.time_out, Timer::TimeOut { id, shot }))),
-            Err(outcome) => self.end(id, shot, outcome, 0),
+            // It never went out: that it came back at once tells nothing of how quick its node is.
+            Err(outcome) => self.end(id, shot, outcome, Ns::MAX),
         }
     }
 
@@ -212,7 +213,7 @@
         f.counters.in_hand = f.kept.values().filter(|k| !k.answered).count() as u64;
         (f.counters.links, f.counters.links_open) = (f.nodes.opened(), f.nodes.open() as u64);
         f.counters.clients_open = f.callers.len() as u64;
-        log::info!("counters {} {}", f.counters, self.shared);
+        log::info!("counters {} {}{}", f.counters, self.shared, counters::usage());
     }
 
     /// Timers whose time has come.
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -109,6 +109,7 @@
         };
         let node = *self.numbers.entry(m.name.clone()).or_insert(self.pools.len());
         if node == self.pools.len() {
+            log::info!("node {node} is {}", m.name);
             let (name, links) = (m.name.clone(), Vec::new());
             self.pools.push(Pool { name, address: m.address, state: m.state, links });
         } else if self.pools[node].address != m.address {
--- a/crates/director/tests/sockets.rs
+++ b/crates/director/tests/sockets.rs
@@ -360,8 +360,17 @@
     assert!([first.connection, second.connection].contains(&third.connection), "idle ones are used again");
     third.answer("ACK", "how=HIT,entity=t1,issued=1", b"");
     c.satisfied(3, b"");
+    // The very tag of the client's copy is as good; a copy unchanged that it does not hold is no answer.
+    c.ask_with(4, 0x7a, 2_000, &[("ver", "t4")]);
+    w.cache.pull().answer("ACK", "how=HIT,entity=t4,issued=1", b"not sent");
+    assert_eq!(c.answer(), (4, Answer::Satisfied(vec![], vec![("unchanged".into(), "1".into())])));
+    c.ask(5, 0x7b, 2_000);
+    w.cache.pull().answer("NOMOD", "how=HIT,entity=t5,issued=1", b"");
+    w.cache.pull().answer("ACK", "how=HIT,entity=t5,issued=1", b"whole");
+    c.satisfied(5, b"whole");
     let counters = w.reported();
-    assert_eq!((counters["satisfied"], counters["unchanged"], counters["links"]), (3, 1, 2));
+    assert_eq!((counters["satisfied"], counters["unchanged"], counters["links"]), (5, 2, 2));
+    assert_eq!((counters["ok"], counters["error"]), (5, 1));
 }
 
 #[test]
@@ -433,7 +442,8 @@
 #[test]
 fn a_node_that_breaks_off_or_babbles_loses_its_connection_alone() {
     type Fault = fn(&Told);
-    let cases: [(&str, Fault); 6] = [
+    let cases: [(&str, Fault); 7] = [
+        ("nobody's answer", |t| t.write(b"0123456789abcdef ACK - x\r\n")),
         ("reset", |t| t.stream.shutdown(Shutdown::Both).expect("shut")),
         ("no answer", |t| t.write(b"what is this\r\n")),
         ("endless line", |t| t.write(&[b'x'; 5_000])),
@@ -516,6 +526,41 @@
     assert_eq!((counters["cancelled"], counters["crowded"], counters["unfit"]), (32, 1, 1));
 }
 
+#[test]
+fn half_messages_and_connections_are_bounded() {
+    // Room for 2 MB of bodies and for 29 clients.
+    let w = World::with(|c| {
+        c.replace("\"memory_mb\": 192", "\"memory_mb\": 8").replace("\"sockets\": 1024", "\"sockets\": 64")
+    });
+    let mut good = w.client();
+    assert!(good.alive());
+    let half =
+        [&[0x94, 0, 1, 0xa7][..], b"footage", &[0x92, 0x80, 0xc6, 0, 3, 0xa9, 0x80], &[0; 200_000]].concat();
+    let mut halves: Vec<Client> = (0..20).map(|_| w.client()).collect();
+    // Those for which there is no room are closed under the writer.
+    halves.iter_mut().for_each(|c| drop(c.0.write_all(&half)));
+    let start = Instant::now();
+    let closed = loop {
+        let closed = w.reported()["bad_messages"];
+        if closed >= 12 || start.elapsed() > LONG {
+            break closed;
+        }
+        thread::sleep(Duration::from_millis(5));
+    };
+    assert!((12..20).contains(&closed), "{closed} of 20 closed");
+    drop(halves);
+    let crowd: Vec<Client> = (0..40).map(|_| w.client()).collect();
+    let start = Instant::now();
+    while w.reported()["turned_away"] == 0 {
+        assert!(start.elapsed() < LONG);
+        thread::sleep(Duration::from_millis(5));
+    }
+    drop(crowd);
+    good.ask(1, 0x77, 2_000);
+    w.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"served");
+    good.satisfied(1, b"served");
+}
+
 #[test]
 fn a_client_that_does_not_read_delays_nobody() {
     let w = World::start();
