--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -89,7 +89,7 @@
         room: Arc::clone(&room),
         events: events.clone(),
         gap: None,
-        up: false,
+        up: true,
     };
     vital("feed", limits.feed_stack, Box::new(move || follower.follow()))?;
     let listener = TcpListener::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
--- a/crates/director/tests/codec.rs
+++ b/crates/director/tests/codec.rs
@@ -1,13 +1,18 @@
 //! Tables of what is read and written, without sockets.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
 
-use sablecross::{Outcome, Send};
+use sablecross::{Choice, Lookup, Outcome, Route, Send, Settings, State};
 use sablecross_director::exchange::Asked;
+use sablecross_director::life::Clock;
 use sablecross_director::life::config::{Config, Names};
 use sablecross_director::life::limits::Limits;
 use sablecross_director::memory::bodies::Room;
+use sablecross_director::wire::feed::Member;
 use sablecross_director::wire::lines;
+use sablecross_director::wire::nodes::{Links, Nodes};
 use sablecross_director::wire::rpc::{self, Fields, Flaw, Message};
 
 const SAMPLE: &str = include_str!("../../../deploy/sample.json");
@@ -224,6 +229,57 @@
     assert_eq!(lines::kill(b"9b1f03aa5c7e2d41"), b"KILL 9b1f03aa5c7e2d41\r\n");
 }
 
+/// Where a director sends each of these objects, and from where they are filled, by name; its list comes in
+/// this order, at addresses of its own.
+fn homes(number: usize, order: impl Iterator<Item = usize>) -> Vec<(String, String)> {
+    let config = Config::parse(SAMPLE).expect("the sample is good");
+    let clock = Clock::start();
+    let (events, _) = crossbeam_channel::bounded(1);
+    let shared = Links { limits: limits(), clock, counters: Arc::default(), room: Room::of(100), events };
+    let mut nodes = Nodes::new(Arc::new(shared), config.names);
+    let member = |i: usize| Member {
+        name: format!("s-{:08x}", i * 0x0135_79bd),
+        address: SocketAddr::from(([127, number as u8, 0, i as u8], 10_080)),
+        zone: if i < 6 { "edge" } else { "hub" }.into(),
+        kind: if i < 6 { "small" } else { "parent" }.into(),
+        cell: i,
+        state: State::Ready,
+        started: 0,
+    };
+    let members: Vec<Member> = order.map(member).collect();
+    let mut choice = Choice::new(Settings { number, ..config.settings }, number as u64, clock.now());
+    let now = clock.now();
+    choice.listed(now, &nodes.listed(&members, true), true);
+    let home = |object| {
+        let lookup = Lookup {
+            object,
+            part: 0,
+            group: 0,
+            kind: 0,
+            size_kb: 10.0,
+            arrived: now,
+            deadline: now + 3_000_000_000,
+            repeat: false,
+            write: false,
+            sends: Vec::new(),
+        };
+        let Route::Send(send) = choice.route(now, &lookup) else { panic!("not sent") };
+        let name = |node| nodes.name(node).to_owned();
+        (name(send.node), send.source.map(name).unwrap_or_default())
+    };
+    (0..40).map(home).collect()
+}
+
+#[test]
+fn directors_and_restarts_agree_on_homes_whatever_the_addresses() {
+    let one = homes(1, 0..9);
+    for (number, order) in [(2, vec![8, 7, 6, 5, 4, 3, 2, 1, 0]), (3, vec![4, 0, 8, 2, 6, 1, 5, 3, 7])] {
+        assert_eq!(homes(number, order.into_iter()), one, "director {number}");
+    }
+    let used: HashSet<&String> = one.iter().flat_map(|(home, source)| [home, source]).collect();
+    assert_eq!(used.len(), 9, "all caches and parents have their part");
+}
+
 #[test]
 fn bodies_in_hand_are_bounded() {
     let room = Room::of(10);
