Answers without a deadline have a second; feed tested with errors, chunks and silence

A client that reads nothing could hold the writer of an alive answer for ever, and with it the end after SIGTERM (memory/desk.rs, Ns::MAX as the time to write by); such answers have one second now.

--- a/crates/director/src/life/limits.rs
+++ b/crates/director/src/life/limits.rs
@@ -35,6 +35,8 @@
     /// An answer is decided this much before its client gives up.
     pub margin: Ns,
     pub longest_budget: Ns,
+    /// The time that an answer without a deadline has to be written.
+    pub undated: Ns,
     /// Silence of the feed that is a dead link, and the pause after a failed call.
     pub feed_silence: Duration,
     pub feed_pause: Duration,
@@ -67,6 +69,7 @@
             idle: keepalive * 4 / 5,
             margin: 20 * MS,
             longest_budget: 600_000 * MS,
+            undated: 1_000 * MS,
             feed_silence: Duration::from_secs(3),
             feed_pause: Duration::from_millis(100),
             stopping: 700 * MS,
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -257,7 +257,7 @@
             Event::Unfit { client, call, crowded } => self.unfit(client, call, crowded),
             Event::Alive { client, call } => {
                 let alive = Say::Alive(self.ready && self.stopped.is_none());
-                self.floor.tell(client, call, Ns::MAX, alive);
+                self.floor.tell(client, call, now + self.floor.limits.undated, alive);
             }
             Event::Cancelled { client, call } => {
                 let id = self.floor.callers.get_mut(&client).and_then(|c| c.calls.remove(&call));
@@ -357,7 +357,8 @@
         };
         // A call that is open keeps its own answer.
         if self.floor.callers.get(&client).is_some_and(|c| !c.calls.contains_key(&call)) {
-            self.floor.tell(client, call, Ns::MAX, say);
+            let until = self.floor.now + self.floor.limits.undated;
+            self.floor.tell(client, call, until, say);
         }
     }
 
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -1,7 +1,7 @@
 //! The node side: a small pool of connections to each node, opened when they are wanted. The desk's thread
 //! holds the pools; a writer and a reader serve each connection, and no call here waits for a socket.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::IoSlice;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -54,7 +54,6 @@
 struct Pool {
     name: String,
     address: SocketAddr,
-    state: State,
     links: Vec<Link>,
 }
 
@@ -89,12 +88,9 @@
     /// to director, and a new node may have the address of one that has gone.
     pub fn listed(&mut self, members: &[Member], whole: bool) -> Vec<Listed> {
         let lines: Vec<Listed> = members.iter().filter_map(|m| self.line(m)).collect();
-        let named: HashSet<usize> = lines.iter().map(|l| l.node).collect();
+        let states: HashMap<usize, State> = lines.iter().map(|l| (l.node, l.state)).collect();
         for node in 0..self.pools.len() {
-            if whole && !named.contains(&node) {
-                self.pools[node].state = State::Gone;
-            }
-            if self.pools[node].state == State::Gone {
+            if states.get(&node).map_or(whole, |s| *s == State::Gone) {
                 self.retire_all(node);
             }
         }
@@ -111,12 +107,11 @@
         if node == self.pools.len() {
             log::info!("node {node} is {}", m.name);
             let (name, links) = (m.name.clone(), Vec::new());
-            self.pools.push(Pool { name, address: m.address, state: m.state, links });
+            self.pools.push(Pool { name, address: m.address, links });
         } else if self.pools[node].address != m.address {
             self.retire_all(node);
         }
-        let pool = &mut self.pools[node];
-        (pool.address, pool.state) = (m.address, m.state);
+        self.pools[node].address = m.address;
         Some(Listed {
             node,
             rank: rank(&m.name),
--- a/crates/director/tests/sockets.rs
+++ b/crates/director/tests/sockets.rs
@@ -102,6 +102,11 @@
 impl Feed {
     /// Takes the next call; the number after which it wants events.
     fn call(&self) -> (u64, TcpStream) {
+        self.answered("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+    }
+
+    /// The same, with this head for an answer.
+    fn answered(&self, head: &str) -> (u64, TcpStream) {
         let (stream, _) = self.0.accept().expect("called");
         let mut reader = BufReader::new(&stream);
         let mut last = None;
@@ -115,7 +120,7 @@
                 break;
             }
         }
-        (&stream).write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n").expect("written");
+        (&stream).write_all(head.as_bytes()).expect("written");
         (last.expect("a number"), stream)
     }
 }
@@ -623,6 +628,31 @@
     assert_eq!((counters["facts"], counters["feed_gaps"], counters["feed_skipped"]), (4, 2, 2));
 }
 
+#[test]
+fn the_feed_is_called_again_after_errors_and_silence() {
+    let w = World::start();
+    w.feed.answered("HTTP/1.1 503 Busy\r\n\r\n");
+    w.feed.answered("what is this\r\n\r\n");
+    // In chunks that are cut anywhere.
+    let (_, stream) = w.feed.answered("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let event = format!("id: 2\r\ndata: {}\r\n\r\n", member(2, "cache-a", w.cache.address, "draining"));
+    let (one, two) = event.split_at(30);
+    for part in [one, two] {
+        let cut = format!("{:x}\r\n{part}\r\n", part.len());
+        for bytes in cut.as_bytes().chunks(7) {
+            (&stream).write_all(bytes).expect("written");
+        }
+    }
+    w.told(2);
+    // Silence, on a connection that is up: the link is dead.
+    let start = Instant::now();
+    let (last, stream) = w.feed.call();
+    assert_eq!(last, 2);
+    assert!((2..5).contains(&start.elapsed().as_secs()), "{:?}", start.elapsed());
+    tell(&stream, 3, &member(3, "cache-a", w.cache.address, "ready"));
+    w.told(3);
+}
+
 #[test]
 fn a_new_node_at_an_old_address_gets_no_old_connection() {
     let w = World::start();
