--- a/crates/director/src/life/limits.rs
+++ b/crates/director/src/life/limits.rs
@@ -50,7 +50,7 @@
     pub fn of(sockets: usize, memory_mb: usize, dial: Ns, keepalive: Ns) -> Limits {
         Limits {
             clients: sockets / 3 + 8,
-            links: sockets / 2,
+            links: (sockets / 2).saturating_sub(16).max(4),
             links_a_node: (sockets / 16).max(4),
             open_a_client: 32,
             open_a_link: 32,
