A number that is open on a connection ends it, also with alive and unfit calls

Seen on reading: an alive call with the number of an open lookup took that number off the list of open ones (memory/desk.rs, tell), so a later cancel was lost and two answers with one number went out. One check serves all three kinds of calls now; the test asks both ways.

--- a/crates/director/src/life/limits.rs
+++ b/crates/director/src/life/limits.rs
@@ -42,6 +42,8 @@
     pub feed_pause: Duration,
     /// After the signal to stop: how long new lookups come still, and the time for last bytes to leave.
     pub stopping: Ns,
+    /// How often it is looked then whether all has been written.
+    pub stop_poll: Ns,
     pub last_bytes: Duration,
 }
 
@@ -73,6 +75,7 @@
             feed_silence: Duration::from_secs(3),
             feed_pause: Duration::from_millis(100),
             stopping: 700 * MS,
+            stop_poll: 10 * MS,
             last_bytes: Duration::from_millis(50),
         }
     }
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -70,6 +70,18 @@
         self.ends.push_back((id, shot, End { outcome, took, hit: None, over: false }));
     }
 
+    /// Whether its connection is still there, and this number not open on it: two answers with one number could
+    /// not be told apart, so that ends the connection.
+    fn new_call(&mut self, client: Client, call: u32) -> bool {
+        let Some(caller) = self.callers.get(&client) else { return false };
+        let open = caller.calls.contains_key(&call);
+        if open {
+            log::debug!("client {client}: call {call} is open already");
+            let _ = caller.stream.shutdown(Shutdown::Both);
+        }
+        !open
+    }
+
     fn tell(&mut self, client: Client, call: u32, until: Ns, say: Say) {
         let Some(caller) = self.callers.get_mut(&client) else { return };
         caller.calls.remove(&call);
@@ -177,7 +189,11 @@
                 return Ok(());
             }
             let next = self.floor.timers.peek().map_or(Ns::MAX, |Reverse((when, _))| *when);
-            let next = if self.stopped.is_some() { next.min(self.floor.now + 10_000_000) } else { next };
+            let next = if self.stopped.is_some() {
+                next.min(self.floor.now + self.floor.limits.stop_poll)
+            } else {
+                next
+            };
             let event = if next == Ns::MAX {
                 events.recv().map_err(|_| RecvTimeoutError::Disconnected)
             } else {
@@ -254,11 +270,14 @@
                 self.floor.callers.insert(client, Caller { replies, stream, calls: HashMap::new() });
             }
             Event::Asked(asked) => self.asked(asked),
-            Event::Unfit { client, call, crowded } => self.unfit(client, call, crowded),
-            Event::Alive { client, call } => {
+            Event::Unfit { client, call, crowded } if self.floor.new_call(client, call) => {
+                self.unfit(client, call, crowded);
+            }
+            Event::Alive { client, call } if self.floor.new_call(client, call) => {
                 let alive = Say::Alive(self.ready && self.stopped.is_none());
                 self.floor.tell(client, call, now + self.floor.limits.undated, alive);
             }
+            Event::Alive { .. } | Event::Unfit { .. } => {}
             Event::Cancelled { client, call } => {
                 let id = self.floor.callers.get_mut(&client).and_then(|c| c.calls.remove(&call));
                 if let Some(id) = id {
@@ -311,15 +330,11 @@
 
     fn asked(&mut self, asked: Box<Asked>) {
         let (client, call, f) = (asked.client, asked.call, &mut self.floor);
-        // Its connection may have ended meanwhile.
-        let Some(caller) = f.callers.get_mut(&client) else { return };
-        if caller.calls.contains_key(&call) {
-            log::debug!("client {client}: call {call} is open already");
-            let _ = caller.stream.shutdown(Shutdown::Both);
+        if !f.new_call(client, call) {
             return;
         }
-        let open = caller.calls.len();
-        if open >= f.limits.open_a_client || f.kept.len() >= f.limits.lookups {
+        let Some(caller) = f.callers.get_mut(&client) else { return };
+        if caller.calls.len() >= f.limits.open_a_client || f.kept.len() >= f.limits.lookups {
             return self.unfit(client, call, true);
         }
         let id = self.next;
@@ -355,11 +370,8 @@
             c.failed += 1;
             Say::Failed
         };
-        // A call that is open keeps its own answer.
-        if self.floor.callers.get(&client).is_some_and(|c| !c.calls.contains_key(&call)) {
-            let until = self.floor.now + self.floor.limits.undated;
-            self.floor.tell(client, call, until, say);
-        }
+        let until = self.floor.now + self.floor.limits.undated;
+        self.floor.tell(client, call, until, say);
     }
 
     fn cancelled(&mut self, id: u64) {
--- a/crates/director/tests/sockets.rs
+++ b/crates/director/tests/sockets.rs
@@ -528,9 +528,15 @@
     // The same number again: two answers could not be told apart.
     good.ask(32, 34, 3_000);
     good.closed();
+    for again in [&b"\x94\x00\x01\xa5alive\x91\x80"[..], b"\x94\x00\x01\xa5other\x91\x80"] {
+        let mut c = w.client();
+        c.ask(1, 0x99, 3_000);
+        c.write(again);
+        c.closed();
+    }
     assert!(w.client().alive());
     let counters = w.reported();
-    assert_eq!((counters["cancelled"], counters["crowded"], counters["unfit"]), (32, 1, 1));
+    assert_eq!((counters["cancelled"], counters["crowded"], counters["unfit"]), (34, 1, 1));
 }
 
 #[test]
