--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -1,4 +1,5 @@
-//! The real director: sockets round the decision module. `wire` speaks, `memory` keeps, `life` starts and stops.
+//! The real director: sockets round the decision module. `wire` speaks, `memory` keeps, `life` starts and
+//! stops.
 
 pub mod exchange;
 pub mod life;
--- a/crates/director/src/life/counters.rs
+++ b/crates/director/src/life/counters.rs
@@ -74,10 +74,10 @@
         let [ok, error, full, timed_out, unconnected, broken, called_off, never_sent, miss] = self.ends;
         write!(
             f,
-            "taken={} satisfied={} nacked={} failed={} cancelled={} in_hand={} unchanged={} crowded={} unfit={} \
-             sends={} further={} ok={ok} miss={miss} full={full} error={error} timed_out={timed_out} \
-             unconnected={unconnected} broken={broken} called_off={called_off} never_sent={never_sent} \
-             late={} links={} links_open={} clients={} clients_open={} facts={}",
+            "taken={} satisfied={} nacked={} failed={} cancelled={} in_hand={} unchanged={} crowded={} \
+             unfit={} sends={} further={} ok={ok} miss={miss} full={full} error={error} \
+             timed_out={timed_out} unconnected={unconnected} broken={broken} called_off={called_off} \
+             never_sent={never_sent} late={} links={} links_open={} clients={} clients_open={} facts={}",
             self.taken,
             self.satisfied,
             self.nacked,
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -70,8 +70,8 @@
         self.ends.push_back((id, shot, End { outcome, took, hit: None, over: false }));
     }
 
-    /// Whether its connection is still there, and this number not open on it: two answers with one number could
-    /// not be told apart, so that ends the connection.
+    /// Whether its connection is still there, and this number not open on it: two answers with one number
+    /// could not be told apart, so that ends the connection.
     fn new_call(&mut self, client: Client, call: u32) -> bool {
         let Some(caller) = self.callers.get(&client) else { return false };
         let open = caller.calls.contains_key(&call);
@@ -180,7 +180,7 @@
         Desk { hand: Hand::new(choice), floor, clock, shared, next: 0, ready: false, stopped: None }
     }
 
-    /// Serves until it was told to stop and nothing is open; an error is the end of a thread that must not end.
+    /// Serves until it was told to stop and nothing is open. A vital thread that ends is an error.
     pub fn serve(&mut self, events: &Receiver<Event>) -> Result<(), String> {
         loop {
             self.floor.now = self.clock.now();
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -84,8 +84,8 @@
         self.pools.get(node).map_or("", |p| &p.name)
     }
 
-    /// Lines of the list as the module reads them. A node is known by its name: addresses differ from director
-    /// to director, and a new node may have the address of one that has gone.
+    /// Lines of the list as the module reads them. A node is known by its name: addresses differ from
+    /// director to director, and a new node may have the address of one that has gone.
     pub fn listed(&mut self, members: &[Member], whole: bool) -> Vec<Listed> {
         let lines: Vec<Listed> = members.iter().filter_map(|m| self.line(m)).collect();
         let states: HashMap<usize, State> = lines.iter().map(|l| (l.node, l.state)).collect();
@@ -147,8 +147,8 @@
         Some(open)
     }
 
-    /// Writes a send to a connection of its node; else the outcome that this stands for.
-    /// One that carried this lookup before is left out: a late answer could be taken for that of this send.
+    /// Writes a send to a connection of its node; else the outcome that this stands for. One that carried
+    /// this lookup before is left out: a late answer could be taken for that of this send.
     pub fn pull(
         &mut self,
         out: Out,
