--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -10,18 +10,22 @@
 use std::sync::atomic::AtomicUsize;
 use std::{io, thread};
 
-use crossbeam_channel::{Sender, bounded};
+use crossbeam_channel::{Receiver, Sender, bounded};
 use sablecross::Choice;
 use signal_hook::consts::{SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
+use config::{Config, Names};
+use counters::Shared;
+use limits::Limits;
+
 pub use clock::Clock;
 
 use crate::exchange::Event;
 use crate::memory::{bodies::Room, desk::Desk};
-use crate::wire::clients::{self, Clients};
+use crate::wire::clients;
 use crate::wire::feed::Follower;
-use crate::wire::nodes::{Links, Nodes};
+use crate::wire::nodes::Nodes;
 
 /// A named thread with a small stack.
 pub fn thread(name: &str, stack: usize, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
@@ -37,30 +41,47 @@
     }
 }
 
+/// What all threads have in common.
+pub struct Common {
+    pub names: Names,
+    pub limits: Limits,
+    pub clock: Clock,
+    pub counters: Shared,
+    pub room: Arc<Room>,
+    pub events: Sender<Event>,
+    /// Answers that no writer has done with.
+    pub unwritten: AtomicUsize,
+}
+
+impl Common {
+    /// With the other end of the queue to the desk.
+    pub fn new(names: Names, limits: Limits) -> (Arc<Common>, Receiver<Event>) {
+        let (events, to_desk) = bounded(limits.events);
+        let common = Common {
+            names,
+            clock: Clock::start(),
+            counters: Shared::default(),
+            room: Room::of(limits.bodies),
+            events,
+            unwritten: AtomicUsize::new(0),
+            limits,
+        };
+        (Arc::new(common), to_desk)
+    }
+}
+
 /// A whole life, from the configuration to the last answer.
 pub fn run() -> Result<(), String> {
-    let config = config::Config::load()?;
-    let clock = Clock::start();
-    let limits = config.limits;
-    let counters = Arc::new(counters::Shared::default());
-    let room = Room::of(limits.bodies);
-    let unwritten = Arc::new(AtomicUsize::new(0));
-    let (events, to_desk) = bounded(limits.events);
-    let links = Arc::new(Links {
-        limits: limits.clone(),
-        clock,
-        counters: Arc::clone(&counters),
-        room: Arc::clone(&room),
-        events: events.clone(),
-    });
-    let nodes = Nodes::new(links, config.names.clone());
-    let choice = Choice::new(config.settings, config.seed, clock.now());
-    let mut desk =
-        Desk::new(choice, nodes, limits.clone(), clock, Arc::clone(&counters), Arc::clone(&unwritten));
+    let config = Config::load()?;
+    let (common, to_desk) = Common::new(config.names, config.limits);
+    let limits = &common.limits;
+    let nodes = Nodes::new(Arc::clone(&common));
+    let choice = Choice::new(config.settings, config.seed, common.clock.now());
+    let mut desk = Desk::new(choice, nodes, Arc::clone(&common));
     config.known.events.into_iter().for_each(|event| desk.fact(event.fact));
 
     let vital = |name: &'static str, stack: usize, run: Box<dyn FnOnce() + Send>| {
-        let ending = Vital(name, events.clone());
+        let ending = Vital(name, common.events.clone());
         let started = thread(name, stack, move || {
             let _ending = ending;
             run();
@@ -68,7 +89,7 @@
         started.map_err(|e| format!("thread {name}: {e}"))
     };
     let mut signals = Signals::new([SIGTERM, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
-    let heard = events.clone();
+    let heard = common.events.clone();
     vital(
         "signals",
         limits.stack,
@@ -84,26 +105,15 @@
     let follower = Follower {
         address: config.feed,
         last: config.known.last,
-        limits: limits.clone(),
-        counters: Arc::clone(&counters),
-        room: Arc::clone(&room),
-        events: events.clone(),
+        common: Arc::clone(&common),
         gap: None,
         up: true,
     };
     vital("feed", limits.feed_stack, Box::new(move || follower.follow()))?;
     let listener = TcpListener::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let listen = listener.local_addr().unwrap_or(config.listen);
-    let clients = Arc::new(Clients {
-        names: config.names,
-        limits: limits.clone(),
-        clock,
-        counters,
-        room,
-        events: events.clone(),
-        unwritten,
-    });
-    vital("accept", limits.stack, Box::new(move || clients::accept(&listener, &clients)))?;
+    let of = Arc::clone(&common);
+    vital("accept", limits.stack, Box::new(move || clients::accept(&listener, &of)))?;
     log::info!("serving name={} listen={listen}", config.name);
 
     let served = desk.serve(&to_desk);
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -4,15 +4,15 @@
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use sablecross::{Choice, Lookup, Ns, Outcome, Send};
 use sablecross_inhand::{Carrier, End, Hand};
 
 use crate::exchange::{Asked, Client, Ended, Event, Link};
-use crate::life::counters::{self, Counters, Shared};
-use crate::life::{Clock, limits::Limits};
+use crate::life::Common;
+use crate::life::counters::{self, Counters};
 use crate::wire::clients::{Reply, Say};
 use crate::wire::feed::Fact;
 use crate::wire::nodes::{Nodes, Out};
@@ -43,7 +43,7 @@
 /// Carries out what the module decides.
 struct Floor {
     now: Ns,
-    limits: Limits,
+    common: Arc<Common>,
     nodes: Nodes,
     callers: HashMap<Client, Caller>,
     kept: HashMap<u64, Kept>,
@@ -51,14 +51,11 @@
     /// Ends of sends that came without an event.
     ends: VecDeque<(u64, usize, End)>,
     counters: Counters,
-    unwritten: Arc<AtomicUsize>,
 }
 
 pub struct Desk {
     hand: Hand,
     floor: Floor,
-    clock: Clock,
-    shared: Arc<Shared>,
     next: u64,
     ready: bool,
     /// When the signal to stop came.
@@ -85,10 +82,10 @@
     fn tell(&mut self, client: Client, call: u32, until: Ns, say: Say) {
         let Some(caller) = self.callers.get_mut(&client) else { return };
         caller.calls.remove(&call);
-        self.unwritten.fetch_add(1, Ordering::Relaxed);
+        self.common.unwritten.fetch_add(1, Ordering::Relaxed);
         if caller.replies.try_send(Reply { call, until, say }).is_err() {
             // It takes no answers: the connection is of no more use.
-            self.unwritten.fetch_sub(1, Ordering::Relaxed);
+            self.common.unwritten.fetch_sub(1, Ordering::Relaxed);
             let _ = caller.stream.shutdown(Shutdown::Both);
         }
     }
@@ -97,7 +94,8 @@
     fn answer(&mut self, id: u64, say: Say) {
         let Some(kept) = self.kept.get_mut(&id).filter(|k| !k.answered) else { return };
         kept.answered = true;
-        let (client, call, until) = (kept.asked.client, kept.asked.call, kept.deadline + self.limits.margin);
+        let (client, call, until) =
+            (kept.asked.client, kept.asked.call, kept.deadline + self.common.limits.margin);
         self.counters.late += u64::from(self.now >= until);
         match say {
             Say::Satisfied(ref body) => {
@@ -158,50 +156,42 @@
 }
 
 impl Desk {
-    pub fn new(
-        choice: Choice,
-        nodes: Nodes,
-        limits: Limits,
-        clock: Clock,
-        shared: Arc<Shared>,
-        unwritten: Arc<AtomicUsize>,
-    ) -> Desk {
+    pub fn new(choice: Choice, nodes: Nodes, common: Arc<Common>) -> Desk {
         let floor = Floor {
-            now: clock.now(),
-            limits,
+            now: common.clock.now(),
+            common,
             nodes,
             callers: HashMap::new(),
             kept: HashMap::new(),
             timers: BinaryHeap::new(),
             ends: VecDeque::new(),
             counters: Counters::default(),
-            unwritten,
         };
-        Desk { hand: Hand::new(choice), floor, clock, shared, next: 0, ready: false, stopped: None }
+        Desk { hand: Hand::new(choice), floor, next: 0, ready: false, stopped: None }
     }
 
     /// Serves until it was told to stop and nothing is open. A vital thread that ends is an error.
     pub fn serve(&mut self, events: &Receiver<Event>) -> Result<(), String> {
         loop {
-            self.floor.now = self.clock.now();
+            self.floor.now = self.floor.common.clock.now();
             self.due();
             if self.over() {
                 return Ok(());
             }
             let next = self.floor.timers.peek().map_or(Ns::MAX, |Reverse((when, _))| *when);
             let next = if self.stopped.is_some() {
-                next.min(self.floor.now + self.floor.limits.stop_poll)
+                next.min(self.floor.now + self.floor.common.limits.stop_poll)
             } else {
                 next
             };
             let event = if next == Ns::MAX {
                 events.recv().map_err(|_| RecvTimeoutError::Disconnected)
             } else {
-                events.recv_timeout(self.clock.until(next))
+                events.recv_timeout(self.floor.common.clock.until(next))
             };
             match event {
                 Ok(event) => {
-                    self.floor.now = self.clock.now();
+                    self.floor.now = self.floor.common.clock.now();
                     self.event(event)?;
                     self.settle();
                 }
@@ -212,9 +202,9 @@
     }
 
     fn over(&self) -> bool {
-        self.stopped.is_some_and(|at| self.floor.now >= at + self.floor.limits.stopping)
+        self.stopped.is_some_and(|at| self.floor.now >= at + self.floor.common.limits.stopping)
             && self.floor.kept.is_empty()
-            && self.floor.unwritten.load(Ordering::Acquire) == 0
+            && self.floor.common.unwritten.load(Ordering::Acquire) == 0
     }
 
     /// Tells all clients that no more comes.
@@ -229,7 +219,7 @@
         f.counters.in_hand = f.kept.values().filter(|k| !k.answered).count() as u64;
         (f.counters.links, f.counters.links_open) = (f.nodes.opened(), f.nodes.open() as u64);
         f.counters.clients_open = f.callers.len() as u64;
-        log::info!("counters {} {}{}", f.counters, self.shared, counters::usage());
+        log::info!("counters {} {}{}", f.counters, f.common.counters, counters::usage());
     }
 
     /// Timers whose time has come.
@@ -275,7 +265,7 @@
             }
             Event::Alive { client, call } if self.floor.new_call(client, call) => {
                 let alive = Say::Alive(self.ready && self.stopped.is_none());
-                self.floor.tell(client, call, now + self.floor.limits.undated, alive);
+                self.floor.tell(client, call, now + self.floor.common.limits.undated, alive);
             }
             Event::Alive { .. } | Event::Unfit { .. } => {}
             Event::Cancelled { client, call } => {
@@ -334,14 +324,14 @@
             return;
         }
         let Some(caller) = f.callers.get_mut(&client) else { return };
-        if caller.calls.len() >= f.limits.open_a_client || f.kept.len() >= f.limits.lookups {
+        if caller.calls.len() >= f.common.limits.open_a_client || f.kept.len() >= f.common.limits.lookups {
             return self.unfit(client, call, true);
         }
         let id = self.next;
         self.next += 1;
         caller.calls.insert(call, id);
         f.counters.taken += 1;
-        let deadline = (asked.arrived + asked.budget).saturating_sub(f.limits.margin);
+        let deadline = (asked.arrived + asked.budget).saturating_sub(f.common.limits.margin);
         let lookup = Lookup {
             object: asked.object,
             part: asked.part,
@@ -370,7 +360,7 @@
             c.failed += 1;
             Say::Failed
         };
-        let until = self.floor.now + self.floor.limits.undated;
+        let until = self.floor.now + self.floor.common.limits.undated;
         self.floor.tell(client, call, until, say);
     }
 
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -6,16 +6,15 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, Sender, bounded};
+use crossbeam_channel::{Receiver, bounded};
 use sablecross::Ns;
 
 use super::intake::Intake;
 use super::rpc::{self, Flaw, Message};
 use super::write_all;
 use crate::exchange::{Asked, Client, Event};
-use crate::life::counters::{self, Shared};
-use crate::life::{Clock, config::Names, limits::Limits, thread};
-use crate::memory::bodies::{Body, Room};
+use crate::life::{Common, counters, thread};
+use crate::memory::bodies::Body;
 
 /// What a client is told, and until when it listens.
 pub struct Reply {
@@ -34,19 +33,8 @@
     Alive(bool),
 }
 
-pub struct Clients {
-    pub names: Names,
-    pub limits: Limits,
-    pub clock: Clock,
-    pub counters: Arc<Shared>,
-    pub room: Arc<Room>,
-    pub events: Sender<Event>,
-    /// Answers that no writer has done with.
-    pub unwritten: Arc<AtomicUsize>,
-}
-
 /// Tells the desk that a connection is over, however its reader ends.
-struct Leaving<'a>(&'a Clients, Client);
+struct Leaving<'a>(&'a Common, Client);
 
 impl Drop for Leaving<'_> {
     fn drop(&mut self) {
@@ -56,7 +44,7 @@
 }
 
 /// Takes connections in for ever.
-pub fn accept(listener: &TcpListener, clients: &Arc<Clients>) {
+pub fn accept(listener: &TcpListener, of: &Arc<Common>) {
     let open = Arc::new(AtomicUsize::new(0));
     for client in 0.. {
         let stream = match listener.accept() {
@@ -68,12 +56,12 @@
                 continue;
             }
         };
-        if open.load(Ordering::Relaxed) >= clients.limits.clients {
-            counters::add(&clients.counters.turned_away, 1);
+        if open.load(Ordering::Relaxed) >= of.limits.clients {
+            counters::add(&of.counters.turned_away, 1);
             continue;
         }
         let held = Held::one_more(&open);
-        if let Err(e) = serve(client, stream, clients, held) {
+        if let Err(e) = serve(client, stream, of, held) {
             log::warn!("connection of a client not served: {e}");
         }
     }
@@ -95,34 +83,34 @@
     }
 }
 
-fn serve(client: Client, stream: TcpStream, clients: &Arc<Clients>, held: Held) -> std::io::Result<()> {
+fn serve(client: Client, stream: TcpStream, of: &Arc<Common>, held: Held) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let stream = Arc::new(stream);
-    let (replies, from_desk) = bounded(clients.limits.replies);
-    let (theirs, of) = (Arc::clone(&stream), Arc::clone(clients));
-    thread("client-writer", clients.limits.stack, move || write(&theirs, &from_desk, &of))?;
+    let (replies, from_desk) = bounded(of.limits.replies);
+    let (theirs, common) = (Arc::clone(&stream), Arc::clone(of));
+    thread("client-writer", of.limits.stack, move || write(&theirs, &from_desk, &common))?;
     let joined = Event::Joined { client, replies, stream: Arc::clone(&stream) };
-    if clients.events.send(joined).is_err() {
+    if of.events.send(joined).is_err() {
         return Ok(());
     }
-    let of = Arc::clone(clients);
-    let reader = thread("client-reader", clients.limits.stack, move || {
+    let common = Arc::clone(of);
+    let reader = thread("client-reader", of.limits.stack, move || {
         let _held = held;
-        let _leaving = Leaving(&of, client);
-        if let Err(why) = read(client, &stream, &of) {
-            counters::add(&of.counters.bad_messages, 1);
+        let _leaving = Leaving(&common, client);
+        if let Err(why) = read(client, &stream, &common) {
+            counters::add(&common.counters.bad_messages, 1);
             log::debug!("client {client}: {why}");
         }
         let _ = stream.shutdown(Shutdown::Both);
     });
     if reader.is_err() {
-        drop(Leaving(clients, client));
+        drop(Leaving(of, client));
     }
     reader
 }
 
 /// Passes on what a client asks; ends with the connection, or at bytes that are no message.
-fn read(client: Client, stream: &TcpStream, of: &Clients) -> Result<(), &'static str> {
+fn read(client: Client, stream: &TcpStream, of: &Common) -> Result<(), &'static str> {
     let mut intake = Intake::new(of.limits.line, of.limits.head + of.limits.body, &of.room);
     loop {
         match rpc::read(intake.seen(), &of.names, &of.limits) {
@@ -145,7 +133,7 @@
     }
 }
 
-fn event(client: Client, message: Message, of: &Clients) -> Event {
+fn event(client: Client, message: Message, of: &Common) -> Event {
     match message {
         Message::Alive { call } => Event::Alive { client, call },
         Message::Cancel { call } => Event::Cancelled { client, call },
@@ -180,7 +168,7 @@
 
 /// Writes answers in the order in which the desk gives them. A slow client delays its own alone; what it has
 /// not taken by its time cuts the connection off, so that it can tell that the answer is not whole.
-fn write(stream: &TcpStream, replies: &Receiver<Reply>, of: &Clients) {
+fn write(stream: &TcpStream, replies: &Receiver<Reply>, of: &Common) {
     let mut cut = false;
     for reply in replies {
         let late = of.clock.now() >= reply.until;
@@ -197,7 +185,7 @@
     let _ = stream.shutdown(Shutdown::Write);
 }
 
-fn say(stream: &TcpStream, reply: &Reply, of: &Clients) -> std::io::Result<()> {
+fn say(stream: &TcpStream, reply: &Reply, of: &Common) -> std::io::Result<()> {
     let call = reply.call;
     let whole = |bytes: Vec<u8>| rpc::Frame { before: bytes, after: Vec::new() };
     let (frame, body) = match &reply.say {
--- a/crates/director/src/wire/feed.rs
+++ b/crates/director/src/wire/feed.rs
@@ -5,16 +5,13 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crossbeam_channel::Sender;
 use sablecross::{Ns, State};
 use serde::Deserialize;
 use serde_json::Value;
 
 use super::intake::Intake;
 use crate::exchange::Event;
-use crate::life::counters::{self, Shared};
-use crate::life::limits::Limits;
-use crate::memory::bodies::Room;
+use crate::life::{Common, counters};
 
 /// What an event of the feed says.
 #[derive(Debug, PartialEq)]
@@ -111,10 +108,7 @@
 pub struct Follower {
     pub address: SocketAddr,
     pub last: u64,
-    pub limits: Limits,
-    pub counters: Arc<Shared>,
-    pub room: Arc<Room>,
-    pub events: Sender<Event>,
+    pub common: Arc<Common>,
     /// The number after which events were missing once already: then they are not to be had.
     pub gap: Option<u64>,
     pub up: bool,
@@ -145,24 +139,25 @@
                 log::info!("feed over after={} why={why}", self.last);
             }
             // Called again at once, but for one that fails or ends at once: no loop without a pause.
-            if self.last == before && start.elapsed() < self.limits.feed_pause {
-                std::thread::sleep(self.limits.feed_pause);
+            if self.last == before && start.elapsed() < self.common.limits.feed_pause {
+                std::thread::sleep(self.common.limits.feed_pause);
             }
         }
     }
 
     /// One connection, read until its end.
     fn call(&mut self) -> Result<(), Over> {
-        counters::add(&self.counters.feed_calls, 1);
-        let stream = TcpStream::connect_timeout(&self.address, self.limits.dial)?;
-        stream.set_read_timeout(Some(self.limits.feed_silence))?;
-        stream.set_write_timeout(Some(self.limits.feed_silence))?;
+        counters::add(&self.common.counters.feed_calls, 1);
+        let stream = TcpStream::connect_timeout(&self.address, self.common.limits.dial)?;
+        stream.set_read_timeout(Some(self.common.limits.feed_silence))?;
+        stream.set_write_timeout(Some(self.common.limits.feed_silence))?;
         let request = format!(
             "GET /v1/events HTTP/1.1\r\nHost: {}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
             self.address, self.last
         );
         (&stream).write_all(request.as_bytes())?;
-        let mut intake = Intake::new(self.limits.head, self.limits.feed_event, &self.room);
+        let mut intake =
+            Intake::new(self.common.limits.head, self.common.limits.feed_event, &self.common.room);
         let chunked = self.answer_head(&mut intake, &stream)?;
         self.up = true;
         log::info!("feed up after={}", self.last);
@@ -174,7 +169,7 @@
                     return Ok(());
                 }
             }
-            if text.len() > self.limits.feed_event {
+            if text.len() > self.common.limits.feed_event {
                 return Err(Over::Call("an event is too long".into()));
             }
             let mut used = 0;
@@ -234,7 +229,7 @@
         let parsed = serde_json::from_str(&data).map_err(|e| e.to_string());
         let parsed = parsed.and_then(|v: Value| Numbered::of(&v));
         let Some(n) = id.or(parsed.as_ref().ok().map(|e| e.n)) else {
-            counters::add(&self.counters.feed_skipped, 1);
+            counters::add(&self.common.counters.feed_skipped, 1);
             log::warn!("feed skipped after={}: an event without a number", self.last);
             return Ok(());
         };
@@ -243,14 +238,14 @@
         }
         if n > self.last + 1 && self.gap != Some(self.last) {
             self.gap = Some(self.last);
-            counters::add(&self.counters.feed_gaps, 1);
+            counters::add(&self.common.counters.feed_gaps, 1);
             return Err(Over::Call(format!("gap before={n}")));
         }
         self.last = n;
         match parsed {
-            Ok(event) => self.events.send(Event::Fact(event.fact)).map_err(|_| Over::Desk),
+            Ok(event) => self.common.events.send(Event::Fact(event.fact)).map_err(|_| Over::Desk),
             Err(why) => {
-                counters::add(&self.counters.feed_skipped, 1);
+                counters::add(&self.common.counters.feed_skipped, 1);
                 log::warn!("feed skipped n={n}: {why}");
                 Ok(())
             }
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -13,18 +13,8 @@
 use super::intake::Intake;
 use super::{lines, write_all};
 use crate::exchange::{Asked, Copy, Ended, Event, Link, Name};
-use crate::life::counters::{self, Shared};
-use crate::life::{Clock, config::Names, limits::Limits, thread};
-use crate::memory::bodies::{Body, Room};
-
-/// What the threads of all connections share.
-pub struct Links {
-    pub limits: Limits,
-    pub clock: Clock,
-    pub counters: Arc<Shared>,
-    pub room: Arc<Room>,
-    pub events: Sender<Event>,
-}
+use crate::life::{Common, counters, thread};
+use crate::memory::bodies::Body;
 
 enum Order {
     Pull { name: Name, head: Vec<u8>, body: Arc<Body>, until: Ns },
@@ -58,8 +48,7 @@
 }
 
 pub struct Nodes {
-    shared: Arc<Links>,
-    names: Names,
+    common: Arc<Common>,
     /// By the module's numbers.
     pools: Vec<Pool>,
     numbers: HashMap<String, usize>,
@@ -68,8 +57,8 @@
 }
 
 impl Nodes {
-    pub fn new(shared: Arc<Links>, names: Names) -> Nodes {
-        Nodes { shared, names, pools: Vec::new(), numbers: HashMap::new(), links: HashMap::new(), next: 0 }
+    pub fn new(common: Arc<Common>) -> Nodes {
+        Nodes { common, pools: Vec::new(), numbers: HashMap::new(), links: HashMap::new(), next: 0 }
     }
 
     pub fn open(&self) -> usize {
@@ -98,7 +87,8 @@
     }
 
     fn line(&mut self, m: &Member) -> Option<Listed> {
-        let (Some(&zone), Some(&machine)) = (self.names.zones.get(&m.zone), self.names.machines.get(&m.kind))
+        let (Some(&zone), Some(&machine)) =
+            (self.common.names.zones.get(&m.zone), self.common.names.machines.get(&m.kind))
         else {
             log::warn!("list: {}: zone {} or type {} is not in the settings", m.name, m.zone, m.kind);
             return None;
@@ -156,7 +146,7 @@
         send: &sablecross::Send,
         before: &[Link],
     ) -> Result<Link, Outcome> {
-        let kind = self.names.kinds.get(asked.kind).ok_or(Outcome::NeverSent)?;
+        let kind = self.common.names.kinds.get(asked.kind).ok_or(Outcome::NeverSent)?;
         let head = lines::pull(asked, send, kind, send.source.map(|s| self.name(s)));
         let link = self.choose(send.node, before, out.at)?;
         let open = self.links.get_mut(&link).ok_or(Outcome::NeverSent)?;
@@ -178,8 +168,8 @@
 
     /// An idle connection, as one body blocks those behind it; else a new one; else the least laden.
     fn choose(&mut self, node: usize, before: &[Link], now: Ns) -> Result<Link, Outcome> {
-        let shared = Arc::clone(&self.shared);
-        let limits = &shared.limits;
+        let common = Arc::clone(&self.common);
+        let limits = &common.limits;
         let pool = self.pools.get(node).ok_or(Outcome::NeverSent)?;
         let mut best: Option<(usize, Ns, Link)> = None;
         let mut stale = Vec::new();
@@ -207,8 +197,8 @@
     }
 
     fn dial(&mut self, node: usize, address: SocketAddr, now: Ns) -> Result<Link, Outcome> {
-        let (orders, from_desk) = bounded(self.shared.limits.orders);
-        let (link, of) = (self.next, Arc::clone(&self.shared));
+        let (orders, from_desk) = bounded(self.common.limits.orders);
+        let (link, of) = (self.next, Arc::clone(&self.common));
         thread("node-writer", of.limits.stack, {
             let of = Arc::clone(&of);
             move || serve(link, address, &from_desk, &of)
@@ -266,7 +256,7 @@
 
 /// Tells the desk that a connection is over, however its thread ends.
 struct Losing<'a> {
-    of: &'a Links,
+    of: &'a Common,
     link: Link,
     reached: bool,
 }
@@ -278,7 +268,7 @@
 }
 
 /// Connects, then writes what it is given, until the desk drops the connection or it breaks.
-fn serve(link: Link, address: SocketAddr, orders: &Receiver<Order>, of: &Arc<Links>) {
+fn serve(link: Link, address: SocketAddr, orders: &Receiver<Order>, of: &Arc<Common>) {
     let mut losing = Losing { of, link, reached: false };
     let stream = match TcpStream::connect_timeout(&address, of.limits.dial) {
         Ok(stream) => Arc::new(stream),
@@ -324,7 +314,7 @@
 }
 
 /// Passes on whole answers; ends with the connection, or at bytes that are no answer.
-fn read(link: Link, stream: &TcpStream, of: &Links) -> Result<(), &'static str> {
+fn read(link: Link, stream: &TcpStream, of: &Common) -> Result<(), &'static str> {
     let mut intake = Intake::new(of.limits.line, of.limits.line, &of.room);
     loop {
         let Some(end) = intake.seen().windows(2).position(|w| w == b"\r\n") else {
--- a/crates/director/tests/codec.rs
+++ b/crates/director/tests/codec.rs
@@ -2,17 +2,16 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use sablecross::{Choice, Lookup, Outcome, Route, Send, Settings, State};
 use sablecross_director::exchange::Asked;
-use sablecross_director::life::Clock;
+use sablecross_director::life::Common;
 use sablecross_director::life::config::{Config, Names};
 use sablecross_director::life::limits::Limits;
 use sablecross_director::memory::bodies::Room;
 use sablecross_director::wire::feed::Member;
 use sablecross_director::wire::lines;
-use sablecross_director::wire::nodes::{Links, Nodes};
+use sablecross_director::wire::nodes::Nodes;
 use sablecross_director::wire::rpc::{self, Fields, Flaw, Message};
 
 const SAMPLE: &str = include_str!("../../../deploy/sample.json");
@@ -233,10 +232,9 @@
 /// this order, at addresses of its own.
 fn homes(number: usize, order: impl Iterator<Item = usize>) -> Vec<(String, String)> {
     let config = Config::parse(SAMPLE).expect("the sample is good");
-    let clock = Clock::start();
-    let (events, _) = crossbeam_channel::bounded(1);
-    let shared = Links { limits: limits(), clock, counters: Arc::default(), room: Room::of(100), events };
-    let mut nodes = Nodes::new(Arc::new(shared), config.names);
+    let (common, _) = Common::new(config.names, limits());
+    let now = common.clock.now();
+    let mut nodes = Nodes::new(common);
     let member = |i: usize| Member {
         name: format!("s-{:08x}", i * 0x0135_79bd),
         address: SocketAddr::from(([127, number as u8, 0, i as u8], 10_080)),
@@ -247,8 +245,7 @@
         started: 0,
     };
     let members: Vec<Member> = order.map(member).collect();
-    let mut choice = Choice::new(Settings { number, ..config.settings }, number as u64, clock.now());
-    let now = clock.now();
+    let mut choice = Choice::new(Settings { number, ..config.settings }, number as u64, now);
     choice.listed(now, &nodes.listed(&members, true), true);
     let home = |object| {
         let lookup = Lookup {
