Two lookups of one name never share a connection to a node

Seen on reading the change: when killed names were no longer kept by connection, the check that a name is not already out on it went too (wire/nodes.rs, choose). A client that uses an id twice could have had one lookup's answer sent for the other, once all connections to a node were busy. The new test fails without the check.

--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -148,7 +148,7 @@
     ) -> Result<Link, Outcome> {
         let kind = self.common.names.kinds.get(asked.kind).ok_or(Outcome::NeverSent)?;
         let head = lines::pull(asked, send, kind, send.source.map(|s| self.name(s)));
-        let link = self.choose(send.node, before, out.at)?;
+        let link = self.choose(send.node, &asked.name, before, out.at)?;
         let open = self.links.get_mut(&link).ok_or(Outcome::NeverSent)?;
         let until = out.at + send.time_out;
         let order = Order::Pull { name: asked.name, head, body: Arc::clone(&asked.body), until };
@@ -167,7 +167,7 @@
     }
 
     /// An idle connection, as one body blocks those behind it; else a new one; else the least laden.
-    fn choose(&mut self, node: usize, before: &[Link], now: Ns) -> Result<Link, Outcome> {
+    fn choose(&mut self, node: usize, name: &Name, before: &[Link], now: Ns) -> Result<Link, Outcome> {
         let common = Arc::clone(&self.common);
         let limits = &common.limits;
         let pool = self.pools.get(node).ok_or(Outcome::NeverSent)?;
@@ -179,7 +179,9 @@
                 stale.push(link);
                 continue;
             }
-            let fits = open.out.len() < limits.open_a_link && !before.contains(&link);
+            let fits = open.out.len() < limits.open_a_link
+                && !open.out.contains_key(name)
+                && !before.contains(&link);
             let rank = (open.out.len(), now.saturating_sub(open.used), link);
             if fits && best.is_none_or(|b| rank < b) {
                 best = Some(rank);
--- a/crates/director/tests/sockets.rs
+++ b/crates/director/tests/sockets.rs
@@ -672,6 +672,27 @@
     w.told(3);
 }
 
+#[test]
+fn two_lookups_of_one_name_share_no_connection() {
+    // Four connections to a node at most, all of them in use.
+    let w = World::with(|config| config.replace("\"sockets\": 1024", "\"sockets\": 64"));
+    let (mut one, mut two) = (w.client(), w.client());
+    let pulls: Vec<Told> = (1..=4)
+        .map(|call| {
+            one.ask(call, u64::from(call), 2_000);
+            w.cache.pull()
+        })
+        .collect();
+    two.ask(4, 4, 2_000);
+    let again = w.cache.pull();
+    assert_eq!(again.name(), pulls[3].name());
+    assert_ne!(again.connection, pulls[3].connection);
+    pulls[3].answer("ACK", "how=HIT,entity=t1,issued=1", b"of the first");
+    one.satisfied(4, b"of the first");
+    again.answer("ACK", "how=HIT,entity=t1,issued=1", b"of the second");
+    two.satisfied(4, b"of the second");
+}
+
 #[test]
 fn a_new_node_at_an_old_address_gets_no_old_connection() {
     let w = World::start();
