Read once more: one guard for one answer, fields without bits, one MS, pauses in limits

Hand::owed repeated what the desk knows (memory/desk.rs, answer); the required fields of a lookup were counted in a bit mask; MS stood in three places and as a bare number in four; the pause of the acceptor and the depth of a message stood outside the limits; a load report was copied into a vector for each outcome of the simulator (crates/wirehost, as before the move it is not).

--- a/crates/director/src/exchange.rs
+++ b/crates/director/src/exchange.rs
@@ -37,7 +37,7 @@
 }
 
 /// A copy as a node gave it out.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Copy {
     pub tag: Box<str>,
     /// None: the client's copy is the one.
--- a/crates/director/src/life/clock.rs
+++ b/crates/director/src/life/clock.rs
@@ -4,6 +4,8 @@
 
 use sablecross::Ns;
 
+pub const MS: Ns = 1_000_000;
+
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     base: Ns,
--- a/crates/director/src/life/config.rs
+++ b/crates/director/src/life/config.rs
@@ -13,7 +13,7 @@
 type Result<T> = std::result::Result<T, String>;
 
 /// The names by which the outside calls what the module numbers.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Names {
     pub kinds: Vec<String>,
     pub zones: HashMap<String, usize>,
--- a/crates/director/src/life/limits.rs
+++ b/crates/director/src/life/limits.rs
@@ -4,9 +4,9 @@
 
 use sablecross::Ns;
 
-const MS: Ns = 1_000_000;
+use super::clock::MS;
 
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Limits {
     /// Connections: of clients, to nodes in all, to one node; descriptors kept spare for the rest.
     pub clients: usize,
@@ -21,6 +21,8 @@
     pub bodies: usize,
     pub head: usize,
     pub line: usize,
+    /// How deep the values of a message lie in one another.
+    pub depth: usize,
     /// Queues: to the desk, to the writer of a client, to that of a node.
     pub events: usize,
     pub replies: usize,
@@ -37,6 +39,8 @@
     pub longest_budget: Ns,
     /// The time that an answer without a deadline has to be written.
     pub undated: Ns,
+    /// The pause after a connection of a client could not be taken.
+    pub accept_pause: Duration,
     /// Silence of the feed that is a dead link, and the pause after a failed call.
     pub feed_silence: Duration,
     pub feed_pause: Duration,
@@ -61,6 +65,7 @@
             bodies: (memory_mb << 20) / 4,
             head: 16 << 10,
             line: 4 << 10,
+            depth: 6,
             events: 4_096,
             replies: 128,
             orders: 128,
@@ -72,6 +77,7 @@
             margin: 20 * MS,
             longest_budget: 600_000 * MS,
             undated: 1_000 * MS,
+            accept_pause: Duration::from_millis(10),
             feed_silence: Duration::from_secs(3),
             feed_pause: Duration::from_millis(100),
             stopping: 700 * MS,
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -12,6 +12,7 @@
 
 use crate::exchange::{Asked, Client, Ended, Event, Link};
 use crate::life::Common;
+use crate::life::clock::MS;
 use crate::life::counters::{self, Counters};
 use crate::wire::clients::{Reply, Say};
 use crate::wire::feed::Fact;
@@ -135,7 +136,7 @@
     }
 
     fn nack(&mut self, id: u64, pause: Ns) {
-        self.answer(id, Say::Nacked { pause_ms: pause / 1_000_000 });
+        self.answer(id, Say::Nacked { pause_ms: pause / MS });
     }
 
     fn fail(&mut self, id: u64) {
@@ -387,7 +388,7 @@
             if copy.body.is_none() && held.is_none() {
                 // Nothing to pass on: the client holds no copy that could be unchanged.
                 outcome = Outcome::Error;
-            } else if self.hand.owed(id) {
+            } else {
                 let body = copy.body.filter(|_| copy.tag.is_empty() || held != Some(&*copy.tag));
                 self.floor.answer(id, Say::Satisfied(body));
             }
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -4,7 +4,6 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
 
 use crossbeam_channel::{Receiver, bounded};
 use sablecross::Ns;
@@ -13,6 +12,7 @@
 use super::rpc::{self, Flaw, Message};
 use super::write_all;
 use crate::exchange::{Asked, Client, Event};
+use crate::life::clock::MS;
 use crate::life::{Common, counters, thread};
 use crate::memory::bodies::Body;
 
@@ -52,7 +52,7 @@
             Err(e) => {
                 // Out of descriptors, most likely: leave time for some to close.
                 log::warn!("accept failed: {e}");
-                std::thread::sleep(Duration::from_millis(10));
+                std::thread::sleep(of.limits.accept_pause);
                 continue;
             }
         };
@@ -160,7 +160,7 @@
                 tag: fields.tag.map(Into::into),
                 body: Arc::new(body),
                 arrived,
-                budget: (fields.budget_ms.saturating_mul(1_000_000)).min(of.limits.longest_budget),
+                budget: (fields.budget_ms.saturating_mul(MS)).min(of.limits.longest_budget),
             }))
         }
     }
--- a/crates/director/src/wire/feed.rs
+++ b/crates/director/src/wire/feed.rs
@@ -11,6 +11,7 @@
 
 use super::intake::Intake;
 use crate::exchange::Event;
+use crate::life::clock::MS;
 use crate::life::{Common, counters};
 
 /// What an event of the feed says.
@@ -71,8 +72,6 @@
     at: u64,
 }
 
-const MS: Ns = 1_000_000;
-
 impl Numbered {
     pub fn of(event: &Value) -> Result<Numbered, String> {
         let n = event.get("n").and_then(Value::as_u64).ok_or("an event has no number")?;
--- a/crates/director/src/wire/lines.rs
+++ b/crates/director/src/wire/lines.rs
@@ -6,6 +6,7 @@
 use sablecross_inhand::settings;
 
 use crate::exchange::{Asked, Name};
+use crate::life::clock::MS;
 
 /// The head of an answer, parsed where it lies.
 #[derive(Debug, PartialEq)]
@@ -70,7 +71,7 @@
 /// The head of a send, with the line's end.
 pub fn pull(asked: &Asked, send: &Send, kind: &str, source: Option<&str>) -> Vec<u8> {
     let mut line = Vec::with_capacity(256);
-    let ms = |ns: u64| (ns / 1_000_000).max(1);
+    let ms = |ns: u64| (ns / MS).max(1);
     // Writing into memory does not fail.
     let mut put = |text: std::fmt::Arguments| {
         let _ = line.write_fmt(text);
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -22,7 +22,7 @@
 }
 
 /// One send on a connection.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug)]
 pub struct Out {
     pub id: u64,
     pub shot: usize,
@@ -278,13 +278,12 @@
     };
     let (theirs, shared) = (Arc::clone(&stream), Arc::clone(of));
     let reader = thread("node-reader", of.limits.stack, move || {
-        let losing = Losing { of: &shared, link, reached: true };
+        let _losing = Losing { of: &shared, link, reached: true };
         if let Err(why) = read(link, &theirs, &shared) {
             counters::add(&shared.counters.bad_lines, 1);
             log::warn!("link {link}: {why}");
         }
         let _ = theirs.shutdown(Shutdown::Both);
-        drop(losing);
     });
     if let Err(e) = stream.set_nodelay(true).and(reader) {
         return log::warn!("link {link} not served: {e}");
--- a/crates/director/src/wire/rpc.rs
+++ b/crates/director/src/wire/rpc.rs
@@ -108,52 +108,38 @@
     if parts != 2 {
         return Err(Flaw::Bad("not fields and a body"));
     }
+    let (mut rid, mut budget, mut object, mut part) = (None, None, None, None);
     let mut fields = Fields { kind, ..Fields::default() };
-    let mut found = 0;
     for _ in 0..decode::read_map_len(&mut b)? {
         let (name, value) = (text(&mut b)?, text(&mut b)?);
-        let known = match name {
-            "rid" => {
-                fields.name = digits(value)?;
-                1
-            }
-            "budget" => {
-                fields.budget_ms = number(value)?;
-                2
-            }
+        match name {
+            "rid" => rid = Some(digits(value)?),
+            "budget" => budget = Some(number(value)?),
             "obj" => {
                 digits(value)?;
-                fields.object = u64::from_str_radix(value, 16).map_err(|_| Flaw::Bad("no object"))?;
-                4
-            }
-            "piece" => {
-                fields.part = number(value)?;
-                8
-            }
-            "lot" => {
-                fields.group = number(value)?;
-                0
+                object = Some(u64::from_str_radix(value, 16).map_err(|_| Flaw::Bad("no object"))?);
             }
+            "piece" => part = Some(number(value)?),
+            "lot" => fields.group = number(value)?,
             "mem" => {
                 let size: f64 = number(value)?;
-                fields.size_kb = Some(size)
-                    .filter(|s| s.is_finite() && *s >= 0.0)
-                    .ok_or(Flaw::Bad("size out of range"))?;
-                0
+                if !size.is_finite() || size < 0.0 {
+                    return Err(Flaw::Bad("size out of range"));
+                }
+                fields.size_kb = size;
             }
             "ver" => {
                 // It becomes a word of a line, in a list of fields.
                 let word = !value.is_empty() && value.bytes().all(|c| c.is_ascii_graphic() && c != b',');
                 fields.tag = Some(value).filter(|_| word);
-                0
             }
-            _ => 0,
-        };
-        found |= known;
+            _ => {}
+        }
     }
-    if found != 15 {
+    let (Some(name), Some(budget_ms), Some(object), Some(part)) = (rid, budget, object, part) else {
         return Err(Flaw::Bad("a field is missing"));
-    }
+    };
+    let fields = Fields { name, budget_ms, object, part, ..fields };
     let length = decode::read_bin_len(&mut b)? as usize;
     let body = b.get(..length).ok_or(Flaw::Short)?;
     Ok(Message::Lookup { call, fields, body })
@@ -179,7 +165,7 @@
 
 /// Passes over one value, of any kind: where a message ends is known before it is looked into.
 fn skip(b: &mut &[u8], limits: &Limits, depth: usize) -> Read<()> {
-    if depth > 6 {
+    if depth > limits.depth {
         return Err(Flaw::Bad("nested too deep"));
     }
     let marker = decode::read_marker(b).map_err(|e| match e.0.kind() {
--- a/crates/inhand/src/hand.rs
+++ b/crates/inhand/src/hand.rs
@@ -66,11 +66,7 @@
         self.drop_if_idle(id, to);
     }
 
-    /// Whether an answer is owed still.
-    pub fn owed(&self, id: u64) -> bool {
-        self.held.get(&id).is_some_and(|h| !h.ended)
-    }
-
+    /// A send has ended.
     pub fn ended(&mut self, id: u64, shot: usize, end: End, now: Ns, to: &mut impl Carrier) {
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(sent) = held.lookup.sends.get_mut(shot) else { return };
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -77,7 +77,8 @@
     /// The load report of a record, where one came along.
     fn load(&self, r: &mut Reader) -> Result<Option<Load>> {
         let n = r.u8()?;
-        let values: Vec<f64> = (0..n).map(|_| r.f32().map(f64::from)).collect::<Result<_>>()?;
+        let (values, _) = r.take(4 * usize::from(n))?.as_chunks();
+        let values = values.iter().map(|v| f64::from(f32::from_be_bytes(*v)));
         let named = self.report.iter().map(String::as_str).zip(values);
         Ok((n > 0).then(|| settings::load(named)))
     }
