SIGHUP reads the configuration again, and the feed's silence counts by the clock

Checked: no answer that reached a director was older than a purge it knew of (probe on issued and lot); a probe of the feed's bytes showed 15 to 16 s without one while the read time-out is 3 s. Ruled out: wrong groups, late answers, copies joined. Now silence of 2 s by the clock ends the call, a half event is asked for once more, and SIGHUP moves the follower while the numbers go on.

--- a/crates/director/src/life/limits.rs
+++ b/crates/director/src/life/limits.rs
@@ -23,13 +23,14 @@
     pub line: usize,
     /// How deep the values of a message lie in one another.
     pub depth: usize,
-    /// Queues: to the desk, to the writer of a client, to that of a node.
+    /// Queues: to the desk, to the writer of a client, to that of a node, to the feed's.
     pub events: usize,
     pub replies: usize,
     pub orders: usize,
-    /// Stacks: of the threads that serve a connection, and of the one that reads the feed.
+    pub moves: usize,
+    /// Stacks: of the threads that serve a connection, and of those that parse events and configurations.
     pub stack: usize,
-    pub feed_stack: usize,
+    pub wide_stack: usize,
     pub feed_event: usize,
     /// Times: to connect to a node; after which an idle connection is not used again.
     pub dial: Duration,
@@ -41,8 +42,10 @@
     pub undated: Ns,
     /// The pause after a connection of a client could not be taken.
     pub accept_pause: Duration,
-    /// Silence of the feed that is a dead link, and the pause after a failed call.
+    /// Silence of the feed that is a dead link, how often it is looked whether it has moved meanwhile, and the
+    /// pause after a failed call.
     pub feed_silence: Duration,
+    pub feed_poll: Duration,
     pub feed_pause: Duration,
     /// After the signal to stop: how long new lookups come still, and the time for last bytes to leave.
     pub stopping: Ns,
@@ -69,8 +72,9 @@
             events: 4_096,
             replies: 128,
             orders: 128,
+            moves: 4,
             stack: 64 << 10,
-            feed_stack: 512 << 10,
+            wide_stack: 512 << 10,
             feed_event: 4 << 20,
             dial: Duration::from_nanos(dial),
             idle: keepalive * 4 / 5,
@@ -78,7 +82,8 @@
             longest_budget: 600_000 * MS,
             undated: 1_000 * MS,
             accept_pause: Duration::from_millis(10),
-            feed_silence: Duration::from_secs(3),
+            feed_silence: Duration::from_secs(2),
+            feed_poll: Duration::from_millis(100),
             feed_pause: Duration::from_millis(100),
             stopping: 700 * MS,
             stop_poll: 10 * MS,
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod counters;
 pub mod limits;
+mod signals;
 
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -12,12 +13,12 @@
 
 use crossbeam_channel::{Receiver, Sender, bounded};
 use sablecross::Choice;
-use signal_hook::consts::{SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
 use config::{Config, Names};
 use counters::Shared;
 use limits::Limits;
+use signals::Fixed;
 
 pub use clock::Clock;
 
@@ -73,6 +74,7 @@
 /// A whole life, from the configuration to the last answer.
 pub fn run() -> Result<(), String> {
     let config = Config::load()?;
+    let fixed = Fixed::of(&config);
     let (common, to_desk) = Common::new(config.names, config.limits);
     let limits = &common.limits;
     let nodes = Nodes::new(Arc::clone(&common));
@@ -88,28 +90,20 @@
         });
         started.map_err(|e| format!("thread {name}: {e}"))
     };
-    let mut signals = Signals::new([SIGTERM, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
+    let caught = Signals::new(signals::HEARD).map_err(|e| format!("signals: {e}"))?;
     let heard = common.events.clone();
-    vital(
-        "signals",
-        limits.stack,
-        Box::new(move || {
-            for signal in signals.forever() {
-                let event = if signal == SIGTERM { Event::Stop } else { Event::Report };
-                if heard.send(event).is_err() {
-                    return;
-                }
-            }
-        }),
-    )?;
+    let (to_feed, moves) = bounded(limits.moves);
+    let hear = Box::new(move || signals::hear(caught, &fixed, &heard, &to_feed));
+    vital("signals", limits.wide_stack, hear)?;
     let follower = Follower {
         address: config.feed,
         last: config.known.last,
         common: Arc::clone(&common),
+        moves,
         gap: None,
         up: true,
     };
-    vital("feed", limits.feed_stack, Box::new(move || follower.follow()))?;
+    vital("feed", limits.wide_stack, Box::new(move || follower.follow()))?;
     let listener = TcpListener::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let listen = listener.local_addr().unwrap_or(config.listen);
     let of = Arc::clone(&common);
--- /dev/null
+++ b/crates/director/src/life/signals.rs
@@ -0,0 +1,68 @@
+//! What signals ask for: to stop, to report, to read the configuration again.
+
+use std::net::SocketAddr;
+
+use crossbeam_channel::Sender;
+use sablecross::Settings;
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
+use signal_hook::iterator::Signals;
+
+use super::config::Config;
+use crate::exchange::Event;
+use crate::wire::feed::Known;
+
+pub const HEARD: [i32; 3] = [SIGHUP, SIGTERM, SIGUSR1];
+
+/// What of the configuration stays as it was at the start.
+pub struct Fixed {
+    name: String,
+    listen: SocketAddr,
+    settings: Settings,
+}
+
+impl Fixed {
+    pub fn of(config: &Config) -> Fixed {
+        Fixed { name: config.name.clone(), listen: config.listen, settings: config.settings.clone() }
+    }
+
+    /// Reads the configuration again: the feed moves, all else takes a restart. A faulty one changes nothing.
+    fn reload(&self, moves: &Sender<(SocketAddr, Known)>) {
+        let config = match Config::load() {
+            Ok(config) => config,
+            Err(e) => return log::error!("reload failed, the old configuration stays: {e}"),
+        };
+        let same = [
+            ("name", self.name == config.name),
+            ("listen", self.listen == config.listen),
+            ("settings", self.settings == config.settings),
+        ];
+        for (key, _) in same.iter().filter(|(_, same)| !same) {
+            log::warn!("reload: {key}: has changed, which takes a restart");
+        }
+        log::info!("reload feed={} known={}", config.feed, config.known.last);
+        // The feed's thread ends with the program alone.
+        let _ = moves.send((config.feed, config.known));
+    }
+}
+
+/// Hears signals for ever, or until the desk is gone.
+pub fn hear(
+    mut signals: Signals,
+    fixed: &Fixed,
+    events: &Sender<Event>,
+    moves: &Sender<(SocketAddr, Known)>,
+) {
+    for signal in signals.forever() {
+        let told = match signal {
+            SIGHUP => {
+                fixed.reload(moves);
+                continue;
+            }
+            SIGTERM => events.send(Event::Stop),
+            _ => events.send(Event::Report),
+        };
+        if told.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -8,7 +8,7 @@
 use crossbeam_channel::{Receiver, bounded};
 use sablecross::Ns;
 
-use super::intake::Intake;
+use super::intake::{Intake, paused};
 use super::rpc::{self, Flaw, Message};
 use super::write_all;
 use crate::exchange::{Asked, Client, Event};
@@ -126,6 +126,7 @@
                 Ok(true) => {}
                 Ok(false) => return Ok(()),
                 Err(e) if e.kind() == ErrorKind::InvalidData => return Err("message too long"),
+                Err(e) if paused(&e) => {}
                 Err(e) if e.kind() == ErrorKind::OutOfMemory => return Err("no room for its message"),
                 Err(_) => return Ok(()),
             },
--- a/crates/director/src/wire/feed.rs
+++ b/crates/director/src/wire/feed.rs
@@ -5,11 +5,12 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use crossbeam_channel::Receiver;
 use sablecross::{Ns, State};
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::intake::Intake;
+use super::intake::{Intake, paused};
 use crate::exchange::Event;
 use crate::life::clock::MS;
 use crate::life::{Common, counters};
@@ -108,7 +109,9 @@
     pub address: SocketAddr,
     pub last: u64,
     pub common: Arc<Common>,
-    /// The number after which events were missing once already: then they are not to be had.
+    /// Where the feed has moved to, and what was known there.
+    pub moves: Receiver<(SocketAddr, Known)>,
+    /// The number after which events were missing or unreadable once already: then they are not to be had.
     pub gap: Option<u64>,
     pub up: bool,
 }
@@ -116,6 +119,8 @@
 enum Over {
     /// The call failed or the stream ended; it is called again.
     Call(String),
+    /// The feed is to be followed at another address.
+    Moved(SocketAddr, Known),
     Desk,
 }
 
@@ -131,6 +136,12 @@
             let (start, before) = (Instant::now(), self.last);
             let why = match self.call() {
                 Err(Over::Desk) => return,
+                Err(Over::Moved(address, known)) => {
+                    if self.moved(address, known).is_err() {
+                        return;
+                    }
+                    continue;
+                }
                 Err(Over::Call(why)) => why,
                 Ok(()) => "ended".into(),
             };
@@ -144,11 +155,46 @@
         }
     }
 
+    /// The numbers go on: of what was known there, only what follows the last one is news.
+    fn moved(&mut self, address: SocketAddr, known: Known) -> Result<(), Over> {
+        log::info!("feed moved after={} from={} to={address}", self.last, self.address);
+        self.address = address;
+        for event in known.events {
+            if event.n == self.last + 1 {
+                self.take(event)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, event: Numbered) -> Result<(), Over> {
+        self.last = event.n;
+        self.common.events.send(Event::Fact(event.fact)).map_err(|_| Over::Desk)
+    }
+
+    /// Reads more; false at the end. Silence past its time is an error, and so is news of another address.
+    fn hear(&self, intake: &mut Intake, stream: &TcpStream) -> Result<bool, Over> {
+        let start = Instant::now();
+        loop {
+            if let Ok((address, known)) = self.moves.try_recv() {
+                return Err(Over::Moved(address, known));
+            }
+            match intake.more(stream) {
+                Err(e) if paused(&e) && start.elapsed() < self.common.limits.feed_silence => {}
+                Err(e) if paused(&e) => return Err(Over::Call("silent".into())),
+                done => return Ok(done?),
+            }
+        }
+    }
+
     /// One connection, read until its end.
     fn call(&mut self) -> Result<(), Over> {
+        if let Ok((address, known)) = self.moves.try_recv() {
+            return Err(Over::Moved(address, known));
+        }
         counters::add(&self.common.counters.feed_calls, 1);
         let stream = TcpStream::connect_timeout(&self.address, self.common.limits.dial)?;
-        stream.set_read_timeout(Some(self.common.limits.feed_silence))?;
+        stream.set_read_timeout(Some(self.common.limits.feed_poll))?;
         stream.set_write_timeout(Some(self.common.limits.feed_silence))?;
         let request = format!(
             "GET /v1/events HTTP/1.1\r\nHost: {}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
@@ -164,7 +210,7 @@
         let mut text = Vec::new();
         loop {
             while !body.take(&mut intake, &mut text)? {
-                if !intake.more(&stream)? {
+                if !self.hear(&mut intake, &stream)? {
                     return Ok(());
                 }
             }
@@ -198,7 +244,7 @@
                     return Ok(chunked);
                 }
                 Ok(httparse::Status::Partial) => {
-                    if !intake.more(stream)? {
+                    if !self.hear(intake, stream)? {
                         return Err(Over::Call("ended in its head".into()));
                     }
                 }
@@ -227,25 +273,24 @@
         }
         let parsed = serde_json::from_str(&data).map_err(|e| e.to_string());
         let parsed = parsed.and_then(|v: Value| Numbered::of(&v));
-        let Some(n) = id.or(parsed.as_ref().ok().map(|e| e.n)) else {
-            counters::add(&self.common.counters.feed_skipped, 1);
-            log::warn!("feed skipped after={}: an event without a number", self.last);
-            return Ok(());
-        };
-        if n <= self.last {
+        let n = id.or(parsed.as_ref().ok().map(|e| e.n));
+        if n.is_some_and(|n| n <= self.last) {
             return Ok(());
         }
-        if n > self.last + 1 && self.gap != Some(self.last) {
+        let missing = n.is_some_and(|n| n > self.last + 1);
+        if (missing || parsed.is_err()) && self.gap != Some(self.last) {
+            // Lost or cut on the way, most likely: it is asked for once more.
             self.gap = Some(self.last);
             counters::add(&self.common.counters.feed_gaps, 1);
-            return Err(Over::Call(format!("gap before={n}")));
+            let what = if missing { "gap" } else { "unreadable" };
+            return Err(Over::Call(format!("{what} before={}", n.unwrap_or(0))));
         }
-        self.last = n;
         match parsed {
-            Ok(event) => self.common.events.send(Event::Fact(event.fact)).map_err(|_| Over::Desk),
+            Ok(event) => self.take(event),
             Err(why) => {
+                self.last = n.unwrap_or(self.last);
                 counters::add(&self.common.counters.feed_skipped, 1);
-                log::warn!("feed skipped n={n}: {why}");
+                log::warn!("feed skipped n={}: {why}", n.unwrap_or(0));
                 Ok(())
             }
         }
--- a/crates/director/src/wire/intake.rs
+++ b/crates/director/src/wire/intake.rs
@@ -38,7 +38,7 @@
         }
     }
 
-    /// Reads more; false at the end.
+    /// Reads more, once; false at the end. An error may be but a pause.
     pub fn more(&mut self, mut source: impl Read) -> io::Result<bool> {
         if self.to == self.bytes.len() {
             self.bytes.copy_within(self.from..self.to, 0);
@@ -53,7 +53,7 @@
                 self.bytes.resize(length, 0);
             }
         }
-        let n = read(&mut source, &mut self.bytes[self.to..])?;
+        let n = source.read(&mut self.bytes[self.to..])?;
         self.to += n;
         Ok(n > 0)
     }
@@ -67,11 +67,8 @@
     }
 }
 
-fn read(source: &mut impl Read, to: &mut [u8]) -> io::Result<usize> {
-    loop {
-        match source.read(to) {
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            done => return done,
-        }
-    }
+/// Whether nothing came yet, no more. A program that is stopped and continued, as one held to part of a core is,
+/// has its reads interrupted and their time-outs begun anew: times count by the clock alone.
+pub fn paused(e: &io::Error) -> bool {
+    matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::WouldBlock | ErrorKind::TimedOut)
 }
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -10,7 +10,7 @@
 use sablecross::{Listed, Ns, Outcome, State};
 
 use super::feed::Member;
-use super::intake::Intake;
+use super::intake::{Intake, paused};
 use super::{lines, write_all};
 use crate::exchange::{Asked, Copy, Ended, Event, Link, Name};
 use crate::life::{Common, counters, thread};
@@ -321,6 +321,7 @@
         let Some(end) = intake.seen().windows(2).position(|w| w == b"\r\n") else {
             match intake.more(stream) {
                 Ok(true) => continue,
+                Err(e) if paused(&e) => continue,
                 Err(e) if e.kind() == std::io::ErrorKind::InvalidData => return Err("line too long"),
                 Ok(false) | Err(_) => return Ok(()),
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,7 +3,7 @@
 /// Whole nanoseconds.
 pub type Ns = u64;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     pub zone: usize,
     /// This director's number among all of them.
@@ -32,7 +32,7 @@
     pub tick: Ns,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ObjectKind {
     pub latency_budget: Ns,
     /// The budget grows by this multiple of the sending time.
