One thread holds all connections of clients; idle ones make room for others

Ruled out: parsing, unfit messages, thread starts (under 10% together). Now one thread serves all clients (mio, still std::net's sockets): with slots short the longest idle connection goes, never one that waits; what says nothing whole in 2 s, or nothing more in 8 s, is closed; a message holds 256 values at most; a name that is open is not taken with another object; a send given up is not written any more (one was seen after its final answer).

--- a/crates/director/src/exchange.rs
+++ b/crates/director/src/exchange.rs
@@ -1,13 +1,10 @@
 //! Where the client side and the node side meet: plain values, and the one queue that leads to the desk.
 
-use std::net::TcpStream;
 use std::sync::Arc;
 
-use crossbeam_channel::Sender;
 use sablecross::{Load, Ns, Outcome};
 
 use crate::memory::bodies::Body;
-use crate::wire::clients::Reply;
 use crate::wire::feed::Fact;
 
 /// A client's connection, a connection to a node.
@@ -57,11 +54,6 @@
 
 /// All that the desk hears of.
 pub enum Event {
-    Joined {
-        client: Client,
-        replies: Sender<Reply>,
-        stream: Arc<TcpStream>,
-    },
     Asked(Box<Asked>),
     /// An id is known, but what was asked can't be used, or there is no room for it.
     Unfit {
--- a/crates/director/src/life/counters.rs
+++ b/crates/director/src/life/counters.rs
@@ -24,8 +24,6 @@
     pub late: u64,
     pub links: u64,
     pub links_open: u64,
-    pub clients: u64,
-    pub clients_open: u64,
     pub facts: u64,
 }
 
@@ -39,6 +37,10 @@
     pub body_bytes: AtomicU64,
     pub bad_messages: AtomicU64,
     pub bad_lines: AtomicU64,
+    /// Connections of clients: all, closed as idle after their time or to make room, over the limit.
+    pub clients: AtomicU64,
+    pub idle_closed: AtomicU64,
+    pub made_room: AtomicU64,
     pub turned_away: AtomicU64,
     pub feed_calls: AtomicU64,
     pub feed_gaps: AtomicU64,
@@ -77,7 +79,7 @@
             "taken={} satisfied={} nacked={} failed={} cancelled={} in_hand={} unchanged={} crowded={} \
              unfit={} sends={} further={} ok={ok} miss={miss} full={full} error={error} \
              timed_out={timed_out} unconnected={unconnected} broken={broken} called_off={called_off} \
-             never_sent={never_sent} late={} links={} links_open={} clients={} clients_open={} facts={}",
+             never_sent={never_sent} late={} links={} links_open={} facts={}",
             self.taken,
             self.satisfied,
             self.nacked,
@@ -92,8 +94,6 @@
             self.late,
             self.links,
             self.links_open,
-            self.clients,
-            self.clients_open,
             self.facts,
         )
     }
@@ -104,7 +104,8 @@
         let of = |c: &AtomicU64| c.load(Ordering::Relaxed);
         write!(
             f,
-            "answers={} answer_bytes={} unsent={} body_bytes={} bad_messages={} bad_lines={} turned_away={} \
+            "answers={} answer_bytes={} unsent={} body_bytes={} bad_messages={} bad_lines={} clients={} \
+             idle_closed={} made_room={} turned_away={} \
              feed_calls={} feed_gaps={} feed_skipped={}",
             of(&self.answers),
             of(&self.answer_bytes),
@@ -112,6 +113,9 @@
             of(&self.body_bytes),
             of(&self.bad_messages),
             of(&self.bad_lines),
+            of(&self.clients),
+            of(&self.idle_closed),
+            of(&self.made_room),
             of(&self.turned_away),
             of(&self.feed_calls),
             of(&self.feed_gaps),
--- a/crates/director/src/life/limits.rs
+++ b/crates/director/src/life/limits.rs
@@ -21,9 +21,16 @@
     pub bodies: usize,
     pub head: usize,
     pub line: usize,
-    /// How deep the values of a message lie in one another.
+    /// How deep the values of a message lie in one another, and how many there are.
     pub depth: usize,
-    /// Queues: to the desk, to the writer of a client, to that of a node, to the feed's.
+    pub values: usize,
+    /// Messages of one connection that can't be used, before it is closed.
+    pub unfit: usize,
+    /// What is read at first of a client, and messages that one connection may say, or events that are heard, in
+    /// one turn.
+    pub first_read: usize,
+    pub turns: usize,
+    /// Queues: to the desk, to the clients, to that of a node, to the feed's.
     pub events: usize,
     pub replies: usize,
     pub orders: usize,
@@ -38,10 +45,19 @@
     /// An answer is decided this much before its client gives up.
     pub margin: Ns,
     pub longest_budget: Ns,
+    /// The largest size that a client may tell, in KB.
+    pub largest_kb: f64,
     /// The time that an answer without a deadline has to be written.
     pub undated: Ns,
-    /// The pause after a connection of a client could not be taken.
-    pub accept_pause: Duration,
+    /// The time in which a client's message has to come whole; after which one that said something before counts
+    /// as gone; in which a new one is not blamed for its silence.
+    pub half_said: Ns,
+    pub idle_client: Ns,
+    pub settled: Ns,
+    /// How often idle connections are looked for.
+    pub sweep: Ns,
+    /// What is begun in time may be finished this much later: cut short, it would end all that is open beside it.
+    pub finish: Ns,
     /// Silence of the feed that is a dead link, how often it is looked whether it has moved meanwhile, and the
     /// pause after a failed call.
     pub feed_silence: Duration,
@@ -69,8 +85,12 @@
             head: 16 << 10,
             line: 4 << 10,
             depth: 6,
+            values: 256,
+            unfit: 8,
+            first_read: 2 << 10,
+            turns: 64,
             events: 4_096,
-            replies: 128,
+            replies: 8_192,
             orders: 128,
             moves: 4,
             stack: 64 << 10,
@@ -80,8 +100,13 @@
             idle: keepalive * 4 / 5,
             margin: 20 * MS,
             longest_budget: 600_000 * MS,
+            largest_kb: 1e6,
             undated: 1_000 * MS,
-            accept_pause: Duration::from_millis(10),
+            half_said: 2_000 * MS,
+            idle_client: 8_000 * MS,
+            settled: 200 * MS,
+            sweep: 250 * MS,
+            finish: 40 * MS,
             feed_silence: Duration::from_secs(2),
             feed_poll: Duration::from_millis(100),
             feed_pause: Duration::from_millis(100),
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -6,7 +6,6 @@
 pub mod limits;
 mod signals;
 
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::{io, thread};
@@ -24,7 +23,7 @@
 
 use crate::exchange::Event;
 use crate::memory::{bodies::Room, desk::Desk};
-use crate::wire::clients;
+use crate::wire::clients::Clients;
 use crate::wire::feed::Follower;
 use crate::wire::nodes::Nodes;
 
@@ -77,9 +76,12 @@
     let fixed = Fixed::of(&config);
     let (common, to_desk) = Common::new(config.names, config.limits);
     let limits = &common.limits;
+    let at_listen = |e| format!("listen: {}: {e}", config.listen);
+    let (clients, outlet) = Clients::listen(config.listen, &common).map_err(at_listen)?;
+    let listen = clients.address().map_err(at_listen)?;
     let nodes = Nodes::new(Arc::clone(&common));
     let choice = Choice::new(config.settings, config.seed, common.clock.now());
-    let mut desk = Desk::new(choice, nodes, Arc::clone(&common));
+    let mut desk = Desk::new(choice, nodes, outlet, Arc::clone(&common));
     config.known.events.into_iter().for_each(|event| desk.fact(event.fact));
 
     let vital = |name: &'static str, stack: usize, run: Box<dyn FnOnce() + Send>| {
@@ -104,10 +106,7 @@
         up: true,
     };
     vital("feed", limits.wide_stack, Box::new(move || follower.follow()))?;
-    let listener = TcpListener::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
-    let listen = listener.local_addr().unwrap_or(config.listen);
-    let of = Arc::clone(&common);
-    vital("accept", limits.stack, Box::new(move || clients::accept(&listener, &of)))?;
+    vital("clients", limits.wide_stack, Box::new(move || clients.serve()))?;
     log::info!("serving name={} listen={listen}", config.name);
 
     let served = desk.serve(&to_desk);
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -2,29 +2,21 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
-use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::{Receiver, RecvTimeoutError};
 use sablecross::{Choice, Lookup, Ns, Outcome, Send};
 use sablecross_inhand::{Carrier, End, Hand};
 
-use crate::exchange::{Asked, Client, Ended, Event, Link};
+use crate::exchange::{Asked, Client, Ended, Event, Link, Name};
 use crate::life::Common;
 use crate::life::clock::MS;
 use crate::life::counters::{self, Counters};
-use crate::wire::clients::{Reply, Say};
+use crate::wire::clients::{Outlet, Reply, Say};
 use crate::wire::feed::Fact;
 use crate::wire::nodes::{Nodes, Out};
 
-/// A connection of a client, and its lookups in hand by their numbers on it.
-struct Caller {
-    replies: Sender<Reply>,
-    stream: Arc<TcpStream>,
-    calls: HashMap<u32, u64>,
-}
-
 struct Kept {
     asked: Box<Asked>,
     deadline: Ns,
@@ -46,9 +38,15 @@
     now: Ns,
     common: Arc<Common>,
     nodes: Nodes,
-    callers: HashMap<Client, Caller>,
+    outlet: Outlet,
+    /// Its lookups in hand by their numbers, for each connection of a client.
+    callers: HashMap<Client, HashMap<u32, u64>>,
     kept: HashMap<u64, Kept>,
+    /// The lookup in hand of each name.
+    names: HashMap<Name, u64>,
     timers: BinaryHeap<Reverse<(Ns, Timer)>>,
+    /// At so many, those of lookups that are out of hand are dropped.
+    most_timers: usize,
     /// Ends of sends that came without an event.
     ends: VecDeque<(u64, usize, End)>,
     counters: Counters,
@@ -68,29 +66,28 @@
         self.ends.push_back((id, shot, End { outcome, took, hit: None, over: false }));
     }
 
-    /// Whether its connection is still there, and this number not open on it: two answers with one number
-    /// could not be told apart, so that ends the connection.
-    fn new_call(&mut self, client: Client, call: u32) -> bool {
-        let Some(caller) = self.callers.get(&client) else { return false };
-        let open = caller.calls.contains_key(&call);
-        if open {
-            log::debug!("client {client}: call {call} is open already");
-            let _ = caller.stream.shutdown(Shutdown::Both);
-        }
-        !open
-    }
-
     fn tell(&mut self, client: Client, call: u32, until: Ns, say: Say) {
-        let Some(caller) = self.callers.get_mut(&client) else { return };
-        caller.calls.remove(&call);
+        if let Some(calls) = self.callers.get_mut(&client) {
+            calls.remove(&call);
+        }
         self.common.unwritten.fetch_add(1, Ordering::Relaxed);
-        if caller.replies.try_send(Reply { call, until, say }).is_err() {
-            // It takes no answers: the connection is of no more use.
+        if !self.outlet.tell(Reply { client, call, until, say }) {
             self.common.unwritten.fetch_sub(1, Ordering::Relaxed);
-            let _ = caller.stream.shutdown(Shutdown::Both);
+            counters::add(&self.common.counters.unsent, 1);
         }
     }
 
+    fn timer(&mut self, at: Ns, timer: Timer) {
+        if self.timers.len() >= self.most_timers {
+            let Floor { timers, kept, .. } = self;
+            timers.retain(|Reverse((_, timer))| match timer {
+                Timer::TimeOut { id, .. } | Timer::Ask { id, .. } => kept.contains_key(id),
+            });
+            self.most_timers = self.common.limits.events + 2 * self.timers.len();
+        }
+        self.timers.push(Reverse((at, timer)));
+    }
+
     /// The one final answer.
     fn answer(&mut self, id: u64, say: Say) {
         let Some(kept) = self.kept.get_mut(&id).filter(|k| !k.answered) else { return };
@@ -129,7 +126,7 @@
         kept.links.push(link.ok());
         kept.before.extend(link.ok());
         match link {
-            Ok(_) => self.timers.push(Reverse((self.now + send.time_out, Timer::TimeOut { id, shot }))),
+            Ok(_) => self.timer(self.now + send.time_out, Timer::TimeOut { id, shot }),
             // It never went out: that it came back at once tells nothing of how quick its node is.
             Err(outcome) => self.end(id, shot, outcome, Ns::MAX),
         }
@@ -148,23 +145,30 @@
     }
 
     fn ask_again(&mut self, id: u64, turn: u32, wait: Ns) {
-        self.timers.push(Reverse((self.now + wait, Timer::Ask { id, turn })));
+        self.timer(self.now + wait, Timer::Ask { id, turn });
     }
 
     fn dropped(&mut self, id: u64) {
-        self.kept.remove(&id);
+        if let Some(kept) = self.kept.remove(&id)
+            && self.names.get(&kept.asked.name) == Some(&id)
+        {
+            self.names.remove(&kept.asked.name);
+        }
     }
 }
 
 impl Desk {
-    pub fn new(choice: Choice, nodes: Nodes, common: Arc<Common>) -> Desk {
+    pub fn new(choice: Choice, nodes: Nodes, outlet: Outlet, common: Arc<Common>) -> Desk {
         let floor = Floor {
             now: common.clock.now(),
             common,
             nodes,
+            outlet,
             callers: HashMap::new(),
             kept: HashMap::new(),
+            names: HashMap::new(),
             timers: BinaryHeap::new(),
+            most_timers: 0,
             ends: VecDeque::new(),
             counters: Counters::default(),
         };
@@ -209,17 +213,14 @@
     }
 
     /// Tells all clients that no more comes.
-    pub fn close(&self) {
-        for caller in self.floor.callers.values() {
-            let _ = caller.stream.shutdown(Shutdown::Write);
-        }
+    pub fn close(self) {
+        self.floor.outlet.close();
     }
 
     pub fn report(&mut self) {
         let f = &mut self.floor;
         f.counters.in_hand = f.kept.values().filter(|k| !k.answered).count() as u64;
         (f.counters.links, f.counters.links_open) = (f.nodes.opened(), f.nodes.open() as u64);
-        f.counters.clients_open = f.callers.len() as u64;
         log::info!("counters {} {}{}", f.counters, f.common.counters, counters::usage());
     }
 
@@ -256,28 +257,21 @@
     fn event(&mut self, event: Event) -> Result<(), String> {
         let now = self.floor.now;
         match event {
-            Event::Joined { client, replies, stream } => {
-                self.floor.counters.clients += 1;
-                self.floor.callers.insert(client, Caller { replies, stream, calls: HashMap::new() });
-            }
             Event::Asked(asked) => self.asked(asked),
-            Event::Unfit { client, call, crowded } if self.floor.new_call(client, call) => {
-                self.unfit(client, call, crowded);
-            }
-            Event::Alive { client, call } if self.floor.new_call(client, call) => {
+            Event::Unfit { client, call, crowded } => self.unfit(client, call, crowded),
+            Event::Alive { client, call } => {
                 let alive = Say::Alive(self.ready && self.stopped.is_none());
                 self.floor.tell(client, call, now + self.floor.common.limits.undated, alive);
             }
-            Event::Alive { .. } | Event::Unfit { .. } => {}
             Event::Cancelled { client, call } => {
-                let id = self.floor.callers.get_mut(&client).and_then(|c| c.calls.remove(&call));
+                let id = self.floor.callers.get_mut(&client).and_then(|calls| calls.remove(&call));
                 if let Some(id) = id {
                     self.cancelled(id);
                 }
             }
             Event::Left { client } => {
-                let Some(caller) = self.floor.callers.remove(&client) else { return Ok(()) };
-                let mut left: Vec<u64> = caller.calls.into_values().collect();
+                let calls = self.floor.callers.remove(&client).unwrap_or_default();
+                let mut left: Vec<u64> = calls.into_values().collect();
                 left.sort_unstable();
                 left.into_iter().for_each(|id| self.cancelled(id));
             }
@@ -321,16 +315,20 @@
 
     fn asked(&mut self, asked: Box<Asked>) {
         let (client, call, f) = (asked.client, asked.call, &mut self.floor);
-        if !f.new_call(client, call) {
-            return;
-        }
-        let Some(caller) = f.callers.get_mut(&client) else { return };
-        if caller.calls.len() >= f.common.limits.open_a_client || f.kept.len() >= f.common.limits.lookups {
+        let calls = f.callers.entry(client).or_default();
+        if calls.len() >= f.common.limits.open_a_client || f.kept.len() >= f.common.limits.lookups {
             return self.unfit(client, call, true);
         }
         let id = self.next;
+        // A name is one lookup's: what another asks for under it could be answered with what is not its own.
+        let first = *f.names.entry(asked.name).or_insert(id);
+        let same =
+            |k: &Kept| (k.asked.object, k.asked.part, k.asked.kind) == (asked.object, asked.part, asked.kind);
+        if f.kept.get(&first).is_some_and(|k| !same(k)) {
+            return self.unfit(client, call, false);
+        }
         self.next += 1;
-        caller.calls.insert(call, id);
+        calls.insert(call, id);
         f.counters.taken += 1;
         let deadline = (asked.arrived + asked.budget).saturating_sub(f.common.limits.margin);
         let lookup = Lookup {
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -5,6 +5,7 @@
 use std::io::IoSlice;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use sablecross::{Listed, Ns, Outcome, State};
@@ -17,7 +18,7 @@
 use crate::memory::bodies::Body;
 
 enum Order {
-    Pull { name: Name, head: Vec<u8>, body: Arc<Body>, until: Ns },
+    Pull { name: Name, head: Vec<u8>, body: Arc<Body>, until: Ns, off: Arc<AtomicBool> },
     Kill(Name),
 }
 
@@ -29,10 +30,16 @@
     pub at: Ns,
 }
 
+/// A send that is out, and the word between desk and writer that it is not to be written any more.
+struct Flight {
+    out: Out,
+    off: Arc<AtomicBool>,
+}
+
 struct Open {
     node: usize,
     orders: Sender<Order>,
-    out: BTreeMap<Name, Out>,
+    out: BTreeMap<Name, Flight>,
     /// When it was opened or last heard of.
     heard: Ns,
     /// When its last send was made or ended.
@@ -151,10 +158,12 @@
         let link = self.choose(send.node, &asked.name, before, out.at)?;
         let open = self.links.get_mut(&link).ok_or(Outcome::NeverSent)?;
         let until = out.at + send.time_out;
-        let order = Order::Pull { name: asked.name, head, body: Arc::clone(&asked.body), until };
+        let off = Arc::new(AtomicBool::new(false));
+        let (body, told) = (Arc::clone(&asked.body), Arc::clone(&off));
+        let order = Order::Pull { name: asked.name, head, body, until, off: told };
         match open.orders.try_send(order) {
             Ok(()) => {
-                open.out.insert(asked.name, out);
+                open.out.insert(asked.name, Flight { out, off });
                 open.used = out.at;
                 Ok(link)
             }
@@ -226,7 +235,7 @@
         let open = self.links.get_mut(&link)?;
         open.heard = open.heard.max(at);
         open.used = open.used.max(at);
-        let out = open.out.remove(name);
+        let out = open.out.remove(name).map(|flight| flight.out);
         if open.retired && open.out.is_empty() {
             self.forget(link);
         }
@@ -236,7 +245,9 @@
     /// Gives a send up. After a time-out, a connection that was silent since is not used again.
     pub fn give_up(&mut self, link: Link, name: &Name, timed_out: bool) -> Option<Out> {
         let open = self.links.get_mut(&link)?;
-        let out = open.out.remove(name)?;
+        let Flight { out, off } = open.out.remove(name)?;
+        // What is not written yet never will be: a node must not see it after its client had an answer.
+        off.store(true, Ordering::Release);
         // A queue that is full belongs to a connection that is stuck.
         let stuck = open.orders.try_send(Order::Kill(*name)).is_err();
         if stuck || timed_out && open.heard <= out.at || open.retired {
@@ -247,7 +258,8 @@
 
     /// A connection is over: the sends that were out on it.
     pub fn lost(&mut self, link: Link) -> Vec<Out> {
-        self.forget(link).map_or_else(Vec::new, |open| open.out.into_values().collect())
+        self.forget(link)
+            .map_or_else(Vec::new, |open| open.out.into_values().map(|flight| flight.out).collect())
     }
 }
 
@@ -292,8 +304,10 @@
     let mut skipped = BTreeSet::new();
     for order in orders {
         let written = match &order {
-            // Its time was over before the connection came up.
-            Order::Pull { name, until, .. } if of.clock.now() >= *until => {
+            // Given up, or its time over, before the connection came up or took it.
+            Order::Pull { name, until, off, .. }
+                if off.load(Ordering::Acquire) || of.clock.now() >= *until =>
+            {
                 skipped.insert(*name);
                 Ok(())
             }
--- a/crates/director/src/wire/rpc.rs
+++ b/crates/director/src/wire/rpc.rs
@@ -6,6 +6,7 @@
 use rmp::decode::{self, RmpReadErr, ValueReadError};
 use rmp::encode;
 
+use crate::life::clock::MS;
 use crate::life::config::Names;
 use crate::life::limits::Limits;
 
@@ -66,23 +67,23 @@
 /// The first message in the bytes and its length.
 pub fn read<'a>(bytes: &'a [u8], names: &Names, limits: &Limits) -> Read<(Message<'a>, usize)> {
     let mut rest = bytes;
-    match skip(&mut rest, limits, 0) {
+    match skip(&mut rest, limits, 0, &mut 0) {
         Err(Flaw::Short) if bytes.len() > limits.head + limits.body => {
             return Err(Flaw::Bad("message too long"));
         }
         other => other?,
     }
     let length = bytes.len() - rest.len();
-    Ok((message(&bytes[..length], names)?, length))
+    Ok((message(&bytes[..length], names, limits)?, length))
 }
 
-fn message<'a>(mut b: &'a [u8], names: &Names) -> Read<Message<'a>> {
+fn message<'a>(mut b: &'a [u8], names: &Names, limits: &Limits) -> Read<Message<'a>> {
     let parts = decode::read_array_len(&mut b)?;
     match (parts, decode::read_int::<u8, _>(&mut b)?) {
         (4, 0) => {
             let call = decode::read_int(&mut b)?;
             // An id is known from here on.
-            request(b, call, names).or_else(|flaw| match flaw {
+            request(b, call, names, limits).or_else(|flaw| match flaw {
                 Flaw::Bad(why) => Ok(Message::Unfit { call, why }),
                 Flaw::Short => Err(Flaw::Bad("cut short")),
             })
@@ -98,7 +99,7 @@
     }
 }
 
-fn request<'a>(mut b: &'a [u8], call: u32, names: &Names) -> Read<Message<'a>> {
+fn request<'a>(mut b: &'a [u8], call: u32, names: &Names, limits: &Limits) -> Read<Message<'a>> {
     let method = text(&mut b)?;
     let parts = decode::read_array_len(&mut b)?;
     if method == "alive" {
@@ -114,24 +115,32 @@
         let (name, value) = (text(&mut b)?, text(&mut b)?);
         match name {
             "rid" => rid = Some(digits(value)?),
-            "budget" => budget = Some(number(value)?),
+            "budget" => {
+                let ms: u64 = number(value)?;
+                if ms.saturating_mul(MS) > limits.longest_budget {
+                    return Err(Flaw::Bad("budget out of range"));
+                }
+                budget = Some(ms);
+            }
             "obj" => {
                 digits(value)?;
                 object = Some(u64::from_str_radix(value, 16).map_err(|_| Flaw::Bad("no object"))?);
             }
             "piece" => part = Some(number(value)?),
-            "lot" => fields.group = number(value)?,
+            "lot" => fields.group = number::<u8>(value)?.into(),
             "mem" => {
                 let size: f64 = number(value)?;
-                if !size.is_finite() || size < 0.0 {
+                if !(0.0..=limits.largest_kb).contains(&size) {
                     return Err(Flaw::Bad("size out of range"));
                 }
                 fields.size_kb = size;
             }
             "ver" => {
                 // It becomes a word of a line, in a list of fields.
-                let word = !value.is_empty() && value.bytes().all(|c| c.is_ascii_graphic() && c != b',');
-                fields.tag = Some(value).filter(|_| word);
+                if value.is_empty() || value.len() > 64 || !value.bytes().all(|c| c.is_ascii_alphanumeric()) {
+                    return Err(Flaw::Bad("no tag"));
+                }
+                fields.tag = Some(value);
             }
             _ => {}
         }
@@ -164,7 +173,8 @@
 }
 
 /// Passes over one value, of any kind: where a message ends is known before it is looked into.
-fn skip(b: &mut &[u8], limits: &Limits, depth: usize) -> Read<()> {
+fn skip(b: &mut &[u8], limits: &Limits, depth: usize, values: &mut usize) -> Read<()> {
+    *values += 1;
     if depth > limits.depth {
         return Err(Flaw::Bad("nested too deep"));
     }
@@ -172,7 +182,7 @@
         ErrorKind::UnexpectedEof => Flaw::Short,
         _ => Flaw::Bad("unreadable"),
     })?;
-    let (bytes, values) = match marker {
+    let (bytes, within) = match marker {
         Marker::FixPos(_) | Marker::FixNeg(_) | Marker::Null | Marker::True | Marker::False => (0, 0),
         Marker::U8 | Marker::I8 => (1, 0),
         Marker::U16 | Marker::I16 => (2, 0),
@@ -190,11 +200,12 @@
         Marker::Map32 => (0, 2 * length(b, 4)?),
         _ => return Err(Flaw::Bad("a type that no message holds")),
     };
-    if bytes > limits.body || values > limits.head {
+    // Known before they come: an endless message is none from its first bytes on.
+    if bytes > limits.body || *values + within > limits.values {
         return Err(Flaw::Bad("too long"));
     }
     take(b, bytes)?;
-    (0..values).try_for_each(|_| skip(b, limits, depth + 1))
+    (0..within).try_for_each(|_| skip(b, limits, depth + 1, values))
 }
 
 fn length(b: &mut &[u8], bytes: usize) -> Read<usize> {
