One thread holds all connections to nodes; a quiet one is not used after a send was given up

Beside that: a send whose connection broke before it was begun never ran (it counted as broken, and against its node), and a connection that was silent for 250 ms since a send that was given up is closed: an answer that never comes leaves it stuck.

--- a/crates/director/src/exchange.rs
+++ b/crates/director/src/exchange.rs
@@ -76,10 +76,11 @@
         link: Link,
         ended: Box<Ended>,
     },
-    /// A connection to a node is over; `reached`: it had come up.
+    /// A connection to a node is over; `reached`: it had come up; `unwritten`: what was not begun to be written.
     Lost {
         link: Link,
         reached: bool,
+        unwritten: Vec<Name>,
     },
     Fact(Fact),
     Stop,
--- a/crates/director/src/life/limits.rs
+++ b/crates/director/src/life/limits.rs
@@ -30,7 +30,7 @@
     /// one turn.
     pub first_read: usize,
     pub turns: usize,
-    /// Queues: to the desk, to the clients, to that of a node, to the feed's.
+    /// Queues: to the desk, to the clients, to the nodes, to the feed's.
     pub events: usize,
     pub replies: usize,
     pub orders: usize,
@@ -39,9 +39,11 @@
     pub stack: usize,
     pub wide_stack: usize,
     pub feed_event: usize,
-    /// Times: to connect to a node; after which an idle connection is not used again.
-    pub dial: Duration,
+    /// Times: to connect to a node; after which an idle connection is not used again, and one
+    /// that was silent since it took a send that was given up.
+    pub dial: Ns,
     pub idle: Ns,
+    pub quiet: Ns,
     /// An answer is decided this much before its client gives up.
     pub margin: Ns,
     pub longest_budget: Ns,
@@ -91,13 +93,14 @@
             turns: 64,
             events: 4_096,
             replies: 8_192,
-            orders: 128,
+            orders: 8_192,
             moves: 4,
             stack: 64 << 10,
             wide_stack: 512 << 10,
             feed_event: 4 << 20,
-            dial: Duration::from_nanos(dial),
+            dial,
             idle: keepalive * 4 / 5,
+            quiet: 250 * MS,
             margin: 20 * MS,
             longest_budget: 600_000 * MS,
             largest_kb: 1e6,
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -25,6 +25,7 @@
 use crate::memory::{bodies::Room, desk::Desk};
 use crate::wire::clients::Clients;
 use crate::wire::feed::Follower;
+use crate::wire::links::Links;
 use crate::wire::nodes::Nodes;
 
 /// A named thread with a small stack.
@@ -79,7 +80,8 @@
     let at_listen = |e| format!("listen: {}: {e}", config.listen);
     let (clients, outlet) = Clients::listen(config.listen, &common).map_err(at_listen)?;
     let listen = clients.address().map_err(at_listen)?;
-    let nodes = Nodes::new(Arc::clone(&common));
+    let (links, orders) = Links::new(&common).map_err(|e| format!("connections to nodes: {e}"))?;
+    let nodes = Nodes::new(orders, Arc::clone(&common));
     let choice = Choice::new(config.settings, config.seed, common.clock.now());
     let mut desk = Desk::new(choice, nodes, outlet, Arc::clone(&common));
     config.known.events.into_iter().for_each(|event| desk.fact(event.fact));
@@ -106,6 +108,7 @@
         up: true,
     };
     vital("feed", limits.wide_stack, Box::new(move || follower.follow()))?;
+    vital("links", limits.wide_stack, Box::new(move || links.serve()))?;
     vital("clients", limits.wide_stack, Box::new(move || clients.serve()))?;
     log::info!("serving name={} listen={listen}", config.name);
 
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -110,7 +110,7 @@
     fn give_up(&mut self, id: u64, shot: usize, outcome: Outcome) {
         let Some(kept) = self.kept.get_mut(&id) else { return };
         let Some(link) = kept.links.get_mut(shot).and_then(Option::take) else { return };
-        let out = self.nodes.give_up(link, &kept.asked.name, outcome == Outcome::TimedOut);
+        let out = self.nodes.give_up(link, &kept.asked.name, self.now);
         let took = out.map_or(0, |out| self.now.saturating_sub(out.at));
         self.end(id, shot, outcome, took);
     }
@@ -276,12 +276,16 @@
                 left.into_iter().for_each(|id| self.cancelled(id));
             }
             Event::Ended { link, ended } => self.answered(link, *ended),
-            Event::Lost { link, reached } => {
-                let outcome = if reached { Outcome::Broken } else { Outcome::Unconnected };
+            Event::Lost { link, reached, unwritten } => {
                 for Out { id, shot, at } in self.floor.nodes.lost(link) {
-                    if let Some(kept) = self.floor.kept.get_mut(&id) {
-                        kept.links[shot] = None;
-                    }
+                    let Some(kept) = self.floor.kept.get_mut(&id) else { continue };
+                    kept.links[shot] = None;
+                    // A connection reset while it was idle says nothing of its node.
+                    let outcome = match reached {
+                        false => Outcome::Unconnected,
+                        true if unwritten.contains(&kept.asked.name) => Outcome::NeverSent,
+                        true => Outcome::Broken,
+                    };
                     self.floor.end(id, shot, outcome, now.saturating_sub(at));
                 }
             }
--- a/crates/director/src/wire/feed.rs
+++ b/crates/director/src/wire/feed.rs
@@ -3,7 +3,7 @@
 use std::io::{self, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::Receiver;
 use sablecross::{Ns, State};
@@ -193,7 +193,8 @@
             return Err(Over::Moved(address, known));
         }
         counters::add(&self.common.counters.feed_calls, 1);
-        let stream = TcpStream::connect_timeout(&self.address, self.common.limits.dial)?;
+        let stream =
+            TcpStream::connect_timeout(&self.address, Duration::from_nanos(self.common.limits.dial))?;
         stream.set_read_timeout(Some(self.common.limits.feed_poll))?;
         stream.set_write_timeout(Some(self.common.limits.feed_silence))?;
         let request = format!(
--- a/crates/director/src/wire/intake.rs
+++ b/crates/director/src/wire/intake.rs
@@ -57,14 +57,6 @@
         self.to += n;
         Ok(n > 0)
     }
-
-    /// Fills a buffer from what has come, the rest straight from the source.
-    pub fn fill(&mut self, out: &mut [u8], mut source: impl Read) -> io::Result<()> {
-        let here = out.len().min(self.to - self.from);
-        out[..here].copy_from_slice(&self.seen()[..here]);
-        self.used(here);
-        source.read_exact(&mut out[here..])
-    }
 }
 
 /// Whether nothing came yet, no more. A program that is stopped and continued, as one held to part of a core is,
--- /dev/null
+++ b/crates/director/src/wire/links.rs
@@ -0,0 +1,357 @@
+//! The connections to nodes: one thread holds them all, makes them, writes sends and reads answers. It waits for
+//! any of them, and never for one alone.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use crossbeam_channel::{Receiver, Sender, bounded};
+use mio::net::TcpStream;
+use mio::{Events, Interest, Poll, Token, Waker};
+use sablecross::{Ns, Outcome};
+
+use super::intake::{Intake, paused};
+use super::lines;
+use crate::exchange::{Copy, Ended, Event, Link, Name};
+use crate::life::{Common, counters};
+use crate::memory::bodies::Body;
+
+pub enum Order {
+    Dial { link: Link, address: SocketAddr, by: Ns },
+    Pull { link: Link, name: Name, head: Vec<u8>, body: Arc<Body>, until: Ns, off: Arc<AtomicBool> },
+    Kill { link: Link, name: Name },
+    Close(Link),
+}
+
+/// The desk's way to the connections.
+pub struct Orders {
+    orders: Sender<Order>,
+    waker: Waker,
+}
+
+impl Orders {
+    /// False if there are more than can be kept.
+    pub fn give(&self, order: Order) -> bool {
+        let given = self.orders.try_send(order).is_ok();
+        // It wakes by itself before long.
+        let _ = self.waker.wake();
+        given
+    }
+}
+
+const ORDERS: Token = Token(usize::MAX);
+
+/// Something to write.
+struct Send {
+    name: Name,
+    head: Vec<u8>,
+    /// None: it is a kill.
+    body: Option<Arc<Body>>,
+    until: Ns,
+    off: Arc<AtomicBool>,
+}
+
+/// An answer whose body is coming in.
+struct Coming {
+    ended: Ended,
+    tag: Box<str>,
+    unchanged: bool,
+    /// None: there is no room, and it is read off.
+    body: Option<Body>,
+    length: usize,
+    come: usize,
+}
+
+/// Why a connection ends.
+type Over = &'static str;
+
+struct Wire {
+    stream: TcpStream,
+    up: bool,
+    /// By when it must be up.
+    by: Ns,
+    intake: Intake,
+    coming: Option<Coming>,
+    sends: VecDeque<Send>,
+    /// Bytes of the first send that are written.
+    written: usize,
+    /// Sends that were given up before they were written.
+    skipped: BTreeSet<Name>,
+}
+
+impl Wire {
+    /// Whether it has come up, as far as is known.
+    fn rise(&mut self) -> Result<(), Over> {
+        if let Ok(Some(_)) | Err(_) = self.stream.take_error() {
+            return Err("not connected");
+        }
+        self.up = self.up || self.stream.peer_addr().is_ok();
+        Ok(())
+    }
+
+    /// Writes on, as far as there is room.
+    fn write(&mut self, of: &Common) -> Result<(), Over> {
+        while let Some(send) = self.sends.front().filter(|_| self.up) {
+            let now = of.clock.now();
+            // Given up, or its time over, before the connection came up or took it; and the kill of such a one.
+            let late = send.body.is_some() && (send.off.load(Ordering::Acquire) || now >= send.until);
+            if self.written == 0 && late {
+                self.skipped.insert(send.name);
+                self.sends.pop_front();
+                continue;
+            }
+            if self.written == 0 && send.body.is_none() && self.skipped.remove(&send.name) {
+                self.sends.pop_front();
+                continue;
+            }
+            if now >= send.until + of.limits.finish {
+                return Err("a send not taken in time");
+            }
+            let body = send.body.as_ref().map_or(&[][..], |b| b.bytes());
+            let tail = if send.body.is_some() { &b"\r\n"[..] } else { &[] };
+            let mut parts = [IoSlice::new(&send.head), IoSlice::new(body), IoSlice::new(tail)];
+            let length: usize = parts.iter().map(|p| p.len()).sum();
+            let mut left = &mut parts[..];
+            IoSlice::advance_slices(&mut left, self.written);
+            match self.stream.write_vectored(left) {
+                Ok(0) => return Err("a send not taken"),
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if paused(&e) || e.kind() == ErrorKind::NotConnected => return Ok(()),
+                Err(_) => return Err("a send not taken"),
+            }
+            if self.written == length {
+                self.written = 0;
+                self.sends.pop_front();
+            }
+        }
+        Ok(())
+    }
+
+    /// Passes on whole answers, up to a share; whether there may be more at once. Ends at bytes that are no answer.
+    fn read(&mut self, link: Link, of: &Common) -> Result<bool, Over> {
+        for _ in 0..of.limits.turns {
+            let done = match self.coming.as_mut() {
+                Some(coming) => coming.on(&mut self.intake, &self.stream),
+                None => self.begin(of)?,
+            };
+            match done {
+                Ok(true) => {}
+                Ok(false) => return Err(""),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if paused(&e) => return Ok(false),
+                Err(e) if e.kind() == ErrorKind::InvalidData => return Err("line too long"),
+                Err(_) => return Err(""),
+            }
+            if self.coming.as_ref().is_some_and(|c| c.come == c.length)
+                && let Some(line_end) = self.intake.seen().get(..2)
+            {
+                if *line_end != *b"\r\n" {
+                    return Err("a body longer than its length");
+                }
+                self.intake.used(2);
+                counters::add(&of.counters.body_bytes, self.coming.as_ref().map_or(0, |c| c.length));
+                let ended = self.coming.take().map(|c| Box::new(c.end(of.clock.now())));
+                if ended.is_some_and(|ended| of.events.send(Event::Ended { link, ended }).is_err()) {
+                    return Err("the desk has gone");
+                }
+            }
+        }
+        Ok(true)
+    }
+
+    /// The head of an answer, if its line has come.
+    fn begin(&mut self, of: &Common) -> Result<io::Result<bool>, Over> {
+        let Some(end) = self.intake.seen().windows(2).position(|w| w == b"\r\n") else {
+            return Ok(self.intake.more(&self.stream));
+        };
+        let head = lines::head(&self.intake.seen()[..end]).ok_or("not an answer")?;
+        if head.length > of.limits.body {
+            return Err("body too long");
+        }
+        let (outcome, hit, load) = (head.outcome, head.hit, head.load);
+        self.coming = Some(Coming {
+            ended: Ended { name: head.name, outcome, hit, load, copy: None, at: 0 },
+            tag: head.tag.unwrap_or_default().into(),
+            unchanged: head.unchanged,
+            body: of.room.body(head.length),
+            length: head.length,
+            come: 0,
+        });
+        self.intake.used(end + 2);
+        Ok(Ok(true))
+    }
+}
+
+impl Coming {
+    /// Takes in what has come; with all of the body there, the end of its line.
+    fn on(&mut self, intake: &mut Intake, mut stream: &TcpStream) -> io::Result<bool> {
+        let here = intake.seen().len().min(self.length - self.come);
+        if let Some(body) = self.body.as_mut() {
+            body.bytes_mut()[self.come..self.come + here].copy_from_slice(&intake.seen()[..here]);
+        }
+        intake.used(here);
+        self.come += here;
+        let left = self.length - self.come;
+        match self.body.as_mut() {
+            Some(body) if left > 0 => {
+                let n = stream.read(&mut body.bytes_mut()[self.come..])?;
+                self.come += n;
+                Ok(n > 0)
+            }
+            None if left > 0 => intake.more(stream),
+            _ if intake.seen().len() >= 2 => Ok(true),
+            _ => intake.more(stream),
+        }
+    }
+
+    fn end(self, at: Ns) -> Ended {
+        let Coming { mut ended, tag, unchanged, body, .. } = self;
+        ended.at = at;
+        match body {
+            // With no room for its body it counts as called off.
+            None => ended.outcome = Outcome::Cancelled,
+            Some(body) if ended.outcome == Outcome::Satisfied => {
+                ended.copy = Some(Copy { tag, body: (!unchanged).then(|| Arc::new(body)) });
+            }
+            Some(_) => {}
+        }
+        ended
+    }
+}
+
+pub struct Links {
+    poll: Poll,
+    orders: Receiver<Order>,
+    of: Arc<Common>,
+    wires: BTreeMap<Link, Wire>,
+}
+
+impl Links {
+    pub fn new(of: &Arc<Common>) -> io::Result<(Links, Orders)> {
+        let poll = Poll::new()?;
+        let (orders, from_desk) = bounded(of.limits.orders);
+        let orders = Orders { orders, waker: Waker::new(poll.registry(), ORDERS)? };
+        Ok((Links { poll, orders: from_desk, of: Arc::clone(of), wires: BTreeMap::new() }, orders))
+    }
+
+    /// Serves for ever, or until the desk is gone.
+    pub fn serve(mut self) {
+        let limits = &Arc::clone(&self.of).limits;
+        let mut events = Events::with_capacity(limits.turns);
+        // Connections that have more to say than their share.
+        let mut more: Vec<Link> = Vec::new();
+        let mut sweep = self.of.clock.now();
+        loop {
+            let wait = if more.is_empty() { self.of.clock.until(sweep) } else { Default::default() };
+            if let Err(e) = self.poll.poll(&mut events, Some(wait))
+                && !paused(&e)
+            {
+                return log::error!("connections to nodes: {e}");
+            }
+            let mut again = std::mem::take(&mut more);
+            for event in &events {
+                if event.token() == ORDERS {
+                    continue;
+                }
+                let link = event.token().0 as Link;
+                if event.is_writable() {
+                    self.with(link, |wire, of| {
+                        wire.rise()?;
+                        wire.write(of)
+                    });
+                }
+                again.push(link);
+            }
+            loop {
+                match self.orders.try_recv() {
+                    Ok(order) => self.order(order),
+                    Err(e) if e.is_empty() => break,
+                    Err(_) => return,
+                }
+            }
+            again.sort_unstable();
+            again.dedup();
+            more.extend(
+                again
+                    .into_iter()
+                    .filter(|&link| self.with(link, |wire, of| wire.read(link, of)) == Some(true)),
+            );
+            let now = self.of.clock.now();
+            if now >= sweep {
+                self.sweep(now);
+                let dialing = self.wires.values().any(|wire| !wire.up);
+                sweep = now + if dialing { limits.margin } else { limits.sweep };
+            }
+        }
+    }
+
+    fn with<T>(&mut self, link: Link, run: impl FnOnce(&mut Wire, &Common) -> Result<T, Over>) -> Option<T> {
+        let wire = self.wires.get_mut(&link)?;
+        run(wire, &self.of).map_err(|why| self.lose(link, why)).ok()
+    }
+
+    fn order(&mut self, order: Order) {
+        let (link, send) = match order {
+            Order::Dial { link, address, by } => return self.dial(link, address, by),
+            Order::Close(link) => return drop(self.wires.remove(&link)),
+            Order::Pull { link, name, head, body, until, off } => {
+                (link, Send { name, head, body: Some(body), until, off })
+            }
+            Order::Kill { link, name } => {
+                let until = self.of.clock.now() + self.of.limits.undated;
+                (link, Send { name, head: lines::kill(&name), body: None, until, off: Arc::default() })
+            }
+        };
+        self.with(link, |wire, of| {
+            wire.sends.push_back(send);
+            wire.write(of)
+        });
+    }
+
+    fn dial(&mut self, link: Link, address: SocketAddr, by: Ns) {
+        let made = TcpStream::connect(address).and_then(|mut stream| {
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            self.poll.registry().register(&mut stream, Token(link as usize), interest)?;
+            // Without it sends are but slower.
+            let _ = stream.set_nodelay(true);
+            Ok(stream)
+        });
+        match made {
+            Ok(stream) => {
+                let intake = Intake::new(self.of.limits.line, self.of.limits.line, &self.of.room);
+                let (sends, skipped) = (VecDeque::new(), BTreeSet::new());
+                let wire = Wire { stream, up: false, by, intake, coming: None, sends, written: 0, skipped };
+                self.wires.insert(link, wire);
+            }
+            Err(e) => {
+                log::debug!("link {link} to {address}: {e}");
+                let _ = self.of.events.send(Event::Lost { link, reached: false, unwritten: Vec::new() });
+            }
+        }
+    }
+
+    /// Ends what did not come up, or does not take what it is given, in time.
+    fn sweep(&mut self, now: Ns) {
+        let late = self.wires.iter().filter(|(_, w)| !w.up && now >= w.by).map(|(link, _)| *link);
+        late.collect::<Vec<Link>>().into_iter().for_each(|link| self.lose(link, "not connected"));
+        let waiting = self.wires.iter().filter(|(_, w)| !w.sends.is_empty()).map(|(link, _)| *link);
+        for link in waiting.collect::<Vec<Link>>() {
+            self.with(link, |wire, of| wire.write(of));
+        }
+    }
+
+    /// A connection is over. What was not begun to be written on it never ran.
+    fn lose(&mut self, link: Link, why: Over) {
+        let Some(wire) = self.wires.remove(&link) else { return };
+        if wire.up && !why.is_empty() {
+            counters::add(&self.of.counters.bad_lines, 1);
+            log::warn!("link {link}: {why}");
+        }
+        let begun = usize::from(wire.written > 0);
+        let unwritten = wire.sends.iter().skip(begun).filter(|s| s.body.is_some()).map(|s| s.name).collect();
+        let _ = self.of.events.send(Event::Lost { link, reached: wire.up, unwritten });
+    }
+}
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -1,26 +1,18 @@
-//! The node side: a small pool of connections to each node, opened when they are wanted. The desk's thread
-//! holds the pools; a writer and a reader serve each connection, and no call here waits for a socket.
+//! The node side, as the desk sees it: a small pool of connections to each node, opened when they are wanted. No
+//! call here waits for a socket: `links` serves them.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::io::IoSlice;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use sablecross::{Listed, Ns, Outcome, State};
 
 use super::feed::Member;
-use super::intake::{Intake, paused};
-use super::{lines, write_all};
-use crate::exchange::{Asked, Copy, Ended, Event, Link, Name};
-use crate::life::{Common, counters, thread};
-use crate::memory::bodies::Body;
-
-enum Order {
-    Pull { name: Name, head: Vec<u8>, body: Arc<Body>, until: Ns, off: Arc<AtomicBool> },
-    Kill(Name),
-}
+use super::lines;
+use super::links::{Order, Orders};
+use crate::exchange::{Asked, Link, Name};
+use crate::life::Common;
 
 /// One send on a connection.
 #[derive(Clone, Copy, Debug)]
@@ -38,7 +30,6 @@
 
 struct Open {
     node: usize,
-    orders: Sender<Order>,
     out: BTreeMap<Name, Flight>,
     /// When it was opened or last heard of.
     heard: Ns,
@@ -61,11 +52,22 @@
     numbers: HashMap<String, usize>,
     links: HashMap<Link, Open>,
     next: Link,
+    orders: Orders,
+    /// Connections to be closed, for which there was no room among the orders.
+    closing: VecDeque<Link>,
 }
 
 impl Nodes {
-    pub fn new(common: Arc<Common>) -> Nodes {
-        Nodes { common, pools: Vec::new(), numbers: HashMap::new(), links: HashMap::new(), next: 0 }
+    pub fn new(orders: Orders, common: Arc<Common>) -> Nodes {
+        Nodes {
+            common,
+            pools: Vec::new(),
+            numbers: HashMap::new(),
+            links: HashMap::new(),
+            next: 0,
+            orders,
+            closing: VecDeque::new(),
+        }
     }
 
     pub fn open(&self) -> usize {
@@ -135,9 +137,15 @@
         }
     }
 
-    /// Dropping the orders ends the writer, and that the connection.
     fn forget(&mut self, link: Link) -> Option<Open> {
         let open = self.links.remove(&link)?;
+        self.closing.push_back(link);
+        while let Some(link) = self.closing.pop_front() {
+            if !self.orders.give(Order::Close(link)) {
+                self.closing.push_front(link);
+                break;
+            }
+        }
         if let Some(pool) = self.pools.get_mut(open.node) {
             pool.links.retain(|&l| l != link);
         }
@@ -160,19 +168,13 @@
         let until = out.at + send.time_out;
         let off = Arc::new(AtomicBool::new(false));
         let (body, told) = (Arc::clone(&asked.body), Arc::clone(&off));
-        let order = Order::Pull { name: asked.name, head, body, until, off: told };
-        match open.orders.try_send(order) {
-            Ok(()) => {
-                open.out.insert(asked.name, Flight { out, off });
-                open.used = out.at;
-                Ok(link)
-            }
-            Err(TrySendError::Full(_)) => Err(Outcome::NeverSent),
-            Err(TrySendError::Disconnected(_)) => {
-                self.retire(link);
-                Err(Outcome::Unconnected)
-            }
+        let order = Order::Pull { link, name: asked.name, head, body, until, off: told };
+        if !self.orders.give(order) {
+            return Err(Outcome::NeverSent);
         }
+        open.out.insert(asked.name, Flight { out, off });
+        open.used = out.at;
+        Ok(link)
     }
 
     /// An idle connection, as one body blocks those behind it; else a new one; else the least laden.
@@ -208,18 +210,13 @@
     }
 
     fn dial(&mut self, node: usize, address: SocketAddr, now: Ns) -> Result<Link, Outcome> {
-        let (orders, from_desk) = bounded(self.common.limits.orders);
-        let (link, of) = (self.next, Arc::clone(&self.common));
-        thread("node-writer", of.limits.stack, {
-            let of = Arc::clone(&of);
-            move || serve(link, address, &from_desk, &of)
-        })
-        .map_err(|e| {
-            log::warn!("no thread for a connection to a node: {e}");
-            Outcome::NeverSent
-        })?;
+        let link = self.next;
+        let by = now + self.common.limits.dial;
+        if !self.orders.give(Order::Dial { link, address, by }) {
+            return Err(Outcome::NeverSent);
+        }
         self.next += 1;
-        let open = Open { node, orders, out: BTreeMap::new(), heard: now, used: now, retired: false };
+        let open = Open { node, out: BTreeMap::new(), heard: now, used: now, retired: false };
         self.links.insert(link, open);
         self.pools[node].links.push(link);
         Ok(link)
@@ -242,15 +239,16 @@
         out
     }
 
-    /// Gives a send up. After a time-out, a connection that was silent since is not used again.
-    pub fn give_up(&mut self, link: Link, name: &Name, timed_out: bool) -> Option<Out> {
+    /// Gives a send up. A connection that was silent since it took the send, past the time that is usual, is not
+    /// used again: an answer that stopped short or never comes leaves it stuck, for all that follows.
+    pub fn give_up(&mut self, link: Link, name: &Name, now: Ns) -> Option<Out> {
         let open = self.links.get_mut(&link)?;
         let Flight { out, off } = open.out.remove(name)?;
         // What is not written yet never will be: a node must not see it after its client had an answer.
         off.store(true, Ordering::Release);
-        // A queue that is full belongs to a connection that is stuck.
-        let stuck = open.orders.try_send(Order::Kill(*name)).is_err();
-        if stuck || timed_out && open.heard <= out.at || open.retired {
+        let told = self.orders.give(Order::Kill { link, name: *name });
+        let quiet = open.heard <= out.at && now >= out.at + self.common.limits.quiet;
+        if !told || quiet || open.retired {
             self.retire(link);
         }
         Some(out)
@@ -267,129 +265,3 @@
 fn rank(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
-
-/// Tells the desk that a connection is over, however its thread ends.
-struct Losing<'a> {
-    of: &'a Common,
-    link: Link,
-    reached: bool,
-}
-
-impl Drop for Losing<'_> {
-    fn drop(&mut self) {
-        let _ = self.of.events.send(Event::Lost { link: self.link, reached: self.reached });
-    }
-}
-
-/// Connects, then writes what it is given, until the desk drops the connection or it breaks.
-fn serve(link: Link, address: SocketAddr, orders: &Receiver<Order>, of: &Arc<Common>) {
-    let mut losing = Losing { of, link, reached: false };
-    let stream = match TcpStream::connect_timeout(&address, of.limits.dial) {
-        Ok(stream) => Arc::new(stream),
-        Err(e) => return log::debug!("link {link} to {address}: {e}"),
-    };
-    let (theirs, shared) = (Arc::clone(&stream), Arc::clone(of));
-    let reader = thread("node-reader", of.limits.stack, move || {
-        let _losing = Losing { of: &shared, link, reached: true };
-        if let Err(why) = read(link, &theirs, &shared) {
-            counters::add(&shared.counters.bad_lines, 1);
-            log::warn!("link {link}: {why}");
-        }
-        let _ = theirs.shutdown(Shutdown::Both);
-    });
-    if let Err(e) = stream.set_nodelay(true).and(reader) {
-        return log::warn!("link {link} not served: {e}");
-    }
-    losing.reached = true;
-    let mut skipped = BTreeSet::new();
-    for order in orders {
-        let written = match &order {
-            // Given up, or its time over, before the connection came up or took it.
-            Order::Pull { name, until, off, .. }
-                if off.load(Ordering::Acquire) || of.clock.now() >= *until =>
-            {
-                skipped.insert(*name);
-                Ok(())
-            }
-            Order::Kill(name) if skipped.remove(name) => Ok(()),
-            Order::Pull { head, body, until, .. } => {
-                let mut parts = [IoSlice::new(head), IoSlice::new(body.bytes()), IoSlice::new(b"\r\n")];
-                write_all(&stream, &mut parts, *until, &of.clock)
-            }
-            Order::Kill(name) => {
-                let by = of.clock.now() + of.limits.margin;
-                write_all(&stream, &mut [IoSlice::new(&lines::kill(name))], by, &of.clock)
-            }
-        };
-        if written.is_err() {
-            break;
-        }
-    }
-    let _ = stream.shutdown(Shutdown::Both);
-}
-
-/// Passes on whole answers; ends with the connection, or at bytes that are no answer.
-fn read(link: Link, stream: &TcpStream, of: &Common) -> Result<(), &'static str> {
-    let mut intake = Intake::new(of.limits.line, of.limits.line, &of.room);
-    loop {
-        let Some(end) = intake.seen().windows(2).position(|w| w == b"\r\n") else {
-            match intake.more(stream) {
-                Ok(true) => continue,
-                Err(e) if paused(&e) => continue,
-                Err(e) if e.kind() == std::io::ErrorKind::InvalidData => return Err("line too long"),
-                Ok(false) | Err(_) => return Ok(()),
-            }
-        };
-        let head = lines::head(&intake.seen()[..end]).ok_or("not an answer")?;
-        if head.length > of.limits.body {
-            return Err("body too long");
-        }
-        let (length, tag) = (head.length, head.tag.map(Box::<str>::from));
-        let mut ended = Ended {
-            name: head.name,
-            outcome: head.outcome,
-            hit: head.hit,
-            load: head.load,
-            copy: None,
-            at: 0,
-        };
-        let unchanged = head.unchanged;
-        intake.used(end + 2);
-        // With no room for its body the answer is read off and counts as called off.
-        let body = of.room.body(length);
-        match body {
-            Some(mut body) => {
-                if intake.fill(body.bytes_mut(), stream).is_err() {
-                    return Ok(());
-                }
-                let body = (!unchanged).then(|| Arc::new(body));
-                let served = ended.outcome == Outcome::Satisfied;
-                ended.copy = served.then(|| Copy { tag: tag.unwrap_or_default(), body });
-            }
-            None => {
-                let mut left = length;
-                let mut off = [0; 4_096];
-                while left > 0 {
-                    let n = left.min(off.len());
-                    if intake.fill(&mut off[..n], stream).is_err() {
-                        return Ok(());
-                    }
-                    left -= n;
-                }
-                ended.outcome = Outcome::Cancelled;
-            }
-        }
-        let mut line_end = [0; 2];
-        if intake.fill(&mut line_end, stream).is_err() {
-            return Ok(());
-        }
-        if line_end != *b"\r\n" {
-            return Err("a body longer than its length");
-        }
-        ended.at = of.clock.now();
-        counters::add(&of.counters.body_bytes, length);
-        if of.events.send(Event::Ended { link, ended: Box::new(ended) }).is_err() {
-            return Ok(());
-        }
-    }
-}
--- a/crates/director/tests/codec.rs
+++ b/crates/director/tests/codec.rs
@@ -11,6 +11,7 @@
 use sablecross_director::memory::bodies::Room;
 use sablecross_director::wire::feed::Member;
 use sablecross_director::wire::lines;
+use sablecross_director::wire::links::Links;
 use sablecross_director::wire::nodes::Nodes;
 use sablecross_director::wire::rpc::{self, Fields, Flaw, Message};
 
@@ -241,7 +242,8 @@
     let config = Config::parse(SAMPLE).expect("the sample is good");
     let (common, _) = Common::new(config.names, limits());
     let now = common.clock.now();
-    let mut nodes = Nodes::new(common);
+    let (_links, orders) = Links::new(&common).expect("polls");
+    let mut nodes = Nodes::new(orders, common);
     let member = |i: usize| Member {
         name: format!("s-{:08x}", i * 0x0135_79bd),
         address: SocketAddr::from(([127, number as u8, 0, i as u8], 10_080)),
--- a/crates/director/tests/sockets.rs
+++ b/crates/director/tests/sockets.rs
@@ -453,13 +453,20 @@
     assert_eq!(second.connection, first.connection, "the connection goes on");
     second.answer("ACK", "how=HIT,entity=t1,issued=1", b"own");
     c.satisfied(2, b"own");
+    // One that said nothing for longer than is usual may be stuck: it is not used again.
+    c.ask(4, 0x7a, 4_000);
+    let stuck = w.cache.pull();
+    thread::sleep(Duration::from_millis(400));
+    c.write(b"\x93\x02\xadcancelRequest\x91\x04");
+    assert_eq!(w.cache.next().line, format!("KILL {}", stuck.name()));
+    assert_eq!(w.cache.next().line, "closed");
     // A client that leaves gives all up.
     c.ask(3, 0x79, 2_000);
     let third = w.cache.pull();
     drop(c);
     assert_eq!(w.cache.next().line, format!("KILL {}", third.name()));
     let counters = w.reported();
-    assert_eq!((counters["cancelled"], counters["satisfied"], counters["called_off"]), (2, 1, 2));
+    assert_eq!((counters["cancelled"], counters["satisfied"], counters["called_off"]), (3, 1, 3));
 }
 
 #[test]
