--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -1,7 +1,7 @@
 //! The desk: one thread owns the module, the lookups in hand and the timers. It waits for events alone.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -41,7 +41,8 @@
     outlet: Outlet,
     /// Its lookups in hand by their numbers, for each connection of a client.
     callers: HashMap<Client, HashMap<u32, u64>>,
-    kept: HashMap<u64, Kept>,
+    /// By their numbers, which rise.
+    kept: BTreeMap<u64, Kept>,
     /// The lookup in hand of each name.
     names: HashMap<Name, u64>,
     timers: BinaryHeap<Reverse<(Ns, Timer)>>,
@@ -165,7 +166,7 @@
             nodes,
             outlet,
             callers: HashMap::new(),
-            kept: HashMap::new(),
+            kept: BTreeMap::new(),
             names: HashMap::new(),
             timers: BinaryHeap::new(),
             most_timers: 0,
@@ -307,7 +308,8 @@
         self.floor.counters.facts += 1;
         match fact {
             Fact::Members { members, whole } => {
-                let lines = self.floor.nodes.listed(&members, whole);
+                let oldest = self.floor.kept.first_key_value().map_or(self.next, |(id, _)| *id);
+                let lines = self.floor.nodes.listed(&members, whole, oldest, self.next);
                 self.ready |= !lines.is_empty();
                 self.hand.choice.listed(now, &lines, whole);
             }
--- a/crates/director/src/wire/links.rs
+++ b/crates/director/src/wire/links.rs
@@ -85,7 +85,8 @@
     /// Whether it has come up, as far as is known.
     fn rise(&mut self) -> Result<(), Over> {
         if let Ok(Some(_)) | Err(_) = self.stream.take_error() {
-            return Err("not connected");
+            // One that was up was reset, which says nothing of what it carried before.
+            return Err(if self.up { "" } else { "not connected" });
         }
         self.up = self.up || self.stream.peer_addr().is_ok();
         Ok(())
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -43,6 +43,9 @@
     name: String,
     address: SocketAddr,
     links: Vec<Link>,
+    /// Once its node is gone, the number of the first lookup that came after: when all before it are out of hand,
+    /// none can have sent to that node, and its number is free for another.
+    gone: Option<u64>,
 }
 
 pub struct Nodes {
@@ -50,6 +53,7 @@
     /// By the module's numbers.
     pools: Vec<Pool>,
     numbers: HashMap<String, usize>,
+    free: Vec<usize>,
     links: HashMap<Link, Open>,
     next: Link,
     orders: Orders,
@@ -63,6 +67,7 @@
             common,
             pools: Vec::new(),
             numbers: HashMap::new(),
+            free: Vec::new(),
             links: HashMap::new(),
             next: 0,
             orders,
@@ -84,12 +89,27 @@
 
     /// Lines of the list as the module reads them. A node is known by its name: addresses differ from
     /// director to director, and a new node may have the address of one that has gone.
-    pub fn listed(&mut self, members: &[Member], whole: bool) -> Vec<Listed> {
+    ///
+    /// `oldest` is the oldest lookup in hand, `next` the one to come: numbers of nodes that are gone are given out
+    /// again, so that what is kept by them is bounded by the nodes there are and the lookups in hand.
+    pub fn listed(&mut self, members: &[Member], whole: bool, oldest: u64, next: u64) -> Vec<Listed> {
+        for (node, pool) in self.pools.iter_mut().enumerate() {
+            if pool.links.is_empty() && pool.gone.take_if(|first| *first <= oldest).is_some() {
+                self.numbers.remove(&std::mem::take(&mut pool.name));
+                self.free.push(node);
+            }
+        }
         let lines: Vec<Listed> = members.iter().filter_map(|m| self.line(m)).collect();
         let states: HashMap<usize, State> = lines.iter().map(|l| (l.node, l.state)).collect();
         for node in 0..self.pools.len() {
             if states.get(&node).map_or(whole, |s| *s == State::Gone) {
                 self.retire_all(node);
+                let pool = &mut self.pools[node];
+                if !pool.name.is_empty() {
+                    pool.gone.get_or_insert(next);
+                }
+            } else if states.contains_key(&node) {
+                self.pools[node].gone = None;
             }
         }
         lines
@@ -102,12 +122,13 @@
             log::warn!("list: {}: zone {} or type {} is not in the settings", m.name, m.zone, m.kind);
             return None;
         };
-        let node = *self.numbers.entry(m.name.clone()).or_insert(self.pools.len());
-        if node == self.pools.len() {
-            log::info!("node {node} is {}", m.name);
-            let (name, links) = (m.name.clone(), Vec::new());
-            self.pools.push(Pool { name, address: m.address, links });
-        } else if self.pools[node].address != m.address {
+        let node = match self.numbers.get(&m.name) {
+            Some(&node) => node,
+            // One that went before it came need not be known.
+            None if m.state == State::Gone => return None,
+            None => self.number(m),
+        };
+        if self.pools[node].address != m.address {
             self.retire_all(node);
         }
         self.pools[node].address = m.address;
@@ -122,6 +143,20 @@
         })
     }
 
+    /// The number of a node that was not known: one that is free, or a new one.
+    fn number(&mut self, m: &Member) -> usize {
+        let node = self.free.pop().unwrap_or(self.pools.len());
+        log::info!("node {node} is {}", m.name);
+        let pool = Pool { name: m.name.clone(), address: m.address, links: Vec::new(), gone: None };
+        if node == self.pools.len() {
+            self.pools.push(pool);
+        } else {
+            self.pools[node] = pool;
+        }
+        self.numbers.insert(m.name.clone(), node);
+        node
+    }
+
     fn retire_all(&mut self, node: usize) {
         for link in self.pools[node].links.clone() {
             self.retire(link);
--- a/crates/director/tests/codec.rs
+++ b/crates/director/tests/codec.rs
@@ -255,7 +255,7 @@
     };
     let members: Vec<Member> = order.map(member).collect();
     let mut choice = Choice::new(Settings { number, ..config.settings }, number as u64, now);
-    choice.listed(now, &nodes.listed(&members, true), true);
+    choice.listed(now, &nodes.listed(&members, true, 0, 0), true);
     let home = |object| {
         let lookup = Lookup {
             object,
@@ -327,3 +327,38 @@
     }
     assert!(Config::parse("{").is_err_and(|e| e.starts_with("configuration:")));
 }
+
+#[test]
+fn the_number_of_a_node_that_is_gone_comes_free() {
+    let config = Config::parse(SAMPLE).expect("the sample is good");
+    let (common, _) = Common::new(config.names, limits());
+    let (_links, orders) = Links::new(&common).expect("polls");
+    let mut nodes = Nodes::new(orders, common);
+    let mut list = |name: &str, state, oldest, next| {
+        let member = Member {
+            name: name.into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 10_080)),
+            zone: "edge".into(),
+            kind: "small".into(),
+            cell: 0,
+            state,
+            started: 0,
+        };
+        nodes.listed(&[member], false, oldest, next).first().map(|line| line.node)
+    };
+    assert_eq!(list("a", State::Ready, 0, 0), Some(0));
+    assert_eq!(list("a", State::Gone, 3, 7), Some(0));
+    assert_eq!(list("b", State::Ready, 6, 9), Some(1), "a lookup from before may still have sent to it");
+    assert_eq!(list("c", State::Ready, 7, 9), Some(0), "none from before is in hand");
+    assert_eq!(list("a", State::Ready, 7, 9), Some(2), "a name that comes back is a new node");
+    assert_eq!(list("unheard", State::Gone, 7, 9), None);
+    // One that is gone and back keeps its number.
+    assert_eq!(list("b", State::Gone, 8, 10), Some(1));
+    assert_eq!(list("b", State::Ready, 8, 10), Some(1));
+    assert_eq!(list("d", State::Ready, 50, 50), Some(3));
+    for n in 0..100 {
+        let name = format!("n{n}");
+        assert!(list(&name, State::Ready, n + 60, n + 60) <= Some(5), "{name}");
+        list(&name, State::Gone, n + 60, n + 60);
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -371,7 +371,7 @@
             };
             let slot = &mut self.nodes[l.node];
             match slot {
-                Some(node) if node.line.started == l.started => node.line = *l,
+                Some(node) if (node.line.started, node.line.rank) == (l.started, l.rank) => node.line = *l,
                 Some(node) => *node = Node { out: node.out, straight: node.straight, ..fresh },
                 None => *slot = Some(fresh),
             }
