--- a/src/choice.rs
+++ b/src/choice.rs
@@ -953,7 +953,7 @@
                 // A slow member answers others meanwhile; one not heard of since the send is likely dead.
                 let heard = self.node(sent.node).is_some_and(|n| n.heard >= sent.at);
                 let times = if heard || outcome != Outcome::TimedOut { 1 } else { SILENT };
-                if outcome != Outcome::Broken && (sent.source.is_none() || !parent && (times > 1 || failing > suspect - 0.1)) {
+                if sent.source.is_none() || !parent && (times > 1 || failing > suspect - 0.1) {
                     self.mark(now, sent.node, true, times);
                 }
             }
