Half a message behind a whole one has its time too

Seen on reading: the time for a half message began with the first bytes of a read alone (wire/clients.rs, read), so half a message that came in the same read as a whole one had 8 s, not 2. The test fails without the change.

--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -147,16 +147,22 @@
                     of.events.send(event).map_err(|_| "the desk has gone")?;
                 }
                 Err(Flaw::Bad(why)) => return Err(why),
-                Err(Flaw::Short) => match self.intake.more(&self.stream) {
-                    Ok(true) if self.whole_by.is_some() => {}
-                    Ok(true) => self.whole_by = Some(of.clock.now() + of.limits.half_said),
-                    Ok(false) => return Err(""),
-                    Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                    Err(e) if paused(&e) => return Ok(false),
-                    Err(e) if e.kind() == ErrorKind::InvalidData => return Err("message too long"),
-                    Err(e) if e.kind() == ErrorKind::OutOfMemory => return Err("no room for its message"),
-                    Err(_) => return Err(""),
-                },
+                Err(Flaw::Short) => {
+                    if self.whole_by.is_none() && !self.intake.seen().is_empty() {
+                        self.whole_by = Some(of.clock.now() + of.limits.half_said);
+                    }
+                    match self.intake.more(&self.stream) {
+                        Ok(true) => {}
+                        Ok(false) => return Err(""),
+                        Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                        Err(e) if paused(&e) => return Ok(false),
+                        Err(e) if e.kind() == ErrorKind::InvalidData => return Err("message too long"),
+                        Err(e) if e.kind() == ErrorKind::OutOfMemory => {
+                            return Err("no room for its message");
+                        }
+                        Err(_) => return Err(""),
+                    }
+                }
             }
         }
         Ok(true)
--- a/crates/director/tests/sockets.rs
+++ b/crates/director/tests/sockets.rs
@@ -618,6 +618,10 @@
     let start = Instant::now();
     let mut crowd: Vec<Client> = (0..60).map(|_| w.client()).collect();
     crowd.iter_mut().skip(30).for_each(|c| c.write(&[0x94, 0, 1]));
+    // One that was answered, and then says half of the next in the same breath.
+    let mut halfway = w.client();
+    halfway.write(b"\x94\x00\xcc\xff\xa5alive\x91\x80\x94\x00");
+    assert_eq!(halfway.answer(), (255, Answer::Alive(true)));
     for call in 2..=40 {
         let mut new = w.client();
         new.ask(call, u64::from(call), 2_000);
@@ -625,6 +629,7 @@
         new.satisfied(call, b"new");
     }
     crowd.iter_mut().for_each(Client::closed);
+    halfway.closed();
     assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
     open.answer("ACK", "how=HIT,entity=t1,issued=1", b"served");
     good.satisfied(1, b"served");
