--- a/crates/director/src/life/limits.rs
+++ b/crates/director/src/life/limits.rs
@@ -35,9 +35,8 @@
     pub replies: usize,
     pub orders: usize,
     pub moves: usize,
-    /// Stacks: of the threads that serve a connection, and of those that parse events and configurations.
+    /// The stack of each thread beside the main one.
     pub stack: usize,
-    pub wide_stack: usize,
     pub feed_event: usize,
     /// Times: to connect to a node; after which an idle connection is not used again, and one
     /// that was silent since it took a send that was given up.
@@ -95,8 +94,7 @@
             replies: 8_192,
             orders: 8_192,
             moves: 4,
-            stack: 64 << 10,
-            wide_stack: 512 << 10,
+            stack: 512 << 10,
             feed_event: 4 << 20,
             dial,
             idle: keepalive * 4 / 5,
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -98,7 +98,7 @@
     let heard = common.events.clone();
     let (to_feed, moves) = bounded(limits.moves);
     let hear = Box::new(move || signals::hear(caught, &fixed, &heard, &to_feed));
-    vital("signals", limits.wide_stack, hear)?;
+    vital("signals", limits.stack, hear)?;
     let follower = Follower {
         address: config.feed,
         last: config.known.last,
@@ -107,9 +107,9 @@
         gap: None,
         up: true,
     };
-    vital("feed", limits.wide_stack, Box::new(move || follower.follow()))?;
-    vital("links", limits.wide_stack, Box::new(move || links.serve()))?;
-    vital("clients", limits.wide_stack, Box::new(move || clients.serve()))?;
+    vital("feed", limits.stack, Box::new(move || follower.follow()))?;
+    vital("links", limits.stack, Box::new(move || links.serve()))?;
+    vital("clients", limits.stack, Box::new(move || clients.serve()))?;
     log::info!("serving name={} listen={listen}", config.name);
 
     let served = desk.serve(&to_desk);
