Read once more: one gathered write for both sides, one word for a moved feed

The gathered write that goes on where it stopped stood in wire/clients.rs and wire/links.rs; it is write_on in wire/mod.rs now. Unfit messages are counted in one arm, the feed asks in one place whether it has moved, and a thread is made in the one place that does. The two poll loops stay apart: what they do between waiting and reading differs, and the sides meet only in the exchange.

--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
-use std::{io, thread};
+use std::thread;
 
 use crossbeam_channel::{Receiver, Sender, bounded};
 use sablecross::Choice;
@@ -28,11 +28,6 @@
 use crate::wire::links::Links;
 use crate::wire::nodes::Nodes;
 
-/// A named thread with a small stack.
-pub fn thread(name: &str, stack: usize, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
-    thread::Builder::new().name(name.into()).stack_size(stack).spawn(run).map(drop)
-}
-
 /// Tells the desk when a thread that must not end does, even by a panic.
 struct Vital(&'static str, Sender<Event>);
 
@@ -86,9 +81,9 @@
     let mut desk = Desk::new(choice, nodes, outlet, Arc::clone(&common));
     config.known.events.into_iter().for_each(|event| desk.fact(event.fact));
 
-    let vital = |name: &'static str, stack: usize, run: Box<dyn FnOnce() + Send>| {
+    let vital = |name: &'static str, run: Box<dyn FnOnce() + Send>| {
         let ending = Vital(name, common.events.clone());
-        let started = thread(name, stack, move || {
+        let started = thread::Builder::new().name(name.into()).stack_size(limits.stack).spawn(move || {
             let _ending = ending;
             run();
         });
@@ -98,7 +93,7 @@
     let heard = common.events.clone();
     let (to_feed, moves) = bounded(limits.moves);
     let hear = Box::new(move || signals::hear(caught, &fixed, &heard, &to_feed));
-    vital("signals", limits.stack, hear)?;
+    vital("signals", hear)?;
     let follower = Follower {
         address: config.feed,
         last: config.known.last,
@@ -107,9 +102,9 @@
         gap: None,
         up: true,
     };
-    vital("feed", limits.stack, Box::new(move || follower.follow()))?;
-    vital("links", limits.stack, Box::new(move || links.serve()))?;
-    vital("clients", limits.stack, Box::new(move || clients.serve()))?;
+    vital("feed", Box::new(move || follower.follow()))?;
+    vital("links", Box::new(move || links.serve()))?;
+    vital("clients", Box::new(move || clients.serve()))?;
     log::info!("serving name={} listen={listen}", config.name);
 
     let served = desk.serve(&to_desk);
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -2,7 +2,7 @@
 //! say or room for an answer, and never for one alone.
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
-use std::io::{self, ErrorKind, IoSlice, Write};
+use std::io::{self, ErrorKind, IoSlice};
 use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -14,6 +14,7 @@
 
 use super::intake::{Intake, paused};
 use super::rpc::{self, Flaw, Message};
+use super::write_on;
 use crate::exchange::{Asked, Client, Event};
 use crate::life::clock::MS;
 use crate::life::{Common, counters};
@@ -94,18 +95,11 @@
     }
 
     /// Writes on in one go; whether that was all.
-    fn on(&mut self, mut to: &TcpStream) -> io::Result<bool> {
+    fn on(&mut self, to: &TcpStream) -> io::Result<bool> {
+        let body = self.body.as_deref().map_or(&[][..], |b| b.bytes());
         let mut parts =
-            [IoSlice::new(&self.frame.before), IoSlice::new(self.body()), IoSlice::new(&self.frame.after)];
-        let length: usize = parts.iter().map(|p| p.len()).sum();
-        let mut left = &mut parts[..];
-        IoSlice::advance_slices(&mut left, self.written);
-        let n = to.write_vectored(left)?;
-        if n == 0 {
-            return Err(ErrorKind::WriteZero.into());
-        }
-        self.written += n;
-        Ok(self.written == length)
+            [IoSlice::new(&self.frame.before), IoSlice::new(body), IoSlice::new(&self.frame.after)];
+        write_on(to, &mut parts, &mut self.written)
     }
 }
 
@@ -171,12 +165,12 @@
     /// Keeps count of what is open. Two answers with one number could not be told apart.
     fn note(&mut self, event: &Event, of: &Common) -> Result<(), Over> {
         match event {
-            Event::Unfit { crowded: false, .. } if self.unfit + 1 >= of.limits.unfit => {
-                Err("too much that can't be used")
-            }
             Event::Asked(asked) => self.opens(asked.call),
             Event::Unfit { call, crowded, .. } => {
                 self.unfit += usize::from(!crowded);
+                if self.unfit >= of.limits.unfit {
+                    return Err("too much that can't be used");
+                }
                 self.opens(*call)
             }
             Event::Alive { call, .. } => self.opens(*call),
--- a/crates/director/src/wire/feed.rs
+++ b/crates/director/src/wire/feed.rs
@@ -172,13 +172,16 @@
         self.common.events.send(Event::Fact(event.fact)).map_err(|_| Over::Desk)
     }
 
+    /// An error if the feed is to be followed at another address.
+    fn stays(&self) -> Result<(), Over> {
+        self.moves.try_recv().map_or(Ok(()), |(address, known)| Err(Over::Moved(address, known)))
+    }
+
     /// Reads more; false at the end. Silence past its time is an error, and so is news of another address.
     fn hear(&self, intake: &mut Intake, stream: &TcpStream) -> Result<bool, Over> {
         let start = Instant::now();
         loop {
-            if let Ok((address, known)) = self.moves.try_recv() {
-                return Err(Over::Moved(address, known));
-            }
+            self.stays()?;
             match intake.more(stream) {
                 Err(e) if paused(&e) && start.elapsed() < self.common.limits.feed_silence => {}
                 Err(e) if paused(&e) => return Err(Over::Call("silent".into())),
@@ -189,9 +192,7 @@
 
     /// One connection, read until its end.
     fn call(&mut self) -> Result<(), Over> {
-        if let Ok((address, known)) = self.moves.try_recv() {
-            return Err(Over::Moved(address, known));
-        }
+        self.stays()?;
         counters::add(&self.common.counters.feed_calls, 1);
         let stream =
             TcpStream::connect_timeout(&self.address, Duration::from_nanos(self.common.limits.dial))?;
--- a/crates/director/src/wire/links.rs
+++ b/crates/director/src/wire/links.rs
@@ -2,7 +2,7 @@
 //! any of them, and never for one alone.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::io::{self, ErrorKind, IoSlice, Read, Write};
+use std::io::{self, ErrorKind, IoSlice, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,7 +13,7 @@
 use sablecross::{Ns, Outcome};
 
 use super::intake::{Intake, paused};
-use super::lines;
+use super::{lines, write_on};
 use crate::exchange::{Copy, Ended, Event, Link, Name};
 use crate::life::{Common, counters};
 use crate::memory::bodies::Body;
@@ -113,20 +113,16 @@
             let body = send.body.as_ref().map_or(&[][..], |b| b.bytes());
             let tail = if send.body.is_some() { &b"\r\n"[..] } else { &[] };
             let mut parts = [IoSlice::new(&send.head), IoSlice::new(body), IoSlice::new(tail)];
-            let length: usize = parts.iter().map(|p| p.len()).sum();
-            let mut left = &mut parts[..];
-            IoSlice::advance_slices(&mut left, self.written);
-            match self.stream.write_vectored(left) {
-                Ok(0) => return Err("a send not taken"),
-                Ok(n) => self.written += n,
+            match write_on(&self.stream, &mut parts, &mut self.written) {
+                Ok(true) => {
+                    self.written = 0;
+                    self.sends.pop_front();
+                }
+                Ok(false) => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if paused(&e) || e.kind() == ErrorKind::NotConnected => return Ok(()),
                 Err(_) => return Err("a send not taken"),
             }
-            if self.written == length {
-                self.written = 0;
-                self.sends.pop_front();
-            }
         }
         Ok(())
     }
