The director's plain values stand below wire, memory and life: no import circle left

Need: eleven files of the director imported one another in a circle (exchange, wire, memory and life all named each other), so that no new part could be put beside one of them without joining it. Change: facts of the feed, names, limits, clock, counters and bodies move to plain/, what all threads are handed to common.rs. life is above wire and memory, memory above wire, wire above exchange. Behaviour is unchanged, all tests as they were.

--- /dev/null
+++ b/crates/director/src/common.rs
@@ -0,0 +1,42 @@
+//! What all threads are handed.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+
+use crossbeam_channel::{Receiver, Sender, bounded};
+
+use crate::exchange::Event;
+use crate::plain::bodies::Room;
+use crate::plain::clock::Clock;
+use crate::plain::counters::Shared;
+use crate::plain::limits::Limits;
+use crate::plain::names::Names;
+
+/// What all threads have in common.
+pub struct Common {
+    pub names: Names,
+    pub limits: Limits,
+    pub clock: Clock,
+    pub counters: Shared,
+    pub room: Arc<Room>,
+    pub events: Sender<Event>,
+    /// Answers that no writer has done with.
+    pub unwritten: AtomicUsize,
+}
+
+impl Common {
+    /// With the other end of the queue to the desk.
+    pub fn new(names: Names, limits: Limits) -> (Arc<Common>, Receiver<Event>) {
+        let (events, to_desk) = bounded(limits.events);
+        let common = Common {
+            names,
+            clock: Clock::start(),
+            counters: Shared::default(),
+            room: Room::of(limits.bodies),
+            events,
+            unwritten: AtomicUsize::new(0),
+            limits,
+        };
+        (Arc::new(common), to_desk)
+    }
+}
--- a/crates/director/src/exchange.rs
+++ b/crates/director/src/exchange.rs
@@ -4,8 +4,8 @@
 
 use sablecross::{Load, Ns, Outcome};
 
-use crate::memory::bodies::Body;
-use crate::wire::feed::Fact;
+use crate::plain::bodies::Body;
+use crate::plain::facts::Fact;
 
 /// A client's connection, a connection to a node.
 pub type Client = u64;
--- a/crates/director/src/life/config.rs
+++ b/crates/director/src/life/config.rs
@@ -1,25 +1,17 @@
 //! The one place where the configuration is read and checked.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use sablecross::Settings;
 use sablecross_inhand::settings::{self, Pairs};
 use serde_json::Value;
 
-use super::limits::Limits;
-use crate::wire::feed::{Known, Numbered};
+use crate::plain::facts::{Known, Numbered};
+use crate::plain::limits::Limits;
+use crate::plain::names::Names;
 
 type Result<T> = std::result::Result<T, String>;
 
-/// The names by which the outside calls what the module numbers.
-#[derive(Debug, Default)]
-pub struct Names {
-    pub kinds: Vec<String>,
-    pub zones: HashMap<String, usize>,
-    pub machines: HashMap<String, usize>,
-}
-
 #[derive(Debug)]
 pub struct Config {
     pub name: String,
@@ -76,21 +68,6 @@
     }
 }
 
-impl Names {
-    fn of(p: &Pairs) -> Result<Names> {
-        let count: usize = p.get("classes.count")?;
-        let kinds = (0..count).map(|i| p.text(&format!("classes.{i}.name")).map(str::to_owned));
-        let numbered = |key: &str| -> Result<HashMap<String, usize>> {
-            Ok(p.list::<String>(key)?.into_iter().enumerate().map(|(i, name)| (name, i)).collect())
-        };
-        Ok(Names {
-            kinds: kinds.collect::<Result<_>>()?,
-            zones: numbered("zones")?,
-            machines: numbered("kinds")?,
-        })
-    }
-}
-
 fn string<'a>(all: &'a Value, key: &str) -> Result<&'a str> {
     all.get(key).ok_or(format!("{key}: missing"))?.as_str().ok_or(format!("{key}: not a string"))
 }
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -1,28 +1,21 @@
 //! Start and stop.
 
-pub mod clock;
 pub mod config;
-pub mod counters;
-pub mod limits;
 mod signals;
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 use std::thread;
 
-use crossbeam_channel::{Receiver, Sender, bounded};
+use crossbeam_channel::{Sender, bounded};
 use sablecross::Choice;
 use signal_hook::iterator::Signals;
 
-use config::{Config, Names};
-use counters::Shared;
-use limits::Limits;
+use config::Config;
 use signals::Fixed;
 
-pub use clock::Clock;
-
+use crate::common::Common;
 use crate::exchange::Event;
-use crate::memory::{bodies::Room, desk::Desk};
+use crate::memory::desk::Desk;
 use crate::wire::clients::Clients;
 use crate::wire::feed::Follower;
 use crate::wire::links::Links;
@@ -37,35 +30,6 @@
     }
 }
 
-/// What all threads have in common.
-pub struct Common {
-    pub names: Names,
-    pub limits: Limits,
-    pub clock: Clock,
-    pub counters: Shared,
-    pub room: Arc<Room>,
-    pub events: Sender<Event>,
-    /// Answers that no writer has done with.
-    pub unwritten: AtomicUsize,
-}
-
-impl Common {
-    /// With the other end of the queue to the desk.
-    pub fn new(names: Names, limits: Limits) -> (Arc<Common>, Receiver<Event>) {
-        let (events, to_desk) = bounded(limits.events);
-        let common = Common {
-            names,
-            clock: Clock::start(),
-            counters: Shared::default(),
-            room: Room::of(limits.bodies),
-            events,
-            unwritten: AtomicUsize::new(0),
-            limits,
-        };
-        (Arc::new(common), to_desk)
-    }
-}
-
 /// A whole life, from the configuration to the last answer.
 pub fn run() -> Result<(), String> {
     let config = Config::load()?;
--- a/crates/director/src/life/signals.rs
+++ b/crates/director/src/life/signals.rs
@@ -9,7 +9,7 @@
 
 use super::config::Config;
 use crate::exchange::Event;
-use crate::wire::feed::Known;
+use crate::plain::facts::Known;
 
 pub const HEARD: [i32; 3] = [SIGHUP, SIGTERM, SIGUSR1];
 
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -9,12 +9,12 @@
 use sablecross::{Choice, Lookup, Ns, Outcome, Send};
 use sablecross_inhand::{Carrier, End, Hand};
 
+use crate::common::Common;
 use crate::exchange::{Asked, Client, Ended, Event, Link, Name};
-use crate::life::Common;
-use crate::life::clock::MS;
-use crate::life::counters::{self, Counters};
+use crate::plain::clock::MS;
+use crate::plain::counters::{self, Counters};
+use crate::plain::facts::Fact;
 use crate::wire::clients::{Outlet, Reply, Say};
-use crate::wire::feed::Fact;
 use crate::wire::nodes::{Nodes, Out};
 
 struct Kept {
--- a/crates/director/src/memory/mod.rs
+++ b/crates/director/src/memory/mod.rs
@@ -1,4 +1,3 @@
 //! What is kept in memory.
 
-pub mod bodies;
 pub mod desk;
--- /dev/null
+++ b/crates/director/src/plain/mod.rs
@@ -0,0 +1,8 @@
+//! Plain values that stand below all other parts: no sockets, no threads.
+
+pub mod bodies;
+pub mod clock;
+pub mod counters;
+pub mod facts;
+pub mod limits;
+pub mod names;
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -15,10 +15,11 @@
 use super::intake::{Intake, paused};
 use super::rpc::{self, Flaw, Message};
 use super::write_on;
+use crate::common::Common;
 use crate::exchange::{Asked, Client, Event};
-use crate::life::clock::MS;
-use crate::life::{Common, counters};
-use crate::memory::bodies::Body;
+use crate::plain::bodies::Body;
+use crate::plain::clock::MS;
+use crate::plain::counters;
 
 /// What a client is told, and until when it listens.
 pub struct Reply {
--- a/crates/director/src/wire/intake.rs
+++ b/crates/director/src/wire/intake.rs
@@ -3,7 +3,7 @@
 use std::io::{self, ErrorKind, Read};
 use std::sync::Arc;
 
-use crate::memory::bodies::{Hold, Room};
+use crate::plain::bodies::{Hold, Room};
 
 pub struct Intake {
     bytes: Vec<u8>,
--- a/crates/director/src/wire/lines.rs
+++ b/crates/director/src/wire/lines.rs
@@ -6,7 +6,7 @@
 use sablecross_inhand::settings;
 
 use crate::exchange::{Asked, Name};
-use crate::life::clock::MS;
+use crate::plain::clock::MS;
 
 /// The head of an answer, parsed where it lies.
 #[derive(Debug, PartialEq)]
--- a/crates/director/src/wire/links.rs
+++ b/crates/director/src/wire/links.rs
@@ -14,9 +14,10 @@
 
 use super::intake::{Intake, paused};
 use super::{lines, write_on};
+use crate::common::Common;
 use crate::exchange::{Copy, Ended, Event, Link, Name};
-use crate::life::{Common, counters};
-use crate::memory::bodies::Body;
+use crate::plain::bodies::Body;
+use crate::plain::counters;
 
 pub enum Order {
     Dial { link: Link, address: SocketAddr, by: Ns },
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -8,11 +8,11 @@
 
 use sablecross::{Listed, Ns, Outcome, State};
 
-use super::feed::Member;
 use super::lines;
 use super::links::{Order, Orders};
+use crate::common::Common;
 use crate::exchange::{Asked, Link, Name};
-use crate::life::Common;
+use crate::plain::facts::Member;
 
 /// One send on a connection.
 #[derive(Clone, Copy, Debug)]
--- a/crates/director/src/wire/rpc.rs
+++ b/crates/director/src/wire/rpc.rs
@@ -6,9 +6,9 @@
 use rmp::decode::{self, RmpReadErr, ValueReadError};
 use rmp::encode;
 
-use crate::life::clock::MS;
-use crate::life::config::Names;
-use crate::life::limits::Limits;
+use crate::plain::clock::MS;
+use crate::plain::limits::Limits;
+use crate::plain::names::Names;
 
 #[derive(Debug, PartialEq)]
 pub enum Message<'a> {
--- a/crates/director/tests/codec.rs
+++ b/crates/director/tests/codec.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 
 use sablecross::{Choice, Lookup, Outcome, Route, Send, Settings, State};
+use sablecross_director::common::Common;
 use sablecross_director::exchange::Asked;
-use sablecross_director::life::Common;
-use sablecross_director::life::config::{Config, Names};
-use sablecross_director::life::limits::Limits;
-use sablecross_director::memory::bodies::Room;
-use sablecross_director::wire::feed::Member;
+use sablecross_director::life::config::Config;
+use sablecross_director::plain::bodies::Room;
+use sablecross_director::plain::facts::Member;
+use sablecross_director::plain::limits::Limits;
+use sablecross_director::plain::names::Names;
 use sablecross_director::wire::lines;
 use sablecross_director::wire::links::Links;
 use sablecross_director::wire::nodes::Nodes;
