Forms: settings as S-expressions, with faults named by file, line and key

Need: the settings of the new subsystems are S-expressions that are checked at the door. The pie of the module is public and a listed node may withhold a part of its places (nobody does yet): groundwork of the hierarchy. Result: table of 16 faulty texts, 100,000 forms read, a list of 100,000 entries and 100,000 open parentheses end in an error.

--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -140,6 +140,7 @@
             cell: m.cell,
             started: m.started,
             state: m.state,
+            withheld: 0,
         })
     }
 
--- /dev/null
+++ b/crates/forms/tests/forms.rs
@@ -0,0 +1,87 @@
+//! Faults are named by line and key; long and broken texts end in an error, never in a crash.
+
+use garde::Validate;
+use sablecross_forms::{Placed, read};
+use serde::Deserialize;
+
+#[derive(Debug, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+enum Form {
+    #[serde(rename_all = "kebab-case")]
+    Node {
+        #[garde(length(min = 1, max = 8))]
+        name: String,
+        #[garde(range(max = 7))]
+        tier: u8,
+        #[garde(skip)]
+        #[serde(default)]
+        sources: Vec<String>,
+        #[garde(range(min = 0.0, max = 1.0))]
+        #[serde(default)]
+        hit_part: f64,
+    },
+}
+
+fn said(text: &str) -> Vec<String> {
+    read::<Form>("f", text).unwrap_err().iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn forms_are_read_in_order_with_their_lines() {
+    let text = "; a comment with (\n(node (name . \"a\") (tier . 0))\n\n  (node (name . \"b)\") (tier . 1)\n (sources \"a\" \"c\") (hit-part . 0.5))";
+    let forms = read::<Form>("f", text).unwrap();
+    assert_eq!(forms.iter().map(|f| f.line).collect::<Vec<_>>(), [2, 4]);
+    let b = Form::Node { name: "b)".into(), tier: 1, sources: vec!["a".into(), "c".into()], hit_part: 0.5 };
+    assert_eq!(forms[1], Placed { line: 4, value: b });
+    assert_eq!(read::<Form>("f", " ; nothing\n").unwrap(), []);
+}
+
+#[test]
+fn faults_name_line_and_key() {
+    let cases = [
+        ("(node (name . \"a\")\n (tier . \"x\"))", "f:2:", "node.tier: invalid type"),
+        ("(node (name . \"a\")\n (tier . 9))", "f:2:", "node.tier: "),
+        ("(node (name . \"a\") (tier . 1)\n\n (hit-part . 1.5))", "f:3:", "node.hit-part: "),
+        ("(node (name . \"a\")\n (teir . 1))", "f:2:", "node.teir: unknown field"),
+        ("\n(node (name . \"a\"))", "f:2:1: ", "missing field `tier`"),
+        ("(node (name . \"a\") (tier . 1)\n (sources \"a\" 7))", "f:2:", "node.sources[1]: invalid type"),
+        ("(knot (name . \"a\"))", "f:1:", "unknown variant"),
+        ("(node (name . \"a\") (tier . 999))", "f:1:", "node.tier: "),
+        ("(node (name . \"a\") (tier . -1))", "f:1:", "node.tier: "),
+        ("(node (name . \"a\") (tier . 1) (tier . 2))", "f:1:", "duplicate field"),
+        ("(node\n (name . \"a\"", "f:1:1: ", "never closed"),
+        ("(node)\n)", "f:2:1: ", "closes nothing"),
+        ("(node (name . \"a))", "f:1:15: ", "string that never ends"),
+        ("node", "f:1:1: ", "outside of all forms"),
+        ("(node . )", "f:1:", "not an S-expression"),
+        ("(node 5)", "f:1:", ""),
+    ];
+    for (text, place, what) in cases {
+        let said = said(text);
+        assert!(said[0].starts_with(place) && said[0].contains(what), "{text:?}: {said:?}");
+    }
+}
+
+#[test]
+fn each_faulty_form_is_told() {
+    let text = "(node (tier . 1))\n(node (name . \"a\") (tier . 1))\n(node (name . \"\") (tier . 8))";
+    let said = said(text);
+    assert_eq!(said.len(), 3, "{said:?}");
+    assert!(said[1].starts_with("f:3:") && said[2].starts_with("f:3:"), "{said:?}");
+}
+
+#[test]
+fn long_and_deep_texts_end_in_an_error() {
+    let deep = "(".repeat(100_000);
+    assert!(said(&deep)[0].contains("too deep"));
+    let long = format!("(node (name . \"a\") (tier . 1) (sources {}))", "\"a\" ".repeat(100_000));
+    assert!(said(&long)[0].contains("too long"));
+    let many = "(node (name . \"a\") (tier . 1))\n".repeat(100_000);
+    assert_eq!(read::<Form>("f", &many).unwrap().len(), 100_000);
+    let faulty = "(node (tier . 1))\n".repeat(100_000);
+    assert_eq!(said(&faulty).len(), 20);
+    let cut = "(node (name . \"ä\") (tier . 1))";
+    for end in cut.char_indices().map(|(i, _)| i) {
+        assert_eq!(read::<Form>("f", &cut[..end]).is_ok(), end == 0, "{}", &cut[..end]);
+    }
+}
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -187,6 +187,7 @@
                             cell: usize::from(e.cell),
                             started: e.started,
                             state: e.state,
+                            withheld: 0,
                         })
                         .collect();
                     inst.hand.choice.listed(now, &lines, scope != 0);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -241,22 +241,28 @@
 /// the member that stands nearest, so a slice whose member is lost halves to its two neighbours, whether
 /// that one is down, cold or gone from the list: a loss moves a position once, not again at each step.
 #[derive(Clone, Debug, Default)]
-struct Pie {
+pub struct Pie {
     members: Vec<usize>,
     places: Vec<(u64, usize)>,
+    dealt: Vec<Stand>,
 }
 
+/// A member of a pie: its rank, its index, and the part of its places that it does not take, of 256.
+pub type Stand = (u64, usize, u16);
+
 impl Pie {
-    /// A pure function of the members, given as (rank, index): directors and restarts agree.
-    fn deal(ranked: &[(u64, usize)]) -> Pie {
-        let stands = |&(rank, i): &(u64, usize)| (0..SLICES).map(move |k| (mix(mix(rank) ^ k), i));
-        let mut places: Vec<(u64, usize)> = ranked.iter().flat_map(stands).collect();
+    /// A pure function of the members: directors and restarts agree.
+    pub fn deal(dealt: Vec<Stand>) -> Pie {
+        let stands = |&(rank, i, withheld): &Stand| {
+            (0..SLICES.saturating_sub(withheld.into())).map(move |k| (mix(mix(rank) ^ k), i))
+        };
+        let mut places: Vec<(u64, usize)> = dealt.iter().flat_map(stands).collect();
         places.sort_unstable();
-        Pie { members: ranked.iter().map(|&(_, i)| i).collect(), places }
+        Pie { members: dealt.iter().map(|d| d.1).collect(), places, dealt }
     }
 
     /// The members as they stand round a position, the nearest first.
-    fn around(&self, pos: u64) -> impl Iterator<Item = usize> {
+    pub fn around(&self, pos: u64) -> impl Iterator<Item = usize> {
         let n = self.places.len();
         let mut right = self.places.partition_point(|p| p.0 < pos);
         let mut left = right + n;
@@ -278,7 +284,7 @@
     }
 
     /// The owner of a position among the members that are fit.
-    fn owner(&self, pos: u64, fit: impl Fn(usize) -> bool) -> Option<usize> {
+    pub fn owner(&self, pos: u64, fit: impl Fn(usize) -> bool) -> Option<usize> {
         self.members.iter().any(|&m| fit(m)).then(|| self.around(pos).find(|&m| fit(m)))?
     }
 }
@@ -379,30 +385,29 @@
                 None => *slot = Some(fresh),
             }
         }
-        let on = |role: Role, zone: Option<usize>| -> Vec<(u64, usize)> {
-            let mut pie: Vec<(u64, usize)> = self
+        let on = |role: Role, zone: Option<usize>| -> Vec<Stand> {
+            let mut pie: Vec<Stand> = self
                 .nodes
                 .iter()
                 .enumerate()
                 .filter_map(|(i, n)| Some((i, n.as_ref()?)))
                 .filter(|(_, n)| n.role == role && n.line.state != State::Gone)
                 .filter(|(_, n)| zone.is_none_or(|z| z == n.line.zone))
-                .map(|(i, n)| (n.line.rank, i))
+                .map(|(i, n)| (n.line.rank, i, n.line.withheld))
                 .collect();
             pie.sort_unstable();
             pie
         };
         let (caches, parents) = (on(Role::Cache, Some(self.set.zone)), on(Role::Parent, None));
         self.usual = self.usual.max(parents.len());
-        let ready =
-            |&(_, i): &(u64, usize)| self.nodes[i].as_ref().is_some_and(|n| n.line.state == State::Ready);
-        self.origin = on(Role::Origin, None).into_iter().find(ready).map(|(_, i)| i);
-        for (pie, ranked) in [(&mut self.caches, caches), (&mut self.parents, parents)] {
-            if ranked.iter().map(|&(_, i)| i).ne(pie.members.iter().copied()) {
+        let ready = |&(_, i, _): &Stand| self.nodes[i].as_ref().is_some_and(|n| n.line.state == State::Ready);
+        self.origin = on(Role::Origin, None).into_iter().find(ready).map(|(_, i, _)| i);
+        for (pie, dealt) in [(&mut self.caches, caches), (&mut self.parents, parents)] {
+            if dealt != pie.dealt {
                 if !pie.members.is_empty() {
-                    self.lines.push(format!("list members={} before={}", ranked.len(), pie.members.len()));
+                    self.lines.push(format!("list members={} before={}", dealt.len(), pie.members.len()));
                 }
-                *pie = Pie::deal(&ranked);
+                *pie = Pie::deal(dealt);
             }
         }
         self.turn(now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -82,6 +82,8 @@
     pub cell: usize,
     pub started: Ns,
     pub state: State,
+    /// The part of its places in the pie that it does not take, of 256: its slice while a hierarchy moves.
+    pub withheld: u16,
 }
 
 #[derive(Clone, Debug)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,5 +3,5 @@
 mod choice;
 mod interface;
 
-pub use choice::Choice;
+pub use choice::{Choice, Pie, Stand};
 pub use interface::*;
--- a/tests/help/mod.rs
+++ b/tests/help/mod.rs
@@ -51,7 +51,7 @@
 pub fn line(node: usize, machine: usize) -> Listed {
     let zone = if machine == 0 { 2 } else { machine - 1 };
     let rank = 1_000 + node as u64 * 37;
-    Listed { node, rank, zone, machine, cell: node / 2, started: 0, state: State::Ready }
+    Listed { node, rank, zone, machine, cell: node / 2, started: 0, state: State::Ready, withheld: 0 }
 }
 
 /// Caches 0.., parents 50.., and the origin.
