--- a/crates/hierarchy/src/change.rs
+++ b/crates/hierarchy/src/change.rs
@@ -68,9 +68,15 @@
         number: u64,
         version: Told,
     },
+    /// With what was in force when no change ran: one that takes the place of another goes back there.
     Begun {
         change: u64,
         aim: Told,
+        home: Told,
+    },
+    /// It is to be taken back.
+    Back {
+        change: u64,
     },
     Step {
         change: u64,
@@ -151,6 +157,8 @@
     held: Hierarchy,
     held_number: u64,
     number: u64,
+    /// What was in force when no change ran.
+    home: Hierarchy,
     next_change: u64,
     run: Option<Run>,
     next: Option<Hierarchy>,
@@ -178,6 +186,7 @@
     fn at(number: u64, version: Hierarchy, parties: impl IntoIterator<Item = Party>) -> Result<Driver, No> {
         Ok(Driver {
             admission: Admission::new(version.clone())?,
+            home: version.clone(),
             held: version,
             held_number: number,
             number,
@@ -211,11 +220,16 @@
             let d = found.as_mut().ok_or(No::Log)?;
             match record {
                 Record::Start { .. } => {}
-                Record::Begun { change, aim: told } => {
+                Record::Begun { change, aim: told, home } => {
                     d.next_change = change + 1;
                     aim = Some((*change, read(told)?));
-                    let (from, target) = (d.held.clone(), read(told)?);
-                    d.run = Some(Run::new(*change, from, target, now));
+                    d.home = read(home)?;
+                    d.run = Some(Run::new(*change, d.home.clone(), read(told)?, now));
+                }
+                Record::Back { .. } => {
+                    if let Some(run) = d.run.as_mut() {
+                        run.turn(true);
+                    }
                 }
                 Record::Step { number, back, version, .. } => {
                     d.number = *number;
@@ -311,8 +325,9 @@
                     self.stale = Some(No::Stale { party, theirs, ours });
                     return Ok(());
                 }
+                // Words of older numbers are late, or come from one that has to be told again.
                 let said = self.parties.entry(party).or_default();
-                if number > said.0 {
+                if number == self.number {
                     *said = (number, digest);
                 }
             }
@@ -353,8 +368,8 @@
             return Err(stale.clone());
         }
         match &self.run {
-            Some(run) if self.next.is_some() => return Err(No::Busy { running: run.change }),
-            Some(run) if run.target == aim => return Err(No::Same),
+            Some(run) if self.next.is_some() => Err(No::Busy { running: run.change }),
+            Some(run) if run.target == aim => Err(No::Same),
             Some(run) => {
                 // From what is in force, not from a half-way picture: it is planned once that is known.
                 self.admission.clone().admit(&aim)?;
@@ -377,7 +392,8 @@
         let found = plan(&self.held, &aim, now)?;
         let change = self.next_change;
         self.next_change += 1;
-        self.act(Act::Write(Record::Begun { change, aim: Told::of(self.number, &aim) }));
+        let home = Told::of(self.held_number, &self.home);
+        self.act(Act::Write(Record::Begun { change, aim: Told::of(self.number, &aim), home }));
         let peak = found.steps.iter().map(|s| s.peak).fold(0.0, f64::max);
         self.note(format!(
             "hierarchy change={change} begun nodes={} steps={} peak={peak:.0} ceiling={:.0}",
@@ -385,7 +401,7 @@
             found.steps.len(),
             aim.rules.ceiling
         ));
-        let mut run = Run::new(change, self.held.clone(), aim, now);
+        let mut run = Run::new(change, self.home.clone(), aim, now);
         run.steps = found.steps;
         if run.steps.is_empty() {
             // Rules alone have changed.
@@ -401,6 +417,7 @@
         let Some(run) = self.run.as_mut() else { return };
         let Some(step) = run.steps.first() else { return };
         self.number += 1;
+        self.parties.values_mut().for_each(|said| *said = (0, 0));
         run.stage = Stage::Publishing { since: now };
         run.noted = false;
         let version = Told::of(self.number, &step.to);
@@ -550,6 +567,7 @@
         let Some(run) = self.run.as_mut() else { return };
         run.turn(true);
         let change = run.change;
+        self.acts.push(Act::Write(Record::Back { change }));
         run.steps = match pending {
             // The rest is planned when this one is in force everywhere.
             true => vec![crate::plan::jump(&run.steps[0].to, &self.held)],
@@ -601,6 +619,9 @@
 
     fn finish(&mut self, how: Ending) {
         let Some(run) = self.run.take() else { return };
+        if how != Ending::Superseded {
+            self.home = self.held.clone();
+        }
         // What is in force was admitted, or lies between two that were.
         if let Ok(admission) = Admission::new(self.held.clone()) {
             self.admission = admission;
@@ -619,15 +640,15 @@
         self.act(Act::Note(line));
     }
 
-    /// All that decides what it does next, for a search over its states.
-    pub fn key(&self) -> impl std::hash::Hash + Eq + use<> {
+    /// All that decides what it does next, for a search over its states. Times are told by how far off they are.
+    pub fn key(&self, now: Ns) -> impl std::hash::Hash + Eq + use<> {
         let run = self.run.as_ref().map(|r| {
             let steps: Vec<u64> = r.steps.iter().map(|s| s.to.digest()).collect();
             let passed: Vec<u64> = r.passed.iter().map(Hierarchy::digest).collect();
             let stage = match r.stage {
-                Stage::Publishing { since } => (0, since),
-                Stage::Draining { until } => (1, until),
-                Stage::Waiting { until } => (2, until),
+                Stage::Publishing { since } => (0, now.abs_diff(since)),
+                Stage::Draining { until } => (1, now.abs_diff(until)),
+                Stage::Waiting { until } => (2, now.abs_diff(until)),
             };
             (r.change, r.from.digest(), r.target.digest(), r.back, steps, passed, stage, r.noted)
         });
--- a/crates/hierarchy/src/spec.rs
+++ b/crates/hierarchy/src/spec.rs
@@ -271,8 +271,8 @@
     pub fn text(&self) -> String {
         let h = &self.head;
         let mut text = format!(
-            "(hierarchy (version . {}) (ceiling . {:?}) (margin . {:?}) (cold-from . {:?}) (warm-after-ms . {})\n  \
-             (fall-multiple . {:?}) (siblings . {}) (hold-ms . {}) (settle-ms . {}) (give-up-ms . {}))\n",
+            "(hierarchy (version . {}) (ceiling . {}) (margin . {}) (cold-from . {}) (warm-after-ms . {})\n  \
+             (fall-multiple . {}) (siblings . {}) (hold-ms . {}) (settle-ms . {}) (give-up-ms . {}))\n",
             h.version,
             h.ceiling,
             h.margin,
@@ -290,10 +290,10 @@
                 let names: Vec<String> = n.sources.iter().map(|s| format!("\"{s}\"")).collect();
                 text += &format!(" (sources {})", names.join(" "));
             }
-            text += &format!(" (capacity . {:?})", n.capacity);
+            text += &format!(" (capacity . {})", n.capacity);
             for (key, value) in [("demand", n.demand), ("hit", n.hit)] {
                 if value != 0.0 {
-                    text += &format!(" ({key} . {value:?})");
+                    text += &format!(" ({key} . {value})");
                 }
             }
             if n.share != FULL {
--- a/crates/hierarchy/src/version.rs
+++ b/crates/hierarchy/src/version.rs
@@ -1,6 +1,6 @@
 //! One version of the hierarchy.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use imbl::OrdMap;
 use imbl::ordmap::DiffItem;
@@ -67,6 +67,8 @@
     pub rules: Arc<Rules>,
     members: OrdMap<NodeId, Arc<Member>>,
     ids: OrdMap<Arc<str>, NodeId>,
+    /// Reckoned once for all clones.
+    digest: Arc<OnceLock<u64>>,
 }
 
 /// A node that two versions have differently.
@@ -79,17 +81,23 @@
 
 impl PartialEq for Hierarchy {
     fn eq(&self, other: &Self) -> bool {
-        self.rules == other.rules && self.members.diff(&other.members).next().is_none()
+        Arc::ptr_eq(&self.digest, &other.digest)
+            || self.rules == other.rules && self.members.diff(&other.members).next().is_none()
     }
 }
 
 impl Hierarchy {
     pub fn new(rules: Rules) -> Self {
-        Hierarchy { rules: Arc::new(rules), members: OrdMap::new(), ids: OrdMap::new() }
+        Hierarchy {
+            rules: Arc::new(rules),
+            members: OrdMap::new(),
+            ids: OrdMap::new(),
+            digest: Arc::default(),
+        }
     }
 
     pub fn with_rules(&self, rules: Arc<Rules>) -> Self {
-        Hierarchy { rules, ..self.clone() }
+        Hierarchy { rules, digest: Arc::default(), ..self.clone() }
     }
 
     /// A version with this member; the one before is untouched.
@@ -106,11 +114,13 @@
     }
 
     pub(crate) fn put(&mut self, node: NodeId, member: Arc<Member>) {
+        self.digest = Arc::default();
         self.ids.insert(Arc::clone(&member.name), node);
         self.members.insert(node, member);
     }
 
     fn drop(&mut self, node: NodeId) {
+        self.digest = Arc::default();
         if let Some(member) = self.members.remove(&node) {
             self.ids.remove(&member.name);
         }
@@ -174,6 +184,10 @@
 
     /// A number that is the same for the same content, whoever reckons it (FNV-1a).
     pub fn digest(&self) -> u64 {
+        *self.digest.get_or_init(|| self.reckon())
+    }
+
+    fn reckon(&self) -> u64 {
         let mut h = Digest(0xcbf2_9ce4_8422_2325);
         let r = &self.rules;
         for x in [r.ceiling, r.margin, r.cold_from, r.fall_multiple] {
--- a/crates/hierarchy/tests/changes.rs
+++ b/crates/hierarchy/tests/changes.rs
@@ -179,6 +179,26 @@
     }
 }
 
+#[test]
+fn one_that_took_the_place_of_another_goes_back_to_where_that_began() {
+    let (from, to) = chain();
+    let mut w = World::new(&from);
+    w.run();
+    w.hear(Input::Propose { aim: to }).unwrap();
+    w.hear(Input::Propose { aim: of_masks(&[0b0001, 0b0001, 0b0001]) }).unwrap();
+    while w.driver.running().is_some_and(|(change, ..)| change == 1) {
+        w.now = w.now.max(w.driver.wake().unwrap());
+        w.hear(Input::Tick).unwrap();
+    }
+    assert!(w.driver.in_force().1 != &from);
+    w.hear(Input::Evidence { origin: 2e6, down: vec![] }).unwrap();
+    let parties: Vec<Party> = w.holders.keys().cloned().collect();
+    w.driver = Driver::recover(&w.log, parties, w.now).unwrap();
+    w.run();
+    w.agree(&from);
+    assert_eq!(w.endings(), [(1, Ending::Superseded), (2, Ending::RolledBack)]);
+}
+
 #[test]
 fn bad_evidence_takes_a_change_back() {
     let (from, to) = chain();
@@ -200,7 +220,7 @@
             let over = w.driver.running().is_none();
             let untouched = over
                 || matches!(&input, Input::Evidence { origin, .. } if *origin < 2.0)
-                    && !w.driver.running().is_some_and(|(.., left)| left > 1);
+                    && w.driver.running().is_none_or(|(.., left)| left <= 1);
             // The same word once more changes nothing.
             for _ in 0..2 {
                 let said = w.hear(input.clone());
