Director and command line take versions of the hierarchy; off on the platform

Need: directors are to learn the hierarchy from their own file or the feed, and operators to check, compare and plan versions. Change: the director's feature hierarchy (not built on the platform) takes versions from a settings file, read again by SIGHUP, or from events of the feed, withholds places in the module's pie of parents, names a fill's way beyond its source and tells the feed what it has in force. sablecross hierarchy check|show|diff|plan, as text, JSON and graph.

--- /dev/null
+++ b/crates/cli/src/hierarchy.rs
@@ -0,0 +1,327 @@
+//! `sablecross hierarchy ...`
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use clap::{Args, Subcommand, ValueEnum};
+use petgraph::dot::{Config, Dot};
+use petgraph::graph::DiGraph;
+use sablecross_hierarchy::flow::{Index, Side};
+use sablecross_hierarchy::spec::{Told, read};
+use sablecross_hierarchy::{Admission, FULL, Hierarchy, Member, NodeId, Plan, Refusal, plan};
+use serde_json::{Value, json};
+
+use crate::Verdict;
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Checks each file: its form, circles, ways to the origin, loads.
+    Check {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Shows what each node is asked for, or draws the hierarchy.
+    Show {
+        file: PathBuf,
+        #[arg(long, value_enum, default_value_t = Form::Table)]
+        form: Form,
+    },
+    /// Says what differs between two versions.
+    Diff {
+        before: PathBuf,
+        after: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Plans the steps from one version to another.
+    Plan(PlanArgs),
+}
+
+#[derive(Args)]
+pub struct PlanArgs {
+    /// What is in force.
+    from: PathBuf,
+    /// What is aimed for.
+    to: PathBuf,
+    #[arg(long, value_enum, default_value_t = Form::Table)]
+    form: Form,
+    /// Writes each step's version to this folder, as step-1.scm and so on.
+    #[arg(long)]
+    steps: Option<PathBuf>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Form {
+    Table,
+    Json,
+    /// For Graphviz.
+    Dot,
+}
+
+type Faults = Vec<String>;
+
+pub fn run(command: &Command) -> Result<Verdict, Faults> {
+    match command {
+        Command::Check { files, json } => check(files, *json),
+        Command::Show { file, form } => {
+            let (number, h) = load(file, None)?;
+            print!("{}", show(number, &h, *form));
+            Ok(Verdict::Well)
+        }
+        Command::Diff { before, after, json } => {
+            let (old_number, old) = load(before, None)?;
+            let (new_number, new) = load(after, Some(&old))?;
+            let lines = diff(&old, &new);
+            if *json {
+                println!("{}", json!({"before": old_number, "after": new_number, "differences": lines}));
+            } else {
+                println!("version {old_number} to {new_number}: {} differences", lines.len());
+                lines.iter().for_each(|l| println!("  {l}"));
+            }
+            Ok(if lines.is_empty() { Verdict::Well } else { Verdict::Refused })
+        }
+        Command::Plan(args) => planned(args),
+    }
+}
+
+fn load(file: &Path, known: Option<&Hierarchy>) -> Result<(u64, Hierarchy), Faults> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| vec![format!("{name}: {e}")])?;
+    read(&name, &text, known).map_err(|f| f.iter().map(ToString::to_string).collect())
+}
+
+fn check(files: &[PathBuf], as_json: bool) -> Result<Verdict, Faults> {
+    let mut verdict = Verdict::Well;
+    let mut said = Vec::new();
+    for file in files {
+        let name = file.display().to_string();
+        let found = load(file, None);
+        let (fit, words) = match &found {
+            Err(faults) => (false, faults.clone()),
+            Ok((number, h)) => match Admission::new(h.clone()) {
+                Err(refusal) => (false, vec![format!("{name}: {refusal}")]),
+                Ok(_) => (true, vec![format!("{name}: version {number}, {} nodes: well", h.len())]),
+            },
+        };
+        if !fit {
+            verdict = Verdict::Refused;
+        }
+        if as_json {
+            said.push(json!({"file": name, "fit": fit, "said": words}));
+        } else {
+            words.iter().for_each(|w| println!("{w}"));
+        }
+    }
+    if as_json {
+        println!("{}", Value::from(said));
+    }
+    Ok(verdict)
+}
+
+/// What each node is asked for, by its number; nothing for a hierarchy with a circle.
+fn loads(h: &Hierarchy) -> BTreeMap<NodeId, f64> {
+    let index = Index::of(&[h]);
+    let cells = index.cells(h);
+    let side = Side::new(cells.iter().map(Option::as_ref).collect());
+    side.map_or_else(|_| BTreeMap::new(), |s| index.ids.iter().copied().zip(s.into).collect())
+}
+
+fn names(h: &Hierarchy, ids: &[NodeId]) -> String {
+    ids.iter().map(|s| h.name(*s)).collect::<Vec<_>>().join(" ")
+}
+
+fn show(number: u64, h: &Hierarchy, form: Form) -> String {
+    let loads = loads(h);
+    match form {
+        Form::Json => {
+            let nodes: Vec<Value> = h
+                .iter()
+                .map(|(id, m)| {
+                    json!({"name": &*m.name, "tier": m.tier, "capacity": m.capacity, "share": m.share,
+                        "asked": loads.get(&id), "sources": m.sources.iter().map(|s| h.name(*s)).collect::<Vec<_>>()})
+                })
+                .collect();
+            format!("{}\n", json!({"version": number, "ceiling": h.rules.ceiling, "nodes": nodes}))
+        }
+        Form::Dot => dot(h, &loads, &BTreeMap::new()),
+        Form::Table => {
+            let mut out = format!(
+                "version {number}: {} nodes, ceiling {} a second with a margin of {}\n",
+                h.len(),
+                h.rules.ceiling,
+                h.rules.margin
+            );
+            let _ = writeln!(
+                out,
+                "{:<20} {:>4} {:>9} {:>9} {:>6}  sources",
+                "node", "tier", "asked/s", "bears/s", "share"
+            );
+            let mut all: Vec<(NodeId, &Member)> = h.iter().map(|(id, m)| (id, &**m)).collect();
+            all.sort_by(|a, b| (a.1.tier, &a.1.name).cmp(&(b.1.tier, &b.1.name)));
+            for (id, m) in all {
+                let asked = loads.get(&id).map_or("circle".into(), |l| format!("{l:.0}"));
+                let share = format!("{}%", 100 * u32::from(m.share) / u32::from(FULL));
+                let _ = writeln!(
+                    out,
+                    "{:<20} {:>4} {asked:>9} {:>9.0} {share:>6}  {}",
+                    m.name,
+                    m.tier,
+                    m.capacity,
+                    names(h, &m.sources)
+                );
+            }
+            out
+        }
+    }
+}
+
+/// A graph for Graphviz; nodes that a plan changes carry the steps in which it does.
+fn dot(h: &Hierarchy, loads: &BTreeMap<NodeId, f64>, steps: &BTreeMap<NodeId, Vec<usize>>) -> String {
+    let mut graph = DiGraph::new();
+    let mut places = BTreeMap::new();
+    for (id, m) in h.iter() {
+        let mut label = format!(
+            "{}\ntier {}, {:.0} of {:.0}/s",
+            m.name,
+            m.tier,
+            loads.get(&id).unwrap_or(&0.0),
+            m.capacity
+        );
+        if let Some(steps) = steps.get(&id) {
+            let _ =
+                write!(label, "\nstep {}", steps.iter().map(usize::to_string).collect::<Vec<_>>().join(", "));
+        }
+        places.insert(id, graph.add_node(label));
+    }
+    for (id, m) in h.iter() {
+        for s in m.sources.iter() {
+            if let (Some(a), Some(b)) = (places.get(&id), places.get(s)) {
+                graph.add_edge(*a, *b, "");
+            }
+        }
+    }
+    format!("{}", Dot::with_config(&graph, &[Config::EdgeNoLabel]))
+}
+
+fn diff(old: &Hierarchy, new: &Hierarchy) -> Vec<String> {
+    let mut lines = Vec::new();
+    if old.rules != new.rules {
+        lines.push(format!("rules: {:?} to {:?}", old.rules, new.rules));
+    }
+    for d in old.diff(new) {
+        match (d.before, d.after) {
+            (None, Some(m)) => {
+                lines.push(format!("{} joins tier {} over {}", m.name, m.tier, names(new, &m.sources)))
+            }
+            (Some(m), None) => lines.push(format!("{} leaves tier {}", m.name, m.tier)),
+            (Some(a), Some(b)) => {
+                let mut what = Vec::new();
+                if a.tier != b.tier {
+                    what.push(format!("tier {} to {}", a.tier, b.tier));
+                }
+                if a.sources != b.sources {
+                    what.push(format!("sources {} to {}", names(old, &a.sources), names(new, &b.sources)));
+                }
+                let figures = [
+                    ("capacity", a.capacity, b.capacity),
+                    ("demand", a.demand, b.demand),
+                    ("hit", a.hit, b.hit),
+                ];
+                what.extend(
+                    figures.iter().filter(|(_, a, b)| a != b).map(|(k, a, b)| format!("{k} {a} to {b}")),
+                );
+                if a.share != b.share {
+                    what.push(format!("share {} to {}", a.share, b.share));
+                }
+                if a.since != b.since {
+                    what.push("started anew".into());
+                }
+                lines.push(format!("{}: {}", a.name, what.join(", ")));
+            }
+            (None, None) => {}
+        }
+    }
+    lines
+}
+
+fn planned(args: &PlanArgs) -> Result<Verdict, Faults> {
+    let (number, from) = load(&args.from, None)?;
+    let (aim_number, to) = load(&args.to, Some(&from))?;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
+    let admitted: Result<(), Refusal> = Admission::new(from.clone()).and_then(|mut a| a.admit(&to));
+    let refused = |why: String| {
+        match args.form {
+            Form::Json => println!("{}", json!({"refused": why})),
+            _ => println!("refused: {why}"),
+        }
+        Ok(Verdict::Refused)
+    };
+    if let Err(refusal) = admitted {
+        return refused(refusal.to_string());
+    }
+    let plan = match plan(&from, &to, now) {
+        Ok(plan) => plan,
+        Err(no) => return refused(no.to_string()),
+    };
+    if let Some(folder) = &args.steps {
+        std::fs::create_dir_all(folder).map_err(|e| vec![format!("{}: {e}", folder.display())])?;
+        for (k, step) in plan.steps.iter().enumerate() {
+            let file = folder.join(format!("step-{}.scm", k + 1));
+            let text = Told::of(number + k as u64 + 1, &step.to).text();
+            std::fs::write(&file, text).map_err(|e| vec![format!("{}: {e}", file.display())])?;
+        }
+    }
+    print!("{}", told(&plan, &from, &to, (number, aim_number), args.form));
+    Ok(Verdict::Well)
+}
+
+fn told(plan: &Plan, from: &Hierarchy, to: &Hierarchy, (number, aim): (u64, u64), form: Form) -> String {
+    let mut before = from.clone();
+    let mut steps = Vec::new();
+    let mut at: BTreeMap<NodeId, Vec<usize>> = BTreeMap::new();
+    for (k, step) in plan.steps.iter().enumerate() {
+        steps.push((diff(&before, &step.to), step));
+        step.changed.iter().for_each(|n| at.entry(*n).or_default().push(k + 1));
+        before = step.to.clone();
+    }
+    match form {
+        Form::Dot => dot(to, &loads(to), &at),
+        Form::Json => {
+            let steps: Vec<Value> = steps
+                .iter()
+                .map(|(lines, s)| {
+                    let warm: Vec<Value> = s.needs.iter().map(|(n, w)| json!({"node": s.to.name(*n), "warmth": w})).collect();
+                    json!({"changes": lines, "origin_peak": s.peak, "origin_before": s.before, "moved": s.moved,
+                        "wait_ms": s.wait / 1_000_000, "warm": warm})
+                })
+                .collect();
+            format!("{}\n", json!({"from": number, "to": aim, "fewest": plan.fewest, "steps": steps}))
+        }
+        Form::Table => {
+            let how = if plan.fewest { "there are no fewer" } else { "not searched for the fewest" };
+            let mut out = format!("version {number} to {aim} in {} steps ({how})\n", steps.len());
+            for (k, (lines, s)) in steps.iter().enumerate() {
+                let _ = writeln!(
+                    out,
+                    "step {}: after {:.1} s; {:.0} a second change their node; origin {:.0} a second at most, {:.0} before",
+                    k + 1,
+                    s.wait as f64 / 1e9,
+                    s.moved,
+                    s.peak,
+                    s.before
+                );
+                for (node, warmth) in &s.needs {
+                    let _ = writeln!(out, "  once {} is warm by {:.0}%", s.to.name(*node), 100.0 * warmth);
+                }
+                lines.iter().for_each(|l| {
+                    let _ = writeln!(out, "  {l}");
+                });
+            }
+            out
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,40 @@
+//! The command line of sablecross. Exit codes: 0 all is well, 1 what was asked about is refused or differs,
+//! 2 the command line or a file can't be used.
+
+mod hierarchy;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+#[derive(Parser)]
+#[command(name = "sablecross", version, about = "Looks after sablecross directors and what they work by")]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Versions of the hierarchy of upper caches: checked, shown, compared, planned.
+    #[command(subcommand)]
+    Hierarchy(hierarchy::Command),
+}
+
+/// How a command ended that could be carried out.
+enum Verdict {
+    Well,
+    Refused,
+}
+
+fn main() -> ExitCode {
+    let Command::Hierarchy(command) = Line::parse().command;
+    match hierarchy::run(&command) {
+        Ok(Verdict::Well) => ExitCode::SUCCESS,
+        Ok(Verdict::Refused) => ExitCode::from(1),
+        Err(faults) => {
+            faults.iter().for_each(|f| eprintln!("{f}"));
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -1,9 +1,11 @@
 //! The real director: sockets round the decision module. `wire` speaks, `memory` keeps, `life` starts and
-//! stops; `exchange`, `common` and `plain` stand below all three.
+//! stops; `exchange`, `common`, `upper` and `plain` stand below all three.
 
 pub mod common;
 pub mod exchange;
 pub mod life;
 pub mod memory;
 pub mod plain;
+#[cfg_attr(not(feature = "hierarchy"), path = "upper_off.rs")]
+pub mod upper;
 pub mod wire;
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -16,6 +16,8 @@
 use crate::common::Common;
 use crate::exchange::Event;
 use crate::memory::desk::Desk;
+use crate::plain::facts::Fact;
+use crate::upper::{Told, Upper};
 use crate::wire::clients::Clients;
 use crate::wire::feed::Follower;
 use crate::wire::links::Links;
@@ -39,10 +41,15 @@
     let at_listen = |e| format!("listen: {}: {e}", config.listen);
     let (clients, outlet) = Clients::listen(config.listen, &common).map_err(at_listen)?;
     let listen = clients.address().map_err(at_listen)?;
+    let (to_say, in_force) = bounded(limits.moves);
     let (links, orders) = Links::new(&common).map_err(|e| format!("connections to nodes: {e}"))?;
     let nodes = Nodes::new(orders, Arc::clone(&common));
+    let upper = Upper::new(config.settings.parent_kind);
     let choice = Choice::new(config.settings, config.seed, common.clock.now());
-    let mut desk = Desk::new(choice, nodes, outlet, Arc::clone(&common));
+    let mut desk = Desk::new(choice, nodes, outlet, Arc::clone(&common), upper, to_say);
+    if let Some(told) = Told::read() {
+        desk.fact(Fact::Hierarchy(Box::new(told?)));
+    }
     config.known.events.into_iter().for_each(|event| desk.fact(event.fact));
 
     let vital = |name: &'static str, run: Box<dyn FnOnce() + Send>| {
@@ -65,6 +72,9 @@
         moves,
         gap: None,
         up: true,
+        party: config.name.clone(),
+        in_force,
+        word: None,
     };
     vital("feed", Box::new(move || follower.follow()))?;
     vital("links", Box::new(move || links.serve()))?;
--- a/crates/director/src/life/signals.rs
+++ b/crates/director/src/life/signals.rs
@@ -9,7 +9,8 @@
 
 use super::config::Config;
 use crate::exchange::Event;
-use crate::plain::facts::Known;
+use crate::plain::facts::{Fact, Known};
+use crate::upper::Told;
 
 pub const HEARD: [i32; 3] = [SIGHUP, SIGTERM, SIGUSR1];
 
@@ -56,7 +57,14 @@
         let told = match signal {
             SIGHUP => {
                 fixed.reload(moves);
-                continue;
+                match Told::read() {
+                    Some(Ok(told)) => events.send(Event::Fact(Fact::Hierarchy(Box::new(told)))),
+                    Some(Err(e)) => {
+                        log::error!("reload failed, the old hierarchy stays: {e}");
+                        continue;
+                    }
+                    None => continue,
+                }
             }
             SIGTERM => events.send(Event::Stop),
             _ => events.send(Event::Report),
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use crossbeam_channel::{Receiver, RecvTimeoutError};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use sablecross::{Choice, Lookup, Ns, Outcome, Send};
 use sablecross_inhand::{Carrier, End, Hand};
 
@@ -14,6 +14,7 @@
 use crate::plain::clock::MS;
 use crate::plain::counters::{self, Counters};
 use crate::plain::facts::Fact;
+use crate::upper::{Current, InForce, Upper};
 use crate::wire::clients::{Outlet, Reply, Say};
 use crate::wire::nodes::{Nodes, Out};
 
@@ -25,6 +26,8 @@
     /// All connections that carried one.
     before: Vec<Link>,
     answered: bool,
+    /// The hierarchy by which it is filled, as it was when it came.
+    upper: Option<Arc<Current>>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,6 +54,9 @@
     /// Ends of sends that came without an event.
     ends: VecDeque<(u64, usize, End)>,
     counters: Counters,
+    upper: Upper,
+    /// To the feed's thread: what is in force.
+    in_force: Sender<InForce>,
 }
 
 pub struct Desk {
@@ -123,7 +129,12 @@
         let out = Out { id, shot, at: self.now };
         self.counters.sends += 1;
         self.counters.further += u64::from(shot > 0);
-        let link = self.nodes.pull(out, &kept.asked, send, &kept.before);
+        let way = kept
+            .upper
+            .as_ref()
+            .zip(send.source)
+            .and_then(|(upper, source)| upper.way(self.nodes.name(source), kept.asked.object));
+        let link = self.nodes.pull(out, &kept.asked, send, way.as_deref(), &kept.before);
         kept.links.push(link.ok());
         kept.before.extend(link.ok());
         match link {
@@ -159,7 +170,14 @@
 }
 
 impl Desk {
-    pub fn new(choice: Choice, nodes: Nodes, outlet: Outlet, common: Arc<Common>) -> Desk {
+    pub fn new(
+        choice: Choice,
+        nodes: Nodes,
+        outlet: Outlet,
+        common: Arc<Common>,
+        upper: Upper,
+        in_force: Sender<InForce>,
+    ) -> Desk {
         let floor = Floor {
             now: common.clock.now(),
             common,
@@ -172,6 +190,8 @@
             most_timers: 0,
             ends: VecDeque::new(),
             counters: Counters::default(),
+            upper,
+            in_force,
         };
         Desk { hand: Hand::new(choice), floor, next: 0, ready: false, stopped: None }
     }
@@ -309,13 +329,22 @@
         match fact {
             Fact::Members { members, whole } => {
                 let oldest = self.floor.kept.first_key_value().map_or(self.next, |(id, _)| *id);
-                let lines = self.floor.nodes.listed(&members, whole, oldest, self.next);
+                let Floor { nodes, upper, .. } = &mut self.floor;
+                let mut lines = nodes.listed(&members, whole, oldest, self.next);
+                upper.list(&mut lines, whole, |node| nodes.name(node).to_owned());
                 self.ready |= !lines.is_empty();
                 self.hand.choice.listed(now, &lines, whole);
             }
             Fact::Purge { object, group, at } => {
                 self.hand.choice.purged(now, object, group, now.saturating_sub(at));
             }
+            Fact::Hierarchy(told) => {
+                if let Some((lines, in_force)) = self.floor.upper.take(&told) {
+                    self.hand.choice.listed(now, &lines, false);
+                    // One that finds no room is said with the next event, or when the feed is called again.
+                    let _ = self.floor.in_force.try_send(in_force);
+                }
+            }
         }
     }
 
@@ -349,7 +378,17 @@
             write: false,
             sends: Vec::new(),
         };
-        f.kept.insert(id, Kept { asked, deadline, links: Vec::new(), before: Vec::new(), answered: false });
+        f.kept.insert(
+            id,
+            Kept {
+                asked,
+                deadline,
+                links: Vec::new(),
+                before: Vec::new(),
+                answered: false,
+                upper: f.upper.current().cloned(),
+            },
+        );
         self.hand.take(id, lookup, f.now, f);
     }
 
--- a/crates/director/src/plain/facts.rs
+++ b/crates/director/src/plain/facts.rs
@@ -7,12 +7,22 @@
 use serde_json::Value;
 
 use super::clock::MS;
+use crate::upper::Told;
 
 /// What an event of the feed says.
 #[derive(Debug, PartialEq)]
 pub enum Fact {
-    Members { members: Vec<Member>, whole: bool },
-    Purge { object: Option<u64>, group: u32, at: Ns },
+    Members {
+        members: Vec<Member>,
+        whole: bool,
+    },
+    Purge {
+        object: Option<u64>,
+        group: u32,
+        at: Ns,
+    },
+    /// A version of the hierarchy of upper caches, where this program knows them.
+    Hierarchy(Box<Told>),
 }
 
 /// A line of the list of nodes, as the feed names it.
@@ -79,6 +89,8 @@
             let object = raw.key.map(|k| u64::from_str_radix(&k, 16)).transpose();
             let object = object.map_err(|_| format!("event {n}: key is no object"))?;
             Fact::Purge { object, group: raw.group, at: raw.at.saturating_mul(MS) }
+        } else if let Some(raw) = event.get("hierarchy") {
+            Fact::Hierarchy(Box::new(Told::of(raw).map_err(|e| format!("event {n}: {e}"))?))
         } else {
             return Err(format!("event {n}: neither members nor a purge"));
         };
--- a/crates/director/src/wire/feed.rs
+++ b/crates/director/src/wire/feed.rs
@@ -13,6 +13,7 @@
 use crate::exchange::Event;
 use crate::plain::counters;
 use crate::plain::facts::{Known, Numbered};
+use crate::upper::InForce;
 
 /// Follows the feed for ever, or until the desk is gone.
 pub struct Follower {
@@ -24,6 +25,11 @@
     /// The number after which events were missing or unreadable once already: then they are not to be had.
     pub gap: Option<u64>,
     pub up: bool,
+    /// The name under which it says what it has in force.
+    pub party: String,
+    pub in_force: Receiver<InForce>,
+    /// What it has to say, until the feed has heard it; when it was said last.
+    pub word: Option<(InForce, Instant)>,
 }
 
 enum Over {
@@ -87,10 +93,58 @@
         self.moves.try_recv().map_or(Ok(()), |(address, known)| Err(Over::Moved(address, known)))
     }
 
+    /// Says what is in force, where a hierarchy is: again after a while until it is heard.
+    fn say(&mut self) {
+        let now = Instant::now();
+        for in_force in self.in_force.try_iter() {
+            self.word = Some((in_force, now));
+        }
+        let Some((word, at)) = self.word.filter(|(_, at)| *at <= now) else { return };
+        match self.said(word) {
+            Ok(()) => self.word = None,
+            Err(e) => {
+                log::debug!("feed: in force not heard: {e}");
+                self.word = Some((word, at.max(now) + self.common.limits.feed_silence));
+            }
+        }
+    }
+
+    fn said(&self, word: InForce) -> io::Result<()> {
+        let body = format!(
+            r#"{{"party":"{}","number":{},"digest":"{:016x}"}}"#,
+            self.party, word.number, word.digest
+        );
+        let dial = Duration::from_nanos(self.common.limits.dial);
+        let stream = TcpStream::connect_timeout(&self.address, dial)?;
+        stream.set_read_timeout(Some(dial))?;
+        stream.set_write_timeout(Some(dial))?;
+        let request = format!(
+            "POST /v1/hierarchy/in-force HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n\
+             Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+            self.address,
+            body.len()
+        );
+        (&stream).write_all(request.as_bytes())?;
+        let mut intake =
+            Intake::new(self.common.limits.head, self.common.limits.feed_event, &self.common.room);
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; 32];
+            let mut answer = httparse::Response::new(&mut headers);
+            match answer.parse(intake.seen()) {
+                Ok(httparse::Status::Complete(_)) if answer.code.is_some_and(|c| c / 100 == 2) => {
+                    return Ok(());
+                }
+                Ok(httparse::Status::Partial) if intake.more(&stream)? => {}
+                _ => return Err(io::Error::new(ErrorKind::InvalidData, "not taken")),
+            }
+        }
+    }
+
     /// Reads more; false at the end. Silence past its time is an error, and so is news of another address.
-    fn hear(&self, intake: &mut Intake, stream: &TcpStream) -> Result<bool, Over> {
+    fn hear(&mut self, intake: &mut Intake, stream: &TcpStream) -> Result<bool, Over> {
         let start = Instant::now();
         loop {
+            self.say();
             self.stays()?;
             match intake.more(stream) {
                 Err(e) if paused(&e) && start.elapsed() < self.common.limits.feed_silence => {}
@@ -139,7 +193,7 @@
     }
 
     /// Reads the head of the answer; whether its body comes in chunks.
-    fn answer_head(&self, intake: &mut Intake, stream: &TcpStream) -> Result<bool, Over> {
+    fn answer_head(&mut self, intake: &mut Intake, stream: &TcpStream) -> Result<bool, Over> {
         loop {
             let mut headers = [httparse::EMPTY_HEADER; 32];
             let mut answer = httparse::Response::new(&mut headers);
--- a/crates/director/src/wire/lines.rs
+++ b/crates/director/src/wire/lines.rs
@@ -69,7 +69,8 @@
 }
 
 /// The head of a send, with the line's end.
-pub fn pull(asked: &Asked, send: &Send, kind: &str, source: Option<&str>) -> Vec<u8> {
+/// `way` is a field of our own, for installations with more than two tiers.
+pub fn pull(asked: &Asked, send: &Send, kind: &str, source: Option<&str>, way: Option<&str>) -> Vec<u8> {
     let mut line = Vec::with_capacity(256);
     let ms = |ns: u64| (ns / MS).max(1);
     // Writing into memory does not fail.
@@ -86,6 +87,9 @@
     if let Some(source) = source {
         put(format_args!(",miss={source}"));
     }
+    if let Some(way) = way {
+        put(format_args!(",way={way}"));
+    }
     if send.keep > 0 {
         put(format_args!(",prio={}", send.keep));
     }
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -195,10 +195,11 @@
         out: Out,
         asked: &Asked,
         send: &sablecross::Send,
+        way: Option<&str>,
         before: &[Link],
     ) -> Result<Link, Outcome> {
         let kind = self.common.names.kinds.get(asked.kind).ok_or(Outcome::NeverSent)?;
-        let head = lines::pull(asked, send, kind, send.source.map(|s| self.name(s)));
+        let head = lines::pull(asked, send, kind, send.source.map(|s| self.name(s)), way);
         let link = self.choose(send.node, &asked.name, before, out.at)?;
         let open = self.links.get_mut(&link).ok_or(Outcome::NeverSent)?;
         let until = out.at + send.time_out;
--- a/crates/hierarchy/tests/versions.rs
+++ b/crates/hierarchy/tests/versions.rs
@@ -36,7 +36,10 @@
         (format!("{HEAD}\n(node (name . \"a b\") (tier . 0) (capacity . 1))"), "f:2:8: node.name: letters"),
         (format!("{HEAD}\n(node (name . \"a\") (tier . 9) (capacity . 1))"), "f:2:21: node.tier:"),
         (format!("{HEAD}\n(node (name . \"a\") (tier . 0)\n (capacity . -1))"), "f:3:3: node.capacity:"),
-        (format!("{HEAD}\n(node (name . \"a\") (tier . 0)\n (capacity . 2000000000))"), "f:3:3: node.capacity:"),
+        (
+            format!("{HEAD}\n(node (name . \"a\") (tier . 0)\n (capacity . 2000000000))"),
+            "f:3:3: node.capacity:",
+        ),
         (
             format!("{HEAD}\n(node (name . \"a\") (tier . 0) (capacity . 1)\n (share . 257))"),
             "f:3:3: node.share:",
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -237,6 +237,11 @@
     mix(lk.object ^ mix(u64::from(lk.part)))
 }
 
+/// An object's place in the pies of its fills.
+pub fn fill_place(object: u64) -> u64 {
+    mix(!object)
+}
+
 /// A pie: the members listed, and the places round it at which each of them stands. A position belongs to
 /// the member that stands nearest, so a slice whose member is lost halves to its two neighbours, whether
 /// that one is down, cold or gone from the list: a loss moves a position once, not again at each step.
@@ -769,7 +774,7 @@
         let tried = |m: usize| lk.sends.iter().any(|s| s.node == m);
         let failed = |s: &Sent| matches!(s.result, Some(Error | Broken | TimedOut | Full));
         let blamed = |m: usize| lk.sends.iter().any(|s| s.source == Some(m) && failed(s));
-        let pos = mix(!lk.object);
+        let pos = fill_place(lk.object);
         let first = lk.sends.is_empty();
         let fit = |m: usize| self.up(m) && self.has_room(m, lk, now);
         let due = |m: usize| first && self.trial_due(m, now) && self.has_room(m, lk, now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,5 +3,5 @@
 mod choice;
 mod interface;
 
-pub use choice::{Choice, Pie, Stand};
+pub use choice::{Choice, Pie, Stand, fill_place};
 pub use interface::*;
