--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! 2 the command line or a file can't be used.
 
 mod hierarchy;
+mod lab;
 
 use std::process::ExitCode;
 
@@ -19,6 +20,9 @@
     /// Versions of the hierarchy of upper caches: checked, shown, compared, planned.
     #[command(subcommand)]
     Hierarchy(hierarchy::Command),
+    /// A small installation on loopback: real directors, stand-in nodes, load, a report.
+    #[command(subcommand)]
+    Lab(lab::Command),
 }
 
 /// How a command ended that could be carried out.
@@ -28,8 +32,12 @@
 }
 
 fn main() -> ExitCode {
-    let Command::Hierarchy(command) = Line::parse().command;
-    match hierarchy::run(&command) {
+    let done = match Line::parse().command {
+        Command::Hierarchy(command) => hierarchy::run(&command),
+        Command::Lab(lab::Command::Director) => return sablecross_director::life::start(),
+        Command::Lab(command) => lab::run(&command),
+    };
+    match done {
         Ok(Verdict::Well) => ExitCode::SUCCESS,
         Ok(Verdict::Refused) => ExitCode::from(1),
         Err(faults) => {
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -3,6 +3,7 @@
 pub mod config;
 mod signals;
 
+use std::process::ExitCode;
 use std::sync::Arc;
 use std::thread;
 
@@ -32,6 +33,20 @@
     }
 }
 
+/// A whole life with its log, as a program's.
+pub fn start() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format_timestamp_millis()
+        .init();
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// A whole life, from the configuration to the last answer.
 pub fn run() -> Result<(), String> {
     let config = Config::load()?;
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,14 @@
+//! A small installation on loopback: real directors as processes of their own, stand-in caches, upper caches, origin
+//! and feed in this one, load, changes of the hierarchy, faults; a report. Stand-ins follow the operators' published
+//! protocol. Nothing here decides for directors: the driver and its plans are those of `sablecross-hierarchy`.
+
+pub mod feed;
+pub mod load;
+pub mod node;
+pub mod report;
+pub mod run;
+pub mod settings;
+
+pub use report::Report;
+pub use run::run;
+pub use settings::Experiment;
--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,195 @@
+//! Clients: each has a connection to one director and asks by the clock, one lookup at a time.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use rmp::{decode, encode};
+
+use crate::node::{Common, lock, unix_ms};
+
+/// How long a client waits; the directors' settings say the same.
+pub const BUDGET_MS: u64 = 800;
+/// A purge is known everywhere this much later.
+pub const GRACE_MS: u64 = 1_500;
+
+/// What one client saw.
+#[derive(Default)]
+pub struct Seen {
+    pub lookups: u64,
+    pub satisfied: u64,
+    pub nacked: u64,
+    pub failed: u64,
+    /// Ended with no answer, and answered what was not asked or twice.
+    pub lost: u64,
+    pub strange: u64,
+    /// Answered with a copy from before a purge, after its grace.
+    pub old: u64,
+    /// By the second of the experiment, microseconds.
+    pub latencies: Vec<(u64, u64)>,
+}
+
+/// When each object was purged last.
+pub type Purges = Arc<Mutex<HashMap<u64, u64>>>;
+
+pub struct Client {
+    pub director: SocketAddr,
+    pub number: u64,
+    pub seed: u64,
+    pub objects: u64,
+    pub every: Duration,
+    pub purges: Purges,
+    pub common: Arc<Common>,
+}
+
+enum Answer {
+    Satisfied(Vec<u8>),
+    Nacked,
+    Failed,
+}
+
+impl Client {
+    pub fn ask_on(self) -> Seen {
+        let mut seen = Seen::default();
+        let mut rng = Pcg32::seed_from_u64(self.seed ^ self.number.wrapping_mul(0x9e37_79b9));
+        let mut stream = None;
+        let mut call = 0u32;
+        let mut next = Instant::now() + self.every.mul_f64(rng.random());
+        while !self.common.over() {
+            std::thread::sleep(next.saturating_duration_since(Instant::now()));
+            // No backlog: a slow answer does not make a burst of the next ones.
+            next = (next + self.every).max(Instant::now());
+            let object = (self.objects as f64 * rng.random::<f64>().powi(3)) as u64;
+            if stream.is_none() {
+                stream = TcpStream::connect(self.director).ok();
+                call = 0;
+            }
+            let Some(link) = stream.as_mut() else { continue };
+            call += 1;
+            let (sent, sent_ms) = (Instant::now(), unix_ms());
+            seen.lookups += 1;
+            let answer = link
+                .set_read_timeout(Some(Duration::from_millis(BUDGET_MS + 500)))
+                .and_then(|()| link.set_nodelay(true))
+                .and_then(|()| self.write(link, call, object, seen.lookups))
+                .and_then(|()| read(link, call));
+            let took = sent.elapsed();
+            match answer {
+                Ok(Answer::Satisfied(body)) => {
+                    seen.satisfied += 1;
+                    self.common.count(|s| s.satisfied += 1);
+                    let issued = std::str::from_utf8(body.get(..16).unwrap_or_default());
+                    let issued = issued.ok().and_then(|i| u64::from_str_radix(i, 16).ok());
+                    let purged = lock(&self.purges).get(&object).copied();
+                    let bound = purged.filter(|at| sent_ms > at + GRACE_MS);
+                    seen.strange += u64::from(issued.is_none());
+                    seen.old += u64::from(bound.zip(issued).is_some_and(|(at, issued)| issued < at));
+                    let at = self.common.begun.elapsed().as_secs();
+                    seen.latencies.push((at, took.as_micros() as u64));
+                }
+                Ok(Answer::Nacked) => {
+                    seen.nacked += 1;
+                    self.common.count(|s| s.nacked += 1);
+                }
+                Ok(Answer::Failed) => {
+                    seen.failed += 1;
+                    self.common.count(|s| s.failed += 1);
+                }
+                Err(e) => {
+                    if e.kind() == std::io::ErrorKind::InvalidData {
+                        seen.strange += 1;
+                    } else {
+                        seen.lost += 1;
+                    }
+                    stream = None;
+                }
+            }
+        }
+        seen
+    }
+
+    fn write(&self, link: &mut TcpStream, call: u32, object: u64, number: u64) -> std::io::Result<()> {
+        let name = format!("{:016x}", self.number << 32 | number);
+        let object = format!("{object:016x}");
+        let budget = BUDGET_MS.to_string();
+        let fields = [
+            ("rid", &*name),
+            ("budget", &*budget),
+            ("obj", &*object),
+            ("piece", "0"),
+            ("lot", "1"),
+            ("mem", "8"),
+        ];
+        let mut out = vec![0x94, 0];
+        let told = encode::write_uint(&mut out, u64::from(call))
+            .and_then(|_| encode::write_str(&mut out, "footage"))
+            .and_then(|()| encode::write_array_len(&mut out, 2).map(drop))
+            .and_then(|()| encode::write_map_len(&mut out, fields.len() as u32).map(drop));
+        told.map_err(std::io::Error::from)?;
+        for text in fields.iter().flat_map(|(name, value)| [name, value]) {
+            encode::write_str(&mut out, text).map_err(std::io::Error::from)?;
+        }
+        out.extend([0xc4, 0]);
+        link.write_all(&out)
+    }
+}
+
+fn bad<E>(_: E) -> std::io::Error {
+    std::io::ErrorKind::InvalidData.into()
+}
+
+/// Reads the answer to this call. Any other is strange; a reset or a silence is the connection's error.
+fn read(link: &mut TcpStream, call: u32) -> std::io::Result<Answer> {
+    let mut first = [0; 1];
+    link.read_exact(&mut first)?;
+    if first != [0x94] {
+        return Err(bad(()));
+    }
+    let kind: u8 = decode::read_int(link).map_err(bad)?;
+    let number: u32 = decode::read_int(link).map_err(bad)?;
+    if (kind, number) != (1, call) {
+        return Err(bad(()));
+    }
+    link.read_exact(&mut first)?;
+    if first == [0x92] {
+        let word = text(link)?;
+        fields(link)?;
+        decode::read_nil(link).map_err(bad)?;
+        return Ok(if word == "Rejected" { Answer::Nacked } else { Answer::Failed });
+    }
+    if first != [0xc0] || decode::read_array_len(link).map_err(bad)? != 2 {
+        return Err(bad(()));
+    }
+    let length = decode::read_bin_len(link).map_err(bad)?;
+    let mut body = vec![0; length as usize];
+    link.read_exact(&mut body)?;
+    fields(link)?;
+    Ok(Answer::Satisfied(body))
+}
+
+fn text(link: &mut TcpStream) -> std::io::Result<String> {
+    let length = decode::read_str_len(link).map_err(bad)?;
+    let mut text = vec![0; length as usize];
+    link.read_exact(&mut text)?;
+    String::from_utf8(text).map_err(bad)
+}
+
+fn fields(link: &mut TcpStream) -> std::io::Result<()> {
+    for _ in 0..decode::read_map_len(link).map_err(bad)? {
+        text(link)?;
+        text(link)?;
+    }
+    Ok(())
+}
+
+/// Percentiles of latencies, in microseconds.
+pub fn histogram(of: impl Iterator<Item = u64>) -> Histogram<u64> {
+    let mut all = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds that a histogram can have");
+    of.for_each(|us| all.saturating_record(us.max(1)));
+    all
+}
--- /dev/null
+++ b/crates/lab/src/node.rs
@@ -0,0 +1,370 @@
+//! Stand-in caches, upper caches and origin: they keep copies, fill from named sources, are cold and warm up, fall
+//! over when pushed, and count each fill with the way it came.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use sablecross_hierarchy::way::{Ways, passes};
+use sablecross_hierarchy::{Hierarchy, Holder};
+
+pub fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// What one second of the experiment came to.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Second {
+    pub origin: u64,
+    pub hits: u64,
+    pub fills: u64,
+    pub loops: u64,
+    pub falls: u64,
+    pub satisfied: u64,
+    pub nacked: u64,
+    pub failed: u64,
+    /// The last version that was told.
+    pub version: u64,
+    /// 99th percentile of the latency, in microseconds.
+    pub p99: u64,
+}
+
+/// What all stand-ins have in common.
+pub struct Common {
+    pub begun: Instant,
+    pub over: AtomicBool,
+    pub seconds: Mutex<Vec<Second>>,
+    pub addresses: RwLock<BTreeMap<String, SocketAddr>>,
+}
+
+impl Common {
+    pub fn count(&self, what: impl FnOnce(&mut Second)) {
+        let at = self.begun.elapsed().as_secs() as usize;
+        let mut seconds = lock(&self.seconds);
+        if seconds.len() <= at {
+            let version = seconds.last().map_or(0, |s| s.version);
+            seconds.resize(at + 1, Second { version, ..Second::default() });
+        }
+        what(&mut seconds[at]);
+    }
+
+    pub fn over(&self) -> bool {
+        self.over.load(Ordering::Relaxed)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Edge,
+    Upper,
+    Origin,
+}
+
+/// Copies by object, with when the origin gave them out; the oldest goes first.
+#[derive(Default)]
+struct Copies {
+    issued: HashMap<u64, u64>,
+    line: VecDeque<u64>,
+}
+
+pub struct Node {
+    pub name: String,
+    pub role: Role,
+    common: Arc<Common>,
+    kept: usize,
+    /// Whether it passes on the way that the director named.
+    follow: bool,
+    copies: Mutex<Copies>,
+    held: Mutex<(Holder, Arc<Ways>)>,
+    links: Mutex<HashMap<String, Vec<TcpStream>>>,
+    /// Unix milliseconds of a cold start; 0: long ago.
+    since: AtomicU64,
+    down_until: AtomicU64,
+    /// The open second and what came in it.
+    pace: Mutex<(u64, u64)>,
+    numbers: AtomicU64,
+}
+
+/// A request, as far as a stand-in reads it.
+struct Pull {
+    id: String,
+    object: u64,
+    within: u64,
+    miss: Option<String>,
+    way: Vec<String>,
+    came: Vec<String>,
+}
+
+/// How a request ended.
+enum Answer {
+    Copy { issued: u64, hit: bool },
+    Miss,
+    Error,
+}
+
+impl Node {
+    pub fn start(
+        name: &str,
+        role: Role,
+        kept: usize,
+        follow: bool,
+        common: &Arc<Common>,
+    ) -> io::Result<(Arc<Node>, SocketAddr)> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let node = Arc::new(Node {
+            name: name.into(),
+            role,
+            common: Arc::clone(common),
+            kept,
+            follow,
+            copies: Mutex::default(),
+            held: Mutex::default(),
+            links: Mutex::default(),
+            since: AtomicU64::new(0),
+            down_until: AtomicU64::new(0),
+            pace: Mutex::default(),
+            numbers: AtomicU64::new(0),
+        });
+        let own = Arc::clone(&node);
+        spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                if own.common.over() {
+                    return;
+                }
+                let own = Arc::clone(&own);
+                spawn(move || {
+                    // A connection that ends in the middle is its peer's matter.
+                    let _ = own.serve(&stream);
+                });
+            }
+        });
+        Ok((node, address))
+    }
+
+    /// Takes a version; the number and digest in force then.
+    pub fn offer(&self, number: u64, version: &Hierarchy) -> (u64, u64) {
+        let mut held = lock(&self.held);
+        if held.0.offer(number, version) == sablecross_hierarchy::Taken::New {
+            held.1 = Arc::new(Ways::of(version));
+        }
+        (held.0.number(), held.0.version().map_or(0, Hierarchy::digest))
+    }
+
+    /// Begins anew, cold and empty.
+    pub fn begin_cold(&self) -> u64 {
+        *lock(&self.copies) = Copies::default();
+        let now = unix_ms();
+        self.since.store(now, Ordering::Relaxed);
+        now
+    }
+
+    pub fn purge(&self, object: u64, at: u64) {
+        let mut copies = lock(&self.copies);
+        if copies.issued.get(&object).is_some_and(|issued| *issued < at) {
+            copies.issued.remove(&object);
+        }
+    }
+
+    fn serve(&self, stream: &TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut reader = BufReader::new(stream);
+        let mut line = String::new();
+        loop {
+            line.clear();
+            if reader.read_line(&mut line)? == 0 || self.common.over() {
+                return Ok(());
+            }
+            let mut words = line.trim_end().split(' ');
+            if words.next() != Some("PULL") {
+                continue;
+            }
+            let (Some(id), Some(fields), Some(length)) = (words.next(), words.next(), words.next()) else {
+                return Ok(());
+            };
+            let Some(pull) = Pull::of(id, fields) else { return Ok(()) };
+            let length: usize = length.parse().unwrap_or(0);
+            reader.read_exact(&mut vec![0; length + 2])?;
+            let out = match self.answer(&pull) {
+                Answer::Copy { issued, hit } => {
+                    let how = if hit { "HIT" } else { "MISS" };
+                    let body = format!("{issued:016x}{:x<240}", "");
+                    let (id, n) = (&pull.id, body.len());
+                    format!("{id} ACK how={how},entity={issued:016x},issued={issued} {n}\r\n{body}\r\n")
+                }
+                Answer::Miss => format!("{} NOENT - 0\r\n\r\n", pull.id),
+                Answer::Error => format!("{} EIO - 0\r\n\r\n", pull.id),
+            };
+            (&*stream).write_all(out.as_bytes())?;
+        }
+    }
+
+    fn answer(&self, pull: &Pull) -> Answer {
+        let now = unix_ms();
+        if self.role == Role::Origin {
+            self.common.count(|s| s.origin += 1);
+            std::thread::sleep(Duration::from_millis(4));
+            return Answer::Copy { issued: unix_ms(), hit: false };
+        }
+        if passes(&self.name, pull.came.iter().map(String::as_str)).is_err() {
+            self.common.count(|s| s.loops += 1);
+            return Answer::Error;
+        }
+        if self.pushed(now) {
+            return Answer::Error;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+        let fresh = |issued: u64| pull.within == 0 || now.saturating_sub(issued) < pull.within;
+        if let Some(issued) = lock(&self.copies).issued.get(&pull.object).copied().filter(|i| fresh(*i)) {
+            self.common.count(|s| s.hits += 1);
+            return Answer::Copy { issued, hit: true };
+        }
+        let Some(source) = self.source(pull) else { return Answer::Miss };
+        self.common.count(|s| s.fills += 1);
+        match self.fill(pull, &source) {
+            Ok(Some(issued)) => {
+                self.keep(pull.object, issued);
+                Answer::Copy { issued, hit: false }
+            }
+            Ok(None) | Err(_) => Answer::Error,
+        }
+    }
+
+    /// A cold node falls when it is pushed past the multiple of what its warmth bears.
+    fn pushed(&self, now: u64) -> bool {
+        let since = self.since.load(Ordering::Relaxed);
+        if now < self.down_until.load(Ordering::Relaxed) {
+            return true;
+        }
+        let mut pace = lock(&self.pace);
+        if pace.0 != now / 1_000 {
+            *pace = (now / 1_000, 0);
+        }
+        pace.1 += 1;
+        let bears = {
+            let held = lock(&self.held);
+            let Some(h) = held.0.version().filter(|_| since > 0) else { return false };
+            let Some(m) = h.id(&self.name).and_then(|id| h.get(id)) else { return false };
+            let age = (now - since) as f64 * 1e6 / h.rules.warm_after.max(1) as f64;
+            let warmth = (h.rules.cold_from + (1.0 - h.rules.cold_from) * age).min(1.0);
+            if warmth >= 1.0 {
+                return false;
+            }
+            m.capacity * warmth * h.rules.fall_multiple
+        };
+        if (pace.1 as f64) < bears {
+            return false;
+        }
+        self.common.count(|s| s.falls += 1);
+        self.down_until.store(now + 2_000, Ordering::Relaxed);
+        true
+    }
+
+    /// The source that the asker named, the next of the way, or what the own version says.
+    fn source(&self, pull: &Pull) -> Option<String> {
+        if let Some(miss) = &pull.miss {
+            return Some(miss.clone());
+        }
+        if self.role == Role::Edge {
+            return None;
+        }
+        let held = lock(&self.held);
+        let h = held.0.version()?;
+        let next = held.1.next(h, h.id(&self.name)?, sablecross_place(pull.object), |_| true)?;
+        Some(h.name(next).to_owned())
+    }
+
+    fn keep(&self, object: u64, issued: u64) {
+        let mut copies = lock(&self.copies);
+        if copies.issued.insert(object, issued).is_none() {
+            copies.line.push_back(object);
+        }
+        while copies.issued.len() > self.kept {
+            let Some(first) = copies.line.pop_front() else { return };
+            copies.issued.remove(&first);
+        }
+    }
+
+    fn fill(&self, pull: &Pull, source: &str) -> io::Result<Option<u64>> {
+        let link = lock(&self.links).get_mut(source).and_then(Vec::pop);
+        let mut link = match link {
+            Some(link) => link,
+            None => {
+                let address = {
+                    let addresses = self.common.addresses.read().unwrap_or_else(|e| e.into_inner());
+                    addresses.get(source).copied()
+                };
+                let Some(address) = address else { return Ok(None) };
+                let link = TcpStream::connect_timeout(&address, Duration::from_millis(500))?;
+                link.set_nodelay(true)?;
+                link.set_read_timeout(Some(Duration::from_millis(1_500)))?;
+                link
+            }
+        };
+        let mut came = pull.came.clone();
+        came.push(self.name.clone());
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let mut fields =
+            format!("class=footage,key={:016x},part=0,wait=1000,came={}", pull.object, came.join("+"));
+        if pull.within > 0 {
+            fields += &format!(",within={}", pull.within);
+        }
+        // The rest of the way, where the director named one.
+        if let Some((first, rest)) = pull.way.split_first().filter(|_| self.follow) {
+            fields += &format!(",miss={first}");
+            if !rest.is_empty() {
+                fields += &format!(",way={}", rest.join("+"));
+            }
+        }
+        link.write_all(format!("PULL {number:016x} {fields} 0\r\n\r\n").as_bytes())?;
+        let mut reader = BufReader::new(&link);
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let mut words = line.trim_end().split(' ').skip(1);
+        let (word, said) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+        let length: usize = words.next().and_then(|l| l.parse().ok()).unwrap_or(0);
+        let issued = said.split(',').find_map(|f| f.strip_prefix("issued=")).and_then(|i| i.parse().ok());
+        let found = if word == "ACK" { issued } else { None };
+        let mut body = vec![0; length + 2];
+        reader.read_exact(&mut body)?;
+        lock(&self.links).entry(source.to_owned()).or_default().push(link);
+        Ok(found)
+    }
+}
+
+/// The place of an object, as directors reckon it.
+fn sablecross_place(object: u64) -> u64 {
+    sablecross_director::fill_place(object)
+}
+
+impl Pull {
+    fn of(id: &str, fields: &str) -> Option<Pull> {
+        let mut pull =
+            Pull { id: id.into(), object: 0, within: 0, miss: None, way: Vec::new(), came: Vec::new() };
+        let names = |list: &str| list.split('+').map(str::to_owned).collect::<Vec<_>>();
+        for (name, value) in fields.split(',').filter_map(|f| f.split_once('=')) {
+            match name {
+                "key" => pull.object = u64::from_str_radix(value, 16).ok()?,
+                "within" => pull.within = value.parse().ok()?,
+                "miss" => pull.miss = Some(value.into()),
+                "way" => pull.way = names(value),
+                "came" => pull.came = names(value),
+                _ => {}
+            }
+        }
+        Some(pull)
+    }
+}
+
+/// A thread with a small stack; without one there is no lab.
+pub fn spawn(run: impl FnOnce() + Send + 'static) {
+    let made = std::thread::Builder::new().stack_size(256 << 10).spawn(run);
+    made.expect("a thread can be made");
+}
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,189 @@
+//! What an experiment came to: a table, JSON, a plot over time.
+
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::fmt;
+use std::ops::Range;
+use std::path::Path;
+
+use plotters::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::load::{Seen, histogram};
+use crate::node::Second;
+use crate::settings::Experiment;
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Report {
+    pub experiment: Experiment,
+    pub lookups: u64,
+    pub satisfied: u64,
+    pub nacked: u64,
+    pub failed: u64,
+    /// Lookups without an answer, with one that was not asked for, with a copy from before a purge.
+    pub lost: u64,
+    pub strange: u64,
+    pub old: u64,
+    /// Clients that did not come to an end.
+    pub missing: usize,
+    /// Of satisfied lookups, in microseconds.
+    pub p50: u64,
+    pub p99: u64,
+    /// The most fetches at the origin in a second.
+    pub origin_most: u64,
+    pub origin_mean: f64,
+    pub hits: u64,
+    pub fills: u64,
+    /// Fills that came to a node twice, and cold nodes that fell.
+    pub loops: u64,
+    pub falls: u64,
+    pub changes: usize,
+    pub endings: BTreeMap<String, u64>,
+    pub kills: u64,
+    pub seconds: Vec<Second>,
+    pub notes: Vec<String>,
+}
+
+impl Report {
+    pub fn of(
+        e: &Experiment,
+        mut seconds: Vec<Second>,
+        seen: Vec<Seen>,
+        missing: usize,
+        window: Range<u64>,
+        (endings, kills, changes): (BTreeMap<String, u64>, u64, usize),
+        notes: Vec<String>,
+    ) -> Report {
+        let sum = |of: fn(&Seen) -> u64| seen.iter().map(of).sum();
+        let timed = || seen.iter().flat_map(|s| &s.latencies);
+        let all = histogram(timed().filter(|(at, _)| window.contains(at)).map(|(_, us)| *us));
+        for (at, second) in seconds.iter_mut().enumerate() {
+            let of = histogram(timed().filter(|(s, _)| *s == at as u64).map(|(_, us)| *us));
+            second.p99 = of.value_at_quantile(0.99);
+        }
+        let from = (window.start as usize).min(seconds.len());
+        // The last second is cut short.
+        let measured = &seconds[from..(window.end as usize).min(seconds.len()).max(from)];
+        Report {
+            experiment: e.clone(),
+            lookups: sum(|s| s.lookups),
+            satisfied: sum(|s| s.satisfied),
+            nacked: sum(|s| s.nacked),
+            failed: sum(|s| s.failed),
+            lost: sum(|s| s.lost),
+            strange: sum(|s| s.strange),
+            old: sum(|s| s.old),
+            missing,
+            p50: all.value_at_quantile(0.5),
+            p99: all.value_at_quantile(0.99),
+            origin_most: measured.iter().map(|s| s.origin).max().unwrap_or(0),
+            origin_mean: measured.iter().map(|s| s.origin).sum::<u64>() as f64 / measured.len().max(1) as f64,
+            hits: measured.iter().map(|s| s.hits).sum(),
+            fills: measured.iter().map(|s| s.fills).sum(),
+            loops: seconds.iter().map(|s| s.loops).sum(),
+            falls: seconds.iter().map(|s| s.falls).sum(),
+            changes,
+            endings,
+            kills,
+            seconds,
+            notes,
+        }
+    }
+
+    /// What an experiment must not show; empty when all is well.
+    pub fn breaches(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        let mut none = |what: &str, n: u64| {
+            if n > 0 {
+                found.push(format!("{what}: {n}"));
+            }
+        };
+        none("fills that came to a node twice", self.loops);
+        none("cold nodes that fell", self.falls);
+        none("lookups without an answer", self.lost + self.missing as u64);
+        none("answers that were not asked for", self.strange);
+        none("copies from before a purge", self.old);
+        if self.origin_most as f64 > self.experiment.ceiling {
+            found.push(format!("origin: {} in a second, of {}", self.origin_most, self.experiment.ceiling));
+        }
+        found
+    }
+
+    /// Writes report.json, report.txt and plot.svg to a folder.
+    pub fn write(&self, folder: &Path) -> Result<(), Box<dyn Error>> {
+        std::fs::write(folder.join("report.json"), serde_json::to_string_pretty(self)?)?;
+        std::fs::write(folder.join("report.txt"), self.to_string())?;
+        self.plot(&folder.join("plot.svg"))
+    }
+
+    fn plot(&self, file: &Path) -> Result<(), Box<dyn Error>> {
+        let area = SVGBackend::new(file, (900, 720)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let title = format!("{}: {} lookups, {} changes", self.experiment.name, self.lookups, self.changes);
+        let area = area.titled(&title, ("sans-serif", 20))?;
+        let curves: [(&str, fn(&Second) -> u64, RGBColor); 4] = [
+            ("fetches at the origin, a second (line: ceiling)", |s| s.origin, BLUE),
+            ("hits, a second", |s| s.hits, GREEN),
+            ("99th percentile of the latency, ms", |s| s.p99 / 1_000, RED),
+            ("version told", |s| s.version, BLACK),
+        ];
+        for (part, (name, of, colour)) in area.split_evenly((4, 1)).into_iter().zip(curves) {
+            let ceiling = if name.starts_with("fetches") { self.experiment.ceiling as u64 } else { 0 };
+            let most = self.seconds.iter().map(of).max().unwrap_or(0).max(ceiling) * 11 / 10 + 1;
+            let mut chart = ChartBuilder::on(&part)
+                .caption(name, ("sans-serif", 14))
+                .margin(4)
+                .x_label_area_size(20)
+                .y_label_area_size(48)
+                .build_cartesian_2d(0..self.seconds.len().max(1), 0..most)?;
+            chart.configure_mesh().y_labels(4).draw()?;
+            let points = self.seconds.iter().enumerate().map(|(at, s)| (at, of(s)));
+            chart.draw_series(LineSeries::new(points, &colour))?;
+            if ceiling > 0 {
+                let line = [(0, ceiling), (self.seconds.len(), ceiling)];
+                chart.draw_series(LineSeries::new(line, &RED))?;
+            }
+        }
+        area.present()?;
+        Ok(())
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let e = &self.experiment;
+        let all = self.lookups.max(1) as f64;
+        writeln!(
+            f,
+            "{}: {} directors, {} caches, {} upper caches, seed {}",
+            e.name, e.directors, e.caches, e.uppers, e.seed
+        )?;
+        writeln!(
+            f,
+            "lookups {}  satisfied {} ({:.2}%)  nacked {}  failed {}  without an answer {}",
+            self.lookups,
+            self.satisfied,
+            100.0 * self.satisfied as f64 / all,
+            self.nacked,
+            self.failed,
+            self.lost + self.missing as u64
+        )?;
+        writeln!(f, "latency p50 {:.1} ms  p99 {:.1} ms", self.p50 as f64 / 1e3, self.p99 as f64 / 1e3)?;
+        writeln!(
+            f,
+            "origin {:.0} a second, {} at most, ceiling {}  hits {}  fills {}",
+            self.origin_mean, self.origin_most, e.ceiling, self.hits, self.fills
+        )?;
+        writeln!(
+            f,
+            "changes {} {:?}  driver killed {} times  fills twice at a node {}  cold nodes fallen {}  old copies {}",
+            self.changes, self.endings, self.kills, self.loops, self.falls, self.old
+        )?;
+        let breaches = self.breaches();
+        if breaches.is_empty() {
+            writeln!(f, "all is well")
+        } else {
+            writeln!(f, "BROKEN: {}", breaches.join("; "))
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/run.rs
@@ -0,0 +1,543 @@
+//! One experiment from start to end.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use sablecross_hierarchy::change::{No, Party};
+use sablecross_hierarchy::spec::Told;
+use sablecross_hierarchy::{Act, Admission, Driver, FULL, Hierarchy, Input, Member, NodeId, Record, Rules};
+use sablecross_store::Log;
+use serde_json::json;
+use thiserror::Error;
+
+use crate::feed::{Feed, Said};
+use crate::load::{BUDGET_MS, Client, Purges, Seen};
+use crate::node::{Common, Node, Role, lock, spawn, unix_ms};
+use crate::report::Report;
+use crate::settings::Experiment;
+
+const SEC: u64 = 1_000_000_000;
+/// The lab's times, short so that many changes fit an experiment.
+const WARM_AFTER: u64 = 2 * SEC;
+const SETTLE: u64 = SEC / 2;
+const GIVE_UP: u64 = 8 * SEC;
+const CLIENTS_A_DIRECTOR: usize = 8;
+
+#[derive(Debug, Error)]
+pub enum Failed {
+    #[error("{what}: {why}")]
+    Io { what: String, why: io::Error },
+    #[error("the log of the driver: {0}")]
+    Log(#[from] sablecross_store::Error),
+    #[error("the hierarchy of the experiment: {0}")]
+    Hierarchy(#[from] No),
+    #[error("director {name} did not serve within 10 s: see {log}")]
+    NotServing { name: String, log: String },
+}
+
+fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> Failed {
+    let what = what.into();
+    move |why| Failed::Io { what, why }
+}
+
+/// Directors that end with the experiment, however that ends.
+struct Fleet(Vec<Child>);
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for child in &mut self.0 {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Makes the hierarchy of an experiment, and changes of it.
+struct Shape<'a> {
+    e: &'a Experiment,
+    rng: Pcg32,
+}
+
+impl Shape<'_> {
+    fn rules(&self) -> Rules {
+        Rules {
+            ceiling: self.e.ceiling,
+            margin: 0.1,
+            cold_from: 0.25,
+            warm_after: WARM_AFTER,
+            fall_multiple: 2.0,
+            siblings: true,
+            hold: (BUDGET_MS + 100) * 1_000_000,
+            settle: SETTLE,
+            give_up: GIVE_UP,
+        }
+    }
+
+    fn member(&self, name: &str, tier: u8, sources: &[NodeId]) -> Member {
+        let rate = self.e.rate as f64;
+        let edge = tier == 3;
+        Member {
+            name: name.into(),
+            tier,
+            sources: sources.into(),
+            capacity: if tier == 0 { 10.0 * rate } else { rate },
+            demand: if edge { rate / self.e.caches as f64 } else { 0.0 },
+            hit: if tier == 0 { 0.0 } else { 0.5 },
+            share: FULL,
+            since: 0,
+        }
+    }
+
+    /// The origin is node 0, upper caches come next, then the caches. Half of the upper caches are asked by the edge.
+    fn first(&mut self) -> Hierarchy {
+        let uppers = self.e.uppers as NodeId;
+        let near = uppers.div_ceil(2);
+        let mut h = Hierarchy::new(self.rules()).with(0, self.member("origin", 0, &[]));
+        let far: Vec<NodeId> = (near + 1..=uppers).collect();
+        for n in 1..=uppers {
+            let (tier, sources) = if n <= near && !far.is_empty() { (2, far.clone()) } else { (1, vec![0]) };
+            h = h.with(n, self.member(&format!("upper-{n}"), tier, &sources));
+        }
+        self.edged(h)
+    }
+
+    /// All caches ask all upper caches of the tier nearest to them.
+    fn edged(&self, mut h: Hierarchy) -> Hierarchy {
+        let uppers = self.e.uppers as NodeId;
+        let of = |tier: u8| -> Vec<NodeId> {
+            h.iter().filter(|(_, m)| m.tier == tier).map(|(id, _)| id).collect()
+        };
+        let near = [of(2), of(1)].into_iter().find(|t| !t.is_empty()).unwrap_or_else(|| vec![0]);
+        for c in 0..self.e.caches as NodeId {
+            let m = self.member(&format!("cache-{c}"), 3, &near);
+            if h.get(uppers + 1 + c).is_none_or(|old| **old != m) {
+                h = h.with(uppers + 1 + c, m);
+            }
+        }
+        h
+    }
+
+    /// Another shape: upper caches change tiers and sources, go, or come back cold.
+    fn other(&mut self, h: &Hierarchy, cold: impl Fn(NodeId) -> u64) -> Option<Hierarchy> {
+        let uppers = self.e.uppers as NodeId;
+        for _ in 0..50 {
+            let mut next = h.clone();
+            for _ in 0..self.rng.random_range(1..4) {
+                let n = self.rng.random_range(1..=uppers);
+                let tier = self.rng.random_range(1..=2u8);
+                let others = |tiers: &[u8]| -> Vec<NodeId> {
+                    let of =
+                        next.iter().filter(|(id, m)| *id != n && *id <= uppers && tiers.contains(&m.tier));
+                    of.map(|(id, _)| id).collect()
+                };
+                let below = if tier == 2 { others(&[1]) } else { others(&[1]) };
+                let mut sources = vec![0];
+                if !below.is_empty() && (tier == 2 || self.rng.random::<f64>() < 0.4) {
+                    sources = (0..2).map(|_| below[self.rng.random_range(0..below.len())]).collect();
+                    sources.sort_unstable();
+                    sources.dedup();
+                }
+                if next.get(n).is_some() && self.rng.random::<f64>() < 0.2 {
+                    next = next.without(n);
+                } else {
+                    let since = if next.get(n).is_none() { cold(n) } else { 0 };
+                    let m = self.member(&format!("upper-{n}"), tier, &sources);
+                    next = next.with(n, Member { since, ..m });
+                }
+            }
+            // Nobody keeps a source that went.
+            let gone = |s: &NodeId| next.get(*s).is_none();
+            let fixed: Vec<(NodeId, Option<Arc<Member>>)> = next
+                .iter()
+                .filter(|(id, m)| *id <= uppers && m.sources.iter().any(gone))
+                .map(|(id, m)| {
+                    let mut left: Vec<NodeId> = m.sources.iter().copied().filter(|s| !gone(s)).collect();
+                    if left.is_empty() {
+                        left.push(0);
+                    }
+                    (id, Some(Arc::new(Member { sources: left.into(), ..(**m).clone() })))
+                })
+                .collect();
+            let next = self.edged(next.apply(fixed));
+            let moved = next.diff(h).count() > 0;
+            if moved && next.len() > self.e.caches + 2 && Admission::new(next.clone()).is_ok() {
+                return Some(next);
+            }
+        }
+        None
+    }
+}
+
+/// What was told and is under way to an upper cache.
+struct Late {
+    at: Instant,
+    to: usize,
+    number: u64,
+    version: Hierarchy,
+}
+
+/// The driver with what it drives.
+struct Control<'a> {
+    e: &'a Experiment,
+    rng: Pcg32,
+    driver: Driver,
+    log: Log,
+    file: PathBuf,
+    feed: Feed,
+    uppers: Vec<Arc<Node>>,
+    parties: Vec<Party>,
+    late: Vec<Late>,
+    common: Arc<Common>,
+    kills: u64,
+    notes: Vec<String>,
+    again: Instant,
+}
+
+impl Control<'_> {
+    fn now() -> u64 {
+        unix_ms() * 1_000_000
+    }
+
+    fn tell(&mut self, number: u64, version: &Hierarchy) {
+        let told = Told::of(number, version);
+        if let Ok(text) = serde_json::to_string(&told) {
+            self.feed.tell(&format!("\"hierarchy\":{text}"));
+        }
+        let times = if self.e.faults && self.rng.random::<f64>() < 0.3 { 2 } else { 1 };
+        for _ in 0..times {
+            for to in 0..self.uppers.len() {
+                // Lost now and then: it is told again until it is in force.
+                if self.e.faults && self.rng.random::<f64>() < 0.2 {
+                    continue;
+                }
+                let most = if self.e.faults { 700 } else { 100 };
+                let at = Instant::now() + Duration::from_millis(self.rng.random_range(0..most));
+                self.late.push(Late { at, to, number, version: version.clone() });
+            }
+        }
+    }
+
+    fn acts(&mut self) -> Result<(), Failed> {
+        loop {
+            let acts = self.driver.acts();
+            if acts.is_empty() {
+                return Ok(());
+            }
+            for act in acts {
+                if self.e.faults && self.driver.running().is_some() && self.rng.random::<f64>() < 0.04 {
+                    self.restart()?;
+                    break;
+                }
+                match act {
+                    Act::Write(record) => self.log.write(&record)?,
+                    Act::Note(line) => self.notes.push(line),
+                    Act::Publish { number, version } => {
+                        self.common.count(|s| s.version = number);
+                        self.tell(number, &version);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The driver is killed where it stands, and begins anew from its log.
+    fn restart(&mut self) -> Result<(), Failed> {
+        self.kills += 1;
+        let (file, folder) = (self.file.clone(), tempfile::tempdir().map_err(io_error("folder"))?);
+        // The old one lets go of its file first.
+        let spare = Log::open(&folder.path().join("spare"))?.0;
+        drop(std::mem::replace(&mut self.log, spare));
+        let (log, records) = Log::open(&file)?;
+        self.log = log;
+        self.driver = Driver::recover(&records, self.parties.clone(), Self::now())?;
+        Ok(())
+    }
+
+    fn hear(&mut self, input: Input) -> Result<(), Failed> {
+        // A refusal stands in the notes; the experiment goes on.
+        if let Err(no) = self.driver.hear(input, Self::now()) {
+            self.notes.push(format!("refused: {no}"));
+        }
+        self.acts()
+    }
+
+    fn step(&mut self, heard: &Receiver<Said>) -> Result<(), Failed> {
+        let now = Instant::now();
+        let (due, later): (Vec<Late>, Vec<Late>) =
+            std::mem::take(&mut self.late).into_iter().partition(|l| l.at <= now);
+        self.late = later;
+        for Late { to, number, version, .. } in due {
+            let (number, digest) = self.uppers[to].offer(number, &version);
+            let party = self.uppers[to].name.as_str().into();
+            self.hear(Input::InForce { party, number, digest })?;
+        }
+        for said in heard.try_iter() {
+            let digest = u64::from_str_radix(&said.digest, 16).unwrap_or(0);
+            self.hear(Input::InForce { party: said.party.as_str().into(), number: said.number, digest })?;
+        }
+        if now >= self.again {
+            self.again = now + Duration::from_millis(500);
+            if !self.driver.missing().is_empty() {
+                let (number, version) = (self.driver.told().0, self.driver.told().1.clone());
+                self.tell(number, &version);
+            }
+            let origin = lock(&self.common.seconds).iter().rev().nth(1).map_or(0, |s| s.origin);
+            self.hear(Input::Evidence { origin: origin as f64, down: Vec::new() })?;
+        }
+        if self.driver.wake().is_some_and(|w| w <= Self::now()) {
+            self.hear(Input::Tick)?;
+        }
+        Ok(())
+    }
+}
+
+fn endpoint(name: &str, address: SocketAddr, role: Role, since: u64) -> serde_json::Value {
+    let (zone, kind) = match role {
+        Role::Edge => ("edge", "small"),
+        Role::Upper => ("hub", "parent"),
+        Role::Origin => ("hub", "origin"),
+    };
+    json!({"name": name, "address": address, "zone": zone, "type": kind, "group": 0, "status": "ready",
+        "weight": 1, "since_ms": since})
+}
+
+fn members(endpoints: &[serde_json::Value], whole: bool) -> String {
+    format!("\"members\":{}", json!({"index": 1, "snapshot": whole, "endpoints": endpoints}))
+}
+
+fn configuration(e: &Experiment, number: usize, listen: SocketAddr, feed: &Feed) -> serde_json::Value {
+    let known: Vec<serde_json::Value> =
+        feed.known().iter().filter_map(|event| serde_json::from_str(event).ok()).collect();
+    json!({
+        "name": format!("director-{number}"), "listen": listen, "seed": format!("{:x}", e.seed + number as u64),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "feed": feed.address,
+        "flow_bytes_per_s": 1e6, "link_bytes_per_s": 1e7, "known": {"n": known.len(), "events": known},
+        "settings": {
+            "az": 1, "index": number, "discovery": "pushed", "periodUs": 1000, "zones": ["hub", "edge"],
+            "kinds": ["small", "parent", "origin"],
+            "classes": [{"name": "footage", "effect": "idempotent", "group": "all", "memorySpanUs": 5_000_000,
+                "aimUs": 300_000, "aimStretch": 1.6, "deadlineUs": BUDGET_MS * 1_000, "worth": 2.0}],
+            "ceilings": {"mayCancel": true, "parallelTries": true, "retryAfter": true, "maxRetryAfterUs": 500_000,
+                "sendCap": 6, "dialTimeoutUs": 400_000, "keepaliveUs": 30_000_000},
+            "guarantees": {"coldFrom": 0.25, "warmAfterUs": WARM_AFTER / 1_000, "fallMultiple": 2.0,
+                "fallUs": 1_000_000, "drainGraceUs": 2_000_000, "answerSlackUs": 5_000},
+            "report": {"how": "none", "names": []},
+            "extra": {"freshForUs": [0], "usableAfterUs": [0], "multiPart": [false], "neverKept": [false],
+                "midKind": 1, "masterKind": 2, "direct": true, "joins": true, "streamKbPerS": 9000.0,
+                "clearedWithinUs": 1_000_000, "parentStartsAt": 0.25, "parentColdUs": WARM_AFTER / 1_000,
+                "upperFallMultiple": 2.0, "zoneBalancers": [0, e.directors]}
+        }
+    })
+}
+
+/// Runs it. `director` starts a real director, whose log goes to the folder; `tell` hears of the progress.
+pub fn run(
+    e: &Experiment,
+    director: &dyn Fn() -> Command,
+    folder: &Path,
+    mut tell: impl FnMut(&str),
+) -> Result<Report, Failed> {
+    std::fs::create_dir_all(folder).map_err(io_error(folder.display().to_string()))?;
+    let common = Arc::new(Common {
+        begun: Instant::now(),
+        over: AtomicBool::new(false),
+        seconds: Mutex::default(),
+        addresses: RwLock::default(),
+    });
+    let mut shape = Shape { e, rng: Pcg32::seed_from_u64(e.seed) };
+    let first = shape.first();
+
+    let mut nodes = BTreeMap::new();
+    for (id, m) in first.iter() {
+        let role = if id == 0 {
+            Role::Origin
+        } else if id <= e.uppers as NodeId {
+            Role::Upper
+        } else {
+            Role::Edge
+        };
+        let started = Node::start(&m.name, role, e.kept, e.ways, &common).map_err(io_error("a stand-in"))?;
+        let mut addresses = common.addresses.write().unwrap_or_else(|e| e.into_inner());
+        addresses.insert(m.name.to_string(), started.1);
+        nodes.insert(id, started);
+    }
+    let (to_control, heard) = channel();
+    let feed = Feed::start(&common, to_control).map_err(io_error("the feed"))?;
+    let endpoints: Vec<_> = nodes.values().map(|(n, at)| endpoint(&n.name, *at, n.role, 0)).collect();
+    feed.tell(&members(&endpoints, true));
+    let told = serde_json::to_string(&Told::of(1, &first)).unwrap_or_default();
+    feed.tell(&format!("\"hierarchy\":{told}"));
+
+    let mut fleet = Fleet(Vec::new());
+    let mut addresses = Vec::new();
+    for number in 0..e.directors {
+        // A port that was free a moment ago; the director says so if it is not any more.
+        let spare =
+            TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(io_error("a port"))?;
+        let (config, log) =
+            (folder.join(format!("director-{number}.json")), folder.join(format!("director-{number}.log")));
+        let text = configuration(e, number, spare, &feed).to_string();
+        std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
+        let out = std::fs::File::create(&log).map_err(io_error(log.display().to_string()))?;
+        let child = director().env("NODE_CONFIG", &config).stderr(out).stdout(Stdio::null()).spawn();
+        fleet.0.push(child.map_err(io_error("a director"))?);
+        let begun = Instant::now();
+        while TcpStream::connect(spare).is_err() {
+            if begun.elapsed() > Duration::from_secs(10) {
+                return Err(Failed::NotServing {
+                    name: format!("director-{number}"),
+                    log: log.display().to_string(),
+                });
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        addresses.push(spare);
+    }
+
+    let uppers: Vec<Arc<Node>> =
+        nodes.values().filter(|(n, _)| n.role == Role::Upper).map(|(n, _)| Arc::clone(n)).collect();
+    for upper in &uppers {
+        upper.offer(1, &first);
+    }
+    let mut parties: Vec<Party> = (0..e.directors).map(|n| format!("director-{n}").into()).collect();
+    parties.extend(uppers.iter().map(|u| Party::from(u.name.as_str())));
+    let file = folder.join("driver.redb");
+    let _ = std::fs::remove_file(&file);
+    let mut control = Control {
+        e,
+        rng: Pcg32::seed_from_u64(e.seed + 1),
+        driver: Driver::new(1, first.clone(), parties.clone())?,
+        log: Log::open(&file)?.0,
+        file,
+        feed,
+        uppers,
+        parties,
+        late: Vec::new(),
+        common: Arc::clone(&common),
+        kills: 0,
+        notes: Vec::new(),
+        again: Instant::now(),
+    };
+    control.acts()?;
+
+    let purges = Purges::default();
+    let begun = common.begun.elapsed().as_secs();
+    let clients = e.directors * CLIENTS_A_DIRECTOR;
+    let every = Duration::from_secs_f64(clients as f64 / e.rate as f64);
+    let (done, seen) = channel::<Seen>();
+    for number in 0..clients {
+        let client = Client {
+            director: addresses[number % e.directors],
+            number: number as u64 + 1,
+            seed: e.seed,
+            objects: e.objects,
+            every,
+            purges: Arc::clone(&purges),
+            common: Arc::clone(&common),
+        };
+        let done = done.clone();
+        spawn(move || drop(done.send(client.ask_on())));
+    }
+    drop(done);
+
+    let (start, mut said, mut purged) = (Instant::now(), 0, 0u64);
+    let (mut asked, mut next_change, mut second) = (0, start + Duration::from_secs(e.warm_up), false);
+    while start.elapsed() < Duration::from_secs(e.seconds) {
+        std::thread::sleep(Duration::from_millis(10));
+        control.step(&heard)?;
+        let second_due = second && control.driver.running().is_some();
+        let idle = control.driver.running().is_none();
+        if asked < e.rewirings && Instant::now() >= next_change && (idle || second_due) {
+            second = false;
+            let from = control.driver.told().1.clone();
+            let cold = |n: NodeId| nodes.get(&n).map_or(0, |(node, _)| node.begin_cold() * 1_000_000);
+            if let Some(aim) = shape.other(&from, cold) {
+                let fresh: Vec<_> = aim
+                    .iter()
+                    .filter(|(id, m)| m.since > 0 && from.get(*id).is_none())
+                    .filter_map(|(id, m)| {
+                        nodes.get(&id).map(|(n, at)| endpoint(&n.name, *at, n.role, m.since / 1_000_000))
+                    })
+                    .collect();
+                if !fresh.is_empty() {
+                    control.feed.tell(&members(&fresh, false));
+                }
+                asked += 1;
+                if e.plan {
+                    control.hear(Input::Propose { aim })?;
+                    // Another follows closely now and then.
+                    second = e.faults && idle && shape.rng.random::<f64>() < 0.3;
+                    let pause = if second { 50 } else { 300 };
+                    next_change = Instant::now() + Duration::from_millis(pause);
+                } else {
+                    control.jump(aim)?;
+                    next_change = Instant::now() + Duration::from_secs(3);
+                }
+            }
+        }
+        if e.purges > 0 && start.elapsed().as_millis() as u64 * e.purges / 1_000 > purged {
+            purged += 1;
+            let (object, at) = (shape.rng.random_range(0..e.objects.min(50)), unix_ms());
+            control.feed.tell(&format!("\"purge\":{{\"key\":\"{object:016x}\",\"at\":{at}}}"));
+            lock(&purges).insert(object, at);
+            nodes.values().for_each(|(n, _)| n.purge(object, at));
+        }
+        let at = start.elapsed().as_secs();
+        if at > said {
+            said = at;
+            let now = lock(&common.seconds).iter().rev().nth(1).cloned().unwrap_or_default();
+            tell(&format!(
+                "{at:>4} of {} s  satisfied {:>5}  origin {:>4}  loops {}  falls {}  version {}  changes {asked}",
+                e.seconds, now.satisfied, now.origin, now.loops, now.falls, now.version
+            ));
+        }
+    }
+    common.over.store(true, Ordering::Relaxed);
+    let deadline = Instant::now() + Duration::from_millis(BUDGET_MS + 2_000);
+    let mut all = Vec::new();
+    while all.len() < clients {
+        match seen.recv_timeout(deadline.saturating_duration_since(Instant::now())) {
+            Ok(one) => all.push(one),
+            Err(_) => break,
+        }
+    }
+    let seconds = lock(&common.seconds).clone();
+    let endings = control.log_endings();
+    let missing = clients - all.len();
+    let window = begun + e.warm_up..begun + e.seconds;
+    Ok(Report::of(e, seconds, all, missing, window, (endings, control.kills, asked), control.notes))
+}
+
+impl Control<'_> {
+    /// All at once, without a plan: for comparison.
+    fn jump(&mut self, aim: Hierarchy) -> Result<(), Failed> {
+        let number = self.driver.told().0 + 1;
+        self.common.count(|s| s.version = number);
+        self.tell(number, &aim);
+        // The driver begins anew with it, so that what comes next starts from there.
+        self.log.write(&Record::Start { number, version: Told::of(number, &aim) })?;
+        self.driver = Driver::new(number, aim, self.parties.clone())?;
+        self.driver.acts();
+        Ok(())
+    }
+
+    /// How changes ended, by the lines of the log.
+    fn log_endings(&self) -> BTreeMap<String, u64> {
+        let mut endings = BTreeMap::new();
+        for line in self.notes.iter().filter(|l| l.contains(" ended how=")) {
+            let how = line.split("how=").nth(1).and_then(|h| h.split(' ').next()).unwrap_or_default();
+            *endings.entry(how.to_owned()).or_insert(0) += 1;
+        }
+        endings
+    }
+}
--- /dev/null
+++ b/crates/lab/src/settings.rs
@@ -0,0 +1,92 @@
+//! An experiment, from its settings file.
+
+use garde::Validate;
+use sablecross_forms::Fault;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+enum Form {
+    Experiment(#[garde(dive)] Experiment),
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Experiment {
+    #[garde(length(min = 1, max = 40))]
+    pub name: String,
+    #[garde(skip)]
+    #[serde(default)]
+    pub seed: u64,
+    /// How long the load lasts, and how much of its start is left out of the figures.
+    #[garde(range(min = 2, max = 3600))]
+    pub seconds: u64,
+    #[garde(range(max = 600))]
+    #[serde(default = "warm_up")]
+    pub warm_up: u64,
+    #[garde(range(min = 1, max = 16))]
+    pub directors: usize,
+    #[garde(range(min = 1, max = 64))]
+    pub caches: usize,
+    #[garde(range(min = 1, max = 32))]
+    pub uppers: usize,
+    /// Lookups a second of all clients together, and objects that they ask for.
+    #[garde(range(min = 1, max = 20_000))]
+    pub rate: u64,
+    #[garde(range(min = 1, max = 10_000_000))]
+    pub objects: u64,
+    /// Copies that a cache, and an upper cache, keeps.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub kept: usize,
+    #[garde(range(min = 1.0, max = 1e6))]
+    pub ceiling: f64,
+    /// Changes of the hierarchy, one after another; 0: none.
+    #[garde(range(max = 1_000))]
+    #[serde(default)]
+    pub rewirings: usize,
+    /// Whether they are carried out by a plan, or each in one jump.
+    #[garde(skip)]
+    #[serde(default = "yes")]
+    pub plan: bool,
+    /// Whether versions come late, doubled and out of order, the driver is killed and changes follow closely.
+    #[garde(skip)]
+    #[serde(default)]
+    pub faults: bool,
+    /// Whether upper caches follow the way that directors name, or each its own version.
+    #[garde(skip)]
+    #[serde(default)]
+    pub ways: bool,
+    /// Purges of an object a second.
+    #[garde(range(max = 100))]
+    #[serde(default)]
+    pub purges: u64,
+}
+
+fn warm_up() -> u64 {
+    3
+}
+
+fn yes() -> bool {
+    true
+}
+
+pub fn read(file: &str, text: &str) -> Result<Experiment, Vec<Fault>> {
+    let mut forms = sablecross_forms::read::<Form>(file, text)?;
+    let Some(first) = forms.pop() else {
+        let (key, what) = ("experiment".into(), "no (experiment ...) form".into());
+        return Err(vec![Fault { file: file.into(), line: 1, column: 1, key, what, todo: String::new() }]);
+    };
+    if !forms.is_empty() {
+        return Err(vec![first.fault(file, "experiment", "a second experiment", "keep one a file")]);
+    }
+    let Form::Experiment(e) = first.value.clone();
+    if e.warm_up >= e.seconds {
+        return Err(vec![first.fault(
+            file,
+            "experiment.warm-up",
+            "longer than the whole",
+            "leave time after it",
+        )]);
+    }
+    Ok(e)
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,87 @@
+//! The log of the driver on disk: each entry is there before anything that follows from it is done. What a
+//! `Start` makes needless goes in the same commit.
+
+use std::path::Path;
+
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use sablecross_hierarchy::Record;
+use thiserror::Error;
+
+const RECORDS: TableDefinition<u64, &[u8]> = TableDefinition::new("records");
+
+#[derive(Debug, Error)]
+pub enum Error {
+    #[error("{file}: the log can't be opened (is another driver running on it?): {why}")]
+    Open { file: String, why: redb::Error },
+    #[error("the log can't be written, so nothing more is told (free the disk, then start again): {0}")]
+    Write(redb::Error),
+    #[error("entry {at} of the log can't be read: {why}")]
+    Read { at: u64, why: String },
+}
+
+pub struct Log {
+    database: Database,
+    next: u64,
+}
+
+impl Log {
+    /// Opens the log, or begins one; the entries that it has.
+    pub fn open(file: &Path) -> Result<(Log, Vec<Record>), Error> {
+        let failed = |why: redb::Error| Error::Open { file: file.display().to_string(), why };
+        let database = Database::create(file).map_err(|e| failed(e.into()))?;
+        let mut log = Log { database, next: 0 };
+        // The table is there from the first opening on.
+        let begun = || -> Result<(), redb::Error> {
+            let write = log.database.begin_write()?;
+            write.open_table(RECORDS)?;
+            write.commit()?;
+            Ok(())
+        };
+        begun().map_err(failed)?;
+        let records = log.records()?;
+        log.next = records.last().map_or(0, |(at, _)| at + 1);
+        Ok((log, records.into_iter().map(|(_, r)| r).collect()))
+    }
+
+    fn records(&self) -> Result<Vec<(u64, Record)>, Error> {
+        let read = || -> Result<Vec<(u64, Vec<u8>)>, redb::Error> {
+            let read = self.database.begin_read()?;
+            let table = read.open_table(RECORDS)?;
+            let mut all = Vec::new();
+            for entry in table.iter()? {
+                let (at, bytes) = entry?;
+                all.push((at.value(), bytes.value().to_vec()));
+            }
+            Ok(all)
+        };
+        let all = read().map_err(|why| Error::Read { at: 0, why: why.to_string() })?;
+        let parse = |(at, bytes): (u64, Vec<u8>)| match serde_json::from_slice(&bytes) {
+            Ok(record) => Ok((at, record)),
+            Err(e) => Err(Error::Read { at, why: e.to_string() }),
+        };
+        all.into_iter().map(parse).collect()
+    }
+
+    /// Keeps an entry; once this returns it survives the end of the program and of the machine.
+    pub fn write(&mut self, record: &Record) -> Result<(), Error> {
+        let bytes =
+            serde_json::to_vec(record).map_err(|e| Error::Read { at: self.next, why: e.to_string() })?;
+        let starts = matches!(record, Record::Start { .. });
+        let at = self.next;
+        let kept = || -> Result<(), redb::Error> {
+            let write = self.database.begin_write()?;
+            {
+                let mut table = write.open_table(RECORDS)?;
+                if starts {
+                    table.retain(|_, _| false)?;
+                }
+                table.insert(at, &*bytes)?;
+            }
+            write.commit()?;
+            Ok(())
+        };
+        kept().map_err(Error::Write)?;
+        self.next += 1;
+        Ok(())
+    }
+}
