Changes know nodes by their names; a small installation with faults runs in the tests

Cause: found by the lab on sockets. A driver begun anew from its log numbers nodes anew; a change asked for in the old numbers then had one name twice, directors passed it over and 35 fills came to a node twice in 14 s. Change: a proposed version takes the numbers of what is in force by its names, also one that waited, when it begins; a name that stands twice is refused; numbers of changes go on after a restart.

--- a/crates/hierarchy/src/admit.rs
+++ b/crates/hierarchy/src/admit.rs
@@ -28,6 +28,8 @@
     Node { node: Arc<str>, demand: f64, bears: f64 },
     #[error("the origin is asked for {demand:.0} a second, of {most:.0} that ceiling and margin leave")]
     Ceiling { demand: f64, most: f64 },
+    #[error("{what} (give each node one name and one form)")]
+    Doubled { what: String },
     #[error("no origin: no node is of tier 0")]
     NoOrigin,
     #[error("{node}: {what} is {value}, which is out of its range")]
@@ -55,6 +57,9 @@
 
     /// Takes the version as the last one, or leaves all as it was.
     pub fn admit(&mut self, aim: &Hierarchy) -> Result<(), Refusal> {
+        if let Some(name) = aim.doubled() {
+            return Err(Refusal::Doubled { what: format!("{name}: a node stands twice") });
+        }
         lines(&self.last, aim)?;
         self.cycles(aim)?;
         if let Err(refusal) = leads(aim).and_then(|()| loads(aim)) {
--- a/crates/hierarchy/src/change.rs
+++ b/crates/hierarchy/src/change.rs
@@ -66,6 +66,7 @@
     /// All before it is no longer needed: this version was in force everywhere.
     Start {
         number: u64,
+        next_change: u64,
         version: Told,
     },
     /// With what was in force when no change ran: one that takes the place of another goes back there.
@@ -176,7 +177,7 @@
         parties: impl IntoIterator<Item = Party>,
     ) -> Result<Driver, No> {
         let number = number.max(1);
-        let start = Record::Start { number, version: Told::of(number, &version) };
+        let start = Record::Start { number, next_change: 1, version: Told::of(number, &version) };
         let mut driver = Driver::at(number, version, parties)?;
         driver.act(Act::Write(start));
         driver.publish();
@@ -212,8 +213,10 @@
         for record in records {
             let known = found.as_ref().map(|d| d.held.clone());
             let read = |told: &Told| told.hierarchy(known.as_ref()).map(|(_, h)| h).map_err(|_| No::Log);
-            if let Record::Start { number, version } = record {
-                found = Some(Driver::at(*number, read(version)?, [])?);
+            if let Record::Start { number, next_change, version } = record {
+                let mut start = Driver::at(*number, read(version)?, [])?;
+                start.next_change = *next_change;
+                found = Some(start);
                 (aim, pending) = (None, None);
                 continue;
             }
@@ -367,6 +370,7 @@
         if let Some(stale) = &self.stale {
             return Err(stale.clone());
         }
+        let aim = self.own(&aim)?;
         match &self.run {
             Some(run) if self.next.is_some() => Err(No::Busy { running: run.change }),
             Some(run) if run.target == aim => Err(No::Same),
@@ -386,6 +390,12 @@
         }
     }
 
+    /// A version with the numbers that what is in force has: nodes are the same by their names.
+    fn own(&self, aim: &Hierarchy) -> Result<Hierarchy, Refusal> {
+        let told = Told::of(self.number, aim).hierarchy(Some(&self.held));
+        told.map(|(_, aim)| aim).map_err(|what| Refusal::Doubled { what })
+    }
+
     fn begin(&mut self, aim: Hierarchy, now: Ns) -> Result<(), No> {
         let mut admission = self.admission.clone();
         admission.admit(&aim)?;
@@ -586,6 +596,8 @@
     /// The change that waits takes the place of the one that runs, planned from what is in force.
     fn supersede(&mut self, now: Ns) -> bool {
         let Some(aim) = self.next.take() else { return false };
+        // What it was numbered by may not be in force any more.
+        let aim = self.own(&aim).unwrap_or(aim);
         let fit = || -> Result<(), No> {
             self.admission.clone().admit(&aim)?;
             if self.held != aim {
@@ -628,7 +640,7 @@
         }
         self.act(Act::Write(Record::Ended { change: run.change, how }));
         let version = Told::of(self.held_number, &self.held);
-        self.act(Act::Write(Record::Start { number: self.number, version }));
+        self.act(Act::Write(Record::Start { number: self.number, next_change: self.next_change, version }));
         self.note(format!("hierarchy change={} ended how={how:?} version={}", run.change, self.held_number));
     }
 
--- a/crates/hierarchy/src/version.rs
+++ b/crates/hierarchy/src/version.rs
@@ -153,6 +153,13 @@
     pub fn len(&self) -> usize {
         self.members.len()
     }
+    /// A name that two of its nodes have.
+    pub fn doubled(&self) -> Option<&str> {
+        if self.ids.len() == self.members.len() {
+            return None;
+        }
+        self.iter().find(|(id, m)| self.id(&m.name) != Some(*id)).map(|(_, m)| &*m.name)
+    }
 
     pub fn is_empty(&self) -> bool {
         self.members.is_empty()
--- a/crates/hierarchy/tests/changes.rs
+++ b/crates/hierarchy/tests/changes.rs
@@ -199,6 +199,44 @@
     assert_eq!(w.endings(), [(1, Ending::Superseded), (2, Ending::RolledBack)]);
 }
 
+#[test]
+fn nodes_are_the_same_by_their_names_after_the_driver_began_anew() {
+    // n1 goes, so that a log without numbers gives n2 and n3 other ones.
+    let from = of_masks(&[0b0001, 0b0001, 0b0100]);
+    let mut w = World::new(&from);
+    w.run();
+    w.hear(Input::Propose { aim: from.without(1) }).unwrap();
+    w.run();
+    let parties: Vec<Party> = w.holders.keys().cloned().collect();
+    w.driver = Driver::recover(&w.log, parties, w.now).unwrap();
+    // Asked for in the first numbers: n3 over the origin, n2 over n3.
+    let aim = of_masks(&[0b0001, 0b1000, 0b0001]).without(1);
+    w.hear(Input::Propose { aim: aim.clone() }).unwrap();
+    w.run();
+    assert_eq!(w.driver.in_force().1.digest(), aim.digest());
+    assert_eq!(w.endings(), [(1, Ending::Done), (2, Ending::Done)]);
+    let twice = aim.with(9, (**aim.get(2).unwrap()).clone());
+    assert!(
+        w.hear(Input::Propose { aim: twice }).unwrap_err().to_string().contains("n2: a node stands twice")
+    );
+}
+
+#[test]
+fn one_that_waited_is_numbered_by_what_is_in_force_when_it_begins() {
+    // Both add a node; the first one's is in force when the second begins.
+    let from = of_masks(&[0b0001, 0b0001, 0b0001]);
+    let mut w = World::new(&from);
+    w.run();
+    w.hear(Input::Propose { aim: from.with(4, help::member("x", 1, &[0])) }).unwrap();
+    let aim = from.with(4, help::member("y", 1, &[0]));
+    w.hear(Input::Propose { aim: aim.clone() }).unwrap();
+    w.run();
+    let held = w.driver.in_force().1;
+    assert_eq!(held.digest(), aim.digest());
+    assert_eq!(held.id("x"), None);
+    assert_ne!(held.id("y"), Some(4), "y came in x's place, with no way of its own into the pie");
+}
+
 #[test]
 fn bad_evidence_takes_a_change_back() {
     let (from, to) = chain();
--- a/crates/hierarchy/tests/model.rs
+++ b/crates/hierarchy/tests/model.rs
@@ -152,7 +152,7 @@
         let version = sablecross_hierarchy::spec::Told::of(1, &self.from);
         vec![World {
             driver,
-            log: vec![Record::Start { number: 1, version }],
+            log: vec![Record::Start { number: 1, next_change: 1, version }],
             now: 0,
             holders,
             told: BTreeSet::new(),
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -121,7 +121,8 @@
         area.fill(&WHITE)?;
         let title = format!("{}: {} lookups, {} changes", self.experiment.name, self.lookups, self.changes);
         let area = area.titled(&title, ("sans-serif", 20))?;
-        let curves: [(&str, fn(&Second) -> u64, RGBColor); 4] = [
+        type Curve = (&'static str, fn(&Second) -> u64, RGBColor);
+        let curves: [Curve; 4] = [
             ("fetches at the origin, a second (line: ceiling)", |s| s.origin, BLUE),
             ("hits, a second", |s| s.hits, GREEN),
             ("99th percentile of the latency, ms", |s| s.p99 / 1_000, RED),
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -140,7 +140,7 @@
                         next.iter().filter(|(id, m)| *id != n && *id <= uppers && tiers.contains(&m.tier));
                     of.map(|(id, _)| id).collect()
                 };
-                let below = if tier == 2 { others(&[1]) } else { others(&[1]) };
+                let below = others(&[1]);
                 let mut sources = vec![0];
                 if !below.is_empty() && (tier == 2 || self.rng.random::<f64>() < 0.4) {
                     sources = (0..2).map(|_| below[self.rng.random_range(0..below.len())]).collect();
@@ -458,8 +458,9 @@
         let second_due = second && control.driver.running().is_some();
         let idle = control.driver.running().is_none();
         if asked < e.rewirings && Instant::now() >= next_change && (idle || second_due) {
-            second = false;
-            let from = control.driver.told().1.clone();
+            second = false; // The driver numbers nodes anew when it begins anew; here they keep their first numbers.
+            let told = Told::of(1, control.driver.told().1).hierarchy(Some(&first));
+            let from = told.map_or_else(|_| first.clone(), |(_, h)| h);
             let cold = |n: NodeId| nodes.get(&n).map_or(0, |(node, _)| node.begin_cold() * 1_000_000);
             if let Some(aim) = shape.other(&from, cold) {
                 let fresh: Vec<_> = aim
@@ -525,7 +526,7 @@
         self.common.count(|s| s.version = number);
         self.tell(number, &aim);
         // The driver begins anew with it, so that what comes next starts from there.
-        self.log.write(&Record::Start { number, version: Told::of(number, &aim) })?;
+        self.log.write(&Record::Start { number, next_change: 1, version: Told::of(number, &aim) })?;
         self.driver = Driver::new(number, aim, self.parties.clone())?;
         self.driver.acts();
         Ok(())
--- /dev/null
+++ b/crates/lab/tests/small.rs
@@ -0,0 +1,50 @@
+//! A small installation: real directors, changes with faults, every lookup answered once.
+
+use std::process::Command;
+
+use sablecross_lab::{Experiment, run, settings};
+
+fn experiment(more: &str) -> Experiment {
+    let text = format!(
+        "(experiment (name . \"test\") (seed . 7) (seconds . 14) (warm-up . 2) (directors . 2) (caches . 4) (uppers . 5)
+         (rate . 60) (objects . 500) (kept . 200) (ceiling . 200) {more})"
+    );
+    settings::read("test", &text).unwrap()
+}
+
+#[test]
+fn changes_with_faults_keep_every_rule() {
+    let folder = tempfile::tempdir().unwrap();
+    let director = || Command::new(env!("CARGO_BIN_EXE_lab-director"));
+    let e = experiment("(rewirings . 4) (faults . #t) (purges . 4)");
+    let report = run(&e, &director, folder.path(), |_| {}).unwrap();
+    assert_eq!(report.breaches(), [] as [&str; 0], "{report}\n{:#?}", report.notes);
+    assert!(report.satisfied > 200 && report.satisfied * 100 > report.lookups * 90, "{report}");
+    assert_eq!(report.lookups, report.satisfied + report.nacked + report.failed);
+    assert!(report.changes > 0 && report.endings.values().sum::<u64>() > 0, "{:?}", report.notes);
+    // Directors have taken what the driver told, and said so.
+    let log = std::fs::read_to_string(folder.path().join("director-0.log")).unwrap();
+    assert!(log.contains("hierarchy in force version=2"), "{log}");
+    report.write(folder.path()).unwrap();
+    assert!(std::fs::read_to_string(folder.path().join("plot.svg")).unwrap().contains("ceiling"));
+}
+
+#[test]
+fn faulty_experiments_are_refused_by_key() {
+    let cases = [
+        ("", "no (experiment ...) form"),
+        ("(experiment (name . \"x\"))", "missing field `seconds`"),
+        (
+            "(experiment (name . \"x\") (seconds . 1) (directors . 1) (caches . 1) (uppers . 1) (rate . 1) (objects . 1) (kept . 1) (ceiling . 1))",
+            "experiment.seconds",
+        ),
+        (
+            "(experiment (name . \"x\") (seconds . 2) (directors . 1) (caches . 1) (uppers . 1) (rate . 1) (objects . 1) (kept . 1) (ceiling . 1))",
+            "experiment.warm-up: longer",
+        ),
+    ];
+    for (text, what) in cases {
+        let said = settings::read("f", text).unwrap_err()[0].to_string();
+        assert!(said.contains(what), "{said}");
+    }
+}
--- a/crates/store/tests/log.rs
+++ b/crates/store/tests/log.rs
@@ -51,7 +51,7 @@
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("log.redb");
     let (number, old) = spec::read("old", OLD, None).unwrap();
-    let start = |n| Record::Start { number: n, version: spec::Told::of(n, &old) };
+    let start = |n| Record::Start { number: n, next_change: 1, version: spec::Told::of(n, &old) };
     let mut log = Log::open(&file).unwrap().0;
     for n in number..number + 5 {
         log.write(&start(n)).unwrap();
