--- /dev/null
+++ b/crates/director/tests/help/mod.rs
@@ -0,0 +1,364 @@
+//! Small stand-ins for clients, nodes and the feed that each test drives, and the program between them.
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::ffi::OsStr;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rmp::decode;
+
+pub const SAMPLE: &str = include_str!("../../../../deploy/sample.json");
+pub const LONG: Duration = Duration::from_secs(5);
+pub const SHORT: Duration = Duration::from_millis(200);
+
+/// A line that a node was told, or the end of a connection.
+pub struct Told {
+    pub line: String,
+    pub connection: usize,
+    pub stream: Arc<TcpStream>,
+}
+
+impl Told {
+    pub fn name(&self) -> &str {
+        self.line.split(' ').nth(1).expect("a name")
+    }
+
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let fields = self.line.split(' ').nth(2)?;
+        fields.split(',').find_map(|f| f.strip_prefix(name)?.strip_prefix('='))
+    }
+
+    pub fn write(&self, bytes: &[u8]) {
+        (&*self.stream).write_all(bytes).expect("written");
+    }
+
+    pub fn answer(&self, word: &str, fields: &str, body: &[u8]) {
+        self.write(format!("{} {word} {fields} {}\r\n", self.name(), body.len()).as_bytes());
+        self.write(body);
+        self.write(b"\r\n");
+    }
+}
+
+pub struct Node {
+    pub address: SocketAddr,
+    pub told: Receiver<Told>,
+}
+
+impl Node {
+    pub fn start() -> Node {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+        let address = listener.local_addr().expect("bound");
+        let (tell, told) = channel();
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().enumerate() {
+                let (stream, tell) = (Arc::new(stream.expect("taken")), tell.clone());
+                thread::spawn(move || listen(connection, &stream, &tell));
+            }
+        });
+        Node { address, told }
+    }
+
+    pub fn next(&self) -> Told {
+        self.told.recv_timeout(LONG).expect("told")
+    }
+
+    pub fn pull(&self) -> Told {
+        let told = self.next();
+        assert!(told.line.starts_with("PULL "), "{}", told.line);
+        told
+    }
+
+    pub fn quiet(&self) {
+        let told = self.told.recv_timeout(SHORT).map(|t| t.line);
+        assert_eq!(told.err(), Some(RecvTimeoutError::Timeout));
+    }
+}
+
+pub fn listen(connection: usize, stream: &Arc<TcpStream>, tell: &Sender<Told>) {
+    let mut reader = BufReader::new(&**stream);
+    loop {
+        let mut line = String::new();
+        let n = reader.read_line(&mut line).unwrap_or(0);
+        let line = if n == 0 { "closed".into() } else { line.trim_end().to_owned() };
+        if line.starts_with("PULL ") {
+            let length: usize = line.rsplit(' ').next().and_then(|l| l.parse().ok()).expect("a length");
+            reader.read_exact(&mut vec![0; length + 2]).expect("a body");
+        }
+        let told = Told { line, connection, stream: Arc::clone(stream) };
+        if tell.send(told).is_err() || n == 0 {
+            return;
+        }
+    }
+}
+
+/// The feed: each call is taken by the test.
+pub struct Feed(pub TcpListener);
+
+impl Feed {
+    /// Takes the next call; the number after which it wants events.
+    pub fn call(&self) -> (u64, TcpStream) {
+        self.answered("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+    }
+
+    /// The same, with this head for an answer.
+    pub fn answered(&self, head: &str) -> (u64, TcpStream) {
+        self.0.set_nonblocking(true).expect("set");
+        let start = Instant::now();
+        let (stream, _) = loop {
+            match self.0.accept() {
+                Err(e) if e.kind() == ErrorKind::WouldBlock && start.elapsed() < LONG => {
+                    thread::sleep(Duration::from_millis(5));
+                }
+                call => break call.expect("called"),
+            }
+        };
+        stream.set_nonblocking(false).expect("set");
+        let mut reader = BufReader::new(&stream);
+        let mut last = None;
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line).expect("a line");
+            if let Some(n) = line.strip_prefix("Last-Event-ID: ") {
+                last = n.trim_end().parse().ok();
+            }
+            if line == "\r\n" {
+                break;
+            }
+        }
+        (&stream).write_all(head.as_bytes()).expect("written");
+        (last.expect("a number"), stream)
+    }
+}
+
+pub fn tell(mut stream: &TcpStream, n: u64, data: &str) {
+    stream.write_all(format!(": tick\n\nid: {n}\ndata: {data}\n\n").as_bytes()).expect("written");
+}
+
+pub fn member(n: u64, name: &str, address: SocketAddr, status: &str) -> String {
+    format!(
+        "{{\"n\":{n},\"members\":{{\"index\":{n},\"snapshot\":false,\"endpoints\":[{{\"name\":\"{name}\",\
+         \"address\":\"{address}\",\"zone\":\"edge\",\"type\":\"small\",\"group\":0,\"status\":\"{status}\",\
+         \"weight\":1,\"since_ms\":0}}]}}}}"
+    )
+}
+
+pub struct World {
+    pub cache: Node,
+    pub parent: Node,
+    pub feed: Feed,
+    pub child: Child,
+    pub config: PathBuf,
+    pub address: SocketAddr,
+    pub log: Receiver<String>,
+}
+
+impl World {
+    pub fn start() -> World {
+        World::with(|config| config)
+    }
+
+    pub fn with(change: impl Fn(String) -> String) -> World {
+        World::start_with(change, &[])
+    }
+
+    /// The same, with more variables.
+    pub fn start_with(change: impl Fn(String) -> String, more: &[(&str, &OsStr)]) -> World {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let (cache, parent, origin) = (Node::start(), Node::start(), Node::start());
+        let feed = Feed(TcpListener::bind("127.0.0.1:0").expect("bound"));
+        let at = feed.0.local_addr().expect("bound");
+        let config = SAMPLE
+            .replace("127.0.0.1:11001", &cache.address.to_string())
+            .replace("127.0.0.1:11002", &parent.address.to_string())
+            .replace("127.0.0.1:11003", &origin.address.to_string())
+            .replace("127.0.0.1:7070", &at.to_string())
+            .replace("127.0.0.1:10080", "127.0.0.1:0")
+            // No second copies for slowness, however busy the machine that runs the tests.
+            .replace("\"aimUs\": 300000", "\"aimUs\": 3000000");
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("sablecross-{}-{number}.json", std::process::id()));
+        std::fs::write(&path, change(config)).expect("written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_sablecross-director"))
+            .env("NODE_CONFIG", &path)
+            .envs(more.iter().copied())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("starts");
+        let (line, log) = channel();
+        let stderr = BufReader::new(child.stderr.take().expect("piped"));
+        thread::spawn(move || stderr.lines().map_while(Result::ok).all(|l| line.send(l).is_ok()));
+        let mut world = World { cache, parent, feed, child, config: path, address: at, log };
+        let serving = world.logged("serving ");
+        world.address = serving.rsplit('=').next().and_then(|a| a.parse().ok()).expect("an address");
+        world
+    }
+
+    /// The next line of the log that holds these words.
+    pub fn logged(&self, words: &str) -> String {
+        let start = Instant::now();
+        loop {
+            let wait = LONG.saturating_sub(start.elapsed());
+            let line = self.log.recv_timeout(wait).unwrap_or_else(|_| panic!("no line with {words}"));
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("connected");
+        stream.set_read_timeout(Some(LONG)).expect("set");
+        Client(stream)
+    }
+
+    pub fn signal(&self, name: &str) {
+        signal(self.child.id(), name);
+    }
+
+    /// The figures of the next line of counters.
+    pub fn counters(&self) -> HashMap<String, u64> {
+        let line = self.logged("counters ");
+        let pairs = line.split(' ').filter_map(|w| w.split_once('='));
+        let counters: HashMap<String, u64> =
+            pairs.filter_map(|(k, v)| Some((k.to_owned(), v.parse().ok()?))).collect();
+        let ends = ["satisfied", "nacked", "failed", "cancelled", "in_hand"];
+        assert_eq!(counters["taken"], ends.iter().map(|k| counters[*k]).sum::<u64>(), "{line}");
+        counters
+    }
+
+    /// Waits until so many events of the feed were taken in, with those of the start.
+    pub fn told(&self, facts: u64) {
+        let start = Instant::now();
+        while self.reported()["facts"] < facts {
+            assert!(start.elapsed() < LONG, "{facts} facts");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    pub fn reported(&self) -> HashMap<String, u64> {
+        self.signal("USR1");
+        self.counters()
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+pub fn signal(process: u32, name: &str) {
+    let done = Command::new("kill").args(["-s", name, &process.to_string()]).status().expect("signalled");
+    assert!(done.success());
+}
+
+pub struct Client(pub TcpStream);
+
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    Satisfied(Vec<u8>, Vec<(String, String)>),
+    Error(String, Vec<(String, String)>),
+    Alive(bool),
+}
+
+impl Client {
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).expect("written");
+    }
+
+    pub fn ask(&mut self, call: u8, object: u64, budget_ms: u64) {
+        self.ask_with(call, object, budget_ms, &[]);
+    }
+
+    pub fn ask_with(&mut self, call: u8, object: u64, budget_ms: u64, more: &[(&str, &str)]) {
+        let (name, budget) = (format!("{:08x}{object:08x}", u32::from(call)), budget_ms.to_string());
+        let object = format!("{object:016x}");
+        let mut fields = vec![("rid", &*name), ("budget", &*budget), ("obj", &*object), ("piece", "0")];
+        fields.extend([("lot", "17"), ("mem", "10.5")].iter().chain(more));
+        let mut out = vec![0x94, 0, 0xcc, call];
+        rmp::encode::write_str(&mut out, "footage").expect("written");
+        out.push(0x92);
+        rmp::encode::write_map_len(&mut out, fields.len() as u32).expect("written");
+        for text in fields.iter().flat_map(|(name, value)| [name, value]) {
+            rmp::encode::write_str(&mut out, text).expect("written");
+        }
+        out.extend([0xc4, 0]);
+        self.write(&out);
+    }
+
+    pub fn alive(&mut self) -> bool {
+        self.write(b"\x94\x00\xcc\xff\xa5alive\x91\x80");
+        self.answer() == (255, Answer::Alive(true))
+    }
+
+    pub fn text(&mut self) -> String {
+        let length = decode::read_str_len(&mut self.0).expect("a text");
+        let mut text = vec![0; length as usize];
+        self.0.read_exact(&mut text).expect("a text");
+        String::from_utf8(text).expect("a text")
+    }
+
+    pub fn fields(&mut self) -> Vec<(String, String)> {
+        let length = decode::read_map_len(&mut self.0).expect("fields");
+        (0..length).map(|_| (self.text(), self.text())).collect()
+    }
+
+    pub fn answer(&mut self) -> (u8, Answer) {
+        assert_eq!(decode::read_array_len(&mut self.0).expect("an answer"), 4);
+        assert_eq!(decode::read_int::<u8, _>(&mut self.0).expect("a type"), 1);
+        let call = decode::read_int(&mut self.0).expect("a call");
+        let mut first = [0; 1];
+        self.0.read_exact(&mut first).expect("an error or nil");
+        if first == [0x92] {
+            let answer = Answer::Error(self.text(), self.fields());
+            decode::read_nil(&mut self.0).expect("nil");
+            return (call, answer);
+        }
+        assert_eq!((first, decode::read_array_len(&mut self.0).expect("a result")), ([0xc0], 2));
+        self.0.read_exact(&mut first).expect("a result");
+        let length = match first[0] {
+            0xc2 | 0xc3 => {
+                assert_eq!(self.fields(), []);
+                return (call, Answer::Alive(first == [0xc3]));
+            }
+            0xc4 => 1,
+            0xc5 => 2,
+            0xc6 => 4,
+            other => panic!("no result: {other}"),
+        };
+        let mut bytes = vec![0; length];
+        self.0.read_exact(&mut bytes).expect("a length");
+        let mut body = vec![0; bytes.iter().fold(0, |n, &b| n << 8 | usize::from(b))];
+        self.0.read_exact(&mut body).expect("a body");
+        (call, Answer::Satisfied(body, self.fields()))
+    }
+
+    pub fn nacked(&mut self) -> u8 {
+        let (call, answer) = self.answer();
+        assert!(matches!(&answer, Answer::Error(word, _) if word == "Rejected"), "{answer:?}");
+        call
+    }
+
+    pub fn satisfied(&mut self, call: u8, body: &[u8]) {
+        let (answered, answer) = self.answer();
+        assert_eq!(answered, call);
+        assert!(answer == Answer::Satisfied(body.to_vec(), vec![]), "call {call} has other bytes");
+    }
+
+    /// Nothing more comes, and the connection ends.
+    pub fn closed(&mut self) {
+        let end = self.0.read(&mut [0; 8]).map_err(|e| e.kind());
+        assert!(matches!(end, Ok(0) | Err(ErrorKind::ConnectionReset)), "{end:?}");
+    }
+}
