--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run demo bench
 
 build:
 	cargo build --release --locked
@@ -9,8 +9,16 @@
 lint:
 	cargo fmt --all --check
 	cargo clippy --workspace --all-targets --locked -- -D warnings
+	cargo clippy -p sablecross-director --all-targets --locked -- -D warnings
 
 # One director with the sample configuration; CONFIG=FILE names another.
 CONFIG ?= deploy/sample.json
 run: build
 	NODE_CONFIG=$(CONFIG) target/release/sablecross-director
+
+# A small installation on loopback, with a report.
+demo:
+	cargo run --release --locked -p sablecross-cli -- lab run deploy/lab.scm
+
+bench:
+	cargo bench --locked -p sablecross-hierarchy
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -27,6 +27,8 @@
     pub fills: u64,
     pub loops: u64,
     pub falls: u64,
+    /// Requests that came to a node after it had left the hierarchy and its grace was over.
+    pub strays: u64,
     pub satisfied: u64,
     pub nacked: u64,
     pub failed: u64,
@@ -87,6 +89,8 @@
     /// Unix milliseconds of a cold start; 0: long ago.
     since: AtomicU64,
     down_until: AtomicU64,
+    /// Unix milliseconds after which nothing is to come here, as it has left; 0: it has not.
+    gone_from: AtomicU64,
     /// The open second and what came in it.
     pace: Mutex<(u64, u64)>,
     numbers: AtomicU64,
@@ -130,6 +134,7 @@
             links: Mutex::default(),
             since: AtomicU64::new(0),
             down_until: AtomicU64::new(0),
+            gone_from: AtomicU64::new(0),
             pace: Mutex::default(),
             numbers: AtomicU64::new(0),
         });
@@ -158,6 +163,20 @@
         (held.0.number(), held.0.version().map_or(0, Hierarchy::digest))
     }
 
+    /// From when nothing is to come here any more; none: it may.
+    pub fn leaves(&self, from: Option<u64>) {
+        self.gone_from.store(from.unwrap_or(0), Ordering::Relaxed);
+    }
+
+    /// Fails all that comes for a while.
+    pub fn fails(&self, ms: u64) {
+        self.down_until.store(unix_ms() + ms, Ordering::Relaxed);
+    }
+
+    pub fn is_down(&self) -> bool {
+        unix_ms() < self.down_until.load(Ordering::Relaxed)
+    }
+
     /// Begins anew, cold and empty.
     pub fn begin_cold(&self) -> u64 {
         *lock(&self.copies) = Copies::default();
@@ -217,6 +236,10 @@
             self.common.count(|s| s.loops += 1);
             return Answer::Error;
         }
+        let gone = self.gone_from.load(Ordering::Relaxed);
+        if gone > 0 && now > gone {
+            self.common.count(|s| s.strays += 1);
+        }
         if self.pushed(now) {
             return Answer::Error;
         }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -37,6 +37,8 @@
     /// Fills that came to a node twice, and cold nodes that fell.
     pub loops: u64,
     pub falls: u64,
+    /// Requests to nodes that had left, after their grace.
+    pub strays: u64,
     pub changes: usize,
     pub endings: BTreeMap<String, u64>,
     pub kills: u64,
@@ -82,6 +84,7 @@
             fills: measured.iter().map(|s| s.fills).sum(),
             loops: seconds.iter().map(|s| s.loops).sum(),
             falls: seconds.iter().map(|s| s.falls).sum(),
+            strays: seconds.iter().map(|s| s.strays).sum(),
             changes,
             endings,
             kills,
@@ -100,6 +103,7 @@
         };
         none("fills that came to a node twice", self.loops);
         none("cold nodes that fell", self.falls);
+        none("requests to nodes that had left", self.strays);
         none("lookups without an answer", self.lost + self.missing as u64);
         none("answers that were not asked for", self.strange);
         none("copies from before a purge", self.old);
@@ -177,8 +181,8 @@
         )?;
         writeln!(
             f,
-            "changes {} {:?}  driver killed {} times  fills twice at a node {}  cold nodes fallen {}  old copies {}",
-            self.changes, self.endings, self.kills, self.loops, self.falls, self.old
+            "changes {} {:?}  driver killed {} times  fills twice at a node {}  cold nodes fallen {}  strays {}  old copies {}",
+            self.changes, self.endings, self.kills, self.loops, self.falls, self.strays, self.old
         )?;
         let breaches = self.breaches();
         if breaches.is_empty() {
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -31,6 +31,8 @@
 const SETTLE: u64 = SEC / 2;
 const GIVE_UP: u64 = 8 * SEC;
 const CLIENTS_A_DIRECTOR: usize = 8;
+/// A node that left gets nothing so long after the last lookup from before has ended, in milliseconds.
+const STRAY_GRACE: u64 = 500;
 
 #[derive(Debug, Error)]
 pub enum Failed {
@@ -201,6 +203,10 @@
     kills: u64,
     notes: Vec<String>,
     again: Instant,
+    /// Purges on their way to nodes.
+    purges: Vec<(Instant, Arc<Node>, u64, u64)>,
+    /// The version after which nodes that left were told so.
+    left: u64,
 }
 
 impl Control<'_> {
@@ -281,6 +287,12 @@
             let party = self.uppers[to].name.as_str().into();
             self.hear(Input::InForce { party, number, digest })?;
         }
+        self.purges.retain(|(at, node, object, made)| {
+            if *at <= now {
+                node.purge(*object, *made);
+            }
+            *at > now
+        });
         for said in heard.try_iter() {
             let digest = u64::from_str_radix(&said.digest, 16).unwrap_or(0);
             self.hear(Input::InForce { party: said.party.as_str().into(), number: said.number, digest })?;
@@ -292,7 +304,25 @@
                 self.tell(number, &version);
             }
             let origin = lock(&self.common.seconds).iter().rev().nth(1).map_or(0, |s| s.origin);
-            self.hear(Input::Evidence { origin: origin as f64, down: Vec::new() })?;
+            let (down, told) = (self.uppers.iter().filter(|u| u.is_down()), self.driver.told().1);
+            let down: Vec<NodeId> = down.filter_map(|u| told.id(&u.name)).collect();
+            self.hear(Input::Evidence { origin: origin as f64, down })?;
+        }
+        // An upper cache dies in the middle of a change now and then, for a second.
+        if self.e.faults && self.driver.running().is_some() && self.rng.random::<f64>() < 0.000_5 {
+            let n = self.rng.random_range(0..self.uppers.len());
+            self.uppers[n].fails(1_000);
+            self.notes.push(format!("fault: {} fails for a second", self.uppers[n].name));
+        }
+        let (number, held) = self.driver.in_force();
+        if number != self.left || self.driver.told().0 != number {
+            let over = unix_ms() + BUDGET_MS + 100 + STRAY_GRACE;
+            let told = self.driver.told().1;
+            for upper in &self.uppers {
+                let here = [held, told].iter().any(|h| h.id(&upper.name).is_some());
+                upper.leaves((!here).then_some(over));
+            }
+            self.left = number;
         }
         if self.driver.wake().is_some_and(|w| w <= Self::now()) {
             self.hear(Input::Tick)?;
@@ -427,6 +457,8 @@
         kills: 0,
         notes: Vec::new(),
         again: Instant::now(),
+        purges: Vec::new(),
+        left: 1,
     };
     control.acts()?;
 
@@ -491,7 +523,10 @@
             let (object, at) = (shape.rng.random_range(0..e.objects.min(50)), unix_ms());
             control.feed.tell(&format!("\"purge\":{{\"key\":\"{object:016x}\",\"at\":{at}}}"));
             lock(&purges).insert(object, at);
-            nodes.values().for_each(|(n, _)| n.purge(object, at));
+            for (node, _) in nodes.values() {
+                let late = Duration::from_millis(control.rng.random_range(0..700));
+                control.purges.push((Instant::now() + late, Arc::clone(node), object, at));
+            }
         }
         let at = start.elapsed().as_secs();
         if at > said {
