Plans: a node is named before it takes a place, and a refusal tells the least excess; the lab's directors end with it

Cause: no plan at a tight ceiling told the peak of a whole jump, and a joining node's first state took a quarter of its places at once. A lab that was killed left its directors behind. Change: a joining node has a state without places; the mildest breach of all tried is told; directors of the lab end when the pipe to them closes.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -34,7 +34,10 @@
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Command::Hierarchy(command) => hierarchy::run(&command),
-        Command::Lab(lab::Command::Director) => return sablecross_director::life::start(),
+        Command::Lab(lab::Command::Director) => {
+            sablecross_lab::end_with_parent();
+            return sablecross_director::life::start();
+        }
         Command::Lab(command) => lab::run(&command),
     };
     match done {
--- a/crates/hierarchy/src/plan.rs
+++ b/crates/hierarchy/src/plan.rs
@@ -68,6 +68,22 @@
     TooLarge { looks: usize },
 }
 
+impl NoPlan {
+    /// How far past its bound the step was: the least of all that were tried is what stands in every way.
+    fn excess(&self) -> f64 {
+        match self {
+            NoPlan::Loop { .. } => f64::MAX,
+            NoPlan::Bears { load, bears, .. } => load / bears.max(f64::MIN_POSITIVE),
+            NoPlan::Ceiling { peak, most, .. } => peak / most.max(f64::MIN_POSITIVE),
+            NoPlan::TooLarge { .. } => f64::INFINITY,
+        }
+    }
+}
+
+fn milder(before: Option<NoPlan>, no: NoPlan) -> Option<NoPlan> {
+    Some(before.filter(|b| b.excess() <= no.excess()).unwrap_or(no))
+}
+
 /// The states that one node goes through, the first of them in force.
 struct Track {
     node: u32,
@@ -100,7 +116,7 @@
                 Ok(stops) => return Ok(board.steps(&stops, true, looks)),
                 Err(NoPlan::TooLarge { .. }) => {}
                 Err(no) => {
-                    first = first.or(Some(no));
+                    first = milder(first, no);
                     continue;
                 }
             }
@@ -110,7 +126,7 @@
         looks += swept;
         match found {
             Ok(stops) => return Ok(board.steps(&stops, false, looks)),
-            Err(no) => first = first.or(Some(no)),
+            Err(no) => first = milder(first, no),
         }
     }
     Err(first.unwrap_or(NoPlan::TooLarge { looks }))
@@ -147,9 +163,9 @@
     match (before, after) {
         (None, None) => {}
         (None, Some(new)) => {
-            // It is listed with its sources before it takes a place.
-            let up = ramp(new, 0, new.share);
-            all.extend(if up.is_empty() { vec![Some(Arc::clone(new))] } else { up });
+            // It is listed before it takes a place: its askers may name it while nobody is sent there yet.
+            all.push(sized(new, 0));
+            all.extend(ramp(new, 0, new.share));
         }
         (Some(old), None) => {
             let mut down = ramp(old, old.share, 0);
@@ -257,7 +273,7 @@
         let mut level = vec![0];
         let mut seen = vec![false; all.len()];
         seen[0] = true;
-        let mut furthest: Option<(usize, NoPlan)> = None;
+        let mut mildest: Option<NoPlan> = None;
         while !seen[goal] && !level.is_empty() {
             let mut next = Vec::new();
             for &from in &level {
@@ -281,9 +297,9 @@
                             }
                         }
                         Err(breach) => {
-                            let done = all[from].iter().map(|&i| usize::from(i)).sum();
-                            if furthest.as_ref().is_none_or(|(f, _)| done > *f) {
-                                furthest = Some((done, self.why(&all[from], breach)));
+                            let no = self.why(&all[from], breach);
+                            if mildest.as_ref().is_none_or(|m| no.excess() < m.excess()) {
+                                mildest = Some(no);
                             }
                         }
                     }
@@ -295,7 +311,7 @@
             level = next;
         }
         if !seen[goal] {
-            return Err(furthest.map_or(NoPlan::TooLarge { looks: *looks }, |(_, why)| why));
+            return Err(mildest.unwrap_or(NoPlan::TooLarge { looks: *looks }));
         }
         let mut way = Vec::new();
         let mut at = goal;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,5 +10,5 @@
 pub mod settings;
 
 pub use report::Report;
-pub use run::run;
+pub use run::{end_with_parent, run};
 pub use settings::Experiment;
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -64,6 +64,14 @@
     }
 }
 
+/// A director of the lab ends with it, however that ends: then the pipe that it reads is closed.
+pub fn end_with_parent() {
+    spawn(|| {
+        let _ = io::copy(&mut io::stdin(), &mut io::sink());
+        std::process::exit(0);
+    });
+}
+
 /// Makes the hierarchy of an experiment, and changes of it.
 struct Shape<'a> {
     e: &'a Experiment,
@@ -419,7 +427,12 @@
         let text = configuration(e, number, spare, &feed).to_string();
         std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
         let out = std::fs::File::create(&log).map_err(io_error(log.display().to_string()))?;
-        let child = director().env("NODE_CONFIG", &config).stderr(out).stdout(Stdio::null()).spawn();
+        let child = director()
+            .env("NODE_CONFIG", &config)
+            .stderr(out)
+            .stdout(Stdio::null())
+            .stdin(Stdio::piped())
+            .spawn();
         fleet.0.push(child.map_err(io_error("a director"))?);
         let begun = Instant::now();
         while TcpStream::connect(spare).is_err() {
