Plans: whoever is asked has a way on in both versions; half-way versions name nobody that is not there

Cause: found by the lab on sockets. A half-way version named a node that had left already ("no node is called ?"), directors passed it over and each change was taken back; and a node could be asked by one version while the other had no way for it. Change: a step is refused while a node that is asked in one version has no way on in the other; a node is listed before it is asked and asked by nobody before it goes; sources that are not there are not named; directors check soundness, not loads, of half-way versions. The wait to settle falls away where nothing moved.

--- a/crates/director/src/upper.rs
+++ b/crates/director/src/upper.rs
@@ -46,7 +46,7 @@
 
     /// What no plan brings about is refused here too: a circle, a node without a way to the origin.
     fn checked(number: u64, version: Hierarchy, by: &'static str) -> Result<Told, String> {
-        Admission::new(version.clone()).map_err(|e| e.to_string())?;
+        Admission::sound(&version).map_err(|e| e.to_string())?;
         Ok(Told { number, version, by })
     }
 }
--- a/crates/hierarchy/src/admit.rs
+++ b/crates/hierarchy/src/admit.rs
@@ -51,18 +51,22 @@
         Ok(admission)
     }
 
+    /// Whether a version that a plan leads through can be in force: as `new`, but for loads, which its steps bound.
+    pub fn sound(version: &Hierarchy) -> Result<(), Refusal> {
+        let empty = Hierarchy::new((*version.rules).clone());
+        let mut admission = Admission { order: Order::default(), last: empty };
+        admission.shaped(version)?;
+        leads(version, false)
+    }
+
     pub fn last(&self) -> &Hierarchy {
         &self.last
     }
 
     /// Takes the version as the last one, or leaves all as it was.
     pub fn admit(&mut self, aim: &Hierarchy) -> Result<(), Refusal> {
-        if let Some(name) = aim.doubled() {
-            return Err(Refusal::Doubled { what: format!("{name}: a node stands twice") });
-        }
-        lines(&self.last, aim)?;
-        self.cycles(aim)?;
-        if let Err(refusal) = leads(aim).and_then(|()| loads(aim)) {
+        self.shaped(aim)?;
+        if let Err(refusal) = leads(aim, true).and_then(|()| loads(aim)) {
             // The order has the aim's edges already; those of the last version, which had no cycle, come back.
             let last = self.last.clone();
             self.move_edges(aim, &last).map_err(|way| named(&last, &way))?;
@@ -72,6 +76,14 @@
         Ok(())
     }
 
+    fn shaped(&mut self, aim: &Hierarchy) -> Result<(), Refusal> {
+        if let Some(name) = aim.doubled() {
+            return Err(Refusal::Doubled { what: format!("{name}: a node stands twice") });
+        }
+        lines(&self.last, aim)?;
+        self.cycles(aim)
+    }
+
     fn cycles(&mut self, aim: &Hierarchy) -> Result<(), Refusal> {
         let last = self.last.clone();
         self.move_edges(&last, aim).map_err(|way| named(aim, &way))
@@ -150,8 +162,8 @@
     Ok(())
 }
 
-/// Whether all lead to an origin over members that have a place in their pie.
-fn leads(aim: &Hierarchy) -> Result<(), Refusal> {
+/// Whether all, or all that are asked or bring demand, lead to an origin over members that have a place in their pie.
+fn leads(aim: &Hierarchy, all: bool) -> Result<(), Refusal> {
     let index = Index::of(&[aim]);
     let mut askers: Vec<Vec<u32>> = vec![Vec::new(); index.ids.len()];
     let mut leads = vec![false; index.ids.len()];
@@ -178,7 +190,11 @@
             }
         }
     }
-    match leads.iter().position(|l| !l) {
+    let matters = |i: usize| {
+        let brings = aim.get(index.ids[i]).is_some_and(|m| m.demand > 0.0);
+        all || brings || !askers[i].is_empty()
+    };
+    match (0..leads.len()).find(|&i| !leads[i] && matters(i)) {
         Some(i) => Err(Refusal::NoWay { node: aim.name(index.ids[i]).into() }),
         None => Ok(()),
     }
--- a/crates/hierarchy/src/flow.rs
+++ b/crates/hierarchy/src/flow.rs
@@ -35,6 +35,8 @@
 pub enum Breach {
     /// A fill could come back to a node, along this way.
     Loop(Vec<u32>),
+    /// A node could be asked by someone, while it has no way on in one of the two versions.
+    NoWay(u32),
     /// A node would be asked for more a second than it bears.
     Bears { node: u32, load: f64, bears: f64 },
     /// The origin could be asked for so much a second.
@@ -134,6 +136,9 @@
         })
         .collect();
     let order = order::sorted(&union).map_err(Breach::Loop)?;
+    if let Some(n) = stranded(u, v, &union) {
+        return Err(Breach::NoWay(n));
+    }
 
     let mut moved = vec![0.0; u.cells.len()];
     for n in nodes.clone().filter(|&n| u.parts[n as usize] != v.parts[n as usize] || differs(u, v, n)) {
@@ -176,6 +181,20 @@
     Ok(Reckoned { peak, before, moved: moved.iter().sum(), needs })
 }
 
+/// A node that someone may ask by one of the two versions and that has no way on in the other: one that holds this
+/// other could not fill. So a node is listed before it is asked, and asked by nobody before it goes.
+fn stranded(u: &Side, v: &Side, union: &[Vec<u32>]) -> Option<u32> {
+    let mut asked = vec![false; union.len()];
+    union.iter().flatten().for_each(|&s| asked[s as usize] = true);
+    let ends = |side: &Side, n: u32| match side.member(n) {
+        Some(m) => !m.is_origin() && side.may[n as usize].is_empty(),
+        None => true,
+    };
+    let brings = |n: u32| v.member(n).is_some_and(|m| m.demand > 0.0);
+    (0..union.len() as u32)
+        .find(|&n| asked[n as usize] && (ends(u, n) || ends(v, n)) || brings(n) && ends(v, n))
+}
+
 fn differs(u: &Side, v: &Side, n: u32) -> bool {
     (u.into[n as usize] - v.into[n as usize]).abs() > NEAR || u.passes(n) != v.passes(n)
 }
--- a/crates/hierarchy/src/plan.rs
+++ b/crates/hierarchy/src/plan.rs
@@ -54,6 +54,10 @@
 pub enum NoPlan {
     #[error("after {done} of {of} moves a fill could run in a circle: {}", .way.join(" > "))]
     Loop { done: usize, of: usize, way: Vec<Arc<str>> },
+    #[error(
+        "after {done} of {of} moves {node} could be asked and has no way to the origin (give it a source)"
+    )]
+    NoWay { done: usize, of: usize, node: Arc<str> },
     #[error(
         "after {done} of {of} moves {node} would be asked for {load:.0} a second and bears {bears:.0}: \
          raise its capacity, or begin it earlier"
@@ -72,7 +76,7 @@
     /// How far past its bound the step was: the least of all that were tried is what stands in every way.
     fn excess(&self) -> f64 {
         match self {
-            NoPlan::Loop { .. } => f64::MAX,
+            NoPlan::Loop { .. } | NoPlan::NoWay { .. } => f64::MAX,
             NoPlan::Bears { load, bears, .. } => load / bears.max(f64::MIN_POSITIVE),
             NoPlan::Ceiling { peak, most, .. } => peak / most.max(f64::MIN_POSITIVE),
             NoPlan::TooLarge { .. } => f64::INFINITY,
@@ -145,6 +149,20 @@
     }
 }
 
+/// The same without sources that are not in it (yet, or any more): nobody is sent there.
+fn clean(version: &Hierarchy) -> Hierarchy {
+    let named = |m: &Member| m.sources.iter().any(|s| version.get(*s).is_none());
+    let cleaned: Vec<(NodeId, Option<Arc<Member>>)> = version
+        .iter()
+        .filter(|(_, m)| named(m))
+        .map(|(id, m)| {
+            let sources = m.sources.iter().copied().filter(|s| version.get(*s).is_some()).collect();
+            (id, Some(Arc::new(Member { sources, ..(**m).clone() })))
+        })
+        .collect();
+    version.apply(cleaned)
+}
+
 /// The states between two of one node, both included.
 fn states(before: Option<&Arc<Member>>, after: Option<&Arc<Member>>, parts: u16) -> Vec<Option<Arc<Member>>> {
     let sized = |m: &Arc<Member>, share: u16| Some(Arc::new(Member { share, ..(**m).clone() }));
@@ -168,9 +186,8 @@
             all.extend(ramp(new, 0, new.share));
         }
         (Some(old), None) => {
-            let mut down = ramp(old, old.share, 0);
-            down.pop();
-            all.extend(down);
+            // Nobody is sent there any more before it goes.
+            all.extend(ramp(old, old.share, 0));
             all.push(None);
         }
         (Some(old), Some(new)) if old.tier != new.tier || old.since != new.since => {
@@ -246,6 +263,7 @@
             Breach::Loop(way) => {
                 NoPlan::Loop { done, of, way: way.into_iter().map(|n| self.name(n)).collect() }
             }
+            Breach::NoWay(node) => NoPlan::NoWay { done, of, node: self.name(node) },
             Breach::Bears { node, load, bears } => {
                 NoPlan::Bears { done, of, node: self.name(node), load, bears }
             }
@@ -393,18 +411,22 @@
         // The aim's rules hold from the first step on.
         let mut before: At = vec![0; self.tracks.len()];
         let mut version = self.from.with_rules(Arc::clone(rules));
+        let mut last = version.clone();
         // Since when a node is asked, as the plan goes.
         let mut asked: BTreeMap<u32, Ns> = BTreeMap::new();
         let mut time = self.now;
         let mut steps = Vec::new();
-        for (k, at) in stops.iter().enumerate() {
+        let mut stirred = false;
+        for at in stops {
             let mut looks = 0;
             let reckoned = self
                 .side(&before)
                 .ok()
                 .and_then(|u| self.look(&u, at, &mut looks).ok())
                 .unwrap_or(Reckoned { peak: 0.0, before: 0.0, moved: 0.0, needs: Vec::new() });
-            let mut wait = if k == 0 { 0 } else { rules.settle };
+            // What the step before has moved fills first.
+            let mut wait = if stirred { rules.settle } else { 0 };
+            stirred = reckoned.moved > 0.0;
             for &(n, need) in &reckoned.needs {
                 let id = self.index.ids[n as usize];
                 let warm = self.from.get(id).map_or(rules.cold_from, |m| flow::warmth(m, rules, self.now));
@@ -433,11 +455,13 @@
                     asked.entry(n).or_insert(time);
                 }
             }
-            let changed = changes.iter().map(|(id, _)| *id).collect();
             version = version.apply(changes);
+            let to = clean(&version);
+            let changed = last.diff(&to).map(|d| d.node).collect();
+            last = to.clone();
             let needs = reckoned.needs.iter().map(|&(n, w)| (self.index.ids[n as usize], w)).collect();
             let Reckoned { peak, before: was, moved, .. } = reckoned;
-            steps.push(Step { to: version.clone(), changed, peak, before: was, moved, needs, wait });
+            steps.push(Step { to, changed, peak, before: was, moved, needs, wait });
             before = at.clone();
         }
         Plan { steps, fewest, looks }
--- a/crates/lab/src/settings.rs
+++ b/crates/lab/src/settings.rs
@@ -40,6 +40,10 @@
     pub kept: usize,
     #[garde(range(min = 1.0, max = 1e6))]
     pub ceiling: f64,
+    /// The part of what it is asked for that each cache is said to answer itself, which plans go by.
+    #[garde(range(min = 0.0, max = 1.0))]
+    #[serde(default = "half")]
+    pub hit: f64,
     /// Changes of the hierarchy, one after another; 0: none.
     #[garde(range(max = 1_000))]
     #[serde(default)]
@@ -66,6 +70,10 @@
     3
 }
 
+fn half() -> f64 {
+    0.5
+}
+
 fn yes() -> bool {
     true
 }
--- a/deploy/lab-calm.scm
+++ b/deploy/lab-calm.scm
@@ -1,3 +1,3 @@
 ; The same load without a change.
-(experiment (name . "calm") (seed . 1) (seconds . 90) (warm-up . 5) (directors . 3) (caches . 18) (uppers . 11)
-  (rate . 300) (objects . 4000) (kept . 400) (ceiling . 260) (rewirings . 0) (purges . 2))
+(experiment (name . "calm") (seed . 1) (seconds . 90) (warm-up . 10) (directors . 3) (caches . 18) (uppers . 11)
+  (rate . 300) (objects . 8000) (kept . 180) (hit . 0.25) (ceiling . 200) (rewirings . 0) (purges . 2))
