A change that waits is kept in the log, and half-way versions are a start for nothing

Change: Record::Waits; what is kept goes only when a change has ended at a version that was wanted; Admission::standing.

--- a/crates/hierarchy/src/admit.rs
+++ b/crates/hierarchy/src/admit.rs
@@ -51,11 +51,18 @@
         Ok(admission)
     }
 
-    /// Whether a version that a plan leads through can be in force: as `new`, but for loads, which its steps bound.
-    pub fn sound(version: &Hierarchy) -> Result<(), Refusal> {
+    /// From a version that is in force already, be it half-way: its loads are not asked about.
+    pub fn standing(version: Hierarchy) -> Result<Admission, Refusal> {
         let empty = Hierarchy::new((*version.rules).clone());
         let mut admission = Admission { order: Order::default(), last: empty };
-        admission.shaped(version)?;
+        admission.shaped(&version)?;
+        admission.last = version;
+        Ok(admission)
+    }
+
+    /// Whether a version that a plan leads through can be in force: as `new`, but for loads, which its steps bound.
+    pub fn sound(version: &Hierarchy) -> Result<(), Refusal> {
+        Admission::standing(version.clone())?;
         leads(version, false)
     }
 
--- a/crates/hierarchy/src/change.rs
+++ b/crates/hierarchy/src/change.rs
@@ -75,6 +75,10 @@
         aim: Told,
         home: Told,
     },
+    /// A change that waits for the one that runs; none: it waits no more.
+    Waits {
+        aim: Option<Told>,
+    },
     /// It is to be taken back.
     Back {
         change: u64,
@@ -177,6 +181,7 @@
         parties: impl IntoIterator<Item = Party>,
     ) -> Result<Driver, No> {
         let number = number.max(1);
+        Admission::new(version.clone())?;
         let start = Record::Start { number, next_change: 1, version: Told::of(number, &version) };
         let mut driver = Driver::at(number, version, parties)?;
         driver.act(Act::Write(start));
@@ -186,7 +191,7 @@
 
     fn at(number: u64, version: Hierarchy, parties: impl IntoIterator<Item = Party>) -> Result<Driver, No> {
         Ok(Driver {
-            admission: Admission::new(version.clone())?,
+            admission: Admission::standing(version.clone())?,
             home: version.clone(),
             held: version,
             held_number: number,
@@ -225,10 +230,12 @@
                 Record::Start { .. } => {}
                 Record::Begun { change, aim: told, home } => {
                     d.next_change = change + 1;
+                    d.next = None;
                     aim = Some((*change, read(told)?));
                     d.home = read(home)?;
                     d.run = Some(Run::new(*change, d.home.clone(), read(told)?, now));
                 }
+                Record::Waits { aim } => d.next = aim.as_ref().map(read).transpose()?,
                 Record::Back { .. } => {
                     if let Some(run) = d.run.as_mut() {
                         run.turn(true);
@@ -254,7 +261,7 @@
         }
         let mut driver = found.ok_or(No::Log)?;
         driver.parties = parties.into_iter().map(|p| (p, (0, 0))).collect();
-        driver.admission = Admission::new(driver.held.clone())?;
+        driver.admission = Admission::standing(driver.held.clone())?;
         if let (Some((_, target)), Some(run)) = (&aim, driver.run.as_mut()) {
             match pending {
                 Some((back, version)) => {
@@ -274,6 +281,9 @@
         }
         driver.note(format!("hierarchy recovered version={} in_force={}", driver.number, driver.held_number));
         driver.publish();
+        if driver.run.is_none() {
+            driver.begin_next(now);
+        }
         Ok(driver)
     }
 
@@ -378,6 +388,7 @@
                 // From what is in force, not from a half-way picture: it is planned once that is known.
                 self.admission.clone().admit(&aim)?;
                 let change = run.change;
+                self.act(Act::Write(Record::Waits { aim: Some(Told::of(self.number, &aim)) }));
                 self.note(format!("hierarchy change waits behind={change}"));
                 self.next = Some(aim);
                 if matches!(self.run.as_ref().map(|r| r.stage), Some(Stage::Waiting { .. })) {
@@ -595,7 +606,7 @@
 
     /// The change that waits takes the place of the one that runs, planned from what is in force.
     fn supersede(&mut self, now: Ns) -> bool {
-        let Some(aim) = self.next.take() else { return false };
+        let Some(aim) = self.next.clone() else { return false };
         // What it was numbered by may not be in force any more.
         let aim = self.own(&aim).unwrap_or(aim);
         let fit = || -> Result<(), No> {
@@ -606,41 +617,63 @@
             Ok(())
         };
         if let Err(why) = fit() {
-            self.note(format!("hierarchy change that waited: {why}"));
+            self.drop_next(&why.to_string());
             return false;
         }
         self.finish(Ending::Superseded);
-        if self.held != aim
-            && let Err(why) = self.begin(aim, now)
-        {
-            self.note(format!("hierarchy change that waited: {why}"));
-        }
+        self.begin_next(now);
         true
     }
 
     fn end(&mut self, now: Ns) {
         let back = self.run.as_ref().is_some_and(|r| r.back);
         self.finish(if back { Ending::RolledBack } else { Ending::Done });
-        if self.next.is_some() {
-            let aim = self.next.take();
-            if let Some(Err(why)) = aim.map(|aim| self.propose(aim, now)) {
-                self.note(format!("hierarchy change that waited: {why}"));
-            }
+        self.begin_next(now);
+    }
+
+    /// The change that waits begins, now that none runs. It is kept as waiting until it is kept as begun.
+    fn begin_next(&mut self, now: Ns) {
+        let Some(aim) = self.next.clone() else { return };
+        let begun = match self.own(&aim) {
+            Ok(aim) if aim == self.held => Err(No::Same),
+            Ok(aim) => self.begin(aim, now),
+            Err(refusal) => Err(refusal.into()),
+        };
+        match begun {
+            Ok(()) => self.next = None,
+            Err(why) => self.drop_next(&why.to_string()),
         }
     }
 
+    fn drop_next(&mut self, why: &str) {
+        self.next = None;
+        self.act(Act::Write(Record::Waits { aim: None }));
+        self.note(format!("hierarchy change that waited: {why}"));
+    }
+
     fn finish(&mut self, how: Ending) {
         let Some(run) = self.run.take() else { return };
         if how != Ending::Superseded {
             self.home = self.held.clone();
         }
         // What is in force was admitted, or lies between two that were.
-        if let Ok(admission) = Admission::new(self.held.clone()) {
+        if let Ok(admission) = Admission::standing(self.held.clone()) {
             self.admission = admission;
         }
         self.act(Act::Write(Record::Ended { change: run.change, how }));
-        let version = Told::of(self.held_number, &self.held);
-        self.act(Act::Write(Record::Start { number: self.number, next_change: self.next_change, version }));
+        // A half-way version is nothing to start from: then what was kept before is needed still.
+        if how != Ending::Superseded {
+            let version = Told::of(self.held_number, &self.held);
+            self.act(Act::Write(Record::Start {
+                number: self.number,
+                next_change: self.next_change,
+                version,
+            }));
+            if let Some(aim) = &self.next {
+                let aim = Some(Told::of(self.number, aim));
+                self.act(Act::Write(Record::Waits { aim }));
+            }
+        }
         self.note(format!("hierarchy change={} ended how={how:?} version={}", run.change, self.held_number));
     }
 
