--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -152,7 +152,7 @@
                 };
                 let below = others(&[1]);
                 let mut sources = vec![0];
-                if !below.is_empty() && (tier == 2 || self.rng.random::<f64>() < 0.4) {
+                if !below.is_empty() && (tier == 2 || self.e.chains && self.rng.random::<f64>() < 0.4) {
                     sources = (0..2).map(|_| below[self.rng.random_range(0..below.len())]).collect();
                     sources.sort_unstable();
                     sources.dedup();
--- a/crates/lab/src/settings.rs
+++ b/crates/lab/src/settings.rs
@@ -48,6 +48,10 @@
     #[garde(range(max = 1_000))]
     #[serde(default)]
     pub rewirings: usize,
+    /// Whether upper caches of the tier at the origin may fill from one another, which makes ways longer.
+    #[garde(skip)]
+    #[serde(default = "yes")]
+    pub chains: bool,
     /// Whether they are carried out by a plan, or each in one jump.
     #[garde(skip)]
     #[serde(default = "yes")]
