--- a/crates/director/tests/upper.rs
+++ b/crates/director/tests/upper.rs
@@ -146,3 +146,28 @@
     assert!(!out.status.success());
     assert!(String::from_utf8_lossy(&out.stderr).contains(":1:1: a parenthesis that is never closed"));
 }
+
+#[test]
+fn a_lookup_in_hand_keeps_the_version_that_it_came_under() {
+    let world = World::start();
+    let (_, feed) = world.feed.call();
+    tell(&feed, 2, &event(2, &version(2, &["parent-a"], Some("upper-y"))));
+    assert_eq!(said(&world.feed)["number"], 2);
+    let mut client = world.client();
+    client.ask(1, 1, 4_000);
+    let first = world.cache.pull();
+    assert_eq!(first.field("way"), Some("upper-y+origin"));
+    tell(&feed, 3, &event(3, &version(3, &["parent-a"], Some("upper-z"))));
+    assert_eq!(said(&world.feed)["number"], 3);
+    // Its further send goes by the way of its version, what comes now by the new one.
+    first.answer("EIO", "-", b"");
+    let again = world.cache.pull();
+    assert_eq!((again.name(), again.field("way")), (first.name(), Some("upper-y+origin")));
+    again.answer("ACK", "how=MISS,entity=aa", b"body");
+    client.satisfied(1, b"body");
+    client.ask(2, 2, 4_000);
+    let next = world.cache.pull();
+    assert_eq!(next.field("way"), Some("upper-z+origin"));
+    next.answer("ACK", "how=MISS,entity=aa", b"body");
+    client.satisfied(2, b"body");
+}
