The lab takes an object's place from the module, the model's search goes by parts

Change: SABLECROSS_MODEL=N:PART; the lab depends on the module for fill_place. Behaviour is unchanged.

--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -9,5 +9,3 @@
 #[cfg_attr(not(feature = "hierarchy"), path = "upper_off.rs")]
 pub mod upper;
 pub mod wire;
-
-pub use sablecross::fill_place;
--- a/crates/hierarchy/tests/model.rs
+++ b/crates/hierarchy/tests/model.rs
@@ -2,7 +2,7 @@
 //! order, the driver killed, a second change while one runs, bad evidence. A fill walks through it all by what each node holds.
 //!
 //! `SABLECROSS_MODEL=all` searches every first version and every pair of changes on it (one of each kind that differs
-//! by the names of the nodes alone), a number one in so many; without it a sample is searched, the same each time.
+//! by the names of the nodes alone), `N` one in so many, `N:PART` another such part; without it a sample is searched, the same each time.
 
 mod help;
 
@@ -318,10 +318,11 @@
 #[test]
 fn every_change_ends_and_no_fill_meets_a_node_twice() {
     // Of three nodes and the origin one triple in so many is searched; of fewer nodes all are.
-    let each = match std::env::var("SABLECROSS_MODEL").as_deref() {
-        Ok("all") => 1,
-        Ok(n) => n.parse().expect("SABLECROSS_MODEL: all, or one in how many"),
-        Err(_) => 997,
+    let asked = std::env::var("SABLECROSS_MODEL").unwrap_or_else(|_| "997".into());
+    let (each, part) = match asked.split_once(':') {
+        _ if asked == "all" => (1, 0),
+        None => (asked.parse().expect("SABLECROSS_MODEL: all, N, or N:PART"), 0),
+        Some((n, part)) => (n.parse().expect("one in how many"), part.parse().expect("which part")),
     };
     let mut triples = Vec::new();
     for n in 1..=3 {
@@ -331,7 +332,7 @@
             for c in masks.iter().filter(|c| first_of_its_kind([a, b, c])) {
                 count += 1;
                 let bounds = if n < 3 { (1, 1) } else { ((count % 2) as u8, 1 - (count % 2) as u8) };
-                if n < 3 || count.is_multiple_of(each) {
+                if n < 3 || count % each == part {
                     triples.push((a.clone(), b.clone(), c.clone(), bounds));
                 }
             }
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use sablecross::fill_place;
 use sablecross_hierarchy::way::{Ways, passes};
 use sablecross_hierarchy::{Hierarchy, Holder};
 
@@ -300,7 +301,7 @@
         }
         let held = lock(&self.held);
         let h = held.0.version()?;
-        let next = held.1.next(h, h.id(&self.name)?, sablecross_place(pull.object), |_| true)?;
+        let next = held.1.next(h, h.id(&self.name)?, fill_place(pull.object), |_| true)?;
         Some(h.name(next).to_owned())
     }
 
@@ -362,11 +363,6 @@
     }
 }
 
-/// The place of an object, as directors reckon it.
-fn sablecross_place(object: u64) -> u64 {
-    sablecross_director::fill_place(object)
-}
-
 impl Pull {
     fn of(id: &str, fields: &str) -> Option<Pull> {
         let mut pull =
