Keys: a roll-over of authorities is tested

Need: an authority that has ended beside one that has not is a roll-over, not a fault; the test was missing. Result: taken as a new generation; the ended one alone is refused and the old generation stays.

--- a/crates/keys/tests/keys.rs
+++ b/crates/keys/tests/keys.rs
@@ -113,6 +113,26 @@
     assert!(files.read().unwrap_err().to_string().contains("key.pem: No such file"));
 }
 
+#[test]
+fn an_authority_that_has_ended_beside_one_that_has_not_is_a_roll_over() {
+    let made = Made::new();
+    let files = made.pair(LONG);
+    let ended = params("before", (2020, 2021), true).self_signed(&KeyPair::generate().unwrap()).unwrap();
+    let (old, new) = (ended.pem(), text(&files.trusted));
+    let keys = Keys::new(&files.read().unwrap(), now()).unwrap();
+    std::fs::write(&files.trusted, format!("{old}{new}")).unwrap();
+    assert_eq!(keys.offer(&files.read().unwrap(), now()), Ok(Taken::New(2)));
+    assert_eq!(keys.current().trusted.len(), 2);
+    std::fs::write(&files.trusted, old).unwrap();
+    assert!(
+        keys.offer(&files.read().unwrap(), now())
+            .unwrap_err()
+            .to_string()
+            .contains("no authority is valid now")
+    );
+    assert_eq!(keys.current().number, 2);
+}
+
 #[test]
 fn spans_count_by_the_clock() {
     let made = Made::new();
