Read once more: one rank of names, one order of a side, the log's aim read once

The hash by which nodes are ranked stood in wire/nodes.rs and in crates/hierarchy; it is sablecross::rank now. A side keeps the order that it was reckoned by, so that a plan does not sort it again. Driver::recover kept an aim beside the run that holds it. Behaviour is unchanged; all tests as they were.

--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use sablecross::{Listed, Ns, Outcome, State};
+use sablecross::{Listed, Ns, Outcome, State, rank};
 
 use super::lines;
 use super::links::{Order, Orders};
@@ -297,8 +297,3 @@
             .map_or_else(Vec::new, |open| open.out.into_values().map(|flight| flight.out).collect())
     }
 }
-
-/// The order in which all directors sort the nodes: by name alone (FNV-1a).
-fn rank(name: &str) -> u64 {
-    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
--- a/crates/hierarchy/src/change.rs
+++ b/crates/hierarchy/src/change.rs
@@ -213,7 +213,6 @@
         now: Ns,
     ) -> Result<Driver, No> {
         let mut found: Option<Driver> = None;
-        let mut aim: Option<(u64, Hierarchy)> = None;
         let mut pending: Option<(bool, Hierarchy)> = None;
         for record in records {
             let known = found.as_ref().map(|d| d.held.clone());
@@ -222,7 +221,7 @@
                 let mut start = Driver::at(*number, read(version)?, [])?;
                 start.next_change = *next_change;
                 found = Some(start);
-                (aim, pending) = (None, None);
+                pending = None;
                 continue;
             }
             let d = found.as_mut().ok_or(No::Log)?;
@@ -231,7 +230,6 @@
                 Record::Begun { change, aim: told, home } => {
                     d.next_change = change + 1;
                     d.next = None;
-                    aim = Some((*change, read(told)?));
                     d.home = read(home)?;
                     d.run = Some(Run::new(*change, d.home.clone(), read(told)?, now));
                 }
@@ -253,16 +251,13 @@
                     }
                     d.held_number = *number;
                 }
-                Record::Ended { .. } => {
-                    d.run = None;
-                    aim = None;
-                }
+                Record::Ended { .. } => d.run = None,
             }
         }
         let mut driver = found.ok_or(No::Log)?;
         driver.parties = parties.into_iter().map(|p| (p, (0, 0))).collect();
         driver.admission = Admission::standing(driver.held.clone())?;
-        if let (Some((_, target)), Some(run)) = (&aim, driver.run.as_mut()) {
+        if let Some(run) = driver.run.as_mut() {
             match pending {
                 Some((back, version)) => {
                     run.turn(back);
@@ -275,9 +270,6 @@
                     run.stage = Stage::Draining { until: now + driver.held.rules.hold };
                 }
             }
-            if !run.back {
-                run.target = target.clone();
-            }
         }
         driver.note(format!("hierarchy recovered version={} in_force={}", driver.number, driver.held_number));
         driver.publish();
@@ -599,8 +591,11 @@
             self.tell(now);
         } else if let Some(Run { stage: Stage::Waiting { .. }, .. }) = &self.run {
             // Nothing of before is in hand any more.
-            let held = self.held == self.run.as_ref().map_or(self.held.clone(), |r| r.target.clone());
-            if held { self.end(now) } else { self.replan(now) }
+            if self.run.as_ref().is_some_and(|r| r.target == self.held) {
+                self.end(now)
+            } else {
+                self.replan(now)
+            }
         }
     }
 
--- a/crates/hierarchy/src/flow.rs
+++ b/crates/hierarchy/src/flow.rs
@@ -28,6 +28,8 @@
     parts: Vec<Vec<(u32, f64)>>,
     /// Requests a second.
     pub into: Vec<f64>,
+    /// Who is sent on to whom: the asker comes first.
+    pub order: Vec<u32>,
 }
 
 /// Why one version can't follow another.
@@ -83,7 +85,7 @@
                 into[s as usize] += on * part;
             }
         }
-        Ok(Side { cells, may, parts, into })
+        Ok(Side { cells, may, parts, into, order })
     }
 
     fn passes(&self, n: u32) -> f64 {
--- a/crates/hierarchy/src/plan.rs
+++ b/crates/hierarchy/src/plan.rs
@@ -16,7 +16,6 @@
 use thiserror::Error;
 
 use crate::flow::{self, Breach, Cell, Index, Reckoned, Side, transition};
-use crate::order;
 use crate::version::{FULL, Hierarchy, Member, NodeId};
 
 /// Places are taken and given up by so many parts; a large change that finds no way tries finer ones.
@@ -218,11 +217,9 @@
         let mut tracks: Vec<Track> = tracks.collect();
         // Those nearest to the origin first, as the new version has it.
         let cells = index.cells(to);
-        if let Ok(side) = Side::new(cells.iter().map(Option::as_ref).collect())
-            && let Ok(order) = order::sorted(&side.may)
-        {
-            let mut place = vec![0; order.len()];
-            order.iter().enumerate().for_each(|(i, &n)| place[n as usize] = i);
+        if let Ok(side) = Side::new(cells.iter().map(Option::as_ref).collect()) {
+            let mut place = vec![0; side.order.len()];
+            side.order.iter().enumerate().for_each(|(i, &n)| place[n as usize] = i);
             tracks.sort_by_key(|t| std::cmp::Reverse(place[t.node as usize]));
         }
         Board { index, from, to, base, tracks, now }
--- a/crates/hierarchy/src/version.rs
+++ b/crates/hierarchy/src/version.rs
@@ -235,10 +235,3 @@
         self.byte(0xff);
     }
 }
-
-/// The order in which all directors sort the nodes: by name alone (FNV-1a).
-pub fn rank(name: &str) -> u64 {
-    let mut h = Digest(0xcbf2_9ce4_8422_2325);
-    name.bytes().for_each(|b| h.byte(b));
-    h.0
-}
--- a/crates/hierarchy/src/way.rs
+++ b/crates/hierarchy/src/way.rs
@@ -3,9 +3,9 @@
 
 use std::collections::BTreeMap;
 
-use sablecross::{Pie, Stand};
+use sablecross::{Pie, Stand, rank};
 
-use crate::version::{FULL, Hierarchy, NodeId, rank};
+use crate::version::{FULL, Hierarchy, NodeId};
 
 /// Upper nodes that a way may pass; a longer one is cut, which no admitted version brings about.
 pub const LONGEST: usize = 16;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -161,3 +161,8 @@
     /// Another send is still out.
     Wait,
 }
+
+/// The order in which all directors sort the nodes: by name alone (FNV-1a).
+pub fn rank(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
