A trial of a fleet: hundreds of directors, faults between them, how even load stays

Need: what many processes do together when parts fail can't be seen on the kit's bench by node and tenth of a second, with links cut one way or processes stopped and continued. Change: crates/lab/src/fleet and 'sablecross fleet-trial FILE': directors as processes, stand-in nodes of their own speeds that count by director and tenth of a second, ten kinds of faults by seed, lists that come late, clients that count one end a lookup; windows of five seconds by tier over each node's fair share, aftermath of each fault, table, JSON, plot, exit code by verdict.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of sablecross. Exit codes: 0 all is well, 1 what was asked about is refused or differs,
 //! 2 the command line or a file can't be used.
 
+mod fleet;
 mod hierarchy;
 mod lab;
 
@@ -20,6 +21,8 @@
     /// Versions of the hierarchy of upper caches: checked, shown, compared, planned.
     #[command(subcommand)]
     Hierarchy(hierarchy::Command),
+    /// A trial of a fleet on loopback: hundreds of directors, faults between them, how even the load stays.
+    FleetTrial(fleet::Arguments),
     /// A small installation on loopback: real directors, stand-in nodes, load, a report.
     #[command(subcommand)]
     Lab(lab::Command),
@@ -38,6 +41,7 @@
             sablecross_lab::end_with_parent();
             return sablecross_director::life::start();
         }
+        Command::FleetTrial(arguments) => fleet::run(&arguments),
         Command::Lab(command) => lab::run(&command),
     };
     match done {
--- /dev/null
+++ b/crates/lab/src/fleet/node.rs
@@ -0,0 +1,375 @@
+//! Stand-in caches, parents and origin of a trial: each works at its own speed, counts what comes by tenth of a second
+//! and by director, and is slowed, stopped, cut off, reset and begun anew.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::node::{lock, spawn, unix_ms};
+
+/// Seconds from the start of the load.
+pub type At = f64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+pub enum Tier {
+    Cache,
+    Parent,
+    Origin,
+}
+
+/// The figures of the rule on cold nodes.
+pub const COLD_FROM: f64 = 0.25;
+pub const WARM_AFTER: f64 = 6.0;
+pub const FALLS_AT: f64 = 3.0;
+/// A node holds work for so long at most; what would wait longer is turned away.
+const LONGEST_LINE: f64 = 0.6;
+/// What the way and the answer take beside the work.
+const WAY: f64 = 0.002;
+
+/// Which way of a link is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    To,
+    From,
+}
+
+#[derive(Default)]
+struct Copies {
+    held: HashMap<u64, u64>,
+    line: VecDeque<u64>,
+}
+
+#[derive(Default)]
+struct Inner {
+    copies: Copies,
+    /// When its work in hand is done.
+    free_at: At,
+    /// How many times longer it takes.
+    slow: f64,
+    stopped_until: At,
+    /// Until when it is down: crashed, or fallen over when it was pushed.
+    down_until: At,
+    since: Option<At>,
+    /// Since when nothing new is to come, as the list says that it has gone, the grace included.
+    gone_from: Option<At>,
+    cuts: HashMap<usize, Cut>,
+    /// What came, by tenth of a second.
+    came: Vec<u32>,
+    /// Who sent, by second.
+    senders: HashSet<(u32, usize)>,
+    links: Vec<Arc<TcpStream>>,
+    falls: u64,
+    strays: u64,
+}
+
+/// An answer on its way.
+struct Due {
+    at: At,
+    number: u64,
+    to: Arc<TcpStream>,
+    bytes: Vec<u8>,
+}
+
+pub struct Node {
+    pub name: String,
+    pub tier: Tier,
+    /// Requests a second that it can do.
+    pub capacity: f64,
+    pub address: SocketAddr,
+    kept: usize,
+    begun: Instant,
+    over: Arc<AtomicBool>,
+    inner: Mutex<Inner>,
+    due: Mutex<Sender<Due>>,
+}
+
+/// What of a node's work a report needs.
+pub struct Counted {
+    pub came: Vec<u32>,
+    pub senders: HashSet<(u32, usize)>,
+    pub since: Option<At>,
+    pub falls: u64,
+    pub strays: u64,
+}
+
+enum Done {
+    /// When, when the copy was made (Unix milliseconds), and whether it was held.
+    Copy(At, u64, bool),
+    Miss(At),
+    Full(At),
+    Error(At),
+    /// Nothing is said.
+    Silence,
+}
+
+pub type Others = Arc<HashMap<String, Arc<Node>>>;
+
+impl Node {
+    pub fn start(
+        name: String,
+        tier: Tier,
+        capacity: f64,
+        kept: usize,
+        begun: Instant,
+        over: &Arc<AtomicBool>,
+    ) -> io::Result<(Arc<Node>, TcpListener)> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let (due, dues) = channel();
+        let node = Arc::new(Node {
+            name,
+            tier,
+            capacity,
+            address: listener.local_addr()?,
+            kept,
+            begun,
+            over: Arc::clone(over),
+            inner: Mutex::new(Inner { slow: 1.0, ..Inner::default() }),
+            due: Mutex::new(due),
+        });
+        let own = Arc::clone(&node);
+        spawn(move || own.deliver(&dues));
+        Ok((node, listener))
+    }
+
+    /// Takes connections, once all nodes are there.
+    pub fn serve(self: &Arc<Node>, listener: TcpListener, others: &Others) {
+        let (own, others) = (Arc::clone(self), Arc::clone(others));
+        spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                if own.over.load(Ordering::Relaxed) {
+                    return;
+                }
+                if own.now() < lock(&own.inner).down_until {
+                    continue;
+                }
+                let (own, others, stream) = (Arc::clone(&own), Arc::clone(&others), Arc::new(stream));
+                lock(&own.inner).links.push(Arc::clone(&stream));
+                spawn(move || {
+                    // A connection that ends in the middle is its peer's matter.
+                    let _ = own.listen(&stream, &others);
+                });
+            }
+        });
+    }
+
+    fn now(&self) -> At {
+        self.begun.elapsed().as_secs_f64()
+    }
+
+    /// Writes answers when they are due.
+    fn deliver(&self, dues: &Receiver<Due>) {
+        let mut line: BinaryHeap<Reverse<(u64, u64)>> = BinaryHeap::new();
+        let mut waiting: HashMap<u64, Due> = HashMap::new();
+        while !self.over.load(Ordering::Relaxed) {
+            let now = (self.now() * 1e6) as u64;
+            while let Some(Reverse((at, number))) = line.peek().copied().filter(|Reverse((at, _))| *at <= now)
+            {
+                line.pop();
+                if let Some(due) = waiting.remove(&number) {
+                    debug_assert!(at <= now);
+                    // A director that has gone needs no answer.
+                    let _ = (&*due.to).write_all(&due.bytes);
+                }
+            }
+            let next = line.peek().map_or(50_000, |Reverse((at, _))| (at - now).min(50_000));
+            if let Ok(due) = dues.recv_timeout(Duration::from_micros(next)) {
+                line.push(Reverse(((due.at * 1e6) as u64, due.number)));
+                waiting.insert(due.number, due);
+            }
+        }
+    }
+
+    fn listen(&self, stream: &Arc<TcpStream>, others: &Others) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut reader = BufReader::new(&**stream);
+        let (mut line, mut number) = (String::new(), 0u64);
+        let lane = (stream.peer_addr()?.port() as u64) << 32;
+        loop {
+            line.clear();
+            if reader.read_line(&mut line)? == 0 || self.over.load(Ordering::Relaxed) {
+                return Ok(());
+            }
+            let mut words = line.trim_end().split(' ');
+            if words.next() != Some("PULL") {
+                continue;
+            }
+            let (Some(id), Some(fields), Some(length)) = (words.next(), words.next(), words.next()) else {
+                return Ok(());
+            };
+            let field = |name: &str| {
+                fields.split(',').filter_map(|f| f.split_once('=')).find(|f| f.0 == name).map(|f| f.1)
+            };
+            let object = field("key").and_then(|k| u64::from_str_radix(k, 16).ok()).unwrap_or(0);
+            let director = id.get(..8).and_then(|d| u64::from_str_radix(d, 16).ok()).unwrap_or(0) as usize;
+            let done = self.asked(director, object, field("miss").and_then(|m| others.get(m)));
+            let (at, word, said, body) = match done {
+                Done::Copy(at, issued, held) => {
+                    let how = if held { "HIT" } else { "MISS" };
+                    let said = format!("how={how},entity={issued:016x},issued={issued}");
+                    (at, "ACK", said, format!("{issued:016x}"))
+                }
+                Done::Miss(at) => (at, "NOENT", "-".into(), String::new()),
+                Done::Full(at) => (at, "AGAIN", "-".into(), String::new()),
+                Done::Error(at) => (at, "EIO", "-".into(), String::new()),
+                Done::Silence => (At::INFINITY, "", String::new(), String::new()),
+            };
+            let bytes = format!("{id} {word} {said} {}\r\n{body}\r\n", body.len()).into_bytes();
+            let length: usize = length.parse().unwrap_or(0);
+            reader.read_exact(&mut vec![0; length + 2])?;
+            number += 1;
+            if at.is_finite() {
+                let due = Due { at, number: lane | number, to: Arc::clone(stream), bytes };
+                // Its thread ends with the trial.
+                let _ = lock(&self.due).send(due);
+            }
+        }
+    }
+
+    /// A director's request.
+    fn asked(&self, director: usize, object: u64, source: Option<&Arc<Node>>) -> Done {
+        let now = self.now();
+        let cut = {
+            let mut inner = lock(&self.inner);
+            if inner.cuts.get(&director) == Some(&Cut::To) {
+                return Done::Silence;
+            }
+            inner.senders.insert((now as u32, director));
+            inner.strays += u64::from(inner.gone_from.is_some_and(|from| now > from));
+            inner.cuts.contains_key(&director)
+        };
+        let done = match self.work(now) {
+            Ok(at) => match (self.held(object), source) {
+                (Some(issued), _) => Done::Copy(at, issued, true),
+                (None, Some(source)) => match source.fill(at, object) {
+                    Some((at, issued)) => {
+                        self.keep(object, issued);
+                        Done::Copy(at, issued, false)
+                    }
+                    None => Done::Error(at),
+                },
+                (None, None) if self.tier == Tier::Origin => Done::Copy(at, unix_ms(), false),
+                (None, None) => Done::Miss(at),
+            },
+            Err(done) => done,
+        };
+        if cut { Done::Silence } else { done }
+    }
+
+    /// A fill: from its copies, or from what it fetches at the origin, which is not slow here.
+    fn fill(&self, now: At, object: u64) -> Option<(At, u64)> {
+        let at = self.work(now).ok()?;
+        if let Some(issued) = self.held(object) {
+            return Some((at, issued));
+        }
+        let issued = unix_ms();
+        self.keep(object, issued);
+        Some((at + 0.02, issued))
+    }
+
+    /// Takes its turn in the line; when it is done.
+    fn work(&self, now: At) -> Result<At, Done> {
+        let mut inner = lock(&self.inner);
+        let tenth = (now * 10.0) as usize;
+        if inner.came.len() <= tenth {
+            inner.came.resize(tenth + 1, 0);
+        }
+        inner.came[tenth] += 1;
+        if now < inner.down_until {
+            return Err(Done::Error(now + WAY));
+        }
+        let warmth = inner
+            .since
+            .map_or(1.0, |since| (COLD_FROM + (1.0 - COLD_FROM) * (now - since) / WARM_AFTER).min(1.0));
+        if warmth < 1.0 {
+            let lately: u32 = inner.came[tenth.saturating_sub(9)..].iter().sum();
+            if f64::from(lately) > FALLS_AT * warmth * self.capacity {
+                inner.falls += 1;
+                inner.down_until = now + 2.0;
+                return Err(Done::Error(now + WAY));
+            }
+        }
+        let begin = now.max(inner.stopped_until).max(inner.free_at);
+        if begin - now.max(inner.stopped_until) > LONGEST_LINE {
+            return Err(Done::Full(now.max(inner.stopped_until) + WAY));
+        }
+        inner.free_at = begin + inner.slow / (self.capacity * warmth);
+        Ok(inner.free_at + WAY)
+    }
+
+    fn held(&self, object: u64) -> Option<u64> {
+        lock(&self.inner).copies.held.get(&object).copied()
+    }
+
+    fn keep(&self, object: u64, issued: u64) {
+        let copies = &mut lock(&self.inner).copies;
+        if copies.held.insert(object, issued).is_none() {
+            copies.line.push_back(object);
+        }
+        while copies.held.len() > self.kept {
+            let Some(first) = copies.line.pop_front() else { return };
+            copies.held.remove(&first);
+        }
+    }
+
+    // ---- what befalls it ----
+
+    pub fn slows(&self, by: f64) {
+        lock(&self.inner).slow = by;
+    }
+
+    pub fn stops(&self, lasts: f64) {
+        lock(&self.inner).stopped_until = self.now() + lasts;
+    }
+
+    pub fn cuts(&self, directors: impl Iterator<Item = usize>, way: Option<Cut>) {
+        let mut inner = lock(&self.inner);
+        for director in directors {
+            match way {
+                Some(cut) => inner.cuts.insert(director, cut),
+                None => inner.cuts.remove(&director),
+            };
+        }
+    }
+
+    /// Resets all its connections.
+    pub fn resets(&self) {
+        for link in std::mem::take(&mut lock(&self.inner).links) {
+            // One that has ended is as good.
+            let _ = link.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub fn crashes(&self, lasts: f64) {
+        lock(&self.inner).down_until = self.now() + lasts;
+        self.resets();
+    }
+
+    /// Begins anew, cold and empty; since when, in Unix milliseconds.
+    pub fn begins_cold(&self) -> u64 {
+        let mut inner = lock(&self.inner);
+        inner.copies = Copies::default();
+        (inner.since, inner.down_until, inner.gone_from) = (Some(self.now()), 0.0, None);
+        unix_ms()
+    }
+
+    /// After this grace nothing new is to come.
+    pub fn goes(&self, grace: f64) {
+        lock(&self.inner).gone_from = Some(self.now() + grace);
+    }
+
+    pub fn counted(&self) -> Counted {
+        let inner = lock(&self.inner);
+        Counted {
+            came: inner.came.clone(),
+            senders: inner.senders.clone(),
+            since: inner.since,
+            falls: inner.falls,
+            strays: inner.strays,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/run.rs
@@ -0,0 +1,393 @@
+//! A trial from start to end.
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+use super::load::{Clients, Wants};
+use super::node::{COLD_FROM, Cut, FALLS_AT, Node, Tier, WARM_AFTER};
+use super::report::{self, Report, Struck};
+use super::settings::{Fault, Kind, Trial};
+use crate::feed::Feed;
+use crate::load::BUDGET_MS;
+use crate::node::Common;
+use crate::run::{Failed, io_error, members};
+
+/// Copies of the feed, each told at its own time.
+const FEEDS: usize = 3;
+/// The list tells of a crash so much later.
+const NOTICE: f64 = 0.7;
+const GRACE: f64 = 2.0;
+
+/// A director, its process and its clients.
+struct Director {
+    config: PathBuf,
+    log: PathBuf,
+    at: SocketAddr,
+    child: Child,
+    clients: Option<Arc<Clients>>,
+    feed: usize,
+}
+
+impl Director {
+    fn start(&mut self, program: &dyn Fn() -> Command) -> Result<(), Failed> {
+        self.child = spawn(program, &self.config, &self.log)?;
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            // It may have ended by itself, which the report counts.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    fn struck(&self, from: f64, to: f64) {
+        if let Some(clients) = &self.clients {
+            clients.struck(from, to);
+        }
+    }
+}
+
+fn spawn(program: &dyn Fn() -> Command, config: &Path, log: &Path) -> Result<Child, Failed> {
+    let out = std::fs::File::options().create(true).append(true).open(log);
+    let out = out.map_err(io_error(log.display().to_string()))?;
+    let mut command = program();
+    command.env("NODE_CONFIG", config).stderr(out).stdout(Stdio::null()).stdin(Stdio::piped());
+    command.spawn().map_err(io_error("a director"))
+}
+
+struct Fleet(Vec<Director>);
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for director in &mut self.0 {
+            // A stopped one ends as well; it may have ended by itself.
+            let _ = director.child.kill();
+            let _ = director.child.wait();
+        }
+    }
+}
+
+/// What is to be done at its time.
+enum Act {
+    Begin(usize),
+    End(usize),
+    /// The list says of a crashed node that it has gone.
+    Told(Vec<usize>),
+    /// An event for one copy of the feed.
+    Feed(usize, String),
+}
+
+/// One that is being carried out.
+struct Running {
+    fault: Fault,
+    nodes: Vec<usize>,
+    directors: Vec<usize>,
+}
+
+fn endpoint(node: &Node, status: &str, since: u64) -> Value {
+    let (zone, kind) = match node.tier {
+        Tier::Cache => ("edge", "small"),
+        Tier::Parent => ("hub", "parent"),
+        Tier::Origin => ("hub", "origin"),
+    };
+    json!({"name": node.name, "address": node.address, "zone": zone, "type": kind, "group": 0, "status": status,
+        "weight": 1, "since_ms": since})
+}
+
+fn configuration(t: &Trial, number: usize, listen: SocketAddr, feed: &Feed) -> Value {
+    let known: Vec<Value> =
+        feed.known().iter().filter_map(|event| serde_json::from_str(event).ok()).collect();
+    let warm_us = (WARM_AFTER * 1e6) as u64;
+    json!({
+        "name": format!("director-{number}"), "listen": listen, "seed": format!("{:x}", t.seed + number as u64),
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512}, "feed": feed.address,
+        "flow_bytes_per_s": 1e6, "link_bytes_per_s": 1e7, "known": {"n": known.len(), "events": known},
+        "settings": {
+            "az": 1, "index": number, "discovery": "pushed", "periodUs": 1000, "zones": ["hub", "edge"],
+            "kinds": ["small", "parent", "origin"],
+            "classes": [{"name": "footage", "effect": "idempotent", "group": "all", "memorySpanUs": 5_000_000,
+                "aimUs": 300_000, "aimStretch": 1.6, "deadlineUs": BUDGET_MS * 1_000, "worth": 2.0}],
+            "ceilings": {"mayCancel": true, "parallelTries": true, "retryAfter": true, "maxRetryAfterUs": 500_000,
+                "sendCap": 6, "dialTimeoutUs": 400_000, "keepaliveUs": 30_000_000},
+            "guarantees": {"coldFrom": COLD_FROM, "warmAfterUs": warm_us, "fallMultiple": FALLS_AT,
+                "fallUs": 1_000_000, "drainGraceUs": 2_000_000, "answerSlackUs": 5_000},
+            "report": {"how": "none", "names": []},
+            "extra": {"freshForUs": [0], "usableAfterUs": [0], "multiPart": [false], "neverKept": [false],
+                "midKind": 1, "masterKind": 2, "direct": true, "joins": true, "streamKbPerS": 400.0,
+                "clearedWithinUs": 1_000_000, "parentStartsAt": COLD_FROM, "parentColdUs": warm_us,
+                "upperFallMultiple": FALLS_AT, "zoneBalancers": [0, t.directors]}
+        }
+    })
+}
+
+/// Some of so many, by chance: the part of them, and one at least.
+fn some(rng: &mut Pcg32, of: usize, part: f64) -> Vec<usize> {
+    let mut all: Vec<usize> = (0..of).collect();
+    let n = ((of as f64 * part).round() as usize).clamp(1, of);
+    for i in 0..n {
+        let other = rng.random_range(i..of);
+        all.swap(i, other);
+    }
+    all.truncate(n);
+    all
+}
+
+/// Runs it. `program` starts a real director, whose log goes to the folder; `tell` hears of the progress.
+pub fn run(
+    t: &Trial,
+    program: &dyn Fn() -> Command,
+    folder: &Path,
+    mut tell: impl FnMut(&str),
+) -> Result<Report, Failed> {
+    std::fs::create_dir_all(folder).map_err(io_error(folder.display().to_string()))?;
+    let mut rng = Pcg32::seed_from_u64(t.seed);
+    let over = Arc::new(AtomicBool::new(false));
+    // Nodes take times from here; clients come later.
+    let begun = Instant::now();
+    let mut nodes: Vec<Arc<Node>> = Vec::new();
+    let mut listeners = Vec::new();
+    let can = |tier: Tier| match tier {
+        Tier::Cache => t.rate / t.caches as f64 / t.load,
+        Tier::Parent => t.rate * (1.0 - t.hits) / t.parents as f64 / t.load,
+        Tier::Origin => 10.0 * t.rate,
+    };
+    let kinds = [(Tier::Cache, "cache", t.caches, t.kept), (Tier::Parent, "parent", t.parents, 4 * t.kept)];
+    for (tier, word, many, kept) in kinds.into_iter().chain([(Tier::Origin, "origin", 1, 1)]) {
+        for n in 0..many {
+            let speed = 1.0 + t.speeds * (2.0 * rng.random::<f64>() - 1.0);
+            let made = Node::start(format!("{word}-{n}"), tier, can(tier) * speed, kept, begun, &over);
+            let (node, listener) = made.map_err(io_error("a stand-in"))?;
+            nodes.push(node);
+            listeners.push(listener);
+        }
+    }
+    let others = Arc::new(nodes.iter().map(|n| (n.name.clone(), Arc::clone(n))).collect::<HashMap<_, _>>());
+    nodes.iter().zip(listeners).for_each(|(node, listener)| node.serve(listener, &others));
+
+    let common = Arc::new(Common {
+        begun,
+        over: AtomicBool::new(false),
+        seconds: Mutex::default(),
+        addresses: RwLock::default(),
+    });
+    let endpoints: Vec<Value> = nodes.iter().map(|n| endpoint(n, "ready", 0)).collect();
+    let mut feeds = Vec::new();
+    for _ in 0..FEEDS {
+        let feed = Feed::start(&common, channel().0).map_err(io_error("the feed"))?;
+        feed.tell(&members(&endpoints, true));
+        feeds.push(feed);
+    }
+
+    let mut fleet = Fleet(Vec::new());
+    for number in 0..t.directors {
+        // A port that was free a moment ago; the director says so if it is not any more.
+        let at = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(io_error("a port"))?;
+        let (config, log) =
+            (folder.join(format!("director-{number}.json")), folder.join(format!("director-{number}.log")));
+        let _ = std::fs::remove_file(&log);
+        let feed = number % FEEDS;
+        let text = configuration(t, number, at, &feeds[feed]).to_string();
+        std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
+        let child = spawn(program, &config, &log)?;
+        fleet.0.push(Director { config, log, at, child, clients: None, feed });
+    }
+    for (number, director) in fleet.0.iter().enumerate() {
+        while TcpStream::connect(director.at).is_err() {
+            if begun.elapsed() > Duration::from_secs(60) {
+                let log = director.log.display().to_string();
+                return Err(Failed::NotServing { name: format!("director-{number}"), log });
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+    tell(&format!("{} directors serve after {:.1} s", t.directors, begun.elapsed().as_secs_f64()));
+
+    let weights: Vec<f64> = (0..t.directors).map(|n| if n % 10 == 0 { t.uneven } else { 1.0 }).collect();
+    let all: f64 = weights.iter().sum();
+    let start = begun.elapsed().as_secs_f64();
+    // Clients and nodes count from here.
+    let zero = begun + Duration::from_secs_f64(start);
+    let shift = start;
+    for (number, director) in fleet.0.iter_mut().enumerate() {
+        let rate = t.rate * weights[number] / all;
+        let wants = Wants { objects: t.objects, hot: t.hot, rate, seed: t.seed };
+        director.clients = Some(Clients::start(number, director.at, wants, zero, &over));
+    }
+
+    let mut acts: Vec<(f64, Act)> = Vec::new();
+    for (n, fault) in t.faults.iter().enumerate() {
+        acts.push((fault.at, Act::Begin(n)));
+        acts.push((fault.at + fault.lasts, Act::End(n)));
+    }
+    let mut running: HashMap<usize, Running> = HashMap::new();
+    let mut struck = Vec::new();
+    let (mut said, mut ended) = (0, 0);
+    while zero.elapsed() < Duration::from_secs(t.seconds) {
+        std::thread::sleep(Duration::from_millis(5));
+        let now = zero.elapsed().as_secs_f64();
+        acts.sort_by(|a, b| b.0.total_cmp(&a.0));
+        while acts.last().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, act)) = acts.pop() else { break };
+            match act {
+                Act::Begin(n) => {
+                    let one = begin(t, &t.faults[n], &mut rng, &nodes, &mut fleet.0, now)?;
+                    if t.faults[n].kind == Kind::CrashCaches {
+                        acts.push((now + NOTICE, Act::Told(one.nodes.clone())));
+                    }
+                    let names: Vec<String> = one.nodes.iter().map(|n| nodes[*n].name.clone()).collect();
+                    tell(&format!(
+                        "{now:>6.1} s  {:?} {} of directors {}",
+                        one.fault.kind,
+                        names.join(" "),
+                        one.directors.len()
+                    ));
+                    let what = format!("{:?}", one.fault.kind);
+                    let to = one.fault.at + one.fault.lasts;
+                    struck.push(Struck { what, nodes: names, from: one.fault.at, to });
+                    running.insert(n, one);
+                }
+                Act::End(n) => {
+                    let Some(one) = running.remove(&n) else { continue };
+                    let lines = end(&one, &nodes, &mut fleet.0, program, &feeds, t)?;
+                    acts.extend(told(&lines, t, now));
+                }
+                Act::Told(which) => {
+                    let lines: Vec<Value> = which.iter().map(|n| endpoint(&nodes[*n], "gone", 0)).collect();
+                    which.iter().for_each(|n| nodes[*n].goes(GRACE + t.late_lists + 0.5));
+                    acts.extend(told(&lines, t, now));
+                }
+                Act::Feed(feed, event) => {
+                    feeds[feed].tell(&event);
+                }
+            }
+            acts.sort_by(|a, b| b.0.total_cmp(&a.0));
+        }
+        let second = now as u64;
+        if second > said {
+            said = second;
+            ended += fleet.0.iter_mut().filter_map(|d| d.child.try_wait().ok().flatten()).count();
+            tell(&format!("{second:>4} of {} s", t.seconds));
+        }
+    }
+    over.store(true, Ordering::Relaxed);
+    common.over.store(true, Ordering::Relaxed);
+    std::thread::sleep(Duration::from_millis(BUDGET_MS + 600));
+    let tallies: Vec<_> = fleet.0.iter().filter_map(|d| d.clients.as_ref()).map(|c| c.tally()).collect();
+    let skip = (shift * 10.0).round() as usize;
+    let counted = nodes.iter().map(|n| {
+        let mut counted = n.counted();
+        counted.came.drain(..skip.min(counted.came.len()));
+        counted.since = counted.since.map(|s| s - shift);
+        counted.senders = counted.senders.iter().map(|(s, d)| (s.saturating_sub(shift as u32), *d)).collect();
+        report::Node { name: n.name.clone(), tier: n.tier, capacity: n.capacity, counted }
+    });
+    Ok(Report::of(t, &counted.collect::<Vec<_>>(), &tallies, &struck, ended))
+}
+
+/// A change of the list: to the first copy of the feed at once, to the others later.
+fn told(lines: &[Value], t: &Trial, now: f64) -> Vec<(f64, Act)> {
+    if lines.is_empty() {
+        return Vec::new();
+    }
+    let at = |feed: usize| now + t.late_lists * feed as f64 / (FEEDS - 1) as f64;
+    (0..FEEDS).map(|feed| (at(feed), Act::Feed(feed, members(lines, false)))).collect()
+}
+
+fn begin(
+    t: &Trial,
+    fault: &Fault,
+    rng: &mut Pcg32,
+    nodes: &[Arc<Node>],
+    directors: &mut [Director],
+    now: f64,
+) -> Result<Running, Failed> {
+    let mut one = Running { fault: fault.clone(), nodes: Vec::new(), directors: Vec::new() };
+    let parents = |which: Vec<usize>| which.into_iter().map(|n| n + t.caches).collect::<Vec<_>>();
+    match fault.kind {
+        Kind::StopCaches | Kind::SlowCaches | Kind::CrashCaches | Kind::Reset => {
+            one.nodes = some(rng, t.caches, fault.of);
+        }
+        Kind::StopParents | Kind::SlowParents => one.nodes = parents(some(rng, t.parents, fault.of)),
+        Kind::CutTo | Kind::CutFrom => {
+            one.nodes = some(rng, t.caches, 0.0);
+            one.directors = some(rng, t.directors, fault.of);
+        }
+        Kind::StopDirectors | Kind::KillDirectors => one.directors = some(rng, t.directors, fault.of),
+    }
+    for node in one.nodes.iter().map(|n| &nodes[*n]) {
+        match fault.kind {
+            Kind::StopCaches | Kind::StopParents => node.stops(fault.lasts),
+            Kind::SlowCaches | Kind::SlowParents => node.slows(fault.by),
+            Kind::CrashCaches => node.crashes(1e9),
+            Kind::Reset => node.resets(),
+            Kind::CutTo => node.cuts(one.directors.iter().copied(), Some(Cut::To)),
+            Kind::CutFrom => node.cuts(one.directors.iter().copied(), Some(Cut::From)),
+            Kind::StopDirectors | Kind::KillDirectors => {}
+        }
+    }
+    for d in &one.directors {
+        let director = &mut directors[*d];
+        match fault.kind {
+            Kind::StopDirectors => {
+                // What waited for it meanwhile may be late for a moment after it.
+                director.struck(now, fault.at + fault.lasts + 0.5);
+                director.signal(Signal::STOP);
+            }
+            Kind::KillDirectors => {
+                director.struck(now, fault.at + fault.lasts + 2.0);
+                director.child.kill().map_err(io_error("a director's end"))?;
+                director.child.wait().map_err(io_error("a director's end"))?;
+            }
+            _ => {}
+        }
+    }
+    Ok(one)
+}
+
+/// Ends it; what the list says then.
+fn end(
+    one: &Running,
+    nodes: &[Arc<Node>],
+    directors: &mut [Director],
+    program: &dyn Fn() -> Command,
+    feeds: &[Feed],
+    t: &Trial,
+) -> Result<Vec<Value>, Failed> {
+    let mut lines = Vec::new();
+    for node in one.nodes.iter().map(|n| &nodes[*n]) {
+        match one.fault.kind {
+            Kind::SlowCaches | Kind::SlowParents => node.slows(1.0),
+            Kind::CutTo | Kind::CutFrom => node.cuts(one.directors.iter().copied(), None),
+            Kind::CrashCaches => {
+                let since = node.begins_cold();
+                lines.push(endpoint(node, "ready", since));
+            }
+            _ => {}
+        }
+    }
+    for d in &one.directors {
+        match one.fault.kind {
+            Kind::StopDirectors => directors[*d].signal(Signal::CONT),
+            Kind::KillDirectors => {
+                let director = &mut directors[*d];
+                let text = configuration(t, *d, director.at, &feeds[director.feed]).to_string();
+                std::fs::write(&director.config, text).map_err(io_error("a configuration"))?;
+                director.start(program)?;
+            }
+            _ => {}
+        }
+    }
+    Ok(lines)
+}
--- /dev/null
+++ b/crates/lab/src/fleet/settings.rs
@@ -0,0 +1,167 @@
+//! A trial of a fleet, from its settings file.
+
+use garde::Validate;
+use sablecross_forms::Fault as Flaw;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+enum Form {
+    Fleet(#[garde(dive)] Trial),
+}
+
+/// What befalls the fleet.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// Caches, or parents, fall silent and go on after it with what came meanwhile.
+    StopCaches,
+    StopParents,
+    /// They take `by` times as long.
+    SlowCaches,
+    SlowParents,
+    /// They end: connections are reset, new ones are closed, and they begin anew, cold and empty, with a new start
+    /// in the list.
+    CrashCaches,
+    /// `of` the directors reach one cache no more: what they send is lost on its way, or what it answers is.
+    CutTo,
+    CutFrom,
+    /// All connections to some caches are reset under what is open on them.
+    Reset,
+    /// Directors are stopped (SIGSTOP) and continued.
+    StopDirectors,
+    /// Directors are killed at once and started anew, with no memory.
+    KillDirectors,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Fault {
+    #[garde(skip)]
+    pub kind: Kind,
+    /// Seconds from the start of the load, and how long it lasts.
+    #[garde(range(min = 0.0, max = 3600.0))]
+    pub at: f64,
+    #[garde(range(min = 0.0, max = 600.0))]
+    #[serde(default = "second")]
+    pub lasts: f64,
+    /// The part of the caches, parents or directors that it strikes: one at least.
+    #[garde(range(min = 0.0, max = 1.0))]
+    #[serde(default)]
+    pub of: f64,
+    #[garde(range(min = 1.0, max = 100.0))]
+    #[serde(default = "second")]
+    pub by: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Trial {
+    #[garde(length(min = 1, max = 40))]
+    pub name: String,
+    #[garde(skip)]
+    #[serde(default)]
+    pub seed: u64,
+    #[garde(range(min = 2, max = 3600))]
+    pub seconds: u64,
+    /// How much of its start is left out of the figures on even load.
+    #[garde(range(max = 600))]
+    #[serde(default = "warm_up")]
+    pub warm_up: u64,
+    #[garde(range(min = 1, max = 400))]
+    pub directors: usize,
+    #[garde(range(min = 1, max = 200))]
+    pub caches: usize,
+    #[garde(range(min = 1, max = 64))]
+    pub parents: usize,
+    /// Lookups a second of all clients together, and objects that they ask for.
+    #[garde(range(min = 1.0, max = 20_000.0))]
+    pub rate: f64,
+    #[garde(range(min = 1, max = 10_000_000))]
+    pub objects: u64,
+    /// Copies that a cache keeps; a parent keeps four times as many.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub kept: usize,
+    /// The part of their capacity that caches, and parents, are asked for, if caches answer `hits` themselves.
+    #[garde(range(min = 0.05, max = 2.0))]
+    #[serde(default = "six_tenths")]
+    pub load: f64,
+    #[garde(range(min = 0.0, max = 0.99))]
+    #[serde(default = "half")]
+    pub hits: f64,
+    /// One in ten directors gets so many times what the others get.
+    #[garde(range(min = 1.0, max = 50.0))]
+    #[serde(default = "second")]
+    pub uneven: f64,
+    /// How unlike the speeds of the nodes are: each lies within this part of the mean.
+    #[garde(range(min = 0.0, max = 0.9))]
+    #[serde(default)]
+    pub speeds: f64,
+    /// The part of all lookups that ask for one object.
+    #[garde(range(min = 0.0, max = 0.9))]
+    #[serde(default)]
+    pub hot: f64,
+    /// Seconds that changes of the list come later to two thirds of the directors.
+    #[garde(range(min = 0.0, max = 60.0))]
+    #[serde(default)]
+    pub late_lists: f64,
+    #[garde(dive)]
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+    /// What a node may get at most, and at least, of its fair share in any window of five seconds with no fault in it
+    /// or before it.
+    #[garde(range(min = 1.0, max = 100.0))]
+    #[serde(default = "most")]
+    pub most: f64,
+    #[garde(range(min = 0.0, max = 1.0))]
+    #[serde(default)]
+    pub least: f64,
+    /// The least part of all lookups that is satisfied.
+    #[garde(range(min = 0.0, max = 1.0))]
+    #[serde(default)]
+    pub satisfied: f64,
+}
+
+fn second() -> f64 {
+    1.0
+}
+
+fn warm_up() -> u64 {
+    4
+}
+
+fn six_tenths() -> f64 {
+    0.6
+}
+
+fn half() -> f64 {
+    0.5
+}
+
+fn most() -> f64 {
+    100.0
+}
+
+pub fn read(file: &str, text: &str) -> Result<Trial, Vec<Flaw>> {
+    let mut forms = sablecross_forms::read::<Form>(file, text)?;
+    let Some(first) = forms.pop() else {
+        let (key, what) = ("fleet".into(), "no (fleet ...) form".into());
+        return Err(vec![Flaw { file: file.into(), line: 1, column: 1, key, what, todo: String::new() }]);
+    };
+    if !forms.is_empty() {
+        return Err(vec![first.fault(file, "fleet", "a second trial", "keep one a file")]);
+    }
+    let Form::Fleet(trial) = first.value.clone();
+    let end = trial.seconds as f64;
+    let wrong = if trial.warm_up as f64 >= end {
+        Some(("fleet.warm-up", "longer than the whole"))
+    } else if trial.faults.iter().any(|f| f.at + f.lasts > end) {
+        Some(("fleet.faults", "one lasts past the end"))
+    } else {
+        None
+    };
+    match wrong {
+        Some((key, what)) => Err(vec![first.fault(file, key, what, "leave time after it")]),
+        None => Ok(trial),
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! protocol. Nothing here decides for directors: the driver and its plans are those of `sablecross-hierarchy`.
 
 pub mod feed;
+pub mod fleet;
 pub mod load;
 pub mod node;
 pub mod report;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -47,7 +47,7 @@
     pub common: Arc<Common>,
 }
 
-enum Answer {
+pub enum Answer {
     Satisfied(Vec<u8>),
     Nacked,
     Failed,
@@ -114,29 +114,34 @@
     }
 
     fn write(&self, link: &mut TcpStream, call: u32, object: u64, number: u64) -> std::io::Result<()> {
-        let name = format!("{:016x}", self.number << 32 | number);
-        let object = format!("{object:016x}");
-        let budget = BUDGET_MS.to_string();
-        let fields = [
-            ("rid", &*name),
-            ("budget", &*budget),
-            ("obj", &*object),
-            ("piece", "0"),
-            ("lot", "1"),
-            ("mem", "8"),
-        ];
-        let mut out = vec![0x94, 0];
-        let told = encode::write_uint(&mut out, u64::from(call))
-            .and_then(|_| encode::write_str(&mut out, "footage"))
-            .and_then(|()| encode::write_array_len(&mut out, 2).map(drop))
-            .and_then(|()| encode::write_map_len(&mut out, fields.len() as u32).map(drop));
-        told.map_err(std::io::Error::from)?;
-        for text in fields.iter().flat_map(|(name, value)| [name, value]) {
-            encode::write_str(&mut out, text).map_err(std::io::Error::from)?;
-        }
-        out.extend([0xc4, 0]);
-        link.write_all(&out)
+        link.write_all(&lookup(self.number << 32 | number, call, object)?)
+    }
+}
+
+/// A lookup, as a client writes it.
+pub fn lookup(name: u64, call: u32, object: u64) -> std::io::Result<Vec<u8>> {
+    let name = format!("{name:016x}");
+    let object = format!("{object:016x}");
+    let budget = BUDGET_MS.to_string();
+    let fields = [
+        ("rid", &*name),
+        ("budget", &*budget),
+        ("obj", &*object),
+        ("piece", "0"),
+        ("lot", "1"),
+        ("mem", "8"),
+    ];
+    let mut out = vec![0x94, 0];
+    let told = encode::write_uint(&mut out, u64::from(call))
+        .and_then(|_| encode::write_str(&mut out, "footage"))
+        .and_then(|()| encode::write_array_len(&mut out, 2).map(drop))
+        .and_then(|()| encode::write_map_len(&mut out, fields.len() as u32).map(drop));
+    told.map_err(std::io::Error::from)?;
+    for text in fields.iter().flat_map(|(name, value)| [name, value]) {
+        encode::write_str(&mut out, text).map_err(std::io::Error::from)?;
     }
+    out.extend([0xc4, 0]);
+    Ok(out)
 }
 
 fn bad<E>(_: E) -> std::io::Error {
@@ -145,6 +150,12 @@
 
 /// Reads the answer to this call. Any other is strange; a reset or a silence is the connection's error.
 fn read(link: &mut TcpStream, call: u32) -> std::io::Result<Answer> {
+    let (number, answer) = any_answer(link)?;
+    if number == call { Ok(answer) } else { Err(bad(())) }
+}
+
+/// Reads the next answer and the number of its call.
+pub fn any_answer(link: &mut impl Read) -> std::io::Result<(u32, Answer)> {
     let mut first = [0; 1];
     link.read_exact(&mut first)?;
     if first != [0x94] {
@@ -152,7 +163,7 @@
     }
     let kind: u8 = decode::read_int(link).map_err(bad)?;
     let number: u32 = decode::read_int(link).map_err(bad)?;
-    if (kind, number) != (1, call) {
+    if kind != 1 {
         return Err(bad(()));
     }
     link.read_exact(&mut first)?;
@@ -160,7 +171,7 @@
         let word = text(link)?;
         fields(link)?;
         decode::read_nil(link).map_err(bad)?;
-        return Ok(if word == "Rejected" { Answer::Nacked } else { Answer::Failed });
+        return Ok((number, if word == "Rejected" { Answer::Nacked } else { Answer::Failed }));
     }
     if first != [0xc0] || decode::read_array_len(link).map_err(bad)? != 2 {
         return Err(bad(()));
@@ -169,17 +180,17 @@
     let mut body = vec![0; length as usize];
     link.read_exact(&mut body)?;
     fields(link)?;
-    Ok(Answer::Satisfied(body))
+    Ok((number, Answer::Satisfied(body)))
 }
 
-fn text(link: &mut TcpStream) -> std::io::Result<String> {
+fn text(link: &mut impl Read) -> std::io::Result<String> {
     let length = decode::read_str_len(link).map_err(bad)?;
     let mut text = vec![0; length as usize];
     link.read_exact(&mut text)?;
     String::from_utf8(text).map_err(bad)
 }
 
-fn fields(link: &mut TcpStream) -> std::io::Result<()> {
+fn fields(link: &mut impl Read) -> std::io::Result<()> {
     for _ in 0..decode::read_map_len(link).map_err(bad)? {
         text(link)?;
         text(link)?;
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -46,7 +46,7 @@
     NotServing { name: String, log: String },
 }
 
-fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> Failed {
+pub(crate) fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> Failed {
     let what = what.into();
     move |why| Failed::Io { what, why }
 }
@@ -378,7 +378,7 @@
         "weight": 1, "since_ms": since})
 }
 
-fn members(endpoints: &[serde_json::Value], whole: bool) -> String {
+pub(crate) fn members(endpoints: &[serde_json::Value], whole: bool) -> String {
     format!("\"members\":{}", json!({"index": 1, "snapshot": whole, "endpoints": endpoints}))
 }
 
