--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -37,11 +37,14 @@
     child: Child,
     clients: Option<Arc<Clients>>,
     feed: usize,
+    /// Killed by the trial, and not begun anew yet.
+    killed: bool,
 }
 
 impl Director {
     fn start(&mut self, program: &dyn Fn() -> Command) -> Result<(), Failed> {
         self.child = spawn(program, &self.config, &self.log)?;
+        self.killed = false;
         Ok(())
     }
 
@@ -201,7 +204,7 @@
         let text = configuration(t, number, at, &feeds[feed]).to_string();
         std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
         let child = spawn(program, &config, &log)?;
-        fleet.0.push(Director { config, log, at, child, clients: None, feed });
+        fleet.0.push(Director { config, log, at, child, clients: None, feed, killed: false });
     }
     for (number, director) in fleet.0.iter().enumerate() {
         while TcpStream::connect(director.at).is_err() {
@@ -277,7 +280,8 @@
         let second = now as u64;
         if second > said {
             said = second;
-            ended += fleet.0.iter_mut().filter_map(|d| d.child.try_wait().ok().flatten()).count();
+            let alive = fleet.0.iter_mut().filter(|d| !d.killed);
+            ended = alive.filter_map(|d| d.child.try_wait().ok().flatten()).count();
             tell(&format!("{second:>4} of {} s", t.seconds));
         }
     }
@@ -347,6 +351,7 @@
             }
             Kind::KillDirectors => {
                 director.struck(now, fault.at + fault.lasts + 2.0);
+                director.killed = true;
                 director.child.kill().map_err(io_error("a director's end"))?;
                 director.child.wait().map_err(io_error("a director's end"))?;
             }
--- /dev/null
+++ b/crates/lab/tests/fleet.rs
@@ -0,0 +1,51 @@
+//! A trial of a small fleet: real directors, every kind of fault, every lookup answered once.
+
+use std::process::Command;
+
+use sablecross_lab::fleet::{run, settings};
+
+#[test]
+fn faults_between_processes_lose_no_lookup_and_push_over_no_cold_cache() {
+    let text = "(fleet (name . \"test\") (seed . 3) (seconds . 22) (warm-up . 2) (directors . 8) (caches . 5) (parents . 3)
+        (rate . 80) (objects . 3000) (kept . 600) (uneven . 3) (late-lists . 1) (hot . 0.1)
+        (faults
+          ((kind . stop-caches) (at . 3) (lasts . 1.5))
+          ((kind . cut-to) (at . 5.5) (lasts . 1.5) (of . 0.4))
+          ((kind . cut-from) (at . 7.5) (lasts . 1) (of . 0.4))
+          ((kind . slow-parents) (at . 9) (lasts . 1.5) (by . 4))
+          ((kind . stop-directors) (at . 11) (lasts . 1.5) (of . 0.3))
+          ((kind . kill-directors) (at . 13) (lasts . 0.3) (of . 0.7))
+          ((kind . reset) (at . 15.5) (lasts . 0) (of . 0.5))
+          ((kind . crash-caches) (at . 16.5) (lasts . 1.5) (of . 0.4))))";
+    let trial = settings::read("test", text).unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let director = || Command::new(env!("CARGO_BIN_EXE_lab-director"));
+    let report = run(&trial, &director, folder.path(), |_| {}).unwrap();
+    assert_eq!(report.breaches(), [] as [&str; 0], "{report}");
+    let t = report.total;
+    assert_eq!(t.asked, t.satisfied + t.nacked + t.failed + t.excused, "{report}");
+    assert!(t.satisfied * 2 > t.asked, "{report}");
+    assert_eq!(report.aftermath.len(), 8);
+    // What befell the nodes was felt: the stopped, the cut off and the crashed one had idle seconds.
+    assert!(report.came.len() == 9 && report.came.values().flatten().sum::<u32>() > 1_000, "{report}");
+    report.write(folder.path()).unwrap();
+    assert!(std::fs::read_to_string(folder.path().join("plot.svg")).unwrap().contains("each cache"));
+}
+
+#[test]
+fn faulty_trials_are_refused_by_key() {
+    let cases = [
+        ("", "no (fleet ...) form"),
+        ("(fleet (name . \"x\"))", "missing field `seconds`"),
+        ("(fleet (name . \"x\") (seconds . 4) (warm-up . 4) (directors . 1) (caches . 1) (parents . 1) (rate . 1) (objects . 1) (kept . 1))", "fleet.warm-up"),
+        ("(fleet (name . \"x\") (seconds . 9) (directors . 401) (caches . 1) (parents . 1) (rate . 1) (objects . 1) (kept . 1))", "fleet.directors"),
+        ("(fleet (name . \"x\") (seconds . 9) (directors . 1) (caches . 1) (parents . 1) (rate . 1) (objects . 1) (kept . 1)
+          (faults ((kind . reset) (at . 8.5) (lasts . 2))))", "fleet.faults"),
+        ("(fleet (name . \"x\") (seconds . 9) (directors . 1) (caches . 1) (parents . 1) (rate . 1) (objects . 1) (kept . 1)
+          (faults ((kind . rest) (at . 1))))", "rest"),
+    ];
+    for (text, what) in cases {
+        let said = settings::read("f", text).unwrap_err()[0].to_string();
+        assert!(said.contains(what), "{said}");
+    }
+}
