A crowded parent's slice passes on to cheaper neighbours, by what came of it

Ruled out: uneven slices (own lab: 0.90 to 1.09 of the share). Change: a fill that can't pay its home goes to the nearest of three neighbours that it can pay and that was cheaper by 0.4 over the last windows; the part that passes on rises with what came in time, falls with what did not.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,7 +15,8 @@
 //! 3. further sends: second copies and other ways after a failure, from a budget that successes feed. Guards
 //!    against single failures and slow answers; harm: in a jam a dead home is found only by failure;
 //! 4. overload: a crowded home takes what brings most and spills some, a crowded parent fills only what pays,
-//!    the rest is nacked early. Guards against jams, slow members, hot homes; harm: recovery is slow;
+//!    more goes to cheaper neighbours, the rest is nacked early. Guards against jams, slow members, hot homes
+//!    and slices; harm: recovery is slow;
 //! 5. copies: rank by reuse, joins, renewal behind, ages bounded by purges. Guards against one-timers and
 //!    old copies; harm: what is newly wanted leaves first;
 //! 6. origin guard: a bound on this director's fetches at the origin that backs off on failure. Guards
@@ -75,6 +76,16 @@
 const FILLS: f64 = 0.35;
 const FORGOTTEN: f64 = 0.2;
 
+/// Of a crowded slice: how many parents are looked at, the home included; by how much the price over the last
+/// windows must lie below the home's, with the newest window's part in it; the part of what may pass on that
+/// does, how it moves with each such fill in time or not, and its least.
+const NEAR: usize = 4;
+const APART: f64 = 0.4;
+const NEWEST: f64 = 0.8;
+const PASS_MORE: f64 = 0.05;
+const PASS_LESS: f64 = 0.1;
+const LEAST_PASSED: f64 = 0.05;
+
 /// Part of what is asked that a cold member gets while no warm one has shown what it bears.
 const UNPROVEN: f64 = 0.25;
 
@@ -137,6 +148,8 @@
     served: f64,
     /// Of a parent: lookups that bring less for their sending time get no fill from it.
     price: f64,
+    /// The price over the last windows.
+    lasting: f64,
     /// Traffic of the closed windows, newest last, and of the open one; variance of the residuals.
     windows: Vec<f64>,
     traffic: f64,
@@ -174,6 +187,7 @@
         self.windows.drain(..usize::from(self.windows.len() == 3 * SPACING));
         self.windows.push(std::mem::take(&mut self.traffic));
         self.served = 0.0;
+        self.lasting += NEWEST * (self.price - self.lasting);
         self.price = (self.price - FORGOTTEN).max(LEAST_PRICE);
     }
 }
@@ -209,6 +223,8 @@
     usual: usize, // the most parents that were listed
     earned: Ns,
     tokens: f64,
+    /// Of the fills that a cheaper parent could take for a crowded one, the part that goes there.
+    passed: f64,
     /// Share of recent sends, weighed by sending time, that were off pace or timed out.
     late: f64,
     jammed: bool,
@@ -325,6 +341,7 @@
             usual: 0,
             earned: now,
             tokens: MOST_TOKENS / 2.0,
+            passed: 1.0,
             // Not known to be on pace: a director may start amid a jam.
             late: JAM_OVER_AT,
             jammed: false,
@@ -379,6 +396,7 @@
                 quickest: Ns::MAX,
                 bound: FIRST_BOUND / sharers.sqrt(),
                 price: LEAST_PRICE,
+                lasting: LEAST_PRICE,
                 // Directors take turns at a fresh node by their number.
                 credit: -(self.set.number as f64 % sharers / sharers) * self.largest_work(),
                 ..Node::default()
@@ -704,6 +722,13 @@
             Outcome::Satisfied | Outcome::TimedOut | Outcome::Full => DEARER,
             _ => 0.0,
         };
+        if step != 0.0 && sent.source.is_some_and(|s| self.node(s).is_some_and(|n| n.role == Role::Parent)) {
+            let home = self.parents.owner(fill_place(lk.object), |m| self.up(m));
+            if sent.source != home {
+                let more = if step < 0.0 { PASS_MORE } else { -PASS_LESS };
+                self.passed = (self.passed + more).clamp(LEAST_PASSED, 1.0);
+            }
+        }
         // Of many directors each sees little of a parent, so that each outcome must tell more.
         let step = step * sharers(&self.set, Role::Parent).cbrt();
         for &p in self.parents.members.iter().filter(|_| sent.source.is_some()) {
@@ -783,6 +808,7 @@
         if let Some(p) = self.parents.home(pos).filter(|&p| self.set.direct && due(p)) {
             return Some(self.order(lk, now, p, None));
         }
+        let parent = parent.map(|p| self.lighter(p, pos, standing, now, fit));
         let source = parent.or_else(|| self.origin_as_source(now));
         let pos = copy_of(lk);
         let home = self.caches.home(pos);
@@ -816,6 +842,32 @@
         overflow.or_else(|| cache.map(|c| self.order(lk, now, c, source)))
     }
 
+    /// Where a fill goes whose home it can't pay: to the nearest neighbour that is cheaper by far, and was so for
+    /// some time. Guards against slices that are hot, or whose parent is slow, while others idle; where all are
+    /// dear alike nothing moves. Harm: the neighbour fetches what the home holds, so what comes late goes less.
+    fn lighter(&self, home: usize, pos: u64, standing: f64, now: Ns, fit: impl Fn(usize) -> bool) -> usize {
+        let of = |m: usize| self.node(m).map_or((0.0, 0.0), |n| (n.price, n.lasting));
+        let (price, lasting) = of(home);
+        if standing >= price || chance(pos ^ now) >= self.passed {
+            return home;
+        }
+        let mut met = Vec::with_capacity(NEAR);
+        for m in self.parents.around(pos) {
+            if met.contains(&m) {
+                continue;
+            }
+            let (dear, long) = of(m);
+            if fit(m) && standing >= dear && long + APART < lasting {
+                return m;
+            }
+            met.push(m);
+            if met.len() >= NEAR.min(self.parents.members.len()) {
+                break;
+            }
+        }
+        home
+    }
+
     fn burst(&self, lk: &Lookup) -> Option<&Heat> {
         self.heat.get(&lk.object).filter(|h| h.burst.is_some())
     }
