One owner at a time: leases by a majority, fencing at the effect, shares of chores; no I/O

Need: work on behalf of the fleet is to be done by one, and an old owner that wakes late must do no harm. Change: crates/duty: Voter (silent after a start without memory until all it may have granted is over), Seat (looks before it claims, counts its lease from when it asked), Gate (refuses what is older, or a second owner of a term), Shares and Suspicion.

--- /dev/null
+++ b/crates/duty/src/lib.rs
@@ -0,0 +1,36 @@
+//! Work on behalf of a fleet that one director does for all: a lease for each duty, granted by a majority of named
+//! voters, a fencing token that goes along with each effect, and many small chores dealt to those who are alive.
+//!
+//! No I/O: times and messages come in, messages and verdicts go out. Times are whole nanoseconds of a clock that
+//! never goes back and counts while the machine is suspended; of one program alone, they are never compared between
+//! two. `Voter` grants, `Seat` claims and owns, `Gate` stands at what is done and refuses an old owner, `Shares` deals.
+//!
+//! A lease keeps owners from getting in one another's way; that an old one does no harm rests on the gate alone.
+
+mod gate;
+mod seat;
+mod shares;
+mod voter;
+
+pub use gate::{Gate, Old};
+pub use seat::{Act, Rules, Seat};
+pub use shares::{Shares, Suspicion};
+pub use voter::{Ask, Reply, Voter};
+
+/// Whole nanoseconds.
+pub type Ns = u64;
+
+/// A member of the fleet by its number, and which of its lives this is: a process that begins anew is another.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Member {
+    pub number: u32,
+    pub life: u64,
+}
+
+/// What goes along with each effect. Terms of a duty grow with each change of its owner; of two owners that hold the
+/// same term, as voters without a disk may have forgotten one, a gate takes the first it met.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Token {
+    pub term: u64,
+    pub owner: Member,
+}
--- /dev/null
+++ b/crates/duty/src/shares.rs
@@ -0,0 +1,75 @@
+//! Many small chores dealt to those who are alive, and who that is.
+
+use std::collections::BTreeMap;
+
+use crate::{Member, Ns};
+
+fn mix(x: u64) -> u64 {
+    let mut z = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// Who is alive, by how long it has been silent beside how often it speaks (Hayashibara 2004, with an exponential tail:
+/// silences of a stalled program are no bell curve). Ten means of its pauses, two seconds at least, are a death: at one
+/// message lost in ten a false one comes once in 10^10.
+#[derive(Clone, Debug, Default)]
+pub struct Suspicion {
+    heard: BTreeMap<Member, (Ns, f64)>,
+}
+
+const DEAD_AT: f64 = 10.0;
+const LEAST: f64 = 2e9;
+const LONGEST_MEAN: f64 = 5e8;
+
+impl Suspicion {
+    /// A word of a member. A new life takes the place of the earlier ones of its number.
+    pub fn heard(&mut self, now: Ns, from: Member) {
+        if self.heard.keys().any(|m| m.number == from.number && m.life > from.life) {
+            return;
+        }
+        self.heard.retain(|m, _| m.number != from.number || m.life == from.life);
+        let entry = self.heard.entry(from).or_insert((now, LONGEST_MEAN / 2.0));
+        let pause = now.saturating_sub(entry.0) as f64;
+        entry.1 = (entry.1 + 0.1 * (pause - entry.1)).clamp(1e6, LONGEST_MEAN);
+        entry.0 = now;
+    }
+
+    /// How sure it is that a member is dead: 1 and more is a verdict.
+    pub fn of(&self, now: Ns, member: Member) -> f64 {
+        let Some((at, mean)) = self.heard.get(&member) else { return f64::INFINITY };
+        now.saturating_sub(*at) as f64 / (DEAD_AT * mean).max(LEAST)
+    }
+
+    pub fn alive(&self, now: Ns) -> Vec<Member> {
+        self.heard.keys().copied().filter(|m| self.of(now, *m) < 1.0).collect()
+    }
+}
+
+/// Deals chores by rendezvous hashing (Thaler, Ravishankar 1998): of a change of one member only its own move.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Shares {
+    /// By weight: how many parts a member takes.
+    members: Vec<(Member, f64)>,
+}
+
+impl Shares {
+    /// Members with no weight, or one that is no number, take nothing.
+    pub fn of(members: impl IntoIterator<Item = (Member, f64)>) -> Shares {
+        let mut members: Vec<_> = members.into_iter().filter(|(_, w)| w.is_finite() && *w > 0.0).collect();
+        members.sort_by_key(|(m, _)| *m);
+        members.dedup_by_key(|(m, _)| m.number);
+        Shares { members }
+    }
+
+    /// Whose a chore is. Lives do not count: one that begins anew takes its own again.
+    pub fn owner(&self, chore: u64) -> Option<Member> {
+        let score = |(m, w): &(Member, f64)| {
+            let drawn = (mix(chore ^ mix(u64::from(m.number))) >> 11) as f64 / (1u64 << 53) as f64;
+            -w / drawn.max(f64::MIN_POSITIVE).ln()
+        };
+        let best = self.members.iter().max_by(|a, b| score(a).total_cmp(&score(b)));
+        best.map(|(m, _)| *m)
+    }
+}
--- /dev/null
+++ b/crates/duty/src/voter.rs
@@ -0,0 +1,124 @@
+//! A voter for one duty.
+
+use crate::{Member, Ns};
+
+/// What a claimant asks of a voter. `round` comes back with the reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Ask {
+    /// Would a claim be granted, and past which term? Changes nothing, so that one who is cut off from most voters
+    /// drives no term up (pre-vote).
+    Look { round: u64, from: Member },
+    /// Grant, or renew, this term for so long.
+    Claim { round: u64, from: Member, term: u64, lease: Ns },
+    /// The owner needs it no more; `to` may have it at once.
+    Release { from: Member, term: u64, to: Option<Member> },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reply {
+    /// The highest term met, who holds it still, and for how long.
+    Seen {
+        round: u64,
+        highest: u64,
+        held: Option<(Member, Ns)>,
+    },
+    Granted {
+        round: u64,
+        term: u64,
+    },
+    /// Not now: as another holds it, or the term is old.
+    Refused {
+        round: u64,
+        highest: u64,
+        held: Option<(Member, Ns)>,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Grant {
+    to: Member,
+    term: u64,
+    until: Ns,
+}
+
+/// Grants a duty to one at a time. Without a lasting disk a voter that begins anew has forgotten what it granted: it
+/// keeps silent until every lease it may have granted is over. With one it begins `with` what it kept.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Voter {
+    highest: u64,
+    grant: Option<Grant>,
+    silent_until: Ns,
+    longest: Ns,
+}
+
+impl Voter {
+    /// Without memory. `longest` bounds every lease, the same at all voters; how far clocks run apart within one is
+    /// added here: a hundredth.
+    pub fn begin(now: Ns, longest: Ns) -> Voter {
+        Voter { highest: 0, grant: None, silent_until: now + longest + longest / 100, longest }
+    }
+
+    /// At the very first start of all, or with the highest term that a disk kept: what was granted then may hold still.
+    pub fn with(highest: u64, now: Ns, longest: Ns, first: bool) -> Voter {
+        Voter {
+            highest,
+            silent_until: if first { now } else { Voter::begin(now, longest).silent_until },
+            grant: None,
+            longest,
+        }
+    }
+
+    pub fn highest(&self) -> u64 {
+        self.highest
+    }
+
+    /// Whether it says nothing yet, and for how long.
+    pub fn silent(&self, now: Ns) -> Option<Ns> {
+        (now < self.silent_until).then(|| self.silent_until - now)
+    }
+
+    /// The owner by this voter, and how long it grants that still.
+    pub fn owner(&self, now: Ns) -> Option<(Member, Ns)> {
+        self.grant.filter(|g| now < g.until).map(|g| (g.to, g.until - now))
+    }
+
+    /// None: it says nothing.
+    pub fn hear(&mut self, now: Ns, ask: Ask) -> Option<Reply> {
+        // What it learns of terms while it is silent it keeps.
+        if let Ask::Claim { term, .. } = ask
+            && self.silent(now).is_some()
+        {
+            self.highest = self.highest.max(term);
+        }
+        if self.silent(now).is_some() {
+            return None;
+        }
+        match ask {
+            Ask::Look { round, from } => {
+                let held = self.owner(now).filter(|(owner, _)| *owner != from);
+                Some(Reply::Seen { round, highest: self.highest, held })
+            }
+            Ask::Claim { round, from, term, lease } => {
+                let held = self.owner(now).filter(|(owner, _)| *owner != from);
+                let renews = self.grant.is_some_and(|g| (g.to, g.term) == (from, term));
+                if held.is_some() || term < self.highest || term == self.highest && !renews {
+                    return Some(Reply::Refused { round, highest: self.highest, held });
+                }
+                self.highest = term;
+                let lease = lease.min(self.longest);
+                // A renewal that was overtaken on its way shortens nothing.
+                let until =
+                    (now + lease + lease / 100).max(self.grant.filter(|_| renews).map_or(0, |g| g.until));
+                self.grant = Some(Grant { to: from, term, until });
+                Some(Reply::Granted { round, term })
+            }
+            Ask::Release { from, term, to } => {
+                if let Some(g) = self.grant.filter(|g| (g.to, g.term) == (from, term)) {
+                    // The named one has the rest of the lease to claim it before others.
+                    self.grant = to.map(|to| Grant { to, ..g });
+                }
+                None
+            }
+        }
+    }
+}
