--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,10 +4,13 @@
 use std::path::Path;
 
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use sablecross_duty::{Gate, Member, Old, Token};
 use sablecross_hierarchy::Record;
 use thiserror::Error;
 
 const RECORDS: TableDefinition<u64, &[u8]> = TableDefinition::new("records");
+/// The newest token that wrote: its term, the owner's number and life.
+const NEWEST: TableDefinition<(), (u64, u32, u64)> = TableDefinition::new("newest");
 
 #[derive(Debug, Error)]
 pub enum Error {
@@ -17,6 +20,8 @@
     Write(redb::Error),
     #[error("entry {at} of the log can't be read: {why}")]
     Read { at: u64, why: String },
+    #[error("the log takes nothing of this owner: {0}")]
+    Old(#[from] Old),
 }
 
 pub struct Log {
@@ -64,13 +69,45 @@
 
     /// Keeps an entry; once this returns it survives the end of the program and of the machine.
     pub fn write(&mut self, record: &Record) -> Result<(), Error> {
+        self.keep(None, record)
+    }
+
+    /// The same on behalf of the owner of a duty: one whose token is older than the newest that wrote is refused, in
+    /// the same commit that would have kept the entry.
+    pub fn write_as(&mut self, token: Token, record: &Record) -> Result<(), Error> {
+        self.keep(Some(token), record)
+    }
+
+    /// The newest token that wrote: who opens the log claims past its term.
+    pub fn newest(&self) -> Result<Token, Error> {
+        let read = || -> Result<Token, redb::Error> {
+            let read = self.database.begin_read()?;
+            let found = match read.open_table(NEWEST) {
+                Ok(table) => table.get(())?.map(|kept| token(kept.value())),
+                Err(redb::TableError::TableDoesNotExist(_)) => None,
+                Err(e) => return Err(e.into()),
+            };
+            Ok(found.unwrap_or_default())
+        };
+        read().map_err(|why| Error::Read { at: 0, why: why.to_string() })
+    }
+
+    fn keep(&mut self, by: Option<Token>, record: &Record) -> Result<(), Error> {
         let bytes =
             serde_json::to_vec(record).map_err(|e| Error::Read { at: self.next, why: e.to_string() })?;
         let starts = matches!(record, Record::Start { .. });
         let at = self.next;
-        let kept = || -> Result<(), redb::Error> {
+        let kept = || -> Result<Result<(), Old>, redb::Error> {
             let write = self.database.begin_write()?;
             {
+                if let Some(by) = by {
+                    let mut newest = write.open_table(NEWEST)?;
+                    let highest = newest.get(())?.map(|kept| token(kept.value())).unwrap_or_default();
+                    if let Err(old) = Gate::with(highest).pass(by) {
+                        return Ok(Err(old));
+                    }
+                    newest.insert((), (by.term, by.owner.number, by.owner.life))?;
+                }
                 let mut table = write.open_table(RECORDS)?;
                 if starts {
                     table.retain(|_, _| false)?;
@@ -78,10 +115,14 @@
                 table.insert(at, &*bytes)?;
             }
             write.commit()?;
-            Ok(())
+            Ok(Ok(()))
         };
-        kept().map_err(Error::Write)?;
+        kept().map_err(Error::Write)??;
         self.next += 1;
         Ok(())
     }
 }
+
+fn token((term, number, life): (u64, u32, u64)) -> Token {
+    Token { term, owner: Member { number, life } }
+}
--- a/crates/store/tests/log.rs
+++ b/crates/store/tests/log.rs
@@ -1,5 +1,6 @@
 //! The log on disk, and a driver that goes on from it.
 
+use sablecross_duty::{Member, Token};
 use sablecross_hierarchy::{Act, Driver, Input, Record, spec};
 use sablecross_store::Log;
 
@@ -63,3 +64,30 @@
     std::fs::write(&file, b"no database").unwrap();
     assert!(Log::open(&file).is_err());
 }
+
+#[test]
+fn an_old_owner_writes_nothing_and_is_told_so() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("fenced.redb");
+    let (number, old) = spec::read("old", OLD, None).unwrap();
+    let start = Record::Start { number, next_change: 1, version: spec::Told::of(number, &old) };
+    let token = |term, number| Token { term, owner: Member { number, life: 1 } };
+    let mut log = Log::open(&file).unwrap().0;
+    assert_eq!(log.newest().unwrap(), Token::default());
+    // (term, owner, taken): of two owners of one term the first is it.
+    let cases = [(3, 1, true), (3, 1, true), (2, 2, false), (3, 2, false), (4, 2, true), (3, 1, false)];
+    for (term, owner, taken) in cases {
+        let said = log.write_as(token(term, owner), &start);
+        assert_eq!(said.is_ok(), taken, "term {term} of {owner}: {said:?}");
+        if let Err(e) = said {
+            assert!(e.to_string().contains("claim the duty anew"), "{e}");
+        }
+    }
+    drop(log);
+    // Kept with what was written: an owner that slept through a restart of the log is refused as well.
+    let (mut log, records) = Log::open(&file).unwrap();
+    assert_eq!((records.len(), log.newest().unwrap()), (1, token(4, 2)));
+    assert!(log.write_as(token(3, 1), &start).is_err());
+    log.write(&start).unwrap();
+    assert_eq!(log.newest().unwrap(), token(4, 2), "what has no owner changes none");
+}
