--- a/crates/lab/src/fleet/node.rs
+++ b/crates/lab/src/fleet/node.rs
@@ -206,6 +206,11 @@
             };
             let object = field("key").and_then(|k| u64::from_str_radix(k, 16).ok()).unwrap_or(0);
             let director = id.get(..8).and_then(|d| u64::from_str_radix(d, 16).ok()).unwrap_or(0) as usize;
+            // A stopped program reads on when it is continued.
+            let stopped = lock(&self.inner).stopped_until - self.now();
+            if stopped > 0.0 {
+                std::thread::sleep(Duration::from_secs_f64(stopped));
+            }
             let done = self.asked(director, object, field("miss").and_then(|m| others.get(m)));
             let (at, word, said, body) = match done {
                 Done::Copy(at, issued, held) => {
@@ -242,13 +247,15 @@
             inner.strays += u64::from(inner.gone_from.is_some_and(|from| now > from));
             inner.cuts.contains_key(&director)
         };
+        // A fill sets out as the request comes, not when the own work is done: what comes to a source in the order of
+        // time is what its line is reckoned by.
         let done = match self.work(now) {
             Ok(at) => match (self.held(object), source) {
                 (Some(issued), _) => Done::Copy(at, issued, true),
-                (None, Some(source)) => match source.fill(at, object) {
-                    Some((at, issued)) => {
+                (None, Some(source)) => match source.fill(now, object) {
+                    Some((filled, issued)) => {
                         self.keep(object, issued);
-                        Done::Copy(at, issued, false)
+                        Done::Copy(at.max(filled) + WAY, issued, false)
                     }
                     None => Done::Error(at),
                 },
@@ -293,9 +300,9 @@
                 return Err(Done::Error(now + WAY));
             }
         }
-        let begin = now.max(inner.stopped_until).max(inner.free_at);
-        if begin - now.max(inner.stopped_until) > LONGEST_LINE {
-            return Err(Done::Full(now.max(inner.stopped_until) + WAY));
+        let begin = now.max(inner.free_at);
+        if begin - now > LONGEST_LINE {
+            return Err(Done::Full(now + WAY));
         }
         inner.free_at = begin + inner.slow / (self.capacity * warmth);
         Ok(inner.free_at + WAY)
