Fleet rig: ports out of the way of connections, and it says when the machine was too busy

Cause: of 20 trials with faults three were not well. Two had a director that could not listen: another trial's connection had been given its port between the choice and the start, or while it was killed ('Address already in use' in their logs); one lost 2 of 24,814 lookups in a second in which 600 other processes were started beside the four trials. Change: ports below those that connections are given; the rig measures how late it is woken itself.

--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -67,6 +67,8 @@
     pub strays: u64,
     /// Directors that ended by themselves.
     pub ended: usize,
+    /// Seconds by which the trial itself was woken late at most: over a tenth, and the machine was too busy to judge by.
+    pub late: f64,
     /// By node, what came in each second.
     pub came: BTreeMap<String, Vec<u32>>,
 }
@@ -85,7 +87,7 @@
         nodes: &[Node],
         clients: &[Vec<Tally>],
         struck: &[Struck],
-        ended: usize,
+        (ended, late): (usize, f64),
     ) -> Report {
         let seconds = trial.seconds as usize;
         let mut by_second = vec![Tally::default(); seconds];
@@ -170,6 +172,7 @@
             falls: nodes.iter().map(|n| n.counted.falls).sum(),
             strays: nodes.iter().map(|n| n.counted.strays).sum(),
             ended,
+            late,
             came: nodes
                 .iter()
                 .map(|n| (n.name.clone(), (0..seconds).map(|s| came(n, s, s + 1)).collect()))
@@ -299,6 +302,9 @@
             "new senders at a cache within a second, part of all directors: most {:.2}, mean {:.2}; idle seconds of nodes {:.4}",
             self.herd_most, self.herd_mean, self.idle
         )?;
+        if self.late > 0.1 {
+            writeln!(f, "the machine was too busy: this program was woken {:.2} s late", self.late)?;
+        }
         for breach in self.breaches() {
             writeln!(f, "NOT WELL {breach}")?;
         }
--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -147,6 +147,20 @@
     all
 }
 
+/// A port that is free, below those that connections are given by themselves: a director that was killed finds its own
+/// again, and trials beside one another seldom meet.
+fn port(rng: &mut Pcg32) -> std::io::Result<SocketAddr> {
+    let mut last = None;
+    for _ in 0..100 {
+        match TcpListener::bind(("127.0.0.1", rng.random_range(12_000..32_000))).and_then(|l| l.local_addr())
+        {
+            Ok(at) => return Ok(at),
+            Err(e) => last = Some(e),
+        }
+    }
+    Err(last.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()))
+}
+
 /// Runs it. `program` starts a real director, whose log goes to the folder; `tell` hears of the progress.
 pub fn run(
     t: &Trial,
@@ -194,9 +208,9 @@
     }
 
     let mut fleet = Fleet(Vec::new());
+    let mut ports = Pcg32::seed_from_u64(u64::from(std::process::id()));
     for number in 0..t.directors {
-        // A port that was free a moment ago; the director says so if it is not any more.
-        let at = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(io_error("a port"))?;
+        let at = port(&mut ports).map_err(io_error("a port"))?;
         let (config, log) =
             (folder.join(format!("director-{number}.json")), folder.join(format!("director-{number}.log")));
         let _ = std::fs::remove_file(&log);
@@ -237,8 +251,11 @@
     let mut running: HashMap<usize, Running> = HashMap::new();
     let mut struck = Vec::new();
     let (mut said, mut ended) = (0, 0);
+    // How late this program itself was woken: where the machine is too busy, what is lost tells nothing of directors.
+    let (mut woken, mut late) = (Instant::now(), 0.0f64);
     while zero.elapsed() < Duration::from_secs(t.seconds) {
         std::thread::sleep(Duration::from_millis(5));
+        late = late.max(woken.elapsed().as_secs_f64() - 0.005);
         let now = zero.elapsed().as_secs_f64();
         acts.sort_by(|a, b| b.0.total_cmp(&a.0));
         while acts.last().is_some_and(|(at, _)| *at <= now) {
@@ -284,6 +301,7 @@
             ended = alive.filter_map(|d| d.child.try_wait().ok().flatten()).count();
             tell(&format!("{second:>4} of {} s", t.seconds));
         }
+        woken = Instant::now();
     }
     over.store(true, Ordering::Relaxed);
     common.over.store(true, Ordering::Relaxed);
@@ -297,7 +315,7 @@
         counted.senders = counted.senders.iter().map(|(s, d)| (s.saturating_sub(shift as u32), *d)).collect();
         report::Node { name: n.name.clone(), tier: n.tier, capacity: n.capacity, counted }
     });
-    Ok(Report::of(t, &counted.collect::<Vec<_>>(), &tallies, &struck, ended))
+    Ok(Report::of(t, &counted.collect::<Vec<_>>(), &tallies, &struck, (ended, late)))
 }
 
 /// A change of the list: to the first copy of the feed at once, to the others later.
