--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -18,6 +18,7 @@
 use super::node::{COLD_FROM, Cut, FALLS_AT, Node, Tier, WARM_AFTER};
 use super::report::{self, Report, Struck};
 use super::settings::{Fault, Kind, Trial};
+use crate::config::{Like, configuration};
 use crate::feed::Feed;
 use crate::load::BUDGET_MS;
 use crate::node::Common;
@@ -109,30 +110,10 @@
         "weight": 1, "since_ms": since})
 }
 
-fn configuration(t: &Trial, number: usize, listen: SocketAddr, feed: &Feed) -> Value {
-    let known: Vec<Value> =
-        feed.known().iter().filter_map(|event| serde_json::from_str(event).ok()).collect();
+fn configured(t: &Trial, number: usize, listen: SocketAddr, feed: &Feed) -> String {
     let warm_us = (WARM_AFTER * 1e6) as u64;
-    json!({
-        "name": format!("director-{number}"), "listen": listen, "seed": format!("{:x}", t.seed + number as u64),
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512}, "feed": feed.address,
-        "flow_bytes_per_s": 1e6, "link_bytes_per_s": 1e7, "known": {"n": known.len(), "events": known},
-        "settings": {
-            "az": 1, "index": number, "discovery": "pushed", "periodUs": 1000, "zones": ["hub", "edge"],
-            "kinds": ["small", "parent", "origin"],
-            "classes": [{"name": "footage", "effect": "idempotent", "group": "all", "memorySpanUs": 5_000_000,
-                "aimUs": 300_000, "aimStretch": 1.6, "deadlineUs": BUDGET_MS * 1_000, "worth": 2.0}],
-            "ceilings": {"mayCancel": true, "parallelTries": true, "retryAfter": true, "maxRetryAfterUs": 500_000,
-                "sendCap": 6, "dialTimeoutUs": 400_000, "keepaliveUs": 30_000_000},
-            "guarantees": {"coldFrom": COLD_FROM, "warmAfterUs": warm_us, "fallMultiple": FALLS_AT,
-                "fallUs": 1_000_000, "drainGraceUs": 2_000_000, "answerSlackUs": 5_000},
-            "report": {"how": "none", "names": []},
-            "extra": {"freshForUs": [0], "usableAfterUs": [0], "multiPart": [false], "neverKept": [false],
-                "midKind": 1, "masterKind": 2, "direct": true, "joins": true, "streamKbPerS": 400.0,
-                "clearedWithinUs": 1_000_000, "parentStartsAt": COLD_FROM, "parentColdUs": warm_us,
-                "upperFallMultiple": FALLS_AT, "zoneBalancers": [0, t.directors]}
-        }
-    })
+    let like = Like { cold_from: COLD_FROM, warm_us, falls_at: FALLS_AT, stream_kb_per_s: 400.0 };
+    configuration(number, t.directors, t.seed, listen, feed, &like).to_string()
 }
 
 /// Some of so many, by chance: the part of them, and one at least.
@@ -215,7 +196,7 @@
             (folder.join(format!("director-{number}.json")), folder.join(format!("director-{number}.log")));
         let _ = std::fs::remove_file(&log);
         let feed = number % FEEDS;
-        let text = configuration(t, number, at, &feeds[feed]).to_string();
+        let text = configured(t, number, at, &feeds[feed]);
         std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
         let child = spawn(program, &config, &log)?;
         fleet.0.push(Director { config, log, at, child, clients: None, feed, killed: false });
@@ -405,7 +386,7 @@
             Kind::StopDirectors => directors[*d].signal(Signal::CONT),
             Kind::KillDirectors => {
                 let director = &mut directors[*d];
-                let text = configuration(t, *d, director.at, &feeds[director.feed]).to_string();
+                let text = configured(t, *d, director.at, &feeds[director.feed]);
                 std::fs::write(&director.config, text).map_err(io_error("a configuration"))?;
                 director.start(program)?;
             }
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -19,6 +19,7 @@
 use serde_json::json;
 use thiserror::Error;
 
+use crate::config::{Like, configuration};
 use crate::feed::{Feed, Said};
 use crate::load::{BUDGET_MS, Client, Purges, Seen};
 use crate::node::{Common, Node, Role, lock, spawn, unix_ms};
@@ -382,31 +383,6 @@
     format!("\"members\":{}", json!({"index": 1, "snapshot": whole, "endpoints": endpoints}))
 }
 
-fn configuration(e: &Experiment, number: usize, listen: SocketAddr, feed: &Feed) -> serde_json::Value {
-    let known: Vec<serde_json::Value> =
-        feed.known().iter().filter_map(|event| serde_json::from_str(event).ok()).collect();
-    json!({
-        "name": format!("director-{number}"), "listen": listen, "seed": format!("{:x}", e.seed + number as u64),
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "feed": feed.address,
-        "flow_bytes_per_s": 1e6, "link_bytes_per_s": 1e7, "known": {"n": known.len(), "events": known},
-        "settings": {
-            "az": 1, "index": number, "discovery": "pushed", "periodUs": 1000, "zones": ["hub", "edge"],
-            "kinds": ["small", "parent", "origin"],
-            "classes": [{"name": "footage", "effect": "idempotent", "group": "all", "memorySpanUs": 5_000_000,
-                "aimUs": 300_000, "aimStretch": 1.6, "deadlineUs": BUDGET_MS * 1_000, "worth": 2.0}],
-            "ceilings": {"mayCancel": true, "parallelTries": true, "retryAfter": true, "maxRetryAfterUs": 500_000,
-                "sendCap": 6, "dialTimeoutUs": 400_000, "keepaliveUs": 30_000_000},
-            "guarantees": {"coldFrom": 0.25, "warmAfterUs": WARM_AFTER / 1_000, "fallMultiple": 2.0,
-                "fallUs": 1_000_000, "drainGraceUs": 2_000_000, "answerSlackUs": 5_000},
-            "report": {"how": "none", "names": []},
-            "extra": {"freshForUs": [0], "usableAfterUs": [0], "multiPart": [false], "neverKept": [false],
-                "midKind": 1, "masterKind": 2, "direct": true, "joins": true, "streamKbPerS": 9000.0,
-                "clearedWithinUs": 1_000_000, "parentStartsAt": 0.25, "parentColdUs": WARM_AFTER / 1_000,
-                "upperFallMultiple": 2.0, "zoneBalancers": [0, e.directors]}
-        }
-    })
-}
-
 /// Runs it. `director` starts a real director, whose log goes to the folder; `tell` hears of the progress.
 pub fn run(
     e: &Experiment,
@@ -453,7 +429,9 @@
             TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(io_error("a port"))?;
         let (config, log) =
             (folder.join(format!("director-{number}.json")), folder.join(format!("director-{number}.log")));
-        let text = configuration(e, number, spare, &feed).to_string();
+        let like =
+            Like { cold_from: 0.25, warm_us: WARM_AFTER / 1_000, falls_at: 2.0, stream_kb_per_s: 9000.0 };
+        let text = configuration(number, e.directors, e.seed, spare, &feed, &like).to_string();
         std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
         let out = std::fs::File::create(&log).map_err(io_error(log.display().to_string()))?;
         let child = director()
--- a/crates/spread/tests/estimates.rs
+++ b/crates/spread/tests/estimates.rs
@@ -17,7 +17,7 @@
     let mut now = 0;
     while now < 60 * SEC {
         now += ((SEC as f64 / rate) * -(1.0 - rng.random::<f64>()).ln()) as Ns + 1;
-        let truth = |m: usize| if now > 10 * SEC && m % 8 == 0 { bad } else { 0.02 };
+        let truth = |m: usize| if now > 10 * SEC && m.is_multiple_of(8) { bad } else { 0.02 };
         let m = rng.random_range(0..members);
         let failed = f64::from(u8::from(rng.random::<f64>() < truth(m)));
         group.note(now, m, failed);
