Read once more: what leases, estimates and late answers said twice is said once

Need: a claim that fails gave back what was granted in three places; a seat kept a highest term that it did not use; a voter asked twice whether it is silent; an estimate faded all samples twice and kept a constant as a field; the log's table of tokens was made at the first write, so that reading it had a case of its own. Change: Seat::fails, one figure for clocks that run apart, tables made at the opening, the late answer's time set where it is known.

--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -73,7 +73,7 @@
 }
 
 impl Writing {
-    fn of(reply: Reply, until: Ns) -> Writing {
+    fn of(reply: Reply) -> Writing {
         let call = reply.call;
         let whole = |bytes: Vec<u8>| rpc::Frame { before: bytes, after: Vec::new() };
         let (frame, body) = match reply.say {
@@ -88,7 +88,7 @@
             Say::Failed => (whole(rpc::error(call, "Failed", &[])), None),
             Say::Alive(alive) => (whole(rpc::alive(call, alive)), None),
         };
-        Writing { frame, body, written: 0, until }
+        Writing { frame, body, written: 0, until: reply.until }
     }
 
     fn body(&self) -> &[u8] {
@@ -197,8 +197,7 @@
             let Some(writing) = self.writing.as_mut() else {
                 let Some(reply) = self.answers.pop_front() else { return Ok(()) };
                 if now < reply.until.saturating_add(of.limits.overdue) {
-                    let until = reply.until.max(now);
-                    self.writing = Some(Writing::of(reply, until));
+                    self.writing = Some(Writing::of(Reply { until: reply.until.max(now), ..reply }));
                 } else {
                     counters::add(&of.counters.unsent, 1);
                     of.unwritten.fetch_sub(1, Ordering::Release);
--- a/crates/duty/src/seat.rs
+++ b/crates/duty/src/seat.rs
@@ -39,7 +39,6 @@
     Looks {
         since: Ns,
         seen: u64,
-        highest: u64,
     },
     Claims {
         since: Ns,
@@ -119,6 +118,19 @@
         self.place = Place::Waits { until };
     }
 
+    /// It came to nothing: what few voters granted would stand in the way of all till it ends, so it is given back.
+    fn fails(&mut self, now: Ns, least: Ns) -> Vec<Act> {
+        let back = match self.place {
+            Place::Claims { term, .. } | Place::Owns { term, .. } => {
+                self.tell(Ask::Release { from: self.me, term, to: None })
+            }
+            Place::Waits { .. } | Place::Looks { .. } => Vec::new(),
+        };
+        self.failed += 1;
+        self.wait(now, least);
+        back
+    }
+
     fn tell(&self, ask: Ask) -> Vec<Act> {
         (0..self.rules.voters).map(|v| Act::Tell(v, ask)).collect()
     }
@@ -134,19 +146,10 @@
         match self.place.clone() {
             Place::Waits { until } if now >= until => {
                 self.round += 1;
-                self.place = Place::Looks { since: now, seen: 0, highest: 0 };
+                self.place = Place::Looks { since: now, seen: 0 };
                 self.tell(Ask::Look { round: self.round, from: self.me })
             }
-            Place::Looks { since, .. } | Place::Claims { since, .. } if over(since) => {
-                // What few voters granted would stand in the way of all till it ends.
-                let back = match self.place {
-                    Place::Claims { term, .. } => self.tell(Ask::Release { from: self.me, term, to: None }),
-                    _ => Vec::new(),
-                };
-                self.failed += 1;
-                self.wait(now, 0);
-                back
-            }
+            Place::Looks { since, .. } | Place::Claims { since, .. } if over(since) => self.fails(now, 0),
             Place::Owns { term, until, .. } if now >= until => {
                 self.wait(now, 0);
                 vec![Act::Ends { term, by: End::Expired }]
@@ -179,9 +182,8 @@
                 self.wait(now, left);
                 Vec::new()
             }
-            (Place::Looks { seen, highest, .. }, Reply::Seen { highest: theirs, .. }) => {
+            (Place::Looks { seen, .. }, Reply::Seen { .. }) => {
                 *seen |= bit;
-                *highest = theirs.max(*highest);
                 let seen = *seen;
                 if !self.majority(seen) {
                     return Vec::new();
@@ -204,19 +206,12 @@
                 vec![Act::Begins(Token { term, owner: self.me })]
             }
             (Place::Claims { .. }, Reply::Refused { held, .. }) => {
-                let back = match self.place {
-                    Place::Claims { term, .. } => self.tell(Ask::Release { from: self.me, term, to: None }),
-                    _ => Vec::new(),
-                };
-                self.failed += 1;
-                self.wait(now, held.map_or(0, |(_, left)| left));
-                back
+                self.fails(now, held.map_or(0, |(_, left)| left))
             }
             (Place::Owns { until, renewal: Some(r), .. }, Reply::Granted { .. }) => {
                 r.granted |= bit;
-                let (granted, since) = (r.granted, r.since);
-                if granted.count_ones() * 2 > self.rules.voters && now < *until {
-                    *until = (*until).max(since + self.rules.lease);
+                if r.granted.count_ones() * 2 > self.rules.voters && now < *until {
+                    *until = (*until).max(r.since + self.rules.lease);
                 }
                 Vec::new()
             }
@@ -228,10 +223,8 @@
     pub fn refused(&mut self, now: Ns, highest: u64) -> Vec<Act> {
         self.highest = self.highest.max(highest);
         let Place::Owns { term, .. } = self.place else { return Vec::new() };
-        self.failed += 1;
-        self.wait(now, 0);
         let mut acts = vec![Act::Ends { term, by: End::Refused }];
-        acts.extend(self.tell(Ask::Release { from: self.me, term, to: None }));
+        acts.extend(self.fails(now, 0));
         acts
     }
 
--- a/crates/duty/src/voter.rs
+++ b/crates/duty/src/voter.rs
@@ -41,6 +41,11 @@
     until: Ns,
 }
 
+/// A lease as it may last by a clock that runs a hundredth slower.
+fn by_any_clock(lease: Ns) -> Ns {
+    lease + lease / 100
+}
+
 /// Grants a duty to one at a time. Without a lasting disk a voter that begins anew has forgotten what it granted: it
 /// keeps silent until every lease it may have granted is over. With one it begins `with` what it kept.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -52,20 +57,15 @@
 }
 
 impl Voter {
-    /// Without memory. `longest` bounds every lease, the same at all voters; how far clocks run apart within one is
-    /// added here: a hundredth.
+    /// Without memory. `longest` bounds every lease, the same at all voters.
     pub fn begin(now: Ns, longest: Ns) -> Voter {
-        Voter { highest: 0, grant: None, silent_until: now + longest + longest / 100, longest }
+        Voter { highest: 0, grant: None, silent_until: now + by_any_clock(longest), longest }
     }
 
     /// At the very first start of all, or with the highest term that a disk kept: what was granted then may hold still.
     pub fn with(highest: u64, now: Ns, longest: Ns, first: bool) -> Voter {
-        Voter {
-            highest,
-            silent_until: if first { now } else { Voter::begin(now, longest).silent_until },
-            grant: None,
-            longest,
-        }
+        let anew = Voter::begin(now, longest);
+        Voter { highest, silent_until: if first { now } else { anew.silent_until }, ..anew }
     }
 
     pub fn highest(&self) -> u64 {
@@ -84,13 +84,11 @@
 
     /// None: it says nothing.
     pub fn hear(&mut self, now: Ns, ask: Ask) -> Option<Reply> {
-        // What it learns of terms while it is silent it keeps.
-        if let Ask::Claim { term, .. } = ask
-            && self.silent(now).is_some()
-        {
-            self.highest = self.highest.max(term);
-        }
         if self.silent(now).is_some() {
+            // What it learns of terms meanwhile it keeps.
+            if let Ask::Claim { term, .. } = ask {
+                self.highest = self.highest.max(term);
+            }
             return None;
         }
         match ask {
@@ -105,10 +103,9 @@
                     return Some(Reply::Refused { round, highest: self.highest, held });
                 }
                 self.highest = term;
-                let lease = lease.min(self.longest);
                 // A renewal that was overtaken on its way shortens nothing.
-                let until =
-                    (now + lease + lease / 100).max(self.grant.filter(|_| renews).map_or(0, |g| g.until));
+                let before = self.grant.filter(|_| renews).map_or(0, |g| g.until);
+                let until = (now + by_any_clock(lease.min(self.longest))).max(before);
                 self.grant = Some(Grant { to: from, term, until });
                 Some(Reply::Granted { round, term })
             }
--- a/crates/spread/src/group.rs
+++ b/crates/spread/src/group.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    fn variance(&self) -> f64 {
+        let n = self.weight.max(1e-9);
+        (self.squares / n - (self.sum / n).powi(2)).max(1e-6)
+    }
+
     fn faded(mut self, now: Ns, half_life: Ns) -> Faded {
         self.fade(now, half_life);
         self
@@ -43,9 +48,8 @@
     half_life: Ns,
     /// The most samples of a member that count: with many of them the newest are enough.
     most: f64,
-    /// What is believed with no sample at all, and how many samples that is worth.
+    /// What is believed with no sample at all; it is worth one.
     prior: f64,
-    worth: f64,
     members: Vec<Faded>,
     all: Faded,
     /// How many samples the group's mean is worth at a member: what they vary by over how unlike members are.
@@ -64,7 +68,7 @@
     pub fn new(half_life: Ns, most: f64, prior: f64) -> Group {
         let half_life = half_life.max(1);
         let (members, all) = (Vec::new(), Faded::default());
-        Group { half_life, most, prior, worth: 1.0, members, all, shrink: 10.0, reckoned: 0 }
+        Group { half_life, most, prior, members, all, shrink: 10.0, reckoned: 0 }
     }
 
     /// A sample of a member; one that is no number is passed over.
@@ -104,21 +108,19 @@
 
     /// What all of them show.
     pub fn mean(&self, now: Ns) -> f64 {
-        let all = self.all.faded(now, self.half_life);
-        (all.sum + self.worth * self.prior) / (all.weight + self.worth)
+        self.mean_of(&self.all.faded(now, self.half_life))
+    }
+
+    fn mean_of(&self, all: &Faded) -> f64 {
+        (all.sum + self.prior) / (all.weight + 1.0)
     }
 
     pub fn of(&self, now: Ns, member: usize) -> Estimate {
         let own = self.members.get(member).map_or(Faded::default(), |m| m.faded(now, self.half_life));
-        let mean = (own.sum + self.shrink * self.mean(now)) / (own.weight + self.shrink);
         let all = self.all.faded(now, self.half_life);
-        let error = (self.within(&all) / (own.weight + self.shrink)).sqrt();
-        Estimate { mean, sure: own.weight / (own.weight + self.shrink), error }
-    }
-
-    fn within(&self, all: &Faded) -> f64 {
-        let n = all.weight.max(1e-9);
-        (all.squares / n - (all.sum / n).powi(2)).max(1e-6)
+        let weight = own.weight + self.shrink;
+        let mean = (own.sum + self.shrink * self.mean_of(&all)) / weight;
+        Estimate { mean, sure: own.weight / weight, error: (all.variance() / weight).sqrt() }
     }
 
     /// How unlike members are, by how much their means vary beyond what chance would do (method of moments).
@@ -133,7 +135,7 @@
         // Within members, pooled; members with one sample tell nothing of it.
         let inside: f64 = faded.iter().map(|m| m.squares - m.sum * m.sum / m.weight).sum();
         let free = total - faded.len() as f64;
-        let within = if free > 1.0 { (inside / free).max(1e-6) } else { self.within(&self.all) };
+        let within = if free > 1.0 { (inside / free).max(1e-6) } else { self.all.variance() };
         let between: f64 = faded.iter().map(|m| m.weight * (m.sum / m.weight - mean).powi(2)).sum();
         let squares: f64 = faded.iter().map(|m| m.weight * m.weight).sum();
         let spread = (between - (faded.len() - 1) as f64 * within) / (total - squares / total).max(1e-9);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -35,10 +35,11 @@
         let failed = |why: redb::Error| Error::Open { file: file.display().to_string(), why };
         let database = Database::create(file).map_err(|e| failed(e.into()))?;
         let mut log = Log { database, next: 0 };
-        // The table is there from the first opening on.
+        // The tables are there from the first opening on.
         let begun = || -> Result<(), redb::Error> {
             let write = log.database.begin_write()?;
             write.open_table(RECORDS)?;
+            write.open_table(NEWEST)?;
             write.commit()?;
             Ok(())
         };
@@ -82,12 +83,7 @@
     pub fn newest(&self) -> Result<Token, Error> {
         let read = || -> Result<Token, redb::Error> {
             let read = self.database.begin_read()?;
-            let found = match read.open_table(NEWEST) {
-                Ok(table) => table.get(())?.map(|kept| token(kept.value())),
-                Err(redb::TableError::TableDoesNotExist(_)) => None,
-                Err(e) => return Err(e.into()),
-            };
-            Ok(found.unwrap_or_default())
+            Ok(kept_token(&read.open_table(NEWEST)?)?)
         };
         read().map_err(|why| Error::Read { at: 0, why: why.to_string() })
     }
@@ -102,8 +98,7 @@
             {
                 if let Some(by) = by {
                     let mut newest = write.open_table(NEWEST)?;
-                    let highest = newest.get(())?.map(|kept| token(kept.value())).unwrap_or_default();
-                    if let Err(old) = Gate::with(highest).pass(by) {
+                    if let Err(old) = Gate::with(kept_token(&newest)?).pass(by) {
                         return Ok(Err(old));
                     }
                     newest.insert((), (by.term, by.owner.number, by.owner.life))?;
@@ -123,6 +118,7 @@
     }
 }
 
-fn token((term, number, life): (u64, u32, u64)) -> Token {
-    Token { term, owner: Member { number, life } }
+fn kept_token(from: &impl ReadableTable<(), (u64, u32, u64)>) -> Result<Token, redb::StorageError> {
+    let kept = from.get(())?.map(|kept| kept.value());
+    Ok(kept.map_or(Token::default(), |(term, number, life)| Token { term, owner: Member { number, life } }))
 }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -690,15 +690,12 @@
 
 /// What becomes of the fills of one parent's slice over so many seconds, ten a second, if the parents in `late` answer
 /// past the budget: the parts that kept their home, went elsewhere, got none, in the last seconds.
-fn slice(c: &mut Choice, from: Ns, secs: u64, last: u64, late: &[usize]) -> (usize, [usize; 3]) {
-    let mine: Vec<(u64, usize)> = {
-        let fills = homes(&mut director(settings(), &list(3, 5)), 3_000);
-        let home = |o: &u64| fills[*o as usize].1;
-        (0..3_000).filter(|o| home(o) == Some(50)).filter_map(|o| Some((o, home(&o)?))).collect()
-    };
+fn slice(c: &mut Choice, from: Ns, secs: u64, last: u64, late: &[usize]) -> [usize; 3] {
+    let fills = homes(&mut director(settings(), &list(3, 5)), 3_000);
+    let mine: Vec<u64> = (0..3_000).filter(|o| fills[*o as usize].1 == Some(50)).collect();
     let mut came = [0; 3];
     for k in 0..10 * secs {
-        let (object, home) = mine[k as usize % mine.len()];
+        let object = mine[k as usize % mine.len()];
         let now = from + k * 100 * MS;
         let mut lk = lookup(object, now);
         let Route::Send(s) = go(c, now, &mut lk) else { continue };
@@ -706,25 +703,25 @@
         let outcome = if s.source.is_some() { Outcome::Satisfied } else { Outcome::Miss };
         end(c, now + if over { 900 * MS } else { 90 * MS }, &mut lk, outcome);
         if k >= 10 * (secs - last) {
-            came[if s.source == Some(home) { 0 } else { 1 + usize::from(s.source.is_none()) }] += 1;
+            came[if s.source == Some(50) { 0 } else { 1 + usize::from(s.source.is_none()) }] += 1;
         }
     }
-    (50, came)
+    came
 }
 
 #[test]
 fn a_crowded_slice_passes_on_to_cheaper_parents_and_comes_back() {
     let mut c = director(settings(), &list(3, 5));
-    let (_, [_, elsewhere, none]) = slice(&mut c, START, 14, 6, &[50]);
+    let [_, elsewhere, none] = slice(&mut c, START, 14, 6, &[50]);
     assert!(elsewhere >= 25 && none <= 10, "a hot slice: {elsewhere} elsewhere, {none} without a fill");
     // Its parent is well again: what it is asked for shows that.
-    let (_, [home, elsewhere, _]) = slice(&mut c, START + 14 * SEC, 20, 4, &[]);
+    let [home, elsewhere, _] = slice(&mut c, START + 14 * SEC, 20, 4, &[]);
     assert!(home >= 30, "back home: {home}, {elsewhere} elsewhere");
 }
 
 #[test]
 fn nothing_passes_on_where_all_parents_are_crowded_alike() {
     let mut c = director(settings(), &list(3, 5));
-    let (_, [home, elsewhere, none]) = slice(&mut c, START, 30, 20, &[50, 51, 52, 53, 54]);
+    let [home, elsewhere, none] = slice(&mut c, START, 30, 20, &[50, 51, 52, 53, 54]);
     assert!(elsewhere <= 20, "{home} at home, {elsewhere} elsewhere, {none} without a fill");
 }
