Lab: both rigs start directors one way; the module's hash serves the duties

Need: the fleet rig had its own choice of ports, start, wait, list lines and order of acts beside the small installation's; the free-port race that was mended in the one stood in the other still; duties had a copy of the module's hash. A trial with no warm-up would have counted senders of the second before the first. Change: crates/lab/src/directors.rs for both rigs, ports mended for both; mix is public; answers wait in one ordered map; the trial takes acts in order without sorting them again; new senders are counted in one pass.

--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -17,8 +17,7 @@
 pub use shares::{Shares, Suspicion};
 pub use voter::{Ask, Reply, Voter};
 
-/// Whole nanoseconds.
-pub type Ns = u64;
+pub use sablecross::Ns;
 
 /// A member of the fleet by its number, and which of its lives this is: a process that begins anew is another.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/duty/src/shares.rs
+++ b/crates/duty/src/shares.rs
@@ -2,14 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use crate::{Member, Ns};
+use sablecross::mix;
 
-fn mix(x: u64) -> u64 {
-    let mut z = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
+use crate::{Member, Ns};
 
 /// Who is alive, by how long it has been silent beside how often it speaks (Hayashibara 2004, with an exponential tail:
 /// silences of a stalled program are no bell curve). Ten means of its pauses, two seconds at least, are a death: at one
--- /dev/null
+++ b/crates/lab/src/directors.rs
@@ -0,0 +1,121 @@
+//! Directors on loopback as processes of their own: their ports, configurations, starts, and what a list says of nodes.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use serde_json::{Value, json};
+
+use crate::feed::Feed;
+use crate::load::BUDGET_MS;
+use crate::run::{Failed, io_error};
+
+/// Ports that are free, below those that connections are given by themselves: a director that was killed finds its own
+/// again, and installations beside one another seldom meet.
+pub struct Ports(Pcg32);
+
+impl Ports {
+    pub fn new() -> Ports {
+        Ports(Pcg32::seed_from_u64(u64::from(std::process::id())))
+    }
+
+    /// One that was free a moment ago; the director says so if it is not any more.
+    pub fn next(&mut self) -> io::Result<SocketAddr> {
+        let mut last = io::ErrorKind::AddrInUse.into();
+        for _ in 0..100 {
+            let port = self.0.random_range(12_000..32_000);
+            match TcpListener::bind(("127.0.0.1", port)).and_then(|l| l.local_addr()) {
+                Ok(at) => return Ok(at),
+                Err(e) => last = e,
+            }
+        }
+        Err(last)
+    }
+}
+
+/// Starts a director; what it logs is added to the file.
+pub fn spawn_director(program: &dyn Fn() -> Command, config: &Path, log: &Path) -> Result<Child, Failed> {
+    let out = std::fs::File::options().create(true).append(true).open(log);
+    let out = out.map_err(io_error(log.display().to_string()))?;
+    let mut command = program();
+    command.env("NODE_CONFIG", config).stderr(out).stdout(Stdio::null()).stdin(Stdio::piped());
+    command.spawn().map_err(io_error("a director"))
+}
+
+/// Waits until it takes connections, so long after `since` at most.
+pub fn serving(
+    number: usize,
+    at: SocketAddr,
+    log: &Path,
+    since: Instant,
+    most: Duration,
+) -> Result<(), Failed> {
+    while TcpStream::connect(at).is_err() {
+        if since.elapsed() > most {
+            return Err(Failed::NotServing {
+                name: format!("director-{number}"),
+                within: most.as_secs(),
+                log: log.display().to_string(),
+            });
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    Ok(())
+}
+
+/// A line of the list: caches stand at the edge, all else at the hub.
+pub fn endpoint(name: &str, address: SocketAddr, kind: &str, status: &str, since: u64) -> Value {
+    let zone = if kind == "small" { "edge" } else { "hub" };
+    json!({"name": name, "address": address, "zone": zone, "type": kind, "group": 0, "status": status,
+        "weight": 1, "since_ms": since})
+}
+
+pub fn members(endpoints: &[Value], whole: bool) -> String {
+    format!("\"members\":{}", json!({"index": 1, "snapshot": whole, "endpoints": endpoints}))
+}
+
+/// What its nodes are like: the rule on cold ones, and how fast one transfer runs.
+pub struct Like {
+    pub cold_from: f64,
+    pub warm_us: u64,
+    pub falls_at: f64,
+    pub stream_kb_per_s: f64,
+}
+
+/// One of so many directors of the only location, with what the feed has told up to now.
+pub fn configuration(
+    number: usize,
+    directors: usize,
+    seed: u64,
+    listen: SocketAddr,
+    feed: &Feed,
+    like: &Like,
+) -> Value {
+    let known: Vec<Value> =
+        feed.known().iter().filter_map(|event| serde_json::from_str(event).ok()).collect();
+    json!({
+        "name": format!("director-{number}"), "listen": listen, "seed": format!("{:x}", seed + number as u64),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "feed": feed.address,
+        "flow_bytes_per_s": 1e6, "link_bytes_per_s": 1e7, "known": {"n": known.len(), "events": known},
+        "settings": {
+            "az": 1, "index": number, "discovery": "pushed", "periodUs": 1000, "zones": ["hub", "edge"],
+            "kinds": ["small", "parent", "origin"],
+            "classes": [{"name": "footage", "effect": "idempotent", "group": "all", "memorySpanUs": 5_000_000,
+                "aimUs": 300_000, "aimStretch": 1.6, "deadlineUs": BUDGET_MS * 1_000, "worth": 2.0}],
+            "ceilings": {"mayCancel": true, "parallelTries": true, "retryAfter": true, "maxRetryAfterUs": 500_000,
+                "sendCap": 6, "dialTimeoutUs": 400_000, "keepaliveUs": 30_000_000},
+            "guarantees": {"coldFrom": like.cold_from, "warmAfterUs": like.warm_us, "fallMultiple": like.falls_at,
+                "fallUs": 1_000_000, "drainGraceUs": 2_000_000, "answerSlackUs": 5_000},
+            "report": {"how": "none", "names": []},
+            "extra": {"freshForUs": [0], "usableAfterUs": [0], "multiPart": [false], "neverKept": [false],
+                "midKind": 1, "masterKind": 2, "direct": true, "joins": true,
+                "streamKbPerS": like.stream_kb_per_s, "clearedWithinUs": 1_000_000,
+                "parentStartsAt": like.cold_from, "parentColdUs": like.warm_us,
+                "upperFallMultiple": like.falls_at, "zoneBalancers": [0, directors]}
+        }
+    })
+}
--- a/crates/lab/src/fleet/node.rs
+++ b/crates/lab/src/fleet/node.rs
@@ -1,8 +1,7 @@
 //! Stand-in caches, parents and origin of a trial: each works at its own speed, counts what comes by tenth of a second
 //! and by director, and is slowed, stopped, cut off, reset and begun anew.
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -163,23 +162,17 @@
 
     /// Writes answers when they are due.
     fn deliver(&self, dues: &Receiver<Due>) {
-        let mut line: BinaryHeap<Reverse<(u64, u64)>> = BinaryHeap::new();
-        let mut waiting: HashMap<u64, Due> = HashMap::new();
+        let mut waiting: BTreeMap<(u64, u64), Due> = BTreeMap::new();
         while !self.over.load(Ordering::Relaxed) {
             let now = (self.now() * 1e6) as u64;
-            while let Some(Reverse((at, number))) = line.peek().copied().filter(|Reverse((at, _))| *at <= now)
-            {
-                line.pop();
-                if let Some(due) = waiting.remove(&number) {
-                    debug_assert!(at <= now);
-                    // A director that has gone needs no answer.
-                    let _ = (&*due.to).write_all(&due.bytes);
-                }
+            while let Some(due) = waiting.first_entry().filter(|e| e.key().0 <= now) {
+                let due = due.remove();
+                // A director that has gone needs no answer.
+                let _ = (&*due.to).write_all(&due.bytes);
             }
-            let next = line.peek().map_or(50_000, |Reverse((at, _))| (at - now).min(50_000));
+            let next = waiting.keys().next().map_or(50_000, |(at, _)| (at - now).min(50_000));
             if let Ok(due) = dues.recv_timeout(Duration::from_micros(next)) {
-                line.push(Reverse(((due.at * 1e6) as u64, due.number)));
-                waiting.insert(due.number, due);
+                waiting.insert(((due.at * 1e6) as u64, due.number), due);
             }
         }
     }
@@ -351,8 +344,9 @@
         }
     }
 
-    pub fn crashes(&self, lasts: f64) {
-        lock(&self.inner).down_until = self.now() + lasts;
+    /// Ends, until it begins anew.
+    pub fn crashes(&self) {
+        lock(&self.inner).down_until = At::INFINITY;
         self.resets();
     }
 
--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -146,11 +146,16 @@
         let aftermath = aftermath.collect();
         let mut fresh = Vec::new();
         for n in nodes.iter().filter(|n| n.tier == Tier::Cache) {
-            for second in trial.warm_up as u32..seconds as u32 {
-                let new = |d: &usize| !n.counted.senders.contains(&(second - 1, *d));
-                let now = n.counted.senders.iter().filter(|(s, _)| *s == second).map(|(_, d)| d);
-                fresh.push(now.filter(|d| new(d)).count() as f64 / trial.directors as f64);
+            let mut new = vec![0u32; seconds];
+            for (second, director) in &n.counted.senders {
+                let before =
+                    second.checked_sub(1).is_some_and(|s| n.counted.senders.contains(&(s, *director)));
+                if let Some(count) = new.get_mut(*second as usize) {
+                    *count += u32::from(!before);
+                }
             }
+            fresh
+                .extend(new[trial.warm_up as usize..].iter().map(|c| f64::from(*c) / trial.directors as f64));
         }
         let up = |n: &&Node, s: usize| !out(n, s as f64, s as f64 + 1.0);
         let looked = (trial.warm_up as usize..seconds).flat_map(|s| {
--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -1,9 +1,9 @@
 //! A trial from start to end.
 
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex, RwLock};
@@ -12,17 +12,17 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use super::load::{Clients, Wants};
 use super::node::{COLD_FROM, Cut, FALLS_AT, Node, Tier, WARM_AFTER};
 use super::report::{self, Report, Struck};
 use super::settings::{Fault, Kind, Trial};
-use crate::config::{Like, configuration};
+use crate::directors::{Like, Ports, configuration, endpoint, members, serving, spawn_director};
 use crate::feed::Feed;
 use crate::load::BUDGET_MS;
 use crate::node::Common;
-use crate::run::{Failed, io_error, members};
+use crate::run::{Failed, io_error};
 
 /// Copies of the feed, each told at its own time.
 const FEEDS: usize = 3;
@@ -44,7 +44,7 @@
 
 impl Director {
     fn start(&mut self, program: &dyn Fn() -> Command) -> Result<(), Failed> {
-        self.child = spawn(program, &self.config, &self.log)?;
+        self.child = spawn_director(program, &self.config, &self.log)?;
         self.killed = false;
         Ok(())
     }
@@ -63,14 +63,6 @@
     }
 }
 
-fn spawn(program: &dyn Fn() -> Command, config: &Path, log: &Path) -> Result<Child, Failed> {
-    let out = std::fs::File::options().create(true).append(true).open(log);
-    let out = out.map_err(io_error(log.display().to_string()))?;
-    let mut command = program();
-    command.env("NODE_CONFIG", config).stderr(out).stdout(Stdio::null()).stdin(Stdio::piped());
-    command.spawn().map_err(io_error("a director"))
-}
-
 struct Fleet(Vec<Director>);
 
 impl Drop for Fleet {
@@ -100,14 +92,13 @@
     directors: Vec<usize>,
 }
 
-fn endpoint(node: &Node, status: &str, since: u64) -> Value {
-    let (zone, kind) = match node.tier {
-        Tier::Cache => ("edge", "small"),
-        Tier::Parent => ("hub", "parent"),
-        Tier::Origin => ("hub", "origin"),
+fn listed(node: &Node, status: &str, since: u64) -> Value {
+    let kind = match node.tier {
+        Tier::Cache => "small",
+        Tier::Parent => "parent",
+        Tier::Origin => "origin",
     };
-    json!({"name": node.name, "address": node.address, "zone": zone, "type": kind, "group": 0, "status": status,
-        "weight": 1, "since_ms": since})
+    endpoint(&node.name, node.address, kind, status, since)
 }
 
 fn configured(t: &Trial, number: usize, listen: SocketAddr, feed: &Feed) -> String {
@@ -128,20 +119,6 @@
     all
 }
 
-/// A port that is free, below those that connections are given by themselves: a director that was killed finds its own
-/// again, and trials beside one another seldom meet.
-fn port(rng: &mut Pcg32) -> std::io::Result<SocketAddr> {
-    let mut last = None;
-    for _ in 0..100 {
-        match TcpListener::bind(("127.0.0.1", rng.random_range(12_000..32_000))).and_then(|l| l.local_addr())
-        {
-            Ok(at) => return Ok(at),
-            Err(e) => last = Some(e),
-        }
-    }
-    Err(last.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()))
-}
-
 /// Runs it. `program` starts a real director, whose log goes to the folder; `tell` hears of the progress.
 pub fn run(
     t: &Trial,
@@ -180,7 +157,7 @@
         seconds: Mutex::default(),
         addresses: RwLock::default(),
     });
-    let endpoints: Vec<Value> = nodes.iter().map(|n| endpoint(n, "ready", 0)).collect();
+    let endpoints: Vec<Value> = nodes.iter().map(|n| listed(n, "ready", 0)).collect();
     let mut feeds = Vec::new();
     for _ in 0..FEEDS {
         let feed = Feed::start(&common, channel().0).map_err(io_error("the feed"))?;
@@ -189,35 +166,28 @@
     }
 
     let mut fleet = Fleet(Vec::new());
-    let mut ports = Pcg32::seed_from_u64(u64::from(std::process::id()));
+    let mut ports = Ports::new();
     for number in 0..t.directors {
-        let at = port(&mut ports).map_err(io_error("a port"))?;
+        let at = ports.next().map_err(io_error("a port"))?;
         let (config, log) =
             (folder.join(format!("director-{number}.json")), folder.join(format!("director-{number}.log")));
         let _ = std::fs::remove_file(&log);
         let feed = number % FEEDS;
         let text = configured(t, number, at, &feeds[feed]);
         std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
-        let child = spawn(program, &config, &log)?;
+        let child = spawn_director(program, &config, &log)?;
         fleet.0.push(Director { config, log, at, child, clients: None, feed, killed: false });
     }
     for (number, director) in fleet.0.iter().enumerate() {
-        while TcpStream::connect(director.at).is_err() {
-            if begun.elapsed() > Duration::from_secs(60) {
-                let log = director.log.display().to_string();
-                return Err(Failed::NotServing { name: format!("director-{number}"), log });
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        }
+        serving(number, director.at, &director.log, begun, Duration::from_secs(60))?;
     }
     tell(&format!("{} directors serve after {:.1} s", t.directors, begun.elapsed().as_secs_f64()));
 
     let weights: Vec<f64> = (0..t.directors).map(|n| if n % 10 == 0 { t.uneven } else { 1.0 }).collect();
     let all: f64 = weights.iter().sum();
-    let start = begun.elapsed().as_secs_f64();
-    // Clients and nodes count from here.
-    let zero = begun + Duration::from_secs_f64(start);
-    let shift = start;
+    // Clients and the report count from here.
+    let zero = Instant::now();
+    let shift = (zero - begun).as_secs_f64();
     for (number, director) in fleet.0.iter_mut().enumerate() {
         let rate = t.rate * weights[number] / all;
         let wants = Wants { objects: t.objects, hot: t.hot, rate, seed: t.seed };
@@ -238,9 +208,7 @@
         std::thread::sleep(Duration::from_millis(5));
         late = late.max(woken.elapsed().as_secs_f64() - 0.005);
         let now = zero.elapsed().as_secs_f64();
-        acts.sort_by(|a, b| b.0.total_cmp(&a.0));
-        while acts.last().is_some_and(|(at, _)| *at <= now) {
-            let Some((_, act)) = acts.pop() else { break };
+        while let Some(act) = due(&mut acts, now) {
             match act {
                 Act::Begin(n) => {
                     let one = begin(t, &t.faults[n], &mut rng, &nodes, &mut fleet.0, now)?;
@@ -265,7 +233,7 @@
                     acts.extend(told(&lines, t, now));
                 }
                 Act::Told(which) => {
-                    let lines: Vec<Value> = which.iter().map(|n| endpoint(&nodes[*n], "gone", 0)).collect();
+                    let lines: Vec<Value> = which.iter().map(|n| listed(&nodes[*n], "gone", 0)).collect();
                     which.iter().for_each(|n| nodes[*n].goes(GRACE + t.late_lists + 0.5));
                     acts.extend(told(&lines, t, now));
                 }
@@ -273,7 +241,6 @@
                     feeds[feed].tell(&event);
                 }
             }
-            acts.sort_by(|a, b| b.0.total_cmp(&a.0));
         }
         let second = now as u64;
         if second > said {
@@ -299,6 +266,13 @@
     Ok(Report::of(t, &counted.collect::<Vec<_>>(), &tallies, &struck, (ended, late)))
 }
 
+/// Takes the earliest one whose time has come.
+fn due(acts: &mut Vec<(f64, Act)>, now: f64) -> Option<Act> {
+    let all = acts.iter().enumerate().filter(|(_, (at, _))| *at <= now);
+    let first = all.min_by(|a, b| a.1.0.total_cmp(&b.1.0)).map(|(n, _)| n)?;
+    Some(acts.remove(first).1)
+}
+
 /// A change of the list: to the first copy of the feed at once, to the others later.
 fn told(lines: &[Value], t: &Trial, now: f64) -> Vec<(f64, Act)> {
     if lines.is_empty() {
@@ -333,7 +307,7 @@
         match fault.kind {
             Kind::StopCaches | Kind::StopParents => node.stops(fault.lasts),
             Kind::SlowCaches | Kind::SlowParents => node.slows(fault.by),
-            Kind::CrashCaches => node.crashes(1e9),
+            Kind::CrashCaches => node.crashes(),
             Kind::Reset => node.resets(),
             Kind::CutTo => node.cuts(one.directors.iter().copied(), Some(Cut::To)),
             Kind::CutFrom => node.cuts(one.directors.iter().copied(), Some(Cut::From)),
@@ -376,7 +350,7 @@
             Kind::CutTo | Kind::CutFrom => node.cuts(one.directors.iter().copied(), None),
             Kind::CrashCaches => {
                 let since = node.begins_cold();
-                lines.push(endpoint(node, "ready", since));
+                lines.push(listed(node, "ready", since));
             }
             _ => {}
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,7 +2,7 @@
 //! and feed in this one, load, changes of the hierarchy, faults; a report. Stand-ins follow the operators' published
 //! protocol. Nothing here decides for directors: the driver and its plans are those of `sablecross-hierarchy`.
 
-mod config;
+mod directors;
 pub mod feed;
 pub mod fleet;
 pub mod load;
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -77,6 +77,17 @@
     line: VecDeque<u64>,
 }
 
+impl Role {
+    /// As the list says it.
+    pub fn kind(self) -> &'static str {
+        match self {
+            Role::Edge => "small",
+            Role::Upper => "parent",
+            Role::Origin => "origin",
+        }
+    }
+}
+
 pub struct Node {
     pub name: String,
     pub role: Role,
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -2,9 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex, RwLock};
@@ -16,10 +15,9 @@
 use sablecross_hierarchy::spec::Told;
 use sablecross_hierarchy::{Act, Admission, Driver, FULL, Hierarchy, Input, Member, NodeId, Record, Rules};
 use sablecross_store::Log;
-use serde_json::json;
 use thiserror::Error;
 
-use crate::config::{Like, configuration};
+use crate::directors::{Like, Ports, configuration, endpoint, members, serving, spawn_director};
 use crate::feed::{Feed, Said};
 use crate::load::{BUDGET_MS, Client, Purges, Seen};
 use crate::node::{Common, Node, Role, lock, spawn, unix_ms};
@@ -43,8 +41,8 @@
     Log(#[from] sablecross_store::Error),
     #[error("the hierarchy of the experiment: {0}")]
     Hierarchy(#[from] No),
-    #[error("director {name} did not serve within 10 s: see {log}")]
-    NotServing { name: String, log: String },
+    #[error("director {name} did not serve within {within} s: see {log}")]
+    NotServing { name: String, within: u64, log: String },
 }
 
 pub(crate) fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> Failed {
@@ -369,20 +367,6 @@
     }
 }
 
-fn endpoint(name: &str, address: SocketAddr, role: Role, since: u64) -> serde_json::Value {
-    let (zone, kind) = match role {
-        Role::Edge => ("edge", "small"),
-        Role::Upper => ("hub", "parent"),
-        Role::Origin => ("hub", "origin"),
-    };
-    json!({"name": name, "address": address, "zone": zone, "type": kind, "group": 0, "status": "ready",
-        "weight": 1, "since_ms": since})
-}
-
-pub(crate) fn members(endpoints: &[serde_json::Value], whole: bool) -> String {
-    format!("\"members\":{}", json!({"index": 1, "snapshot": whole, "endpoints": endpoints}))
-}
-
 /// Runs it. `director` starts a real director, whose log goes to the folder; `tell` hears of the progress.
 pub fn run(
     e: &Experiment,
@@ -416,41 +400,25 @@
     }
     let (to_control, heard) = channel();
     let feed = Feed::start(&common, to_control).map_err(io_error("the feed"))?;
-    let endpoints: Vec<_> = nodes.values().map(|(n, at)| endpoint(&n.name, *at, n.role, 0)).collect();
+    let endpoints: Vec<_> =
+        nodes.values().map(|(n, at)| endpoint(&n.name, *at, n.role.kind(), "ready", 0)).collect();
     feed.tell(&members(&endpoints, true));
     let told = serde_json::to_string(&Told::of(1, &first)).unwrap_or_default();
     feed.tell(&format!("\"hierarchy\":{told}"));
 
     let mut fleet = Fleet(Vec::new());
     let mut addresses = Vec::new();
+    let mut ports = Ports::new();
+    let like = Like { cold_from: 0.25, warm_us: WARM_AFTER / 1_000, falls_at: 2.0, stream_kb_per_s: 9000.0 };
     for number in 0..e.directors {
-        // A port that was free a moment ago; the director says so if it is not any more.
-        let spare =
-            TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(io_error("a port"))?;
+        let spare = ports.next().map_err(io_error("a port"))?;
         let (config, log) =
             (folder.join(format!("director-{number}.json")), folder.join(format!("director-{number}.log")));
-        let like =
-            Like { cold_from: 0.25, warm_us: WARM_AFTER / 1_000, falls_at: 2.0, stream_kb_per_s: 9000.0 };
+        let _ = std::fs::remove_file(&log);
         let text = configuration(number, e.directors, e.seed, spare, &feed, &like).to_string();
         std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
-        let out = std::fs::File::create(&log).map_err(io_error(log.display().to_string()))?;
-        let child = director()
-            .env("NODE_CONFIG", &config)
-            .stderr(out)
-            .stdout(Stdio::null())
-            .stdin(Stdio::piped())
-            .spawn();
-        fleet.0.push(child.map_err(io_error("a director"))?);
-        let begun = Instant::now();
-        while TcpStream::connect(spare).is_err() {
-            if begun.elapsed() > Duration::from_secs(10) {
-                return Err(Failed::NotServing {
-                    name: format!("director-{number}"),
-                    log: log.display().to_string(),
-                });
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        }
+        fleet.0.push(spawn_director(director, &config, &log)?);
+        serving(number, spare, &log, Instant::now(), Duration::from_secs(10))?;
         addresses.push(spare);
     }
 
@@ -519,7 +487,9 @@
                     .iter()
                     .filter(|(id, m)| m.since > 0 && from.get(*id).is_none())
                     .filter_map(|(id, m)| {
-                        nodes.get(&id).map(|(n, at)| endpoint(&n.name, *at, n.role, m.since / 1_000_000))
+                        nodes.get(&id).map(|(n, at)| {
+                            endpoint(&n.name, *at, n.role.kind(), "ready", m.since / 1_000_000)
+                        })
                     })
                     .collect();
                 if !fresh.is_empty() {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -242,7 +242,8 @@
     lines: Vec<String>,
 }
 
-fn mix(x: u64) -> u64 {
+/// Spreads numbers over all numbers, the same in every program.
+pub fn mix(x: u64) -> u64 {
     let mut z = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
     z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
