--- /dev/null
+++ b/crates/director/src/duty/agent.rs
@@ -0,0 +1,336 @@
+//! The thread that carries out what the office decides: calls to voters, probes of boxes, answers to callers. It waits for any of
+//! them, and never for one alone.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use crossbeam_channel::{Receiver, TryRecvError};
+use mio::{Events, Poll, Token, Waker};
+use sablecross::{Load, Ns, State as Listed, mix, rank};
+use sablecross_duty::word::{Finding, Request, State, Word};
+use sablecross_duty::{Do, Member, Office};
+
+use super::boxes::{self, Probed, Tag};
+use super::peers::{Line, Peer};
+use super::settings::{Setting, named};
+use super::{In, METHOD};
+use crate::common::Common;
+use crate::exchange::Event;
+use crate::plain::clock::MS;
+use crate::plain::facts;
+use crate::wire::intake::paused;
+use crate::wire::rpc::{self, Flaw};
+
+const INBOX: Token = Token(usize::MAX);
+/// Boxes' connections are numbered from here.
+const BOXES: usize = 1 << 16;
+/// An answer of a voter, and of a box.
+const MOST_ANSWER: usize = 240_000;
+const MOST_LINE: usize = 4_096;
+/// A finding older than this tells the module nothing of how the box is.
+const LATELY: Ns = 1_000 * MS;
+/// After the word to stop, the time in which duties are handed over.
+const LEAVING: Ns = 300 * MS;
+
+pub struct Agent {
+    office: Office,
+    common: Arc<Common>,
+    inbox: Receiver<In>,
+    poll: Poll,
+    peers: Vec<Peer>,
+    probing: bool,
+    /// Boxes that the list names, by the rank of their names.
+    boxes: BTreeMap<u64, Probed>,
+    /// The numbers of their connections.
+    tokens: BTreeMap<usize, u64>,
+    next_token: usize,
+    next_probe: u64,
+    stopping: Option<Ns>,
+}
+
+impl Agent {
+    pub fn new(
+        setting: Setting,
+        number: usize,
+        common: Arc<Common>,
+        inbox: Receiver<In>,
+    ) -> io::Result<(Agent, Arc<Waker>)> {
+        let poll = Poll::new()?;
+        let waker = Arc::new(Waker::new(poll.registry(), INBOX)?);
+        let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_millis() as u64);
+        let me = Member { number: u32::try_from(number).unwrap_or(u32::MAX), life };
+        let now = common.clock.now();
+        let agent = Agent {
+            office: Office::new(me, setting.terms, mix(life ^ number as u64), now),
+            common,
+            inbox,
+            poll,
+            peers: setting.addresses.into_iter().map(Peer::new).collect(),
+            probing: setting.probing,
+            boxes: BTreeMap::new(),
+            tokens: BTreeMap::new(),
+            next_token: BOXES,
+            next_probe: 0,
+            stopping: None,
+        };
+        log::info!("duty member number={} life={life} voters={}", me.number, agent.peers.len());
+        Ok((agent, waker))
+    }
+
+    /// Serves until the desk has gone.
+    pub fn serve(mut self) {
+        let mut events = Events::with_capacity(256);
+        loop {
+            let now = self.common.clock.now();
+            self.office.step(now);
+            self.carry(now);
+            let next = self.office.next().min(now + 250 * MS);
+            if let Err(e) = self.poll.poll(&mut events, Some(self.common.clock.until(next)))
+                && !paused(&e)
+            {
+                return log::error!("duty: {e}");
+            }
+            let now = self.common.clock.now();
+            for event in &events {
+                let Token(at) = event.token();
+                if event.token() == INBOX {
+                    continue;
+                }
+                if event.is_writable() {
+                    self.writes(at, now);
+                }
+                if event.is_readable() || event.is_read_closed() || event.is_error() {
+                    self.reads(at, now);
+                }
+            }
+            if !self.hears(now) {
+                return;
+            }
+            self.sweep(now);
+        }
+    }
+
+    /// What the desk hands on; false once it has gone.
+    fn hears(&mut self, now: Ns) -> bool {
+        loop {
+            match self.inbox.try_recv() {
+                Ok(In::Called { client, call, body }) => {
+                    let said = match rmp_serde::from_slice::<Request>(&body) {
+                        Ok(Request { from, words }) => {
+                            let said = self.office.called(now, from, &words);
+                            self.carry(now);
+                            rmp_serde::to_vec(&said).ok()
+                        }
+                        Err(e) => {
+                            log::debug!("duty call of client {client}: {e}");
+                            None
+                        }
+                    };
+                    // The desk outlives this thread, but for the end of the program.
+                    let _ = self.common.events.send(Event::PeerSaid { client, call, said });
+                }
+                Ok(In::Listed { members, whole }) => self.listed(now, &members, whole),
+                Ok(In::Stop) => {
+                    if self.stopping.is_none() {
+                        self.stopping = Some(now);
+                        self.office.leave(now);
+                    }
+                }
+                Err(TryRecvError::Empty) => return self.stopping.is_none_or(|at| now < at + LEAVING),
+                Err(TryRecvError::Disconnected) => return false,
+            }
+        }
+    }
+
+    fn listed(&mut self, now: Ns, members: &[facts::Member], whole: bool) {
+        if !self.probing {
+            return;
+        }
+        if whole {
+            let named: BTreeSet<u64> = members.iter().map(|m| rank(&m.name)).collect();
+            let gone: Vec<u64> = self.boxes.keys().copied().filter(|b| !named.contains(b)).collect();
+            gone.into_iter().for_each(|b| self.drops(b, now));
+        }
+        for m in members {
+            let chore = rank(&m.name);
+            if m.state == Listed::Gone {
+                self.drops(chore, now);
+            } else if let Some(known) = self.boxes.get_mut(&chore) {
+                known.line.moves(m.address, self.poll.registry(), now);
+            } else {
+                let token = self.next_token;
+                self.next_token += 1;
+                self.tokens.insert(token, chore);
+                let line = Line::new(m.address);
+                let out = BTreeMap::new();
+                self.boxes.insert(chore, Probed { name: m.name.clone(), node: token as u64, line, out });
+            }
+        }
+        let boxes: BTreeSet<u64> = self.boxes.keys().copied().collect();
+        self.office.listed(now, &boxes);
+    }
+
+    fn drops(&mut self, chore: u64, now: Ns) {
+        if let Some(mut gone) = self.boxes.remove(&chore) {
+            gone.line.close(self.poll.registry(), now);
+            self.tokens.remove(&(gone.node as usize));
+        }
+    }
+
+    /// Does what the office says, and what follows from it.
+    fn carry(&mut self, now: Ns) {
+        loop {
+            let acts = self.office.acts();
+            if acts.is_empty() {
+                return;
+            }
+            for act in acts {
+                match act {
+                    Do::Call { voter, number, words } => self.call(voter, number, words, now),
+                    Do::Probe { chore, token } => self.probe(chore, token, now),
+                    Do::Facts(findings) => self.facts(&findings),
+                    Do::Note(line) => log::info!("{line}"),
+                    Do::Begins(duty, token) => {
+                        log::info!("duty owned name={} term={}", named(duty), token.term);
+                    }
+                    Do::Ends(duty, term, by) => {
+                        log::info!("duty given up name={} term={term} by={by:?}", named(duty));
+                    }
+                    Do::Holds(..) | Do::Wish(..) => {}
+                }
+            }
+        }
+    }
+
+    fn call(&mut self, voter: u32, number: u64, words: Vec<Word>, now: Ns) {
+        let request = Request { from: self.office.me(), words };
+        let Some(peer) = self.peers.get_mut(voter as usize) else { return };
+        let Ok(body) = rmp_serde::to_vec(&request) else { return };
+        let call = peer.number(number);
+        let bytes = rpc::call(call, METHOD, &body);
+        // What can't be said is lost, as on any way.
+        if !peer.line.say(&bytes, self.poll.registry(), Token(voter as usize), now) {
+            peer.calls.clear();
+        }
+    }
+
+    fn probe(&mut self, chore: u64, token: sablecross_duty::Token, now: Ns) {
+        let Some(probed) = self.boxes.get_mut(&chore) else { return };
+        self.next_probe += 1;
+        let number = self.next_probe;
+        probed.out.insert(number, token);
+        let tag = Tag { token, number };
+        let at = Token(probed.node as usize);
+        if !probed.line.say(format!("METER {tag}\r\n").as_bytes(), self.poll.registry(), at, now) {
+            // Its time ends it as any other that has no answer.
+            probed.out.clear();
+        }
+    }
+
+    fn facts(&mut self, findings: &[Finding]) {
+        let found = findings.iter().filter(|f| f.age < LATELY).filter_map(|f| {
+            let busy = match f.state {
+                State::Well(busy) => f64::from(busy?),
+                State::Ailing | State::Silent => return None,
+            };
+            Some((self.boxes.get(&f.chore)?.name.clone(), Load { busy: Some(busy), link: None }))
+        });
+        let found: Vec<(String, Load)> = found.collect();
+        if !found.is_empty() {
+            // A full queue has news enough; the next finding comes soon.
+            let _ = self.common.events.try_send(Event::Found(found));
+        }
+    }
+
+    fn writes(&mut self, at: usize, now: Ns) {
+        let registry = self.poll.registry();
+        if let Some(peer) = self.peers.get_mut(at) {
+            if !peer.line.write(registry, now) {
+                peer.calls.clear();
+            }
+        } else if let Some(probed) = self.tokens.get(&at).and_then(|chore| self.boxes.get_mut(chore)) {
+            probed.line.write(registry, now);
+        }
+    }
+
+    fn reads(&mut self, at: usize, now: Ns) {
+        if at < self.peers.len() {
+            self.answers(at, now);
+        } else if let Some(chore) = self.tokens.get(&at).copied() {
+            self.probed(chore, now);
+        }
+    }
+
+    fn answers(&mut self, at: usize, now: Ns) {
+        let Some(peer) = self.peers.get_mut(at) else { return };
+        let open = peer.line.read(self.poll.registry(), now, MOST_ANSWER);
+        let mut used = 0;
+        let mut said = Vec::new();
+        let bad = loop {
+            match rpc::answered(&peer.line.came[used..], &self.common.limits) {
+                Ok((call, body, length)) => {
+                    let number = peer.calls.remove(&call);
+                    let answers = body.and_then(|b| rmp_serde::from_slice(b).ok());
+                    said.extend(number.zip(answers));
+                    used += length;
+                }
+                Err(Flaw::Short) => break false,
+                Err(Flaw::Bad(_)) => break true,
+            }
+        };
+        peer.line.came.drain(..used);
+        if peer.calls.is_empty() {
+            peer.line.settled();
+        }
+        if bad {
+            peer.line.close(self.poll.registry(), now);
+        }
+        if bad || !open {
+            peer.calls.clear();
+        }
+        for (number, answers) in said {
+            self.office.answered(now, at as u32, number, answers);
+        }
+        self.carry(now);
+    }
+
+    fn probed(&mut self, chore: u64, now: Ns) {
+        let Some(probed) = self.boxes.get_mut(&chore) else { return };
+        if !probed.line.read(self.poll.registry(), now, MOST_LINE) {
+            probed.out.clear();
+            return;
+        }
+        let mut states = Vec::new();
+        while let Some(end) = probed.line.came.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = probed.line.came.drain(..=end).collect();
+            let answer = std::str::from_utf8(&line).ok().and_then(boxes::answer);
+            if let Some((tag, state)) = answer
+                && let Some(token) = probed.out.remove(&tag.number)
+            {
+                states.push((token, state));
+            }
+        }
+        if probed.out.is_empty() {
+            probed.line.settled();
+        }
+        for (token, state) in states {
+            self.office.probed(now, chore, token, state);
+        }
+        self.carry(now);
+    }
+
+    /// Connections that are stuck.
+    fn sweep(&mut self, now: Ns) {
+        let registry = self.poll.registry();
+        for peer in self.peers.iter_mut().filter(|p| p.line.stuck(now)) {
+            peer.line.close(registry, now);
+            peer.calls.clear();
+        }
+        for probed in self.boxes.values_mut().filter(|p| p.line.stuck(now)) {
+            probed.line.close(registry, now);
+            probed.out.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/director/src/duty/settings.rs
@@ -0,0 +1,162 @@
+//! The settings of the duties: `(duty ...)` in the file that `SABLECROSS_DUTY` names, the same at all members.
+
+use std::net::SocketAddr;
+
+use garde::Validate;
+use sablecross_duty::Terms;
+use sablecross_duty::word::{DEALING, Duty};
+use sablecross_forms::Fault;
+use serde::{Deserialize, Serialize};
+
+use crate::plain::clock::MS;
+
+/// The variable that names the settings file.
+const FILE: &str = "SABLECROSS_DUTY";
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+enum Form {
+    Duty(#[garde(dive)] Head),
+    Voter(#[garde(dive)] Line),
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct Head {
+    #[garde(range(min = 50, max = 600_000))]
+    #[serde(default = "lease")]
+    lease_ms: u64,
+    /// A round of asking voters; how far apart claimants hold their claims.
+    #[garde(range(min = 5, max = 60_000))]
+    #[serde(default = "round")]
+    round_ms: u64,
+    #[garde(range(min = 1, max = 60_000))]
+    #[serde(default = "apart")]
+    apart_ms: u64,
+    #[garde(range(min = 20, max = 60_000))]
+    #[serde(default = "beat")]
+    beat_ms: u64,
+    #[garde(range(min = 20, max = 600_000))]
+    #[serde(default = "probe")]
+    probe_ms: u64,
+    #[garde(range(min = 5, max = 60_000))]
+    #[serde(default = "patience")]
+    patience_ms: u64,
+    /// Whether boxes are probed.
+    #[garde(skip)]
+    #[serde(default = "yes")]
+    probing: bool,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct Line {
+    /// The member's number among the directors.
+    #[garde(range(max = 1_000_000))]
+    number: u32,
+    #[garde(skip)]
+    address: SocketAddr,
+}
+
+fn lease() -> u64 {
+    1_000
+}
+
+fn round() -> u64 {
+    200
+}
+
+fn apart() -> u64 {
+    50
+}
+
+fn beat() -> u64 {
+    200
+}
+
+fn probe() -> u64 {
+    1_000
+}
+
+fn patience() -> u64 {
+    400
+}
+
+fn yes() -> bool {
+    true
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Setting {
+    pub terms: Terms,
+    /// In the order of the voters.
+    pub addresses: Vec<SocketAddr>,
+    pub probing: bool,
+}
+
+/// What a member can own: dealing chores, and a mark that a duty of the settings may be built on.
+pub const DUTIES: [(Duty, &str); 2] = [(DEALING, "dealing"), (1, "driving")];
+
+pub fn named(duty: Duty) -> &'static str {
+    DUTIES.iter().find(|d| d.0 == duty).map_or("unknown", |d| d.1)
+}
+
+impl Setting {
+    /// From the file, where one is named.
+    pub fn read() -> Option<Result<Setting, String>> {
+        let file = std::env::var(FILE).ok()?;
+        let text = std::fs::read_to_string(&file).map_err(|e| format!("{FILE}: {file}: {e}"));
+        Some(text.and_then(|text| {
+            Setting::parse(&file, &text)
+                .map_err(|f| f.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))
+        }))
+    }
+
+    pub fn parse(file: &str, text: &str) -> Result<Setting, Vec<Fault>> {
+        let forms = sablecross_forms::read::<Form>(file, text)?;
+        let none = |key: &str, what: &str, todo: &str| {
+            let (key, what, todo) = (key.into(), what.into(), todo.into());
+            vec![Fault { file: file.into(), line: 1, column: 1, key, what, todo }]
+        };
+        let (mut head, mut lines) = (None, Vec::<Line>::new());
+        for form in &forms {
+            match &form.value {
+                Form::Duty(h) => {
+                    if head.replace(h.clone()).is_some() {
+                        return Err(vec![form.fault(file, "duty", "a second one", "keep one")]);
+                    }
+                }
+                Form::Voter(line) => {
+                    let twice = |l: &Line| l.number == line.number || l.address == line.address;
+                    if lines.iter().any(twice) {
+                        let what = "its number or address is another voter's too";
+                        return Err(vec![form.fault(file, "voter", what, "each votes once")]);
+                    }
+                    lines.push(line.clone());
+                }
+            }
+        }
+        let head = head.ok_or_else(|| none("duty", "no (duty ...) form", "add one"))?;
+        if lines.is_empty() || lines.len() > 15 {
+            return Err(none("voter", "between 1 and 15 voters are needed", "three or five are usual"));
+        }
+        if 2 * head.round_ms > head.lease_ms {
+            return Err(none(
+                "duty.round-ms",
+                "longer than half of the lease",
+                "an owner has to renew in time",
+            ));
+        }
+        let terms = Terms {
+            voters: lines.iter().map(|l| l.number).collect(),
+            duties: DUTIES.iter().map(|d| d.0).collect(),
+            lease: head.lease_ms * MS,
+            round: head.round_ms * MS,
+            apart: head.apart_ms * MS,
+            beat: head.beat_ms * MS,
+            probe: head.probe_ms * MS,
+            patience: head.patience_ms * MS,
+        };
+        Ok(Setting { terms, addresses: lines.iter().map(|l| l.address).collect(), probing: head.probing })
+    }
+}
--- /dev/null
+++ b/crates/director/src/duty_off.rs
@@ -0,0 +1,44 @@
+//! Without the feature `duty` a director does nothing on behalf of others: there is nobody to tell.
+
+use std::io;
+use std::sync::Arc;
+
+use crate::common::Common;
+use crate::exchange::Client;
+use crate::plain::facts::Member;
+
+pub const METHOD: &str = "duty";
+
+/// None can be.
+pub enum Setting {}
+
+impl Setting {
+    pub fn read() -> Option<Result<Setting, String>> {
+        None
+    }
+}
+
+pub enum Agent {}
+
+impl Agent {
+    pub fn serve(self) {
+        match self {}
+    }
+}
+
+#[derive(Default)]
+pub struct Duties;
+
+impl Duties {
+    pub fn start(_: Option<Setting>, _: usize, _: &Arc<Common>) -> io::Result<(Duties, Option<Agent>)> {
+        Ok((Duties, None))
+    }
+
+    pub fn called(&self, _client: Client, _call: u32, _body: Vec<u8>) -> bool {
+        false
+    }
+
+    pub fn listed(&self, _members: &[Member], _whole: bool) {}
+
+    pub fn stop(&self) {}
+}
--- a/crates/director/src/exchange.rs
+++ b/crates/director/src/exchange.rs
@@ -83,6 +83,19 @@
         unwritten: Vec<Name>,
     },
     Fact(Fact),
+    /// Another member of the fleet calls; what it is answered, if anything.
+    Called {
+        client: Client,
+        call: u32,
+        body: Vec<u8>,
+    },
+    PeerSaid {
+        client: Client,
+        call: u32,
+        said: Option<Vec<u8>>,
+    },
+    /// What probes of any member found lately, by the names of nodes.
+    Found(Vec<(String, Load)>),
     Stop,
     Report,
     Died(&'static str),
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -2,6 +2,8 @@
 //! stops; `exchange`, `common`, `upper` and `plain` stand below all three.
 
 pub mod common;
+#[cfg_attr(not(feature = "duty"), path = "duty_off.rs")]
+pub mod duty;
 pub mod exchange;
 pub mod life;
 pub mod memory;
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -15,9 +15,11 @@
 use signals::Fixed;
 
 use crate::common::Common;
+use crate::duty::{Duties, Setting};
 use crate::exchange::Event;
 use crate::memory::desk::Desk;
 use crate::plain::facts::Fact;
+use crate::plain::names::Names;
 use crate::upper::{Told, Upper};
 use crate::wire::clients::Clients;
 use crate::wire::feed::Follower;
@@ -51,7 +53,9 @@
 pub fn run() -> Result<(), String> {
     let config = Config::load()?;
     let fixed = Fixed::of(&config);
-    let (common, to_desk) = Common::new(config.names, config.limits);
+    let duty = Setting::read().transpose()?;
+    let names = Names { duties: duty.is_some(), ..config.names };
+    let (common, to_desk) = Common::new(names, config.limits);
     let limits = &common.limits;
     let at_listen = |e| format!("listen: {}: {e}", config.listen);
     let (clients, outlet) = Clients::listen(config.listen, &common).map_err(at_listen)?;
@@ -60,8 +64,10 @@
     let (links, orders) = Links::new(&common).map_err(|e| format!("connections to nodes: {e}"))?;
     let nodes = Nodes::new(orders, Arc::clone(&common));
     let upper = Upper::new(config.settings.parent_kind);
+    let at_duty = |e| format!("duties: {e}");
+    let (duties, agent) = Duties::start(duty, config.settings.number, &common).map_err(at_duty)?;
     let choice = Choice::new(config.settings, config.seed, common.clock.now());
-    let mut desk = Desk::new(choice, nodes, outlet, Arc::clone(&common), upper, to_say);
+    let mut desk = Desk::new(choice, nodes, outlet, Arc::clone(&common), upper, duties, to_say);
     if let Some(told) = Told::read() {
         desk.fact(Fact::Hierarchy(Box::new(told?)));
     }
@@ -94,6 +100,12 @@
     vital("feed", Box::new(move || follower.follow()))?;
     vital("links", Box::new(move || links.serve()))?;
     vital("clients", Box::new(move || clients.serve()))?;
+    if let Some(agent) = agent {
+        // Lookups never depend on it.
+        let run = move || agent.serve();
+        let began = thread::Builder::new().name("duty".into()).stack_size(limits.stack).spawn(run);
+        began.map_err(|e| format!("thread duty: {e}"))?;
+    }
     log::info!("serving name={} listen={listen}", config.name);
 
     let served = desk.serve(&to_desk);
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -10,6 +10,7 @@
 use sablecross_inhand::{Carrier, End, Hand};
 
 use crate::common::Common;
+use crate::duty::Duties;
 use crate::exchange::{Asked, Client, Ended, Event, Link, Name};
 use crate::plain::clock::MS;
 use crate::plain::counters::{self, Counters};
@@ -55,6 +56,7 @@
     ends: VecDeque<(u64, usize, End)>,
     counters: Counters,
     upper: Upper,
+    duties: Duties,
     /// To the feed's thread: what is in force.
     in_force: Sender<InForce>,
 }
@@ -176,6 +178,7 @@
         outlet: Outlet,
         common: Arc<Common>,
         upper: Upper,
+        duties: Duties,
         in_force: Sender<InForce>,
     ) -> Desk {
         let floor = Floor {
@@ -191,6 +194,7 @@
             ends: VecDeque::new(),
             counters: Counters::default(),
             upper,
+            duties,
             in_force,
         };
         Desk { hand: Hand::new(choice), floor, next: 0, ready: false, stopped: None }
@@ -311,9 +315,31 @@
                 }
             }
             Event::Fact(fact) => self.fact(fact),
+            Event::Called { client, call, body } => {
+                if !self.floor.duties.called(client, call, body) {
+                    self.floor.tell(client, call, now + self.floor.common.limits.undated, Say::Failed);
+                }
+            }
+            Event::PeerSaid { client, call, said } => {
+                let body = said.and_then(|said| {
+                    let mut body = self.floor.common.room.body(said.len())?;
+                    body.bytes_mut().copy_from_slice(&said);
+                    Some(Arc::new(body))
+                });
+                let say = body.map_or(Say::Failed, |body| Say::Satisfied(Some(body)));
+                self.floor.tell(client, call, now + self.floor.common.limits.undated, say);
+            }
+            Event::Found(found) => {
+                for (name, load) in found {
+                    if let Some(node) = self.floor.nodes.number_of(&name) {
+                        self.hand.choice.reported(now, node, load);
+                    }
+                }
+            }
             Event::Stop => {
                 if self.stopped.is_none() {
                     log::info!("stopping in_hand={}", self.floor.kept.len());
+                    self.floor.duties.stop();
                     self.stopped = Some(now);
                 }
             }
@@ -329,8 +355,9 @@
         match fact {
             Fact::Members { members, whole } => {
                 let oldest = self.floor.kept.first_key_value().map_or(self.next, |(id, _)| *id);
-                let Floor { nodes, upper, .. } = &mut self.floor;
+                let Floor { nodes, upper, duties, .. } = &mut self.floor;
                 let mut lines = nodes.listed(&members, whole, oldest, self.next);
+                duties.listed(&members, whole);
                 upper.list(&mut lines, whole, |node| nodes.name(node).to_owned());
                 self.ready |= !lines.is_empty();
                 self.hand.choice.listed(now, &lines, whole);
--- a/crates/director/src/plain/facts.rs
+++ b/crates/director/src/plain/facts.rs
@@ -26,7 +26,7 @@
 }
 
 /// A line of the list of nodes, as the feed names it.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Member {
     pub name: String,
     pub address: SocketAddr,
--- a/crates/director/src/plain/names.rs
+++ b/crates/director/src/plain/names.rs
@@ -10,6 +10,8 @@
     pub kinds: Vec<String>,
     pub zones: HashMap<String, usize>,
     pub machines: HashMap<String, usize>,
+    /// Whether other members of the fleet are answered.
+    pub duties: bool,
 }
 
 impl Names {
@@ -23,6 +25,7 @@
             kinds: kinds.collect::<Result<_>>()?,
             zones: numbered("zones")?,
             machines: numbered("kinds")?,
+            duties: false,
         })
     }
 }
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -174,7 +174,7 @@
                 }
                 self.opens(*call)
             }
-            Event::Alive { call, .. } => self.opens(*call),
+            Event::Alive { call, .. } | Event::Called { call, .. } => self.opens(*call),
             Event::Cancelled { call, .. } => {
                 self.calls.remove(call);
                 Ok(())
@@ -425,6 +425,7 @@
     match message {
         Message::Alive { call } => Event::Alive { client, call },
         Message::Cancel { call } => Event::Cancelled { client, call },
+        Message::Duty { call, body } => Event::Called { client, call, body: body.to_vec() },
         Message::Unfit { call, why } => {
             counters::add(&of.counters.bad_messages, 1);
             log::debug!("client {client}, call {call}: {why}");
--- a/crates/director/src/wire/mod.rs
+++ b/crates/director/src/wire/mod.rs
@@ -2,7 +2,7 @@
 
 pub mod clients;
 pub mod feed;
-mod intake;
+pub(crate) mod intake;
 pub mod lines;
 pub mod links;
 pub mod nodes;
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -83,6 +83,10 @@
         self.next
     }
 
+    pub fn number_of(&self, name: &str) -> Option<usize> {
+        self.numbers.get(name).copied()
+    }
+
     pub fn name(&self, node: usize) -> &str {
         self.pools.get(node).map_or("", |p| &p.name)
     }
--- a/crates/director/src/wire/rpc.rs
+++ b/crates/director/src/wire/rpc.rs
@@ -6,6 +6,7 @@
 use rmp::decode::{self, RmpReadErr, ValueReadError};
 use rmp::encode;
 
+use crate::duty::METHOD;
 use crate::plain::clock::MS;
 use crate::plain::limits::Limits;
 use crate::plain::names::Names;
@@ -23,6 +24,11 @@
     Cancel {
         call: u32,
     },
+    /// Another member of the fleet calls, on behalf of all.
+    Duty {
+        call: u32,
+        body: &'a [u8],
+    },
     /// An id is known, but what it asks for can't be used.
     Unfit {
         call: u32,
@@ -105,6 +111,11 @@
     if method == "alive" {
         return Ok(Message::Alive { call });
     }
+    if names.duties && method == METHOD && parts == 2 {
+        (0..2 * decode::read_map_len(&mut b)?).try_for_each(|_| skip(&mut b, limits, 0, &mut 0))?;
+        let length = decode::read_bin_len(&mut b)? as usize;
+        return Ok(Message::Duty { call, body: b.get(..length).ok_or(Flaw::Short)? });
+    }
     let kind = names.kinds.iter().position(|k| k == method).ok_or(Flaw::Bad("unknown method"))?;
     if parts != 2 {
         return Err(Flaw::Bad("not fields and a body"));
@@ -218,6 +229,39 @@
     Ok(head)
 }
 
+/// The first answer in the bytes to a call of this program's own: the call, its body if it went well, and its length.
+pub fn answered<'a>(bytes: &'a [u8], limits: &Limits) -> Read<(u32, Option<&'a [u8]>, usize)> {
+    let mut rest = bytes;
+    skip(&mut rest, limits, 0, &mut 0)?;
+    let length = bytes.len() - rest.len();
+    let mut b = &bytes[..length];
+    if (decode::read_array_len(&mut b)?, decode::read_int::<u8, _>(&mut b)?) != (4, 1) {
+        return Err(Flaw::Bad("no answer"));
+    }
+    let call = decode::read_int(&mut b)?;
+    if decode::read_nil(&mut b).is_err() {
+        return Ok((call, None, length));
+    }
+    if decode::read_array_len(&mut b)? != 2 {
+        return Err(Flaw::Bad("not a body and fields"));
+    }
+    let size = decode::read_bin_len(&mut b)? as usize;
+    Ok((call, Some(b.get(..size).ok_or(Flaw::Bad("cut short"))?), length))
+}
+
+/// A call of this program's own.
+pub fn call(call: u32, method: &str, body: &[u8]) -> Vec<u8> {
+    built(|out| {
+        encode::write_array_len(out, 4)?;
+        encode::write_uint(out, 0)?;
+        encode::write_uint(out, u64::from(call))?;
+        encode::write_str(out, method)?;
+        encode::write_array_len(out, 2)?;
+        fields(out, &[])?;
+        encode::write_bin(out, body)
+    })
+}
+
 /// What stands before and after the body of an answer.
 pub struct Frame {
     pub before: Vec<u8>,
--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -7,20 +7,30 @@
 //!
 //! A lease keeps owners from getting in one another's way; that an old one does no harm rests on the gate alone.
 
+mod chores;
 mod gate;
+mod office;
+mod register;
 mod seat;
 mod shares;
+mod station;
 mod voter;
+pub mod word;
 
+pub use chores::Chores;
 pub use gate::{Gate, Old};
-pub use seat::{Act, Rules, Seat};
+pub use office::{Do, Office, Terms};
+pub use register::{Do as Kept, Keeper, Post};
+pub use seat::{Act, End, Rules, Seat};
 pub use shares::{Shares, Suspicion};
+pub use station::Station;
 pub use voter::{Ask, Reply, Voter};
 
 pub use sablecross::Ns;
+use serde::{Deserialize, Serialize};
 
 /// A member of the fleet by its number, and which of its lives this is: a process that begins anew is another.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Member {
     pub number: u32,
     pub life: u64,
@@ -28,7 +38,7 @@
 
 /// What goes along with each effect. Terms of a duty grow with each change of its owner; of two owners that hold the
 /// same term, as voters without a disk may have forgotten one, a gate takes the first it met.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Token {
     pub term: u64,
     pub owner: Member,
--- a/crates/duty/src/shares.rs
+++ b/crates/duty/src/shares.rs
@@ -1,6 +1,6 @@
 //! Many small chores dealt to those who are alive, and who that is.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sablecross::mix;
 
@@ -12,6 +12,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Suspicion {
     heard: BTreeMap<Member, (Ns, f64)>,
+    /// Those that said that they end.
+    left: BTreeSet<Member>,
 }
 
 const DEAD_AT: f64 = 10.0;
@@ -21,9 +23,12 @@
 impl Suspicion {
     /// A word of a member. A new life takes the place of the earlier ones of its number.
     pub fn heard(&mut self, now: Ns, from: Member) {
-        if self.heard.keys().any(|m| m.number == from.number && m.life > from.life) {
+        if self.heard.keys().any(|m| m.number == from.number && m.life > from.life)
+            || self.left.contains(&from)
+        {
             return;
         }
+        self.left.retain(|m| m.number != from.number);
         self.heard.retain(|m, _| m.number != from.number || m.life == from.life);
         let entry = self.heard.entry(from).or_insert((now, LONGEST_MEAN / 2.0));
         let pause = now.saturating_sub(entry.0) as f64;
@@ -31,6 +36,17 @@
         entry.0 = now;
     }
 
+    /// One that said that it ends; what comes of it later was on its way.
+    pub fn left(&mut self, member: Member) {
+        if self.heard.remove(&member).is_some() {
+            self.left.insert(member);
+        }
+    }
+
+    pub fn has_left(&self, member: Member) -> bool {
+        self.left.contains(&member)
+    }
+
     /// How sure it is that a member is dead: 1 and more is a verdict.
     pub fn of(&self, now: Ns, member: Member) -> f64 {
         let Some((at, mean)) = self.heard.get(&member) else { return f64::INFINITY };
--- a/crates/duty/src/voter.rs
+++ b/crates/duty/src/voter.rs
@@ -1,9 +1,11 @@
 //! A voter for one duty.
 
+use serde::{Deserialize, Serialize};
+
 use crate::{Member, Ns};
 
 /// What a claimant asks of a voter. `round` comes back with the reply.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Ask {
     /// Would a claim be granted, and past which term? Changes nothing, so that one who is cut off from most voters
     /// drives no term up (pre-vote).
@@ -14,7 +16,7 @@
     Release { from: Member, term: u64, to: Option<Member> },
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Reply {
     /// The highest term met, who holds it still, and for how long.
     Seen {
@@ -72,6 +74,11 @@
         self.highest
     }
 
+    /// A later term was met elsewhere: claims go past it.
+    pub fn learn(&mut self, term: u64) {
+        self.highest = self.highest.max(term);
+    }
+
     /// Whether it says nothing yet, and for how long.
     pub fn silent(&self, now: Ns) -> Option<Ns> {
         (now < self.silent_until).then(|| self.silent_until - now)
--- /dev/null
+++ b/crates/duty/src/word.rs
@@ -0,0 +1,165 @@
+//! What the members of a fleet say to the voters, and what these answer. One call holds several words; none waits for
+//! another, and each may be lost, doubled or late.
+
+use serde::{Deserialize, Serialize};
+
+use crate::voter::{Ask, Reply};
+use crate::{Member, Ns, Token};
+
+/// A duty by its number.
+pub type Duty = u16;
+
+/// The duty of dealing chores to those who are alive.
+pub const DEALING: Duty = 0;
+
+/// Which deal of chores: the term of the dealer and the number of its deal, in this order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Stamp {
+    pub term: u64,
+    pub number: u64,
+}
+
+/// Deals of one term have numbers below this.
+const DEALS: u64 = 1 << 24;
+
+impl Stamp {
+    /// What goes along with an effect of whoever holds a share by this deal: gates take it as any other token.
+    pub fn token(self, owner: Member) -> Token {
+        Token { term: self.term.saturating_mul(DEALS) | self.number.min(DEALS - 1), owner }
+    }
+
+    /// The deal of such a token.
+    pub fn of(token: Token) -> Stamp {
+        Stamp { term: token.term / DEALS, number: token.term % DEALS }
+    }
+}
+
+/// To whom chores are dealt.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Roster {
+    pub stamp: Stamp,
+    pub dealer: Member,
+    /// In the order of their numbers.
+    pub members: Vec<Member>,
+}
+
+/// How a box was found.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum State {
+    /// With how busy it is, from 0 to 1, where it says so.
+    Well(Option<f32>),
+    Ailing,
+    /// No answer in time.
+    Silent,
+}
+
+/// What a probe found, so long ago.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Finding {
+    pub chore: u64,
+    pub age: Ns,
+    pub state: State,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Request {
+    pub from: Member,
+    pub words: Vec<Word>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// I am alive and go by this deal.
+    Here(Stamp),
+    /// I end.
+    Leaves,
+    Ask(Duty, Ask),
+    /// The dealer's, to be kept and passed on.
+    Deal(Roster),
+    Found(Vec<Finding>),
+    /// What was found since that number?
+    Facts(u64),
+    /// A gate was passed by a later term than the one I was given.
+    Behind(Duty, u64),
+    /// The register of a duty: its owner reads it, or writes it whole.
+    Read(Duty, Token),
+    Write(Duty, Entry),
+    /// A voter that begins anew asks another what it met.
+    Learn(Duty),
+    /// What an operator wants of a duty.
+    Wish(Duty, Vec<u8>),
+    Show,
+    HandOver(Duty, Option<u32>),
+}
+
+/// What a register holds: the count of its changes, by whom the last one was written, and what.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Entry {
+    pub count: u64,
+    pub by: Token,
+    pub bytes: Vec<u8>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    Said(Duty, Reply),
+    /// A newer deal than yours.
+    Dealt(Roster),
+    /// The dealer was heard of lately, and this is its deal.
+    Holds(Stamp),
+    /// A later life of your number has spoken: you are none, or your clock was set back.
+    Displaced(u64),
+    Facts {
+        upto: u64,
+        findings: Vec<Finding>,
+    },
+    /// Its token is older than this one.
+    Old(Duty, Token),
+    /// What the register holds. `whole`: what was written before is surely known here.
+    Kept {
+        duty: Duty,
+        to: Token,
+        entry: Entry,
+        whole: bool,
+    },
+    Wrote {
+        duty: Duty,
+        by: Token,
+        count: u64,
+    },
+    Learnt(Duty, Token, bool),
+    Shown(Shown),
+    /// Whether a hand-over has begun here.
+    HandsOver(Duty, bool),
+    /// A wish was heard by the owner, or who that is.
+    Wished(Duty, Result<(), String>),
+}
+
+/// What operators see of a member.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Shown {
+    pub me: Member,
+    /// Whose number votes here, if one does, and for how long it keeps silent still.
+    pub voter: Option<u32>,
+    pub silent: Ns,
+    pub duties: Vec<Held>,
+    pub roster: Roster,
+    /// For how long its chores are its own still; 0: not now.
+    pub holds: Ns,
+    pub chores: u32,
+    pub probes: u64,
+    /// Words and effects of old owners that were refused: here as a voter, here as a member, and of this one at gates.
+    pub refused: u64,
+    pub passed_over: u64,
+    pub was_refused: u64,
+}
+
+/// A duty as a voter, or its owner, sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    pub duty: Duty,
+    pub highest: u64,
+    pub owner: Option<(Member, Ns)>,
+    /// The token and for how long, where this member owns it.
+    pub own: Option<(Token, Ns)>,
+}
--- a/crates/lab/src/directors.rs
+++ b/crates/lab/src/directors.rs
@@ -38,10 +38,17 @@
 }
 
 /// Starts a director; what it logs is added to the file.
-pub fn spawn_director(program: &dyn Fn() -> Command, config: &Path, log: &Path) -> Result<Child, Failed> {
+pub fn spawn_director(
+    program: &dyn Fn() -> Command,
+    config: &Path,
+    log: &Path,
+    duty: Option<&Path>,
+) -> Result<Child, Failed> {
     let out = std::fs::File::options().create(true).append(true).open(log);
     let out = out.map_err(io_error(log.display().to_string()))?;
     let mut command = program();
+    command.env_remove("SABLECROSS_DUTY");
+    command.envs(duty.map(|file| ("SABLECROSS_DUTY", file)));
     command.env("NODE_CONFIG", config).stderr(out).stdout(Stdio::null()).stdin(Stdio::piped());
     command.spawn().map_err(io_error("a director"))
 }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -7,6 +7,8 @@
 mod report;
 mod run;
 pub mod settings;
+mod watch;
+mod ways;
 
 pub use report::Report;
 pub use run::run;
--- a/crates/lab/src/fleet/node.rs
+++ b/crates/lab/src/fleet/node.rs
@@ -9,6 +9,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use sablecross_director::duty::Tag;
+use sablecross_duty::{Gate, Token as Duty};
+
 use crate::node::{lock, spawn, unix_ms};
 
 /// Seconds from the start of the load.
@@ -64,6 +67,18 @@
     links: Vec<Arc<TcpStream>>,
     falls: u64,
     strays: u64,
+    gate: Gate,
+    /// Members whose probes are held up, until when.
+    held: HashMap<usize, At>,
+    probes: Vec<Probe>,
+}
+
+/// A probe as it came, and whether the gate let it through.
+#[derive(Clone, Copy, Debug)]
+pub struct Probe {
+    pub at: At,
+    pub token: Duty,
+    pub passed: bool,
 }
 
 /// An answer on its way.
@@ -81,6 +96,8 @@
     pub capacity: f64,
     pub address: SocketAddr,
     kept: usize,
+    /// Whether an old owner's probes are refused.
+    gated: bool,
     begun: Instant,
     over: Arc<AtomicBool>,
     inner: Mutex<Inner>,
@@ -94,6 +111,7 @@
     pub since: Option<At>,
     pub falls: u64,
     pub strays: u64,
+    pub probes: Vec<Probe>,
 }
 
 enum Done {
@@ -114,6 +132,7 @@
         tier: Tier,
         capacity: f64,
         kept: usize,
+        gated: bool,
         begun: Instant,
         over: &Arc<AtomicBool>,
     ) -> io::Result<(Arc<Node>, TcpListener)> {
@@ -125,6 +144,7 @@
             capacity,
             address: listener.local_addr()?,
             kept,
+            gated,
             begun,
             over: Arc::clone(over),
             inner: Mutex::new(Inner { slow: 1.0, ..Inner::default() }),
@@ -188,8 +208,15 @@
                 return Ok(());
             }
             let mut words = line.trim_end().split(' ');
-            if words.next() != Some("PULL") {
-                continue;
+            match words.next() {
+                Some("PULL") => {}
+                Some("METER") => {
+                    if let Some(answer) = words.next().and_then(|tag| self.metered(tag)) {
+                        (&**stream).write_all(answer.as_bytes())?;
+                    }
+                    continue;
+                }
+                _ => continue,
             }
             let (Some(id), Some(fields), Some(length)) = (words.next(), words.next(), words.next()) else {
                 return Ok(());
@@ -228,6 +255,43 @@
         }
     }
 
+    /// A probe. The check of its token and what it does, which is to count here, are one step.
+    fn metered(&self, text: &str) -> Option<String> {
+        let tag: Tag = text.parse().ok()?;
+        let member = tag.token.owner.number as usize;
+        let wait = |inner: &Inner| {
+            let held = inner.held.get(&member).copied().unwrap_or(0.0);
+            held.max(inner.stopped_until) - self.now()
+        };
+        let late = wait(&lock(&self.inner));
+        if late > 0.0 {
+            std::thread::sleep(Duration::from_secs_f64(late));
+        }
+        let now = self.now();
+        let mut inner = lock(&self.inner);
+        if now < inner.down_until || inner.cuts.get(&member) == Some(&Cut::To) {
+            return None;
+        }
+        let refused = inner.gate.pass(tag.token).err().filter(|_| self.gated);
+        inner.probes.push(Probe { at: now, token: tag.token, passed: refused.is_none() });
+        let cut = inner.cuts.contains_key(&member);
+        let busy = ((inner.free_at - now) / LONGEST_LINE).clamp(0.0, 1.0);
+        drop(inner);
+        let said = match refused {
+            Some(old) => {
+                format!("{text} STALE newest={} 0\r\n\r\n", Tag { token: old.highest, number: 0 })
+            }
+            None => format!("{text} READY stats=cpu:{busy:.3} 0\r\n\r\n"),
+        };
+        (!cut).then_some(said)
+    }
+
+    /// Probes of these directors arrive when this is over.
+    pub fn holds_probes(&self, directors: &[usize], lasts: f64) {
+        let until = self.now() + lasts;
+        lock(&self.inner).held.extend(directors.iter().map(|d| (*d, until)));
+    }
+
     /// A director's request.
     fn asked(&self, director: usize, object: u64, source: Option<&Arc<Node>>) -> Done {
         let now = self.now();
@@ -354,6 +418,7 @@
     pub fn begins_cold(&self) -> u64 {
         let mut inner = lock(&self.inner);
         inner.copies = Copies::default();
+        inner.gate = Gate::default();
         (inner.since, inner.down_until, inner.gone_from) = (Some(self.now()), 0.0, None);
         unix_ms()
     }
@@ -371,6 +436,7 @@
             since: inner.since,
             falls: inner.falls,
             strays: inner.strays,
+            probes: inner.probes.clone(),
         }
     }
 }
--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -11,6 +11,7 @@
 use super::load::Tally;
 use super::node::{Counted, Tier};
 use super::settings::Trial;
+use super::watch::Watched;
 
 /// Seconds of a window in which load is to be even.
 const WINDOW: usize = 5;
@@ -71,6 +72,8 @@
     pub late: f64,
     /// By node, what came in each second.
     pub came: BTreeMap<String, Vec<u32>>,
+    /// What duties came to, where the trial had them.
+    pub watched: Option<Watched>,
 }
 
 /// A fault as it was carried out: its name, the nodes that it struck, from when until when.
@@ -183,6 +186,7 @@
                 .map(|n| (n.name.clone(), (0..seconds).map(|s| came(n, s, s + 1)).collect()))
                 .collect(),
             seconds: by_second,
+            watched: None,
         }
     }
 
@@ -213,6 +217,9 @@
                 ));
             }
         }
+        if let (Some(w), Some(d)) = (&self.watched, &self.trial.duties) {
+            found.extend(w.breaches(d));
+        }
         let owed = (self.total.asked - self.total.excused).max(1);
         let part = self.total.satisfied as f64 / owed as f64;
         if part < self.trial.satisfied {
@@ -310,6 +317,9 @@
         if self.late > 0.1 {
             writeln!(f, "the machine was too busy: this program was woken {:.2} s late", self.late)?;
         }
+        if let Some(w) = &self.watched {
+            write!(f, "{w}")?;
+        }
         for breach in self.breaches() {
             writeln!(f, "NOT WELL {breach}")?;
         }
--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -1,6 +1,6 @@
 //! A trial from start to end.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
@@ -17,7 +17,9 @@
 use super::load::{Clients, Wants};
 use super::node::{COLD_FROM, Cut, FALLS_AT, Node, Tier, WARM_AFTER};
 use super::report::{self, Report, Struck};
-use super::settings::{Fault, Kind, Trial};
+use super::settings::{Duties, Fault, Kind, Trial};
+use super::watch::{self, Blow, Watched};
+use super::ways::{Held, Pair, Ways};
 use crate::directors::{Like, Ports, configuration, endpoint, members, serving, spawn_director};
 use crate::feed::Feed;
 use crate::load::BUDGET_MS;
@@ -34,6 +36,8 @@
 struct Director {
     config: PathBuf,
     log: PathBuf,
+    /// The settings of its duties.
+    duty: Option<PathBuf>,
     at: SocketAddr,
     child: Child,
     clients: Option<Arc<Clients>>,
@@ -44,7 +48,7 @@
 
 impl Director {
     fn start(&mut self, program: &dyn Fn() -> Command) -> Result<(), Failed> {
-        self.child = spawn_director(program, &self.config, &self.log)?;
+        self.child = spawn_director(program, &self.config, &self.log, self.duty.as_deref())?;
         self.killed = false;
         Ok(())
     }
@@ -90,6 +94,71 @@
     fault: Fault,
     nodes: Vec<usize>,
     directors: Vec<usize>,
+    pairs: Vec<Pair>,
+}
+
+/// Duties of a trial: the links between members and voters, and what was done to the dealer.
+struct Shared {
+    duties: Duties,
+    voters: Vec<SocketAddr>,
+    ways: Ways,
+    blows: Vec<Blow>,
+}
+
+impl Shared {
+    fn start(d: &Duties, addresses: &[SocketAddr], over: &Arc<AtomicBool>) -> Result<Shared, Failed> {
+        let voters = addresses[..d.voters].to_vec();
+        let ways = Ways::start(addresses.len(), &voters, over).map_err(io_error("the links to voters"))?;
+        Ok(Shared { duties: d.clone(), voters, ways, blows: Vec::new() })
+    }
+
+    /// The settings of one member: its own links to the voters.
+    fn settings(&self, member: usize) -> String {
+        let d = &self.duties;
+        let mut text = format!(
+            "(duty (lease-ms . {}) (round-ms . {}) (apart-ms . {}) (beat-ms . {}) (probe-ms . {}))\n",
+            d.lease_ms,
+            d.lease_ms / 5,
+            (d.lease_ms / 20).max(1),
+            d.beat_ms,
+            d.probe_ms
+        );
+        for (place, own) in self.voters.iter().enumerate() {
+            // A voter speaks with itself without a link.
+            let at = self.ways.address(member, place).unwrap_or(*own);
+            text += &format!("(voter (number . {place}) (address . \"{at}\"))\n");
+        }
+        text
+    }
+}
+
+/// Rounds of faults that the seed draws, after those of the file.
+fn rounds(t: &Trial, rng: &mut Pcg32) -> Vec<Fault> {
+    let Some(d) = &t.duties else { return Vec::new() };
+    let first = t.faults.iter().map(|f| f.at + f.lasts).fold(t.warm_up as f64, f64::max);
+    let mut all = Vec::new();
+    for round in 0..d.rounds {
+        let from = first + round as f64 * d.round_s;
+        for _ in 0..rng.random_range(1..=3) {
+            let kind = Kind::DRAWN[rng.random_range(0..Kind::DRAWN.len())];
+            let at = from + 0.2 * d.round_s * rng.random::<f64>();
+            let lasts = d.round_s * (0.1 + 0.4 * rng.random::<f64>());
+            let of = 0.1 + 0.5 * rng.random::<f64>();
+            if at + lasts < t.seconds as f64 {
+                all.push(Fault { kind, at, lasts, of, by: 1.0 });
+            }
+        }
+    }
+    all
+}
+
+/// CPU seconds that a process has used.
+fn cpu(child: &Child) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap_or_default();
+    let after = stat.rsplit_once(") ").map_or("", |s| s.1);
+    let ticks = |n: usize| after.split(' ').nth(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+    // Of user and system, in hundredths of a second.
+    (ticks(11) + ticks(12)) / 100.0
 }
 
 fn listed(node: &Node, status: &str, since: u64) -> Value {
@@ -142,7 +211,9 @@
     for (tier, word, many, kept) in kinds.into_iter().chain([(Tier::Origin, "origin", 1, 1)]) {
         for n in 0..many {
             let speed = 1.0 + t.speeds * (2.0 * rng.random::<f64>() - 1.0);
-            let made = Node::start(format!("{word}-{n}"), tier, can(tier) * speed, kept, begun, &over);
+            let name = format!("{word}-{n}");
+            let gated = t.duties.as_ref().is_none_or(|d| !d.no_gate);
+            let made = Node::start(name, tier, can(tier) * speed, kept, gated, begun, &over);
             let (node, listener) = made.map_err(io_error("a stand-in"))?;
             nodes.push(node);
             listeners.push(listener);
@@ -167,16 +238,28 @@
 
     let mut fleet = Fleet(Vec::new());
     let mut ports = Ports::new();
-    for number in 0..t.directors {
+    let mut addresses = Vec::new();
+    while addresses.len() < t.directors {
         let at = ports.next().map_err(io_error("a port"))?;
+        if !addresses.contains(&at) {
+            addresses.push(at);
+        }
+    }
+    let mut shared = t.duties.as_ref().map(|d| Shared::start(d, &addresses, &over)).transpose()?;
+    for (number, at) in addresses.iter().copied().enumerate() {
         let (config, log) =
             (folder.join(format!("director-{number}.json")), folder.join(format!("director-{number}.log")));
         let _ = std::fs::remove_file(&log);
         let feed = number % FEEDS;
         let text = configured(t, number, at, &feeds[feed]);
         std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
-        let child = spawn_director(program, &config, &log)?;
-        fleet.0.push(Director { config, log, at, child, clients: None, feed, killed: false });
+        let duty = shared.as_ref().map(|s| (folder.join(format!("duty-{number}.scm")), s.settings(number)));
+        if let Some((file, text)) = &duty {
+            std::fs::write(file, text).map_err(io_error(file.display().to_string()))?;
+        }
+        let duty = duty.map(|(file, _)| file);
+        let child = spawn_director(program, &config, &log, duty.as_deref())?;
+        fleet.0.push(Director { config, log, duty, at, child, clients: None, feed, killed: false });
     }
     for (number, director) in fleet.0.iter().enumerate() {
         serving(number, director.at, &director.log, begun, Duration::from_secs(60))?;
@@ -194,8 +277,11 @@
         director.clients = Some(Clients::start(number, director.at, wants, zero, &over));
     }
 
+    let zero_ms = crate::node::unix_ms();
+    let used: f64 = fleet.0.iter().map(|d| cpu(&d.child)).sum();
+    let faults: Vec<Fault> = t.faults.iter().cloned().chain(rounds(t, &mut rng)).collect();
     let mut acts: Vec<(f64, Act)> = Vec::new();
-    for (n, fault) in t.faults.iter().enumerate() {
+    for (n, fault) in faults.iter().enumerate() {
         acts.push((fault.at, Act::Begin(n)));
         acts.push((fault.at + fault.lasts, Act::End(n)));
     }
@@ -211,8 +297,8 @@
         while let Some(act) = due(&mut acts, now) {
             match act {
                 Act::Begin(n) => {
-                    let one = begin(t, &t.faults[n], &mut rng, &nodes, &mut fleet.0, now)?;
-                    if t.faults[n].kind == Kind::CrashCaches {
+                    let one = begin(t, &faults[n], &mut rng, &nodes, &mut fleet.0, shared.as_mut(), now)?;
+                    if one.fault.kind == Kind::CrashCaches {
                         acts.push((now + NOTICE, Act::Told(one.nodes.clone())));
                     }
                     let names: Vec<String> = one.nodes.iter().map(|n| nodes[*n].name.clone()).collect();
@@ -229,7 +315,7 @@
                 }
                 Act::End(n) => {
                     let Some(one) = running.remove(&n) else { continue };
-                    let lines = end(&one, &nodes, &mut fleet.0, program, &feeds, t)?;
+                    let lines = end(&one, &nodes, &mut fleet.0, program, &feeds, t, shared.as_ref())?;
                     acts.extend(told(&lines, t, now));
                 }
                 Act::Told(which) => {
@@ -251,19 +337,37 @@
         }
         woken = Instant::now();
     }
+    let seconds = zero.elapsed().as_secs_f64();
+    let cpu_used = fleet.0.iter().map(|d| cpu(&d.child)).sum::<f64>() - used;
     over.store(true, Ordering::Relaxed);
     common.over.store(true, Ordering::Relaxed);
     std::thread::sleep(Duration::from_millis(BUDGET_MS + 600));
     let tallies: Vec<_> = fleet.0.iter().filter_map(|d| d.clients.as_ref()).map(|c| c.tally()).collect();
     let skip = (shift * 10.0).round() as usize;
+    let mut probes = BTreeMap::new();
     let counted = nodes.iter().map(|n| {
         let mut counted = n.counted();
+        counted.probes.iter_mut().for_each(|p| p.at -= shift);
+        counted.probes.retain(|p| p.at <= seconds);
+        probes.insert(n.name.clone(), std::mem::take(&mut counted.probes));
         counted.came.drain(..skip.min(counted.came.len()));
         counted.since = counted.since.map(|s| s - shift);
         counted.senders = counted.senders.iter().map(|(s, d)| (s.saturating_sub(shift as u32), *d)).collect();
         report::Node { name: n.name.clone(), tier: n.tier, capacity: n.capacity, counted }
     });
-    Ok(Report::of(t, &counted.collect::<Vec<_>>(), &tallies, &struck, (ended, late)))
+    let counted: Vec<report::Node> = counted.collect();
+    let watched = shared.as_ref().map(|s| {
+        let excused: Vec<_> =
+            struck.iter().flat_map(|s| s.nodes.iter().map(|n| (n.clone(), s.from, s.to))).collect();
+        let logs = fleet.0.iter().enumerate().take(s.voters.len());
+        let begun: Vec<_> = logs.flat_map(|(n, d)| watch::begun(n, &d.log, zero_ms)).collect();
+        let warm_up = t.warm_up as f64;
+        let mut w = Watched::of(&s.duties, seconds, warm_up, &probes, &excused, &s.blows, &begun);
+        w.bytes = s.ways.bytes.load(Ordering::Relaxed) as f64 / seconds / t.directors as f64;
+        w.cpu = cpu_used / seconds / t.directors as f64;
+        w
+    });
+    Ok(Report { watched, ..Report::of(t, &counted, &tallies, &struck, (ended, late)) })
 }
 
 /// Takes the earliest one whose time has come.
@@ -288,9 +392,12 @@
     rng: &mut Pcg32,
     nodes: &[Arc<Node>],
     directors: &mut [Director],
+    mut shared: Option<&mut Shared>,
     now: f64,
 ) -> Result<Running, Failed> {
-    let mut one = Running { fault: fault.clone(), nodes: Vec::new(), directors: Vec::new() };
+    let mut one =
+        Running { fault: fault.clone(), nodes: Vec::new(), directors: Vec::new(), pairs: Vec::new() };
+    let voters = shared.as_ref().map_or(1, |s| s.voters.len());
     let parents = |which: Vec<usize>| which.into_iter().map(|n| n + t.caches).collect::<Vec<_>>();
     match fault.kind {
         Kind::StopCaches | Kind::SlowCaches | Kind::CrashCaches | Kind::Reset => {
@@ -301,7 +408,49 @@
             one.nodes = some(rng, t.caches, 0.0);
             one.directors = some(rng, t.directors, fault.of);
         }
-        Kind::StopDirectors | Kind::KillDirectors => one.directors = some(rng, t.directors, fault.of),
+        Kind::StopDirectors | Kind::KillDirectors | Kind::HoldProbes => {
+            one.directors = some(rng, t.directors, fault.of);
+        }
+        Kind::StopVoters | Kind::KillVoters => one.directors = some(rng, voters, fault.of),
+        Kind::StopOwner | Kind::KillOwner => {
+            if let Some(s) = shared.as_mut()
+                && let Some(member) = watch::dealer(&s.voters)
+            {
+                one.directors = vec![member];
+                s.blows.push(Blow { at: now, member });
+            }
+        }
+        Kind::HoldTo | Kind::HoldFrom => {
+            let voter = rng.random_range(0..voters);
+            one.pairs = some(rng, t.directors, fault.of).into_iter().map(|m| (m, voter)).collect();
+        }
+        Kind::ResetWays => {
+            let members = some(rng, t.directors, fault.of);
+            one.pairs = members.into_iter().flat_map(|m| (0..voters).map(move |v| (m, v))).collect();
+        }
+        Kind::Part => {
+            let few = some(rng, voters, (voters.saturating_sub(1) / 2) as f64 / voters as f64);
+            let apart = |m: usize| if m < voters { few.contains(&m) } else { m.is_multiple_of(3) };
+            let all = (0..t.directors).flat_map(|m| (0..voters).map(move |v| (m, v)));
+            one.pairs = all.filter(|(m, v)| apart(*m) != apart(*v)).collect();
+        }
+    }
+    if let Some(s) = shared {
+        let held = match fault.kind {
+            Kind::HoldTo => Held { to: true, from: false },
+            Kind::HoldFrom => Held { to: false, from: true },
+            Kind::Part => Held { to: true, from: true },
+            _ => Held::default(),
+        };
+        for pair in &one.pairs {
+            match fault.kind {
+                Kind::ResetWays => s.ways.resets(*pair),
+                _ => s.ways.holds(*pair, held),
+            }
+        }
+    }
+    if fault.kind == Kind::HoldProbes {
+        nodes.iter().for_each(|n| n.holds_probes(&one.directors, fault.lasts));
     }
     for node in one.nodes.iter().map(|n| &nodes[*n]) {
         match fault.kind {
@@ -311,18 +460,18 @@
             Kind::Reset => node.resets(),
             Kind::CutTo => node.cuts(one.directors.iter().copied(), Some(Cut::To)),
             Kind::CutFrom => node.cuts(one.directors.iter().copied(), Some(Cut::From)),
-            Kind::StopDirectors | Kind::KillDirectors => {}
+            _ => {}
         }
     }
     for d in &one.directors {
         let director = &mut directors[*d];
         match fault.kind {
-            Kind::StopDirectors => {
+            Kind::StopDirectors | Kind::StopVoters | Kind::StopOwner => {
                 // What waited for it meanwhile may be late for a moment after it.
                 director.struck(now, fault.at + fault.lasts + 0.5);
                 director.signal(Signal::STOP);
             }
-            Kind::KillDirectors => {
+            Kind::KillDirectors | Kind::KillVoters | Kind::KillOwner if !director.killed => {
                 director.struck(now, fault.at + fault.lasts + 2.0);
                 director.killed = true;
                 director.child.kill().map_err(io_error("a director's end"))?;
@@ -342,8 +491,12 @@
     program: &dyn Fn() -> Command,
     feeds: &[Feed],
     t: &Trial,
+    shared: Option<&Shared>,
 ) -> Result<Vec<Value>, Failed> {
     let mut lines = Vec::new();
+    if let Some(s) = shared {
+        one.pairs.iter().for_each(|pair| s.ways.holds(*pair, Held::default()));
+    }
     for node in one.nodes.iter().map(|n| &nodes[*n]) {
         match one.fault.kind {
             Kind::SlowCaches | Kind::SlowParents => node.slows(1.0),
@@ -357,8 +510,8 @@
     }
     for d in &one.directors {
         match one.fault.kind {
-            Kind::StopDirectors => directors[*d].signal(Signal::CONT),
-            Kind::KillDirectors => {
+            Kind::StopDirectors | Kind::StopVoters | Kind::StopOwner => directors[*d].signal(Signal::CONT),
+            Kind::KillDirectors | Kind::KillVoters | Kind::KillOwner if directors[*d].killed => {
                 let director = &mut directors[*d];
                 let text = configured(t, *d, director.at, &feeds[director.feed]);
                 std::fs::write(&director.config, text).map_err(io_error("a configuration"))?;
--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -32,6 +32,99 @@
     StopDirectors,
     /// Directors are killed at once and started anew, with no memory.
     KillDirectors,
+    /// The same for some of the voters, and for whoever deals chores now.
+    StopVoters,
+    KillVoters,
+    StopOwner,
+    KillOwner,
+    /// What some members ask one voter is held up, or what it answers them, and arrives late.
+    HoldTo,
+    HoldFrom,
+    /// A minority of the voters and all others are cut off from one another.
+    Part,
+    /// All connections between some members and the voters are reset.
+    ResetWays,
+    /// Probes of some directors are held up on their way to the boxes, and arrive late.
+    HoldProbes,
+}
+
+impl Kind {
+    /// Those that are drawn in rounds.
+    pub const DRAWN: [Kind; 11] = [
+        Kind::StopOwner,
+        Kind::KillOwner,
+        Kind::StopVoters,
+        Kind::KillVoters,
+        Kind::HoldTo,
+        Kind::HoldFrom,
+        Kind::Part,
+        Kind::ResetWays,
+        Kind::HoldProbes,
+        Kind::StopDirectors,
+        Kind::KillDirectors,
+    ];
+
+    fn of_duties(self) -> bool {
+        !matches!(
+            self,
+            Kind::StopCaches
+                | Kind::StopParents
+                | Kind::SlowCaches
+                | Kind::SlowParents
+                | Kind::CrashCaches
+                | Kind::CutTo
+                | Kind::CutFrom
+                | Kind::Reset
+                | Kind::StopDirectors
+                | Kind::KillDirectors
+        )
+    }
+}
+
+/// Duties on behalf of the fleet, where the trial has them.
+#[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Duties {
+    /// The first so many directors vote.
+    #[garde(range(min = 1, max = 15))]
+    pub voters: usize,
+    #[garde(range(min = 100, max = 60_000))]
+    pub lease_ms: u64,
+    #[garde(range(min = 50, max = 10_000))]
+    pub beat_ms: u64,
+    #[garde(range(min = 100, max = 60_000))]
+    pub probe_ms: u64,
+    /// Rounds of faults drawn by the seed, one to three at once, after the faults of the file; each lasts so many seconds, its
+    /// faults half of that at most.
+    #[garde(range(max = 10_000))]
+    #[serde(default)]
+    pub rounds: usize,
+    #[garde(range(min = 1.0, max = 600.0))]
+    #[serde(default = "round_s")]
+    pub round_s: f64,
+    /// The longest pause between probes of one box that is well, in seconds, and the most in a second beside the usual.
+    #[garde(range(min = 0.0, max = 600.0))]
+    #[serde(default = "gap")]
+    pub gap_s: f64,
+    #[garde(range(min = 1.0, max = 100.0))]
+    #[serde(default = "burst")]
+    pub burst: f64,
+    /// Without the gate at the boxes: what old owners do then counts, and a trial without one is to show it.
+    #[garde(skip)]
+    #[serde(default)]
+    pub no_gate: bool,
+}
+
+fn round_s() -> f64 {
+    5.0
+}
+
+fn gap() -> f64 {
+    600.0
+}
+
+fn burst() -> f64 {
+    100.0
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
@@ -107,6 +200,9 @@
     pub late_lists: f64,
     #[garde(dive)]
     #[serde(default)]
+    pub duties: Option<Duties>,
+    #[garde(dive)]
+    #[serde(default)]
     pub faults: Vec<Fault>,
     /// What a node may get at most, and at least, of its fair share in any window of five seconds with no fault in it
     /// or before it.
@@ -155,13 +251,19 @@
     let end = trial.seconds as f64;
     let wrong = if trial.warm_up as f64 >= end {
         Some(("fleet.warm-up", "longer than the whole"))
+    } else if trial.duties.is_none() && trial.faults.iter().any(|f| f.kind.of_duties()) {
+        Some(("fleet.faults", "one strikes voters, and there are no duties"))
+    } else if trial.duties.as_ref().is_some_and(|d| d.voters > trial.directors) {
+        Some(("fleet.duties.voters", "more than there are directors"))
     } else if trial.faults.iter().any(|f| f.at + f.lasts > end) {
         Some(("fleet.faults", "one lasts past the end"))
     } else {
         None
     };
     match wrong {
-        Some((key, what)) => Err(vec![first.fault(file, key, what, "leave time after it")]),
+        Some((key, what)) => {
+            Err(vec![first.fault(file, key, what, "leave time after it, and name whom it strikes")])
+        }
         None => Ok(trial),
     }
 }
--- /dev/null
+++ b/crates/lab/src/fleet/watch.rs
@@ -0,0 +1,215 @@
+//! What duties came to in a trial, by what the boxes counted and the directors' logs say: whether an old owner's effect was
+//! ever taken, how long a new owner took, how steadily boxes were probed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use sablecross_director::duty::ask;
+use sablecross_duty::Member;
+use sablecross_duty::word::{Answer, DEALING, Request, Shown, Word};
+use serde::{Deserialize, Serialize};
+
+use super::node::{At, Probe};
+use super::settings::Duties;
+
+/// What was done to the dealer: when, and who it was.
+#[derive(Clone, Copy, Debug)]
+pub struct Blow {
+    pub at: At,
+    pub member: usize,
+}
+
+/// One that began to deal, by its log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Begun {
+    pub at: At,
+    pub member: usize,
+    pub term: u64,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Watched {
+    pub probes: u64,
+    /// Refused by the boxes' gates: they came of an old owner.
+    pub refused: u64,
+    /// Taken although a newer token was taken before at that box.
+    pub disorder: u64,
+    /// Two owners taken under one token.
+    pub twins: u64,
+    /// Terms of dealing with two dealers: all voters had forgotten them.
+    pub same_term: u64,
+    pub owners: u64,
+    /// Seconds from a blow to the dealer until another one dealt: the middle, the 99th percentile, the most, and how often.
+    pub takeover: [f64; 3],
+    pub blows: usize,
+    /// Blows after which nobody dealt before the next one.
+    pub unanswered: usize,
+    /// The longest pause between two probes of one box, and where.
+    pub gap: f64,
+    pub gap_at: String,
+    /// The most probes of one box in a second, and how many times the usual that is.
+    pub burst: u32,
+    pub burst_times: f64,
+    /// Probes of a box in a second, the mean.
+    pub rate: f64,
+    /// Bytes a second between a member and all voters, both ways, and CPU seconds a second of a director.
+    pub bytes: f64,
+    pub cpu: f64,
+}
+
+/// What a director says of its duties; none: it does not answer.
+pub fn shown(at: SocketAddr) -> Option<Shown> {
+    let request = Request { from: Member { number: u32::MAX, life: 0 }, words: vec![Word::Show] };
+    let said = ask(at, &request, Duration::from_millis(300)).ok()?;
+    said.into_iter().find_map(|a| if let Answer::Shown(shown) = a { Some(shown) } else { None })
+}
+
+/// Who deals now, of these voters.
+pub fn dealer(voters: &[SocketAddr]) -> Option<usize> {
+    voters.iter().position(|at| {
+        shown(*at).is_some_and(|s| s.duties.iter().any(|d| d.duty == DEALING && d.own.is_some()))
+    })
+}
+
+/// Those that began to deal, by the log of one director; times count from `zero`, in Unix milliseconds.
+pub fn begun(member: usize, log: &Path, zero: u64) -> Vec<Begun> {
+    let text = std::fs::read_to_string(log).unwrap_or_default();
+    let one = |line: &str| {
+        let rest = line.split_once("duty begins duty=0 ")?.1;
+        let field = |name: &str| {
+            rest.split(' ').find_map(|f| f.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
+        };
+        let at = (field("at_ms")? as f64 - zero as f64) / 1e3;
+        Some(Begun { at, member, term: field("term")? })
+    };
+    text.lines().filter_map(one).collect()
+}
+
+impl Watched {
+    /// `boxes`: by name, what came; times from the start of the load. Boxes in `struck` at a time are not blamed for gaps.
+    pub fn of(
+        d: &Duties,
+        seconds: f64,
+        warm_up: f64,
+        boxes: &BTreeMap<String, Vec<Probe>>,
+        excused: &[(String, At, At)],
+        blows: &[Blow],
+        begun: &[Begun],
+    ) -> Watched {
+        let mut w = Watched { blows: blows.len(), ..Watched::default() };
+        let usual = (1_000.0 / d.probe_ms as f64).max(1.0);
+        for (name, probes) in boxes {
+            w.probes += probes.len() as u64;
+            let mut newest = 0;
+            let mut owners: BTreeMap<u64, BTreeSet<Member>> = BTreeMap::new();
+            for p in probes {
+                if !p.passed {
+                    w.refused += 1;
+                    continue;
+                }
+                w.disorder += u64::from(p.token.term < newest);
+                newest = newest.max(p.token.term);
+                owners.entry(p.token.term).or_default().insert(p.token.owner);
+            }
+            w.twins += owners.values().filter(|o| o.len() > 1).count() as u64;
+            let out = |from: At, to: At| {
+                excused.iter().any(|(n, begin, end)| n == name && *begin < to && *end + 1.0 > from)
+            };
+            let times = probes.iter().filter(|p| p.passed).map(|p| p.at).filter(|at| *at >= warm_up);
+            let mut before = warm_up;
+            for at in times.chain([seconds]) {
+                if at - before > w.gap && !out(before, at) {
+                    (w.gap, w.gap_at) = (at - before, name.clone());
+                }
+                before = at;
+            }
+            let all: Vec<At> = probes.iter().map(|p| p.at).filter(|at| *at >= warm_up).collect();
+            for (n, at) in all.iter().enumerate() {
+                let within = all[n..].iter().take_while(|t| **t < at + 1.0).count() as u32;
+                // What was held up comes at once when that is over.
+                if within > w.burst && !out(*at, at + 1.0) {
+                    w.burst = within;
+                }
+            }
+        }
+        w.burst_times = f64::from(w.burst) / usual;
+        w.rate = w.probes as f64 / boxes.len().max(1) as f64 / seconds.max(1.0);
+        let mut terms: BTreeMap<u64, BTreeSet<usize>> = BTreeMap::new();
+        for b in begun {
+            terms.entry(b.term).or_default().insert(b.member);
+        }
+        w.same_term = terms.values().filter(|m| m.len() > 1).count() as u64;
+        w.owners = begun.len() as u64;
+        let mut took = Vec::new();
+        for (n, blow) in blows.iter().enumerate() {
+            let next = blows.get(n + 1).map_or(seconds, |b| b.at);
+            let other = begun.iter().filter(|b| b.at > blow.at && b.at < next && b.member != blow.member);
+            match other.map(|b| b.at - blow.at).min_by(f64::total_cmp) {
+                Some(after) => took.push(after),
+                None => w.unanswered += 1,
+            }
+        }
+        took.sort_by(f64::total_cmp);
+        if let Some(last) = took.len().checked_sub(1) {
+            w.takeover = [took[last / 2], took[last * 99 / 100], took[last]];
+        }
+        w
+    }
+
+    pub fn breaches(&self, d: &Duties) -> Vec<String> {
+        let mut found = Vec::new();
+        let mut none = |what: &str, n: u64| {
+            if n > 0 {
+                found.push(format!("{what}: {n}"));
+            }
+        };
+        none("effects of an old owner that were taken", self.disorder);
+        none("tokens under which two owners were taken", self.twins);
+        none("duties: nothing was probed", u64::from(self.probes == 0));
+        if self.gap > d.gap_s {
+            found.push(format!("{} was not probed for {:.1} s, of {:.1}", self.gap_at, self.gap, d.gap_s));
+        }
+        if self.burst_times > d.burst {
+            found.push(format!(
+                "a box was probed {:.1} times as often as usual, of {:.1}",
+                self.burst_times, d.burst
+            ));
+        }
+        found
+    }
+}
+
+impl fmt::Display for Watched {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "duties: {} probes, {:.2} a box and second, {} of old owners refused, {} taken; {} tokens with two owners",
+            self.probes, self.rate, self.refused, self.disorder, self.twins
+        )?;
+        writeln!(
+            f,
+            "longest pause of a box {:.2} s, most in a second {} ({:.1} times the usual)",
+            self.gap, self.burst, self.burst_times
+        )?;
+        writeln!(
+            f,
+            "dealers {} ({} terms given twice); after {} blows to the dealer another one dealt after {:.2} s in the middle, \
+             {:.2} s at the 99th percentile, {:.2} s at most; {} were not followed by one",
+            self.owners,
+            self.same_term,
+            self.blows,
+            self.takeover[0],
+            self.takeover[1],
+            self.takeover[2],
+            self.unanswered
+        )?;
+        writeln!(
+            f,
+            "a member and the voters {:.0} bytes a second; a director {:.4} CPU",
+            self.bytes, self.cpu
+        )
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/ways.rs
@@ -0,0 +1,203 @@
+//! The links between members and voters: each pair has one of its own, through which this program passes what they say, and
+//! which it holds up, one way or both, or resets. What was held up arrives late, as on a link that was down for a while.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+
+use crate::node::{lock, spawn};
+
+/// A member and the place of a voter.
+pub type Pair = (usize, usize);
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    /// What the member asks; what the voter answers.
+    pub to: bool,
+    pub from: bool,
+}
+
+#[derive(Default)]
+struct Orders {
+    held: BTreeMap<Pair, Held>,
+    reset: Vec<Pair>,
+}
+
+pub struct Ways {
+    orders: Arc<Mutex<Orders>>,
+    /// Bytes that were passed on, both ways.
+    pub bytes: Arc<AtomicU64>,
+    addresses: BTreeMap<Pair, SocketAddr>,
+}
+
+impl Ways {
+    /// Links from each of so many members to each voter.
+    pub fn start(members: usize, voters: &[SocketAddr], over: &Arc<AtomicBool>) -> io::Result<Ways> {
+        let poll = Poll::new()?;
+        let mut listeners = Vec::new();
+        let mut addresses = BTreeMap::new();
+        for member in 0..members {
+            for (voter, at) in voters.iter().enumerate() {
+                let mut listener = TcpListener::bind(([127, 0, 0, 1], 0).into())?;
+                poll.registry().register(&mut listener, Token(listeners.len()), Interest::READABLE)?;
+                addresses.insert((member, voter), listener.local_addr()?);
+                listeners.push((listener, (member, voter), *at));
+            }
+        }
+        let orders: Arc<Mutex<Orders>> = Arc::default();
+        let bytes = Arc::<AtomicU64>::default();
+        let relay = Relay {
+            poll,
+            listeners,
+            open: BTreeMap::new(),
+            next: 0,
+            orders: Arc::clone(&orders),
+            bytes: Arc::clone(&bytes),
+        };
+        let over = Arc::clone(over);
+        spawn(move || relay.run(&over));
+        Ok(Ways { orders, bytes, addresses })
+    }
+
+    pub fn address(&self, member: usize, voter: usize) -> Option<SocketAddr> {
+        self.addresses.get(&(member, voter)).copied()
+    }
+
+    pub fn holds(&self, pair: Pair, held: Held) {
+        let mut orders = lock(&self.orders);
+        if held == Held::default() {
+            orders.held.remove(&pair);
+        } else {
+            orders.held.insert(pair, held);
+        }
+    }
+
+    pub fn resets(&self, pair: Pair) {
+        lock(&self.orders).reset.push(pair);
+    }
+}
+
+struct End {
+    stream: TcpStream,
+    /// What is to be written to it.
+    out: VecDeque<u8>,
+}
+
+struct Open {
+    pair: Pair,
+    member: End,
+    voter: End,
+}
+
+struct Relay {
+    poll: Poll,
+    listeners: Vec<(TcpListener, Pair, SocketAddr)>,
+    /// By number; the member's end has the even token, the voter's the odd one after it.
+    open: BTreeMap<usize, Open>,
+    next: usize,
+    orders: Arc<Mutex<Orders>>,
+    bytes: Arc<AtomicU64>,
+}
+
+impl Relay {
+    fn run(mut self, over: &AtomicBool) {
+        let mut events = Events::with_capacity(1_024);
+        let first = self.listeners.len();
+        while !over.load(Ordering::Relaxed) {
+            // A failed wait is tried again: only the end of the trial ends it.
+            let _ = self.poll.poll(&mut events, Some(Duration::from_millis(10)));
+            let reset = std::mem::take(&mut lock(&self.orders).reset);
+            self.open.retain(|_, o| !reset.contains(&o.pair));
+            for event in &events {
+                let Token(at) = event.token();
+                if at < first {
+                    self.accept(at);
+                } else {
+                    let number = (at - first) / 2;
+                    if self.open.get_mut(&number).is_some_and(|o| !o.reads(&self.bytes)) {
+                        self.open.remove(&number);
+                    }
+                }
+            }
+            let held = lock(&self.orders).held.clone();
+            self.open.retain(|_, o| o.writes(held.get(&o.pair).copied().unwrap_or_default()));
+        }
+    }
+
+    fn accept(&mut self, at: usize) {
+        let first = self.listeners.len();
+        while let Ok((mut stream, _)) = self.listeners[at].0.accept() {
+            let (pair, to) = (self.listeners[at].1, self.listeners[at].2);
+            let Ok(mut voter) = TcpStream::connect(to) else { continue };
+            let token = first + 2 * self.next;
+            let both = Interest::READABLE | Interest::WRITABLE;
+            let begun = self
+                .poll
+                .registry()
+                .register(&mut stream, Token(token), both)
+                .and_then(|()| self.poll.registry().register(&mut voter, Token(token + 1), both));
+            if begun.is_err() {
+                continue;
+            }
+            for s in [&stream, &voter] {
+                // A delay is harmless.
+                let _ = s.set_nodelay(true);
+            }
+            let end = |stream| End { stream, out: VecDeque::new() };
+            self.open.insert(self.next, Open { pair, member: end(stream), voter: end(voter) });
+            self.next += 1;
+        }
+    }
+}
+
+impl Open {
+    /// Takes in what either end says; false once one has ended.
+    fn reads(&mut self, bytes: &AtomicU64) -> bool {
+        let Open { member, voter, .. } = self;
+        take_in(&mut member.stream, &mut voter.out, bytes)
+            && take_in(&mut voter.stream, &mut member.out, bytes)
+    }
+
+    fn writes(&mut self, held: Held) -> bool {
+        (held.to || self.voter.writes()) && (held.from || self.member.writes())
+    }
+}
+
+fn waits(e: &io::Error) -> bool {
+    matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected | ErrorKind::Interrupted)
+}
+
+fn take_in(from: &mut TcpStream, to: &mut VecDeque<u8>, count: &AtomicU64) -> bool {
+    let mut bytes = [0; 8_192];
+    loop {
+        match from.read(&mut bytes) {
+            Ok(0) => return false,
+            Ok(n) => {
+                count.fetch_add(n as u64, Ordering::Relaxed);
+                to.extend(&bytes[..n]);
+            }
+            Err(e) => return waits(&e),
+        }
+    }
+}
+
+impl End {
+    fn writes(&mut self) -> bool {
+        while !self.out.is_empty() {
+            match self.stream.write(self.out.as_slices().0) {
+                Ok(0) => return false,
+                Ok(n) => {
+                    self.out.drain(..n);
+                }
+                Err(e) => return waits(&e),
+            }
+        }
+        true
+    }
+}
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -417,7 +417,7 @@
         let _ = std::fs::remove_file(&log);
         let text = configuration(number, e.directors, e.seed, spare, &feed, &like).to_string();
         std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
-        fleet.0.push(spawn_director(director, &config, &log)?);
+        fleet.0.push(spawn_director(director, &config, &log, None)?);
         serving(number, spare, &log, Instant::now(), Duration::from_secs(10))?;
         addresses.push(spare);
     }
