Changes of the hierarchy are driven by one director, its log in a fenced register of voters

Cause: the driver ran in the lab alone, as whoever opened the log on one disk; nothing stopped an old one that wakes late, and its end ended the change.

--- a/crates/cli/src/duty.rs
+++ b/crates/cli/src/duty.rs
@@ -7,7 +7,7 @@
 
 use clap::{Args, Subcommand};
 use sablecross_director::duty::ask;
-use sablecross_director::duty::settings::{DUTIES, Setting, named};
+use sablecross_director::duty::settings::{DRIVING, DUTIES, Setting, named};
 use sablecross_duty::Member;
 use sablecross_duty::word::{Answer, Duty, Request, Shown, Word};
 
@@ -35,6 +35,16 @@
         #[arg(long)]
         json: bool,
     },
+    /// Hands a version of the hierarchy to whoever drives changes, and follows the change to its end.
+    Change {
+        /// As an S-expression: see docs/hierarchy-operators.md.
+        file: PathBuf,
+        /// Seconds after which it is followed no more; it goes on all the same.
+        #[arg(long, default_value_t = 600.0)]
+        follow: f64,
+        #[command(flatten)]
+        whom: Whom,
+    },
     /// Asks the owner of a duty to give it up, to the voter of this number or to the next one; waits for the new owner.
     HandOver {
         /// dealing or driving
@@ -84,6 +94,7 @@
 pub fn run(command: &Command) -> Result<Verdict, Vec<String>> {
     match command {
         Command::Show { whom, json } => show(whom, *json),
+        Command::Change { file, follow, whom } => change(file, *follow, whom),
         Command::HandOver { duty, to, whom } => hand_over(duty, *to, whom),
     }
 }
@@ -138,6 +149,9 @@
                 s.chores,
                 s.probes
             );
+            for (duty, status) in &s.status {
+                println!("  {} says: {status}", named(*duty));
+            }
             println!(
                 "  refused here {}, older deals passed over {}, own refused at gates {}",
                 s.refused, s.passed_over, s.was_refused
@@ -170,6 +184,52 @@
     Ok(views.filter_map(owns).max_by_key(|o| o.2))
 }
 
+fn change(file: &std::path::Path, follow: f64, whom: &Whom) -> Result<Verdict, Vec<String>> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| vec![format!("{name}: {e}")])?;
+    sablecross_hierarchy::spec::read(&name, &text, None)
+        .map_err(|f| f.iter().map(ToString::to_string).collect::<Vec<_>>())?;
+    let Some((at, number, term)) = owner(whom, DRIVING)? else {
+        eprintln!("driving: nobody of those asked owns it now: ask again");
+        return Ok(Verdict::Refused);
+    };
+    let said = whom.say(at, Word::Wish(DRIVING, text.into_bytes())).map_err(|e| vec![e])?;
+    if !said.contains(&Answer::Wished(DRIVING, Ok(()))) {
+        eprintln!("driving: member {number} does not own it any more: ask again");
+        return Ok(Verdict::Refused);
+    }
+    println!("member {number} drives in term {term}");
+    let before = whom.shown(at).ok().and_then(|s| s.status.into_iter().find(|(d, _)| *d == DRIVING));
+    let mut ran = before.is_none_or(|(_, status)| !status.contains("no change runs"));
+    let begun = Instant::now();
+    let mut last = String::new();
+    while begun.elapsed().as_secs_f64() < follow {
+        std::thread::sleep(Duration::from_millis(100));
+        // A new owner goes on with it.
+        let Some((at, number, _)) = owner(whom, DRIVING)? else { continue };
+        let Ok(shown) = whom.shown(at) else { continue };
+        let Some((_, status)) = shown.status.into_iter().find(|(d, _)| *d == DRIVING) else { continue };
+        if status != last {
+            println!("{:>7.1} s  member {number}: {status}", begun.elapsed().as_secs_f64());
+        }
+        if status.contains("last refused") {
+            return Ok(Verdict::Refused);
+        }
+        let rests = status.contains("no change runs");
+        if rests && status.contains(" 0 missing") {
+            if !ran {
+                eprintln!("driving: the owner was lost before the wish was kept: ask again");
+                return Ok(Verdict::Refused);
+            }
+            return Ok(Verdict::Well);
+        }
+        ran |= !rests;
+        last = status;
+    }
+    eprintln!("driving: it runs still");
+    Ok(Verdict::Refused)
+}
+
 fn hand_over(name: &str, to: Option<u32>, whom: &Whom) -> Result<Verdict, Vec<String>> {
     let Some((duty, _)) = DUTIES.iter().find(|d| d.1 == name).copied() else {
         let known: Vec<&str> = DUTIES.iter().map(|d| d.1).collect();
--- a/crates/director/src/duty/agent.rs
+++ b/crates/director/src/duty/agent.rs
@@ -9,17 +9,19 @@
 use crossbeam_channel::{Receiver, TryRecvError};
 use mio::{Events, Poll, Token, Waker};
 use sablecross::{Load, Ns, State as Listed, mix, rank};
+use sablecross_drive::{Driving, Order};
 use sablecross_duty::word::{Finding, Request, State, Word};
 use sablecross_duty::{Do, Member, Office};
 
 use super::boxes::{self, Probed, Tag};
 use super::peers::{Line, Peer};
-use super::settings::{Setting, named};
+use super::settings::{DRIVING, Setting, named};
 use super::{In, METHOD};
 use crate::common::Common;
 use crate::exchange::Event;
 use crate::plain::clock::MS;
-use crate::plain::facts;
+use crate::plain::facts::{self, Fact};
+use crate::upper::Told;
 use crate::wire::intake::paused;
 use crate::wire::rpc::{self, Flaw};
 
@@ -48,6 +50,9 @@
     next_token: usize,
     next_probe: u64,
     stopping: Option<Ns>,
+    gone_after: Ns,
+    /// While this member owns that duty.
+    driving: Option<Driving>,
 }
 
 impl Agent {
@@ -74,6 +79,8 @@
             next_token: BOXES,
             next_probe: 0,
             stopping: None,
+            gone_after: setting.gone_after,
+            driving: None,
         };
         log::info!("duty member number={} life={life} voters={}", me.number, agent.peers.len());
         Ok((agent, waker))
@@ -86,7 +93,9 @@
             let now = self.common.clock.now();
             self.office.step(now);
             self.carry(now);
-            let next = self.office.next().min(now + 250 * MS);
+            self.drives(now);
+            let driving = self.driving.as_ref().map_or(Ns::MAX, Driving::next);
+            let next = self.office.next().min(driving).min(now + 250 * MS);
             if let Err(e) = self.poll.poll(&mut events, Some(self.common.clock.until(next)))
                 && !paused(&e)
             {
@@ -132,6 +141,9 @@
                     let _ = self.common.events.send(Event::PeerSaid { client, call, said });
                 }
                 Ok(In::Listed { members, whole }) => self.listed(now, &members, whole),
+                Ok(In::InForce(in_force)) => {
+                    self.office.has(now, DRIVING, (in_force.number, in_force.digest));
+                }
                 Ok(In::Stop) => {
                     if self.stopping.is_none() {
                         self.stopping = Some(now);
@@ -194,16 +206,69 @@
                     Do::Note(line) => log::info!("{line}"),
                     Do::Begins(duty, token) => {
                         log::info!("duty owned name={} term={}", named(duty), token.term);
+                        if duty == DRIVING {
+                            self.driving = Some(Driving::begin(token, self.gone_after));
+                        }
                     }
                     Do::Ends(duty, term, by) => {
                         log::info!("duty given up name={} term={term} by={by:?}", named(duty));
+                        if duty == DRIVING {
+                            self.driving = None;
+                        }
+                    }
+                    Do::Holds(duty, entry) if duty == DRIVING => {
+                        if let Some(driving) = self.driving.as_mut().filter(|d| d.token() == entry.by) {
+                            driving.kept(now, &entry);
+                        }
                     }
-                    Do::Holds(..) | Do::Wish(..) => {}
+                    Do::Wish(duty, text) if duty == DRIVING => {
+                        if let Some(driving) = self.driving.as_mut() {
+                            // What was declined is in the log and in what operators see.
+                            let _ = driving.wish(now, &text);
+                        }
+                    }
+                    Do::Told(duty, bytes) if duty == DRIVING => self.told(&bytes),
+                    Do::Holds(..) | Do::Wish(..) | Do::Told(..) => {}
                 }
             }
         }
     }
 
+    /// A version that the owner of driving has passed on to all.
+    fn told(&mut self, bytes: &[u8]) {
+        match sablecross_drive::told(bytes).and_then(|spec| Told::of_driver(&spec)) {
+            Ok(told) => {
+                // The desk outlives this thread, but for the end of the program.
+                let _ = self.common.events.send(Event::Fact(Fact::Hierarchy(Box::new(told))));
+            }
+            Err(e) => log::warn!("hierarchy told by a duty can't be used: {e}"),
+        }
+    }
+
+    /// Drives changes on, while the duty is owned.
+    fn drives(&mut self, now: Ns) {
+        let Some(driving) = self.driving.as_mut() else { return };
+        driving.members(now, &self.office.roster().members);
+        for (member, number, digest) in self.office.members_have(DRIVING) {
+            driving.in_force(now, member, number, digest);
+        }
+        driving.step(now);
+        let token = driving.token();
+        for order in driving.orders() {
+            // Not past the lease; the gates of the voters refuse it all the same.
+            if self.office.token(now, DRIVING) != Some(token) {
+                break;
+            }
+            match order {
+                Order::Keep(bytes) => self.office.write(now, DRIVING, bytes),
+                Order::Publish { number, bytes } => self.office.tell(now, DRIVING, number, bytes),
+                Order::Note(line) => log::info!("{line}"),
+            }
+        }
+        self.office.status(DRIVING, driving.status());
+        self.carry(now);
+    }
+
     fn call(&mut self, voter: u32, number: u64, words: Vec<Word>, now: Ns) {
         let request = Request { from: self.office.me(), words };
         let Some(peer) = self.peers.get_mut(voter as usize) else { return };
--- a/crates/director/src/duty/mod.rs
+++ b/crates/director/src/duty/mod.rs
@@ -19,6 +19,7 @@
 use crate::exchange::Client;
 use crate::plain::facts::Member;
 use crate::plain::limits::Limits;
+use crate::upper::InForce;
 use crate::wire::rpc::{self, Flaw};
 
 pub use agent::Agent;
@@ -40,6 +41,8 @@
         members: Vec<Member>,
         whole: bool,
     },
+    /// The hierarchy that the desk has in force now.
+    InForce(InForce),
     Stop,
 }
 
@@ -80,6 +83,13 @@
         }
     }
 
+    pub fn in_force(&self, in_force: InForce) {
+        if self.0.is_some() {
+            // With no room it is said with the next version; the owner waits for it meanwhile.
+            self.tell(In::InForce(in_force));
+        }
+    }
+
     pub fn stop(&self) {
         self.tell(In::Stop);
     }
--- a/crates/director/src/duty/settings.rs
+++ b/crates/director/src/duty/settings.rs
@@ -42,6 +42,10 @@
     #[garde(range(min = 5, max = 60_000))]
     #[serde(default = "patience")]
     patience_ms: u64,
+    /// A member that is missed for so long is taken for gone for good: a change waits for it no more.
+    #[garde(range(min = 1_000, max = 86_400_000))]
+    #[serde(default = "gone")]
+    gone_after_ms: u64,
     /// Whether boxes are probed.
     #[garde(skip)]
     #[serde(default = "yes")]
@@ -82,6 +86,10 @@
     400
 }
 
+fn gone() -> u64 {
+    60_000
+}
+
 fn yes() -> bool {
     true
 }
@@ -92,10 +100,14 @@
     /// In the order of the voters.
     pub addresses: Vec<SocketAddr>,
     pub probing: bool,
+    pub gone_after: sablecross::Ns,
 }
 
-/// What a member can own: dealing chores, and a mark that a duty of the settings may be built on.
-pub const DUTIES: [(Duty, &str); 2] = [(DEALING, "dealing"), (1, "driving")];
+/// Carrying changes of the hierarchy out.
+pub const DRIVING: Duty = 1;
+
+/// What a member can own: dealing chores to the living, driving changes of the hierarchy.
+pub const DUTIES: [(Duty, &str); 2] = [(DEALING, "dealing"), (DRIVING, "driving")];
 
 pub fn named(duty: Duty) -> &'static str {
     DUTIES.iter().find(|d| d.0 == duty).map_or("unknown", |d| d.1)
@@ -157,6 +169,11 @@
             probe: head.probe_ms * MS,
             patience: head.patience_ms * MS,
         };
-        Ok(Setting { terms, addresses: lines.iter().map(|l| l.address).collect(), probing: head.probing })
+        Ok(Setting {
+            terms,
+            addresses: lines.iter().map(|l| l.address).collect(),
+            probing: head.probing,
+            gone_after: head.gone_after_ms * MS,
+        })
     }
 }
--- a/crates/director/src/duty_off.rs
+++ b/crates/director/src/duty_off.rs
@@ -6,6 +6,7 @@
 use crate::common::Common;
 use crate::exchange::Client;
 use crate::plain::facts::Member;
+use crate::upper::InForce;
 
 pub const METHOD: &str = "duty";
 
@@ -40,5 +41,7 @@
 
     pub fn listed(&self, _members: &[Member], _whole: bool) {}
 
+    pub fn in_force(&self, _in_force: InForce) {}
+
     pub fn stop(&self) {}
 }
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -368,6 +368,7 @@
             Fact::Hierarchy(told) => {
                 if let Some((lines, in_force)) = self.floor.upper.take(&told) {
                     self.hand.choice.listed(now, &lines, false);
+                    self.floor.duties.in_force(in_force);
                     // One that finds no room is said with the next event, or when the feed is called again.
                     let _ = self.floor.in_force.try_send(in_force);
                 }
--- a/crates/director/src/upper.rs
+++ b/crates/director/src/upper.rs
@@ -31,6 +31,13 @@
         Told::checked(number, version, "feed")
     }
 
+    /// The version that the owner of driving tells.
+    #[cfg(feature = "duty")]
+    pub fn of_driver(told: &Spec) -> Result<Told, String> {
+        let (number, version) = told.hierarchy(None)?;
+        Told::checked(number, version, "duty")
+    }
+
     /// The version of the settings file, where one is named.
     pub fn read() -> Option<Result<Told, String>> {
         let file = std::env::var(FILE).ok()?;
--- a/crates/duty/src/office.rs
+++ b/crates/duty/src/office.rs
@@ -63,6 +63,8 @@
         chore: u64,
         token: Token,
     },
+    /// What a duty's owner has to tell all members: later than what was told before.
+    Told(Duty, Vec<u8>),
     /// What others found, to be told to the decision module.
     Facts(Vec<Finding>),
     Begins(Duty, Token),
@@ -110,7 +112,12 @@
     taken_in: bool,
     displaced: bool,
     leaving: bool,
-    /// A hand-over that an operator asked for.
+    /// What was told last of each duty, by number, and what is in force of it here.
+    told: BTreeMap<Duty, u64>,
+    in_force: BTreeMap<Duty, (u64, u64)>,
+    /// What the owner of a duty has to tell: by number.
+    tells: BTreeMap<Duty, (u64, Vec<u8>)>,
+    status: BTreeMap<Duty, String>,
     passed_over: u64,
     was_refused: u64,
     acts: VecDeque<Do>,
@@ -148,6 +155,10 @@
             taken_in: false,
             displaced: false,
             leaving: false,
+            told: BTreeMap::new(),
+            in_force: BTreeMap::new(),
+            tells: BTreeMap::new(),
+            status: BTreeMap::new(),
             passed_over: 0,
             was_refused: 0,
             acts: VecDeque::new(),
@@ -214,8 +225,6 @@
             self.beats(now);
         }
         self.chores(now);
-        let wishes = self.station.as_mut().map(Station::wishes).unwrap_or_default();
-        self.acts.extend(wishes.into_iter().map(|(duty, bytes)| Do::Wish(duty, bytes)));
     }
 
     fn beats(&mut self, now: Ns) {
@@ -236,6 +245,15 @@
             if asked == Some(voter) {
                 words.push(Word::Facts(self.heard[voter as usize]));
             }
+            for duty in self.terms.duties.iter().filter(|d| **d != DEALING) {
+                let told = self.told.get(duty).copied().unwrap_or(0);
+                words.push(Word::Has(*duty, told, self.in_force.get(duty).copied().unwrap_or_default()));
+            }
+            for (duty, (number, bytes)) in &self.tells {
+                if let Some(by) = self.token(now, *duty) {
+                    words.push(Word::Tell { duty: *duty, by, number: *number, bytes: bytes.clone() });
+                }
+            }
             if self.behind > self.roster.stamp.term {
                 words.push(Word::Behind(DEALING, self.behind));
             }
@@ -316,6 +334,13 @@
                     let acts = self.posts.get_mut(&duty).map(|p| p.wrote(now, voter, by, count));
                     self.post(now, duty, acts.unwrap_or_default());
                 }
+                Answer::Told(duty, number, bytes) => {
+                    let told = self.told.entry(duty).or_default();
+                    if number > *told {
+                        *told = number;
+                        self.acts.push_back(Do::Told(duty, bytes));
+                    }
+                }
                 Answer::Learnt(duty, newest, sure) => {
                     if let Some(station) = self.station.as_mut() {
                         station.learnt(voter, duty, newest, sure);
@@ -418,6 +443,8 @@
         self.note(format!("duty ends duty={duty} term={term} by={by:?}"));
         self.acts.push_back(Do::Ends(duty, term, by));
         self.posts.remove(&duty);
+        self.tells.remove(&duty);
+        self.status.remove(&duty);
         if duty == DEALING {
             self.dealing = None;
         }
@@ -565,6 +592,7 @@
             refused: self.station.as_ref().map_or(0, Station::refused),
             passed_over: self.passed_over,
             was_refused: self.was_refused,
+            status: self.status.iter().map(|(d, s)| (*d, s.clone())).collect(),
         }
     }
 
@@ -617,6 +645,34 @@
         }
     }
 
+    /// What is in force here of what a duty's owner told, by number and digest.
+    pub fn has(&mut self, now: Ns, duty: Duty, in_force: (u64, u64)) {
+        self.in_force.insert(duty, in_force);
+        // The owner waits for it.
+        self.next_beat = self.next_beat.min(now);
+    }
+
+    /// Members and what they have in force of a duty, as this voter heard it.
+    pub fn members_have(&self, duty: Duty) -> Vec<(Member, u64, u64)> {
+        self.station.iter().flat_map(|s| s.in_force(duty)).collect()
+    }
+
+    /// Who has chores by the deal in force here.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Has the voters pass this on to all members, as the owner of the duty.
+    pub fn tell(&mut self, now: Ns, duty: Duty, number: u64, bytes: Vec<u8>) {
+        self.tells.insert(duty, (number, bytes));
+        self.next_beat = self.next_beat.min(now);
+    }
+
+    /// What operators are to see of an own duty.
+    pub fn status(&mut self, duty: Duty, line: String) {
+        self.status.insert(duty, line);
+    }
+
     /// Writes the register of an own duty whole; `Do::Holds` says when it is kept.
     pub fn write(&mut self, now: Ns, duty: Duty, bytes: Vec<u8>) {
         let acts = self.posts.get_mut(&duty).map(|p| p.write(now, bytes)).unwrap_or_default();
--- a/crates/duty/src/station.rs
+++ b/crates/duty/src/station.rs
@@ -33,8 +33,10 @@
     facts: BTreeMap<u64, Told>,
     by_number: BTreeMap<u64, u64>,
     next_fact: u64,
-    /// What operators want of a duty that this member owns, to be taken by its owner.
-    wishes: Vec<(Duty, Vec<u8>)>,
+    /// What owners have to tell, by duty: the gate, the number, and what.
+    board: BTreeMap<Duty, (Gate, u64, Vec<u8>)>,
+    /// What members have in force, by duty and member's number.
+    in_force: BTreeMap<(Duty, u32), (Member, u64, u64)>,
 }
 
 impl Station {
@@ -56,7 +58,8 @@
             facts: BTreeMap::new(),
             by_number: BTreeMap::new(),
             next_fact: 1,
-            wishes: Vec::new(),
+            board: BTreeMap::new(),
+            in_force: BTreeMap::new(),
         }
     }
 
@@ -70,7 +73,8 @@
 
     /// Old dealers, and old owners at the registers, that were refused here.
     pub fn refused(&self) -> u64 {
-        self.gate.refused() + self.keepers.values().map(|k| k.gate().refused()).sum::<u64>()
+        let board: u64 = self.board.values().map(|(gate, ..)| gate.refused()).sum();
+        board + self.gate.refused() + self.keepers.values().map(|k| k.gate().refused()).sum::<u64>()
     }
 
     pub fn silent(&self, now: Ns) -> Ns {
@@ -87,8 +91,9 @@
         self.voters.iter().map(of)
     }
 
-    pub fn wishes(&mut self) -> Vec<(Duty, Vec<u8>)> {
-        std::mem::take(&mut self.wishes)
+    /// Members and what they have in force of a duty, by number and digest.
+    pub fn in_force(&self, duty: Duty) -> impl Iterator<Item = (Member, u64, u64)> + '_ {
+        self.in_force.range((duty, 0)..=(duty, u32::MAX)).map(|(_, said)| *said)
     }
 
     /// What it has to ask other voters as it begins anew: by voter.
@@ -168,15 +173,28 @@
                     Err(old) => Answer::Old(*duty, old.highest),
                 });
             }
+            Word::Tell { duty, by, number, bytes } => {
+                let (gate, told, kept) = self.board.entry(*duty).or_default();
+                if let Err(old) = gate.pass(*by) {
+                    said.push(Answer::Old(*duty, old.highest));
+                } else if number > told {
+                    (*told, *kept) = (*number, bytes.clone());
+                }
+            }
+            Word::Has(duty, number, (in_force, digest)) => {
+                self.in_force.insert((*duty, from.number), (from, *in_force, *digest));
+                if let Some((_, told, bytes)) = self.board.get(duty).filter(|(_, told, _)| told > number) {
+                    said.push(Answer::Told(*duty, *told, bytes.clone()));
+                }
+            }
             Word::Learn(duty) => {
                 if let Some(keeper) = self.keepers.get(duty) {
                     let (newest, sure) = keeper.tells();
                     said.push(Answer::Learnt(*duty, newest, sure));
                 }
             }
-            Word::Wish(duty, bytes) => self.wishes.push((*duty, bytes.clone())),
             // Answered by the office, which sees more.
-            Word::Show | Word::HandOver(..) => {}
+            Word::Show | Word::HandOver(..) | Word::Wish(..) => {}
         }
     }
 
--- a/crates/duty/src/word.rs
+++ b/crates/duty/src/word.rs
@@ -84,6 +84,15 @@
     /// The register of a duty: its owner reads it, or writes it whole.
     Read(Duty, Token),
     Write(Duty, Entry),
+    /// The owner's: to be passed on to all members, unless a later one is.
+    Tell {
+        duty: Duty,
+        by: Token,
+        number: u64,
+        bytes: Vec<u8>,
+    },
+    /// The number of what I was told last of a duty; and what I have in force of it, by number and digest.
+    Has(Duty, u64, (u64, u64)),
     /// A voter that begins anew asks another what it met.
     Learn(Duty),
     /// What an operator wants of a duty.
@@ -128,6 +137,8 @@
         count: u64,
     },
     Learnt(Duty, Token, bool),
+    /// Of a duty's owner, later than what you were told.
+    Told(Duty, u64, Vec<u8>),
     Shown(Shown),
     /// Whether a hand-over has begun here.
     HandsOver(Duty, bool),
@@ -152,6 +163,8 @@
     pub refused: u64,
     pub passed_over: u64,
     pub was_refused: u64,
+    /// What an own duty says of itself.
+    pub status: Vec<(Duty, String)>,
 }
 
 /// A duty as a voter, or its owner, sees it.
--- a/crates/duty/tests/office.rs
+++ b/crates/duty/tests/office.rs
@@ -107,7 +107,7 @@
                 Do::Probe { chore, token } => self.later(Letter::Probe { by: me, chore, token }),
                 Do::Begins(duty, token) => self.begun.push((self.now, duty, token)),
                 Do::Holds(_, entry) => self.kept.push((self.now, entry)),
-                Do::Facts(_) | Do::Ends(..) | Do::Note(_) | Do::Wish(..) => {}
+                Do::Facts(_) | Do::Ends(..) | Do::Note(_) | Do::Wish(..) | Do::Told(..) => {}
             }
         }
     }
--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -12,6 +12,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use rustix::process::{Pid, Signal, kill_process};
+use sablecross_director::duty::settings::DRIVING;
+use sablecross_duty::word::DEALING;
 use serde_json::Value;
 
 use super::load::{Clients, Wants};
@@ -87,6 +89,8 @@
     Told(Vec<usize>),
     /// An event for one copy of the feed.
     Feed(usize, String),
+    /// Another shape of the hierarchy is wished for.
+    Wish(usize),
 }
 
 /// One that is being carried out.
@@ -152,6 +156,32 @@
     all
 }
 
+/// One of several shapes of the hierarchy: all parents, or all but one.
+fn shape(t: &Trial, n: usize) -> String {
+    let capacity = 100.0 * t.rate;
+    let mut text = format!(
+        "(hierarchy (version . 1) (ceiling . {capacity}) (hold-ms . 300) (settle-ms . 200) (give-up-ms . 60000) (warm-after-ms . 500))\n\
+         (node (name . \"origin-0\") (tier . 0) (capacity . {capacity}))\n"
+    );
+    let left_out = (n % 2 == 1 && t.parents > 1).then(|| n / 2 % t.parents);
+    let parents: Vec<usize> = (0..t.parents).filter(|p| Some(*p) != left_out).collect();
+    for p in &parents {
+        text += &format!(
+            "(node (name . \"parent-{p}\") (tier . 1) (sources \"origin-0\") (capacity . {capacity}))\n"
+        );
+    }
+    let sources: Vec<String> = parents.iter().map(|p| format!("\"parent-{p}\"")).collect();
+    for c in 0..t.caches {
+        let demand = t.rate / t.caches as f64;
+        text += &format!(
+            "(node (name . \"cache-{c}\") (tier . 2) (sources {}) (capacity . {capacity}) (demand . {demand}) (hit . {}))\n",
+            sources.join(" "),
+            t.hits
+        );
+    }
+    text
+}
+
 /// CPU seconds that a process has used.
 fn cpu(child: &Child) -> f64 {
     let stat = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap_or_default();
@@ -285,6 +315,13 @@
         acts.push((fault.at, Act::Begin(n)));
         acts.push((fault.at + fault.lasts, Act::End(n)));
     }
+    if let Some(every) = t.duties.as_ref().map(|d| d.change_s).filter(|s| *s > 0.0) {
+        let wishes = (0..).map(|n| (n, 2.0 + n as f64 * every));
+        acts.extend(
+            wishes.take_while(|(_, at)| at + every <= t.seconds as f64).map(|(n, at)| (at, Act::Wish(n))),
+        );
+    }
+    let mut wished = 0;
     let mut running: HashMap<usize, Running> = HashMap::new();
     let mut struck = Vec::new();
     let (mut said, mut ended) = (0, 0);
@@ -326,6 +363,14 @@
                 Act::Feed(feed, event) => {
                     feeds[feed].tell(&event);
                 }
+                Act::Wish(n) => {
+                    let Some(s) = &shared else { continue };
+                    match watch::owner(&s.voters, DRIVING) {
+                        Some(driver) if watch::wish(s.voters[driver], &shape(t, n)) => wished += 1,
+                        // Nobody drives in this moment: the wish is made a little later.
+                        _ => acts.push((now + 0.5, Act::Wish(n))),
+                    }
+                }
             }
         }
         let second = now as u64;
@@ -359,12 +404,15 @@
     let watched = shared.as_ref().map(|s| {
         let excused: Vec<_> =
             struck.iter().flat_map(|s| s.nodes.iter().map(|n| (n.clone(), s.from, s.to))).collect();
-        let logs = fleet.0.iter().enumerate().take(s.voters.len());
-        let begun: Vec<_> = logs.flat_map(|(n, d)| watch::begun(n, &d.log, zero_ms)).collect();
+        let logs: Vec<&Path> = fleet.0.iter().map(|d| d.log.as_path()).collect();
+        let voters = logs.iter().enumerate().take(s.voters.len());
+        let begun: Vec<_> = voters.flat_map(|(n, log)| watch::begun(n, log, zero_ms)).collect();
         let warm_up = t.warm_up as f64;
         let mut w = Watched::of(&s.duties, seconds, warm_up, &probes, &excused, &s.blows, &begun);
         w.bytes = s.ways.bytes.load(Ordering::Relaxed) as f64 / seconds / t.directors as f64;
         w.cpu = cpu_used / seconds / t.directors as f64;
+        w.wished = wished;
+        w.versions(&logs);
         w
     });
     Ok(Report { watched, ..Report::of(t, &counted, &tallies, &struck, (ended, late)) })
@@ -412,12 +460,16 @@
             one.directors = some(rng, t.directors, fault.of);
         }
         Kind::StopVoters | Kind::KillVoters => one.directors = some(rng, voters, fault.of),
-        Kind::StopOwner | Kind::KillOwner => {
+        Kind::StopOwner | Kind::KillOwner | Kind::StopDriver | Kind::KillDriver => {
+            let duty = match fault.kind {
+                Kind::StopOwner | Kind::KillOwner => DEALING,
+                _ => DRIVING,
+            };
             if let Some(s) = shared.as_mut()
-                && let Some(member) = watch::dealer(&s.voters)
+                && let Some(member) = watch::owner(&s.voters, duty)
             {
                 one.directors = vec![member];
-                s.blows.push(Blow { at: now, member });
+                s.blows.push(Blow { at: now, member, duty });
             }
         }
         Kind::HoldTo | Kind::HoldFrom => {
@@ -466,12 +518,14 @@
     for d in &one.directors {
         let director = &mut directors[*d];
         match fault.kind {
-            Kind::StopDirectors | Kind::StopVoters | Kind::StopOwner => {
+            Kind::StopDirectors | Kind::StopVoters | Kind::StopOwner | Kind::StopDriver => {
                 // What waited for it meanwhile may be late for a moment after it.
                 director.struck(now, fault.at + fault.lasts + 0.5);
                 director.signal(Signal::STOP);
             }
-            Kind::KillDirectors | Kind::KillVoters | Kind::KillOwner if !director.killed => {
+            Kind::KillDirectors | Kind::KillVoters | Kind::KillOwner | Kind::KillDriver
+                if !director.killed =>
+            {
                 director.struck(now, fault.at + fault.lasts + 2.0);
                 director.killed = true;
                 director.child.kill().map_err(io_error("a director's end"))?;
@@ -510,8 +564,12 @@
     }
     for d in &one.directors {
         match one.fault.kind {
-            Kind::StopDirectors | Kind::StopVoters | Kind::StopOwner => directors[*d].signal(Signal::CONT),
-            Kind::KillDirectors | Kind::KillVoters | Kind::KillOwner if directors[*d].killed => {
+            Kind::StopDirectors | Kind::StopVoters | Kind::StopOwner | Kind::StopDriver => {
+                directors[*d].signal(Signal::CONT);
+            }
+            Kind::KillDirectors | Kind::KillVoters | Kind::KillOwner | Kind::KillDriver
+                if directors[*d].killed =>
+            {
                 let director = &mut directors[*d];
                 let text = configured(t, *d, director.at, &feeds[director.feed]);
                 std::fs::write(&director.config, text).map_err(io_error("a configuration"))?;
--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -37,6 +37,9 @@
     KillVoters,
     StopOwner,
     KillOwner,
+    /// Whoever drives changes of the hierarchy.
+    StopDriver,
+    KillDriver,
     /// What some members ask one voter is held up, or what it answers them, and arrives late.
     HoldTo,
     HoldFrom,
@@ -50,7 +53,9 @@
 
 impl Kind {
     /// Those that are drawn in rounds.
-    pub const DRAWN: [Kind; 11] = [
+    pub const DRAWN: [Kind; 13] = [
+        Kind::StopDriver,
+        Kind::KillDriver,
         Kind::StopOwner,
         Kind::KillOwner,
         Kind::StopVoters,
@@ -102,6 +107,10 @@
     #[garde(range(min = 1.0, max = 600.0))]
     #[serde(default = "round_s")]
     pub round_s: f64,
+    /// Every so many seconds another shape of the hierarchy is wished for; 0: never.
+    #[garde(range(min = 0.0, max = 3600.0))]
+    #[serde(default)]
+    pub change_s: f64,
     /// The longest pause between probes of one box that is well, in seconds, and the most in a second beside the usual.
     #[garde(range(min = 0.0, max = 600.0))]
     #[serde(default = "gap")]
--- a/crates/lab/src/fleet/watch.rs
+++ b/crates/lab/src/fleet/watch.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use sablecross_director::duty::ask;
+use sablecross_director::duty::settings::DRIVING;
 use sablecross_duty::Member;
-use sablecross_duty::word::{Answer, DEALING, Request, Shown, Word};
+use sablecross_duty::word::{Answer, Duty, Request, Shown, Word};
 use serde::{Deserialize, Serialize};
 
 use super::node::{At, Probe};
@@ -20,6 +21,7 @@
 pub struct Blow {
     pub at: At,
     pub member: usize,
+    pub duty: Duty,
 }
 
 /// One that began to deal, by its log.
@@ -27,6 +29,7 @@
 pub struct Begun {
     pub at: At,
     pub member: usize,
+    pub duty: Duty,
     pub term: u64,
 }
 
@@ -58,6 +61,14 @@
     /// Bytes a second between a member and all voters, both ways, and CPU seconds a second of a director.
     pub bytes: f64,
     pub cpu: f64,
+    /// Changes of the hierarchy that were wished for, begun and ended; versions that went back at a member in one life; the most
+    /// numbers that two members were apart, and the last number.
+    pub wished: u64,
+    pub changes: u64,
+    pub changed: u64,
+    pub back: u64,
+    pub apart: u64,
+    pub version: u64,
 }
 
 /// What a director says of its duties; none: it does not answer.
@@ -67,23 +78,39 @@
     said.into_iter().find_map(|a| if let Answer::Shown(shown) = a { Some(shown) } else { None })
 }
 
-/// Who deals now, of these voters.
-pub fn dealer(voters: &[SocketAddr]) -> Option<usize> {
-    voters.iter().position(|at| {
-        shown(*at).is_some_and(|s| s.duties.iter().any(|d| d.duty == DEALING && d.own.is_some()))
-    })
+/// Who owns a duty now, of these voters.
+pub fn owner(voters: &[SocketAddr], duty: Duty) -> Option<usize> {
+    voters
+        .iter()
+        .position(|at| shown(*at).is_some_and(|s| s.duties.iter().any(|d| d.duty == duty && d.own.is_some())))
 }
 
-/// Those that began to deal, by the log of one director; times count from `zero`, in Unix milliseconds.
+/// Hands a version of the hierarchy to whoever drives; whether it was heard.
+pub fn wish(driver: SocketAddr, text: &str) -> bool {
+    let words = vec![Word::Wish(DRIVING, text.as_bytes().to_vec())];
+    let request = Request { from: Member { number: u32::MAX, life: 0 }, words };
+    let said = ask(driver, &request, Duration::from_millis(500));
+    said.is_ok_and(|said| said.contains(&Answer::Wished(DRIVING, Ok(()))))
+}
+
+/// Milliseconds of the day of a line of the log.
+fn at_ms(line: &str) -> Option<u64> {
+    let clock = line.get(12..24)?;
+    let parts = [clock.get(0..2)?, clock.get(3..5)?, clock.get(6..8)?, clock.get(9..12)?];
+    let [h, m, s, ms] = parts.map(|p| p.parse::<u64>().ok());
+    Some(((h? * 60 + m?) * 60 + s?) * 1_000 + ms?)
+}
+
+/// Those that began to own a duty, by the log of one director; times count from `zero`, in Unix milliseconds.
 pub fn begun(member: usize, log: &Path, zero: u64) -> Vec<Begun> {
     let text = std::fs::read_to_string(log).unwrap_or_default();
     let one = |line: &str| {
-        let rest = line.split_once("duty begins duty=0 ")?.1;
+        let rest = line.split_once("duty begins ")?.1;
         let field = |name: &str| {
             rest.split(' ').find_map(|f| f.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
         };
         let at = (field("at_ms")? as f64 - zero as f64) / 1e3;
-        Some(Begun { at, member, term: field("term")? })
+        Some(Begun { at, member, duty: field("duty")? as Duty, term: field("term")? })
     };
     text.lines().filter_map(one).collect()
 }
@@ -137,16 +164,18 @@
         }
         w.burst_times = f64::from(w.burst) / usual;
         w.rate = w.probes as f64 / boxes.len().max(1) as f64 / seconds.max(1.0);
-        let mut terms: BTreeMap<u64, BTreeSet<usize>> = BTreeMap::new();
+        let mut terms: BTreeMap<(Duty, u64), BTreeSet<usize>> = BTreeMap::new();
         for b in begun {
-            terms.entry(b.term).or_default().insert(b.member);
+            terms.entry((b.duty, b.term)).or_default().insert(b.member);
         }
         w.same_term = terms.values().filter(|m| m.len() > 1).count() as u64;
         w.owners = begun.len() as u64;
         let mut took = Vec::new();
         for (n, blow) in blows.iter().enumerate() {
-            let next = blows.get(n + 1).map_or(seconds, |b| b.at);
-            let other = begun.iter().filter(|b| b.at > blow.at && b.at < next && b.member != blow.member);
+            let next = blows[n + 1..].iter().find(|b| b.duty == blow.duty).map_or(seconds, |b| b.at);
+            let other = begun
+                .iter()
+                .filter(|b| b.duty == blow.duty && b.at > blow.at && b.at < next && b.member != blow.member);
             match other.map(|b| b.at - blow.at).min_by(f64::total_cmp) {
                 Some(after) => took.push(after),
                 None => w.unanswered += 1,
@@ -159,6 +188,40 @@
         w
     }
 
+    /// What became of the hierarchy, by the directors' logs.
+    pub fn versions(&mut self, logs: &[&Path]) {
+        // When, who, and its version then; 0: it begins anew.
+        let mut moves: Vec<(u64, usize, u64)> = Vec::new();
+        for (member, log) in logs.iter().enumerate() {
+            let text = std::fs::read_to_string(log).unwrap_or_default();
+            for line in text.lines() {
+                let Some(at) = at_ms(line) else { continue };
+                let field = |name: &str| {
+                    line.split(' ').find_map(|f| f.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
+                };
+                if line.contains("duty member number=") {
+                    moves.push((at, member, 0));
+                } else if line.contains("hierarchy in force version=") && line.contains(" by=") {
+                    moves.push((at, member, field("version").unwrap_or(0)));
+                } else if line.contains("hierarchy change=") && line.contains(" begun ") {
+                    self.changes += 1;
+                } else if line.contains("hierarchy change=") && line.contains(" ended ") {
+                    self.changed += 1;
+                }
+            }
+        }
+        moves.sort_unstable();
+        let mut has: BTreeMap<usize, u64> = BTreeMap::new();
+        for (_, member, version) in moves {
+            let before = has.insert(member, version).unwrap_or(0);
+            self.back += u64::from(version > 0 && version < before);
+            self.version = self.version.max(version);
+            let there = has.values().filter(|v| **v > 0);
+            let (least, most) = (there.clone().min(), there.max());
+            self.apart = self.apart.max(most.zip(least).map_or(0, |(m, l)| m - l));
+        }
+    }
+
     pub fn breaches(&self, d: &Duties) -> Vec<String> {
         let mut found = Vec::new();
         let mut none = |what: &str, n: u64| {
@@ -168,6 +231,8 @@
         };
         none("effects of an old owner that were taken", self.disorder);
         none("tokens under which two owners were taken", self.twins);
+        none("versions of the hierarchy that went back at a member", self.back);
+        none("versions that were two steps apart at two members", u64::from(self.apart > 1));
         none("duties: nothing was probed", u64::from(self.probes == 0));
         if self.gap > d.gap_s {
             found.push(format!("{} was not probed for {:.1} s, of {:.1}", self.gap_at, self.gap, d.gap_s));
@@ -196,7 +261,7 @@
         )?;
         writeln!(
             f,
-            "dealers {} ({} terms given twice); after {} blows to the dealer another one dealt after {:.2} s in the middle, \
+            "owners {} ({} terms given twice); after {} blows to an owner another one began after {:.2} s in the middle, \
              {:.2} s at the 99th percentile, {:.2} s at most; {} were not followed by one",
             self.owners,
             self.same_term,
@@ -206,6 +271,13 @@
             self.takeover[2],
             self.unanswered
         )?;
+        if self.wished > 0 {
+            writeln!(
+                f,
+                "hierarchy: {} wishes, {} changes begun, {} ended, version {}; members {} versions apart at most, {} went back",
+                self.wished, self.changes, self.changed, self.version, self.apart, self.back
+            )?;
+        }
         writeln!(
             f,
             "a member and the voters {:.0} bytes a second; a director {:.4} CPU",
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -37,9 +37,10 @@
 fn one_owner_at_a_time_between_processes_and_steady_probes() {
     let text = "(fleet (name . \"duty\") (seed . 5) (seconds . 34) (warm-up . 5) (directors . 6) (caches . 5) (parents . 2)
         (rate . 40) (objects . 2000) (kept . 600)
-        (duties ((voters . 3) (lease-ms . 1000) (beat-ms . 200) (probe-ms . 500) (gap-s . 10) (burst . 4)))
+        (duties ((voters . 3) (lease-ms . 1000) (beat-ms . 200) (probe-ms . 500) (gap-s . 10) (burst . 4) (change-s . 6)))
         (faults
-          ((kind . kill-owner) (at . 6) (lasts . 4))
+          ((kind . kill-owner) (at . 6) (lasts . 2))
+          ((kind . kill-driver) (at . 8.3) (lasts . 2))
           ((kind . stop-owner) (at . 12) (lasts . 3))
           ((kind . hold-probes) (at . 14.5) (lasts . 5) (of . 0.5))
           ((kind . stop-directors) (at . 15) (lasts . 3) (of . 0.5))
@@ -53,7 +54,8 @@
     let report = run(&trial, &director, folder.path(), |_| {}).unwrap();
     assert_eq!(report.breaches(), [] as [&str; 0], "{report}");
     let watched = report.watched.as_ref().unwrap();
-    assert!(watched.owners >= 3 && watched.blows == 2 && watched.unanswered == 0, "{report}");
+    assert!(watched.owners >= 4 && watched.blows == 3 && watched.unanswered == 0, "{report}");
+    assert!(watched.changed >= 1 && watched.back == 0, "{report}");
     assert!(watched.probes > 200, "{report}");
 }
 
