--- a/crates/duty/src/office.rs
+++ b/crates/duty/src/office.rs
@@ -81,6 +81,8 @@
     token: Token,
     number: u64,
     next: Ns,
+    /// What each voter keeps: it is told whole once.
+    kept: Vec<Stamp>,
 }
 
 /// Calls to a voter that are out, by number, with when they were made.
@@ -308,6 +310,18 @@
                     self.seat(now, duty, acts);
                 }
                 Answer::Dealt(roster) => self.dealt(now, roster),
+                Answer::Moved { since, stamp, dealer, joined, left } if since == self.roster.stamp => {
+                    let mut members: Vec<Member> =
+                        self.roster.members.iter().copied().filter(|m| !left.contains(m)).collect();
+                    members.extend(joined);
+                    members.sort_unstable();
+                    self.dealt(now, Roster { stamp, dealer, members });
+                }
+                Answer::Keeps(stamp) => {
+                    if let Some(kept) = self.dealing.as_mut().and_then(|d| d.kept.get_mut(voter as usize)) {
+                        *kept = stamp;
+                    }
+                }
                 Answer::Holds(stamp)
                     if stamp == self.roster.stamp && self.roster.members.contains(&self.me) =>
                 {
@@ -346,6 +360,8 @@
                         station.learnt(voter, duty, newest, sure);
                     }
                 }
+                // Of a deal that was overtaken: the next beat asks again.
+                Answer::Moved { .. } => {}
                 Answer::Holds(_) | Answer::Shown(_) | Answer::HandsOver(..) | Answer::Wished(..) => {}
             }
         }
@@ -432,7 +448,8 @@
             if let Some(station) = self.station.as_mut() {
                 station.adopt(&self.roster);
             }
-            self.dealing = Some(Dealing { token, number: 0, next: now });
+            let kept = vec![Stamp::default(); self.terms.voters.len()];
+            self.dealing = Some(Dealing { token, number: 0, next: now, kept });
         } else {
             let many = self.terms.voters.len() as u32;
             self.posts.insert(duty, Post::new(token, many, self.terms.round, now));
@@ -479,8 +496,10 @@
         }
         let stamp = Stamp { term: token.term, number: dealing.number };
         let roster = Roster { stamp, dealer: token.owner, members: living };
-        for voter in 0..self.terms.voters.len() as u32 {
-            self.say(now, voter, vec![Word::Deal(roster.clone())]);
+        let kept = dealing.kept.clone();
+        for (voter, kept) in kept.into_iter().enumerate() {
+            let word = if kept == stamp { Word::Deals(token, stamp) } else { Word::Deal(roster.clone()) };
+            self.say(now, voter as u32, vec![word]);
         }
     }
 
--- a/crates/duty/src/station.rs
+++ b/crates/duty/src/station.rs
@@ -25,6 +25,8 @@
     lives: BTreeMap<u32, u64>,
     listens_since: Ns,
     roster: Roster,
+    /// The deal before it, and what has changed since.
+    before: Option<(Stamp, Vec<Member>, Vec<Member>)>,
     gate: Gate,
     /// Until when the deal is confirmed to members: the dealer was heard of.
     fresh_until: Ns,
@@ -51,6 +53,7 @@
             lives: BTreeMap::new(),
             listens_since: now,
             roster: Roster::default(),
+            before: None,
             gate: Gate::default(),
             fresh_until: 0,
             holds: terms.holds(),
@@ -136,7 +139,16 @@
             Word::Here(stamp) => {
                 self.suspicion.heard(now, from);
                 if *stamp < self.roster.stamp {
-                    said.push(Answer::Dealt(self.roster.clone()));
+                    said.push(match &self.before {
+                        Some((since, joined, left)) if since == stamp => Answer::Moved {
+                            since: *since,
+                            stamp: self.roster.stamp,
+                            dealer: self.roster.dealer,
+                            joined: joined.clone(),
+                            left: left.clone(),
+                        },
+                        _ => Answer::Dealt(self.roster.clone()),
+                    });
                 }
                 if now < self.fresh_until {
                     said.push(Answer::Holds(self.roster.stamp));
@@ -149,6 +161,15 @@
                 }
             }
             Word::Deal(roster) => self.deal(now, roster, said),
+            Word::Deals(by, stamp) => match self.gate.pass(*by) {
+                Ok(()) => {
+                    if *stamp == self.roster.stamp {
+                        self.fresh_until = now + self.holds;
+                    }
+                    said.push(Answer::Keeps(self.roster.stamp));
+                }
+                Err(old) => said.push(Answer::Old(DEALING, old.highest)),
+            },
             Word::Found(findings) => findings.iter().for_each(|f| self.found(now, *f)),
             Word::Facts(after) => said.push(self.facts(now, *after)),
             Word::Behind(duty, term) => {
@@ -207,10 +228,16 @@
         }
         if roster.stamp >= self.roster.stamp {
             if roster.stamp > self.roster.stamp {
+                let (old, new) = (&self.roster.members, &roster.members);
+                let not_in = |all: &[Member], m: &Member| all.binary_search(m).is_err();
+                let joined = new.iter().copied().filter(|m| not_in(old, m)).collect();
+                let left = old.iter().copied().filter(|m| not_in(new, m)).collect();
+                self.before = Some((self.roster.stamp, joined, left));
                 self.roster = roster.clone();
             }
             self.fresh_until = now + self.holds;
         }
+        said.push(Answer::Keeps(self.roster.stamp));
     }
 
     fn found(&mut self, now: Ns, f: Finding) {
@@ -254,10 +281,7 @@
     pub fn adopt(&mut self, roster: &Roster) {
         if roster.stamp > self.roster.stamp {
             self.roster = roster.clone();
+            self.before = None;
         }
     }
-
-    pub fn stamp(&self) -> Stamp {
-        self.roster.stamp
-    }
 }
--- a/crates/duty/src/word.rs
+++ b/crates/duty/src/word.rs
@@ -76,6 +76,8 @@
     Ask(Duty, Ask),
     /// The dealer's, to be kept and passed on.
     Deal(Roster),
+    /// The dealer lives, and that deal is in force still.
+    Deals(Token, Stamp),
     Found(Vec<Finding>),
     /// What was found since that number?
     Facts(u64),
@@ -112,8 +114,17 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     Said(Duty, Reply),
-    /// A newer deal than yours.
+    /// A newer deal than yours, whole, or what has changed since yours.
     Dealt(Roster),
+    Moved {
+        since: Stamp,
+        stamp: Stamp,
+        dealer: Member,
+        joined: Vec<Member>,
+        left: Vec<Member>,
+    },
+    /// To the dealer: the deal that is kept here.
+    Keeps(Stamp),
     /// The dealer was heard of lately, and this is its deal.
     Holds(Stamp),
     /// A later life of your number has spoken: you are none, or your clock was set back.
