Voters change one at a time, by SIGHUP, also when the owner is the one that leaves

Cause: voters were fixed for the life of a fleet; a change of their number took every director down at once. Change: Office::settle takes one voter more or one less (majorities of the two sets meet), refuses two at once or another lease; a lease that is held goes on and is renewed at the new ones, a register is written to a majority of them, one that leaves hands over first; the director reads the file again at SIGHUP.

--- a/crates/director/src/duty/agent.rs
+++ b/crates/director/src/duty/agent.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -42,6 +43,8 @@
     inbox: Receiver<In>,
     poll: Poll,
     peers: Vec<Peer>,
+    /// Where each voter listens, by its member's number.
+    addresses: BTreeMap<u32, SocketAddr>,
     probing: bool,
     /// Boxes that the list names, by the rank of their names.
     boxes: BTreeMap<u64, Probed>,
@@ -67,7 +70,9 @@
         let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_millis() as u64);
         let me = Member { number: u32::try_from(number).unwrap_or(u32::MAX), life };
         let now = common.clock.now();
+        let addresses = setting.terms.voters.iter().copied().zip(setting.addresses.iter().copied()).collect();
         let agent = Agent {
+            addresses,
             office: Office::new(me, setting.terms, mix(life ^ number as u64), now),
             common,
             inbox,
@@ -141,6 +146,7 @@
                     let _ = self.common.events.send(Event::PeerSaid { client, call, said });
                 }
                 Ok(In::Listed { members, whole }) => self.listed(now, &members, whole),
+                Ok(In::Settle(setting)) => self.settle(now, *setting),
                 Ok(In::InForce(in_force)) => {
                     self.office.has(now, DRIVING, (in_force.number, in_force.digest));
                 }
@@ -184,6 +190,24 @@
         self.office.listed(now, &boxes);
     }
 
+    /// Takes other voters, one more or one less, or other addresses of theirs.
+    fn settle(&mut self, now: Ns, setting: Setting) {
+        let voters = setting.terms.voters.clone();
+        match self.office.settle(now, setting.terms) {
+            Ok(()) => {
+                self.addresses.extend(voters.iter().copied().zip(setting.addresses));
+                self.carry(now);
+                for (voter, peer) in voters.iter().zip(&mut self.peers) {
+                    if let Some(at) = self.addresses.get(voter) {
+                        peer.line.moves(*at, self.poll.registry(), now);
+                    }
+                }
+                log::info!("reload duties voters={}", voters.len());
+            }
+            Err(e) => log::error!("reload failed, the old duties stay: {e}"),
+        }
+    }
+
     fn drops(&mut self, chore: u64, now: Ns) {
         if let Some(mut gone) = self.boxes.remove(&chore) {
             gone.line.close(self.poll.registry(), now);
@@ -204,6 +228,13 @@
                     Do::Probe { chore, token } => self.probe(chore, token, now),
                     Do::Facts(findings) => self.facts(&findings),
                     Do::Note(line) => log::info!("{line}"),
+                    Do::Settled(voters) => {
+                        for peer in &mut self.peers {
+                            peer.line.close(self.poll.registry(), now);
+                        }
+                        let at = |v: &u32| self.addresses.get(v).copied().map(Peer::new);
+                        self.peers = voters.iter().filter_map(at).collect();
+                    }
                     Do::Begins(duty, token) => {
                         log::info!("duty owned name={} term={}", named(duty), token.term);
                         if duty == DRIVING {
--- a/crates/director/src/duty/mod.rs
+++ b/crates/director/src/duty/mod.rs
@@ -43,6 +43,8 @@
     },
     /// The hierarchy that the desk has in force now.
     InForce(InForce),
+    /// The settings were read again.
+    Settle(Box<Setting>),
     Stop,
 }
 
@@ -83,6 +85,12 @@
         }
     }
 
+    pub fn settle(&self, setting: Setting) {
+        if !self.tell(In::Settle(Box::new(setting))) {
+            log::error!("reload: duties: they take a restart");
+        }
+    }
+
     pub fn in_force(&self, in_force: InForce) {
         if self.0.is_some() {
             // With no room it is said with the next version; the owner waits for it meanwhile.
--- a/crates/director/src/duty_off.rs
+++ b/crates/director/src/duty_off.rs
@@ -41,6 +41,10 @@
 
     pub fn listed(&self, _members: &[Member], _whole: bool) {}
 
+    pub fn settle(&self, setting: Setting) {
+        match setting {}
+    }
+
     pub fn in_force(&self, _in_force: InForce) {}
 
     pub fn stop(&self) {}
--- a/crates/director/src/exchange.rs
+++ b/crates/director/src/exchange.rs
@@ -4,6 +4,7 @@
 
 use sablecross::{Load, Ns, Outcome};
 
+use crate::duty::Setting;
 use crate::plain::bodies::Body;
 use crate::plain::facts::Fact;
 
@@ -94,6 +95,8 @@
         call: u32,
         said: Option<Vec<u8>>,
     },
+    /// The settings of the duties were read again.
+    Settle(Box<Setting>),
     /// What probes of any member found lately, by the names of nodes.
     Found(Vec<(String, Load)>),
     Stop,
--- a/crates/director/src/life/signals.rs
+++ b/crates/director/src/life/signals.rs
@@ -8,6 +8,7 @@
 use signal_hook::iterator::Signals;
 
 use super::config::Config;
+use crate::duty::Setting;
 use crate::exchange::Event;
 use crate::plain::facts::{Fact, Known};
 use crate::upper::Told;
@@ -57,6 +58,15 @@
         let told = match signal {
             SIGHUP => {
                 fixed.reload(moves);
+                match Setting::read() {
+                    Some(Ok(setting)) => {
+                        if events.send(Event::Settle(Box::new(setting))).is_err() {
+                            return;
+                        }
+                    }
+                    Some(Err(e)) => log::error!("reload failed, the old duties stay: {e}"),
+                    None => {}
+                }
                 match Told::read() {
                     Some(Ok(told)) => events.send(Event::Fact(Fact::Hierarchy(Box::new(told)))),
                     Some(Err(e)) => {
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -329,6 +329,7 @@
                 let say = body.map_or(Say::Failed, |body| Say::Satisfied(Some(body)));
                 self.floor.tell(client, call, now + self.floor.common.limits.undated, say);
             }
+            Event::Settle(setting) => self.floor.duties.settle(*setting),
             Event::Found(found) => {
                 for (name, load) in found {
                     if let Some(node) = self.floor.nodes.number_of(&name) {
--- a/crates/director/tests/duty.rs
+++ b/crates/director/tests/duty.rs
@@ -164,6 +164,44 @@
     let _ = std::fs::remove_file(file);
 }
 
+#[test]
+fn a_voter_is_added_and_the_owner_removed_by_the_signal() {
+    let at: Vec<SocketAddr> = (0..4).map(|_| free()).collect();
+    let file = file("settle", &settings(&at[..3]));
+    let worlds: Vec<World> = (0..4)
+        .map(|n| World::start_with(|c| placed(&c, n, at[n]), &[("SABLECROSS_DUTY", file.as_os_str())]))
+        .collect();
+    let owner = || {
+        (0..4).find_map(|n| {
+            let own = shown(at[n])?.duties.iter().find(|d| d.duty == 0)?.own?;
+            Some((n, own.0.term))
+        })
+    };
+    let (first, _) = until("somebody deals", owner);
+    let tell_all = |text: &str| {
+        std::fs::write(&file, text).expect("written");
+        worlds.iter().for_each(|w| w.signal("HUP"));
+    };
+    tell_all(&settings(&at));
+    worlds.iter().for_each(|w| drop(w.logged("reload duties voters=4")));
+    until("the fourth votes", || shown(at[3]).filter(|s| s.voter == Some(3) && s.silent == 0));
+    // Numbers stay as they are: the owner's line goes.
+    let less: String = settings(&at)
+        .lines()
+        .filter(|l| !l.contains(&format!("(number . {first})")))
+        .map(|l| format!("{l}\n"))
+        .collect();
+    tell_all(&less);
+    let (next, _) = until("another deals", || owner().filter(|o| o.0 != first));
+    assert_ne!(next, first);
+    until("it votes no more", || shown(at[first]).filter(|s| s.voter.is_none() && s.duties.is_empty()));
+    // Two at once are refused, and nothing changes.
+    tell_all(&settings(&at[next..=next]));
+    worlds.iter().for_each(|w| drop(w.logged("reload failed, the old duties stay: ")));
+    assert_eq!(owner().map(|o| o.0), Some(next));
+    let _ = std::fs::remove_file(file);
+}
+
 #[test]
 fn without_settings_the_method_is_unknown_and_odd_calls_do_no_harm() {
     let world = World::start();
--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use chores::Chores;
 pub use gate::{Gate, Old};
-pub use office::{Do, Office, Terms};
+pub use office::{Do, Office, Terms, Unsettled};
 pub use register::{Do as Kept, Keeper, Post};
 pub use seat::{Act, End, Rules, Seat};
 pub use shares::{Shares, Suspicion};
--- a/crates/duty/src/office.rs
+++ b/crates/duty/src/office.rs
@@ -5,6 +5,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use thiserror::Error;
+
 use crate::register::{self, Post};
 use crate::word::{Answer, DEALING, Duty, Entry, Finding, Held, Roster, Shown, Stamp, State, Word};
 use crate::{Act, Ask, Chores, End, Member, Ns, Rules, Seat, Station, Token};
@@ -44,11 +46,26 @@
         self.silence() * 2 / 5
     }
 
+    /// The place of a voter among the claimants of a duty: each has another first one, so that not all fall to one.
+    fn order(&self, place: u32, duty: usize) -> u32 {
+        let many = self.voters.len().max(1) as u32;
+        (place + many - duty as u32 % many) % many
+    }
+
     fn rules(&self) -> Rules {
         Rules { voters: self.voters.len() as u32, lease: self.lease, round: self.round, apart: self.apart }
     }
 }
 
+/// Why other settings are not taken while the program runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Unsettled {
+    #[error("{joined} voters more and {left} less at once: change one, and wait until all directors have it")]
+    Many { joined: usize, left: usize },
+    #[error("more than the voters has changed, which takes a restart")]
+    Else,
+}
+
 /// What the process is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Do {
@@ -67,6 +84,8 @@
     Told(Duty, Vec<u8>),
     /// What others found, to be told to the decision module.
     Facts(Vec<Finding>),
+    /// From here on calls go by this order of the voters.
+    Settled(Vec<u32>),
     Begins(Duty, Token),
     Ends(Duty, u64, End),
     /// What the register of an own duty surely holds.
@@ -129,11 +148,8 @@
     /// `chance`: any number, another at each member.
     pub fn new(me: Member, terms: Terms, chance: u64, now: Ns) -> Office {
         let place = terms.voters.iter().position(|v| *v == me.number).map(|p| p as u32);
-        let many = terms.voters.len() as u32;
         let seat = |(n, duty): (usize, &Duty), place: u32| {
-            // Each duty has another first claimant, so that not all fall to one.
-            let order = (place + many - n as u32 % many.max(1)) % many.max(1);
-            (*duty, Seat::new(me, order, terms.rules(), chance.rotate_left(n as u32), now))
+            (*duty, Seat::new(me, terms.order(place, n), terms.rules(), chance.rotate_left(n as u32), now))
         };
         let seats = place
             .map(|place| terms.duties.iter().enumerate().map(|d| seat(d, place)).collect())
@@ -615,6 +631,62 @@
         }
     }
 
+    /// Other voters by the settings, one more or one less: two majorities of sets that differ by one have a voter in common. The next
+    /// change is to come when all members have this one; what gates refuse does not depend on it.
+    pub fn settle(&mut self, now: Ns, terms: Terms) -> Result<(), Unsettled> {
+        let (old, new) = (&self.terms.voters, &terms.voters);
+        let left: Vec<u32> = old.iter().copied().filter(|v| !new.contains(v)).collect();
+        let joined: Vec<u32> = new.iter().copied().filter(|v| !old.contains(v)).collect();
+        if left.len() + joined.len() > 1 {
+            return Err(Unsettled::Many { joined: joined.len(), left: left.len() });
+        }
+        let with_old = Terms { voters: self.terms.voters.clone(), ..terms.clone() };
+        if with_old != self.terms {
+            return Err(Unsettled::Else);
+        }
+        if left.is_empty() && joined.is_empty() && old == new {
+            return Ok(());
+        }
+        self.note(format!("duty voters={} joined={joined:?} left={left:?}", terms.voters.len()));
+        if left.contains(&self.me.number) {
+            // It gives up what it owns by the voters that granted it.
+            let duties: Vec<Duty> = self.seats.keys().copied().collect();
+            for duty in duties {
+                self.hand_over(now, duty, None);
+            }
+            (self.seats, self.station) = (BTreeMap::new(), None);
+        }
+        self.acts.push_back(Do::Settled(terms.voters.clone()));
+        self.terms = terms;
+        let many = self.terms.voters.len();
+        self.heard = vec![0; many];
+        self.out = vec![Out::new(); many];
+        if let Some(dealing) = self.dealing.as_mut() {
+            dealing.kept = vec![Stamp::default(); many];
+        }
+        if let Some(place) = self.terms.voters.iter().position(|v| *v == self.me.number) {
+            let (place, rules) = (place as u32, self.terms.rules());
+            match self.station.as_mut() {
+                Some(station) => station.settles(place, &self.terms),
+                None => self.station = Some(Station::begin(place, &self.terms, now)),
+            }
+            for (n, duty) in self.terms.duties.iter().enumerate() {
+                let order = self.terms.order(place, n);
+                let chance = self.me.life.rotate_left(n as u32);
+                let seat = self.seats.entry(*duty);
+                let seat = seat.or_insert_with(|| Seat::new(self.me, order, rules, chance, now));
+                seat.settles(now, order, rules);
+            }
+        }
+        let duties: Vec<Duty> = self.posts.keys().copied().collect();
+        for duty in duties {
+            let acts = self.posts.get_mut(&duty).map(|p| p.settles(now, many as u32)).unwrap_or_default();
+            self.post(now, duty, acts);
+        }
+        self.next_beat = now;
+        Ok(())
+    }
+
     /// Gives a duty up to a voter, by its member's number, or to the next one; whether it was this member's to give.
     pub fn hand_over(&mut self, now: Ns, duty: Duty, to: Option<u32>) -> bool {
         let next = || {
--- a/crates/duty/src/register.rs
+++ b/crates/duty/src/register.rs
@@ -40,6 +40,13 @@
         &self.gate
     }
 
+    /// The voters have changed: what it has not learned yet it asks anew.
+    pub fn settles(&mut self, me: u32, voters: u32) {
+        if self.learning.is_some() {
+            *self = Keeper { gate: self.gate.clone(), ..Keeper::begin(me, voters) };
+        }
+    }
+
     /// The voters that it has to ask still.
     pub fn asks(&self) -> u64 {
         self.learning.map_or(0, |l| ((1u64 << l.voters.min(63)) - 1) & !l.heard)
@@ -137,6 +144,17 @@
         of.count_ones() * 2 > self.voters
     }
 
+    /// The voters have changed: what a majority of the old ones kept, most of the new ones have to keep.
+    pub fn settles(&mut self, now: Ns, voters: u32) -> Vec<Do> {
+        self.voters = voters;
+        if matches!(self.phase, Phase::Reads { .. }) {
+            self.phase = Phase::Reads { heard: 0, whole: 0, best: Entry::default() };
+            self.next = now;
+            return self.step(now);
+        }
+        self.begin(now)
+    }
+
     /// Asks again whom it has not heard.
     pub fn step(&mut self, now: Ns) -> Vec<Do> {
         if now < self.next() {
--- a/crates/duty/src/seat.rs
+++ b/crates/duty/src/seat.rs
@@ -238,6 +238,18 @@
         acts
     }
 
+    /// The voters have changed, by one: what they said before counts no more, a lease that is held goes on and is renewed at
+    /// once. A majority of either set has a voter in common with one of the other.
+    pub fn settles(&mut self, now: Ns, order: u32, rules: Rules) {
+        (self.rules, self.order) = (rules, order);
+        self.round += 1;
+        match &mut self.place {
+            Place::Owns { renewal, next, .. } => (*renewal, *next) = (None, now),
+            Place::Waits { .. } => {}
+            Place::Looks { .. } | Place::Claims { .. } => self.wait(now, 0),
+        }
+    }
+
     /// It may look then: it was told that the duty is its own to take.
     pub fn called(&mut self, at: Ns) {
         if let Place::Waits { until } = &mut self.place {
--- a/crates/duty/src/station.rs
+++ b/crates/duty/src/station.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    /// The voters have changed; this one is `me` in their new order.
+    pub fn settles(&mut self, me: u32, terms: &Terms) {
+        self.me = me;
+        self.keepers.values_mut().for_each(|k| k.settles(me, terms.voters.len() as u32));
+    }
+
     pub fn me(&self) -> u32 {
         self.me
     }
--- a/crates/duty/tests/office.rs
+++ b/crates/duty/tests/office.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use sablecross_duty::word::{Answer, DEALING, Entry, Request, Stamp, State, Word};
-use sablecross_duty::{Do, Gate, Member, Ns, Office, Terms, Token};
+use sablecross_duty::{Do, Gate, Member, Ns, Office, Terms, Token, Unsettled};
 
 const MS: Ns = 1_000_000;
 const SEC: Ns = 1_000 * MS;
@@ -26,7 +26,7 @@
 }
 
 enum Letter {
-    Call { from: Member, voter: usize, number: u64, words: Vec<Word> },
+    Call { from: Member, at: u32, voter: usize, number: u64, words: Vec<Word> },
     Back { to: Member, voter: usize, number: u64, said: Vec<Answer> },
     Probe { by: Member, chore: u64, token: Token },
     Probed { by: Member, chore: u64, token: Token, state: Result<State, Token> },
@@ -44,6 +44,8 @@
     now: Ns,
     terms: Terms,
     members: BTreeMap<u32, Office>,
+    /// The order of the voters by which each member calls.
+    orders: BTreeMap<u32, Vec<u32>>,
     boxes: BTreeMap<u64, Box>,
     way: Vec<(Ns, Letter)>,
     /// From a member to a voter, and back, that are lost.
@@ -64,6 +66,7 @@
             now: 0,
             terms: terms(voters),
             members: BTreeMap::new(),
+            orders: BTreeMap::new(),
             boxes: (0..boxes).map(|b| (b * 7 + 1, Box::default())).collect(),
             way: Vec::new(),
             cut: BTreeSet::new(),
@@ -84,6 +87,7 @@
         let mut office = Office::new(Member { number, life }, self.terms.clone(), chance, self.now);
         office.listed(self.now, &self.boxes.keys().copied().collect());
         self.members.insert(number, office);
+        self.orders.insert(number, self.terms.voters.clone());
     }
 
     fn later(&mut self, letter: Letter) {
@@ -99,11 +103,15 @@
             match act {
                 Do::Call { voter, number, words } => {
                     let voter = voter as usize;
+                    let at = self.orders[&me.number][voter];
                     if !self.cut.contains(&(me.number, voter, true)) && self.rng.random::<f64>() >= self.lossy
                     {
-                        self.later(Letter::Call { from: me, voter, number, words });
+                        self.later(Letter::Call { from: me, at, voter, number, words });
                     }
                 }
+                Do::Settled(voters) => {
+                    self.orders.insert(me.number, voters);
+                }
                 Do::Probe { chore, token } => self.later(Letter::Probe { by: me, chore, token }),
                 Do::Begins(duty, token) => self.begun.push((self.now, duty, token)),
                 Do::Holds(_, entry) => self.kept.push((self.now, entry)),
@@ -114,11 +122,12 @@
 
     fn deliver(&mut self, letter: Letter) {
         match letter {
-            Letter::Call { from, voter, number, words } => {
-                let at = self.terms.voters[voter];
+            Letter::Call { from, at, voter, number, words } => {
                 if self.stalled.contains(&at) {
                     // It reads on when it is continued.
-                    return self.way.push((self.now + 50 * MS, Letter::Call { from, voter, number, words }));
+                    return self
+                        .way
+                        .push((self.now + 50 * MS, Letter::Call { from, at, voter, number, words }));
                 }
                 let Some(office) = self.members.get_mut(&at) else { return };
                 let said = office.called(self.now, from, &words);
@@ -523,3 +532,74 @@
     let far = Stamp { term: u64::MAX, number: u64::MAX };
     assert!(Stamp::of(far.token(request.from)).term > 0);
 }
+
+impl Fleet {
+    /// All members take other voters, one after another.
+    fn settle(&mut self, voters: &[u32]) {
+        self.terms = Terms { voters: voters.to_vec(), ..self.terms.clone() };
+        let (now, terms) = (self.now, self.terms.clone());
+        let members: Vec<u32> = self.members.keys().copied().collect();
+        for m in members {
+            if let Some(office) = self.members.get_mut(&m) {
+                office.settle(now, terms.clone()).expect("one voter");
+            }
+            self.carry(m);
+        }
+    }
+}
+
+#[test]
+fn voters_change_one_at_a_time_also_the_owner_and_nothing_that_was_kept_is_lost() {
+    for seed in 0..20 {
+        let mut f = Fleet::new(8, 3, 16, seed);
+        f.run(6 * SEC);
+        let driver = f.owner(DRIVING).expect("an owner");
+        let now = f.now;
+        f.members.get_mut(&driver).expect("there").write(now, DRIVING, vec![7]);
+        f.carry(driver);
+        f.run(now + SEC);
+        let dealer = f.owner(DEALING).expect("a dealer");
+        f.settle(&[0, 1, 2, 5]);
+        f.run(f.now + 2 * SEC);
+        assert_eq!(f.owner(DEALING), Some(dealer), "seed {seed}: a lease that is held goes on");
+        f.settle(&[0, 1, 2, 5, 6]);
+        f.run(f.now + 2 * SEC);
+        // The owner of dealing votes no more.
+        let left: Vec<u32> = [0, 1, 2, 5, 6].into_iter().filter(|v| *v != dealer).collect();
+        f.settle(&left);
+        f.run(f.now + 2 * SEC);
+        let next = f.owner(DEALING).expect("another");
+        assert!(next != dealer && left.contains(&next), "seed {seed}");
+        // The others of the first three go as well, one by one; those that joined kept what was written.
+        let mut voters = left;
+        for gone in (0..3).filter(|v| *v != dealer) {
+            voters.retain(|v| *v != gone);
+            f.settle(&voters);
+            f.run(f.now + 3 * SEC);
+        }
+        assert_eq!(voters, [5, 6]);
+        f.kept.clear();
+        let driver = f.owner(DRIVING).expect("an owner");
+        assert!(voters.contains(&driver));
+        f.stalled.insert(driver);
+        f.run(f.now + 3 * SEC);
+        f.stalled.clear();
+        f.run(f.now + 3 * SEC);
+        assert!(f.kept.iter().any(|(_, e)| e.bytes == [7]), "seed {seed}: {:?}", f.kept);
+        f.in_order().unwrap();
+        let (longest, most) = f.pauses(4 * SEC);
+        assert!(longest <= 5 * SEC && most <= 2, "seed {seed}: {longest} {most}");
+    }
+}
+
+#[test]
+fn two_voters_at_once_or_another_lease_are_refused() {
+    let mut office = Office::new(Member { number: 0, life: 1 }, terms(3), 5, 0);
+    let two = Terms { voters: vec![0, 3, 4], ..terms(3) };
+    assert_eq!(office.settle(1, two), Err(Unsettled::Many { joined: 2, left: 2 }));
+    let replaced = Terms { voters: vec![0, 1, 4], ..terms(3) };
+    assert_eq!(office.settle(1, replaced), Err(Unsettled::Many { joined: 1, left: 1 }));
+    let longer = Terms { lease: 9 * SEC, ..terms(3) };
+    assert_eq!(office.settle(1, longer), Err(Unsettled::Else));
+    assert_eq!(office.settle(1, terms(3)), Ok(()));
+}
