--- a/crates/director/src/life/signals.rs
+++ b/crates/director/src/life/signals.rs
@@ -58,14 +58,15 @@
         let told = match signal {
             SIGHUP => {
                 fixed.reload(moves);
-                match Setting::read() {
-                    Some(Ok(setting)) => {
-                        if events.send(Event::Settle(Box::new(setting))).is_err() {
-                            return;
-                        }
+                let settled = Setting::read().map(|read| match read {
+                    Ok(setting) => events.send(Event::Settle(Box::new(setting))).is_ok(),
+                    Err(e) => {
+                        log::error!("reload failed, the old duties stay: {e}");
+                        true
                     }
-                    Some(Err(e)) => log::error!("reload failed, the old duties stay: {e}"),
-                    None => {}
+                });
+                if settled == Some(false) {
+                    return;
                 }
                 match Told::read() {
                     Some(Ok(told)) => events.send(Event::Fact(Fact::Hierarchy(Box::new(told)))),
