Fresh caches are warmed by one owner, within a part of what they bear

Cause: a cache that begins anew is empty, and each director fills it by misses of its own; the issue asks for warming as the first duty that writes. Change: crates/duty/src/warming.rs (no I/O): one object at a time at each cache, a part of what a cold one bears, longer pauses while it is busy, an old owner stops at the first refusal; members tell what they are asked for most, voters add it up, the owner fetches what belongs to each fresh cache by the module's pies, the token as a field of the request. Off by default.

--- a/crates/director/src/duty/agent.rs
+++ b/crates/director/src/duty/agent.rs
@@ -9,21 +9,22 @@
 
 use crossbeam_channel::{Receiver, TryRecvError};
 use mio::{Events, Poll, Token, Waker};
-use sablecross::{Load, Ns, State as Listed, mix, rank};
+use sablecross::{Load, Ns, Outcome, Pie, Settings, State as Listed, copy_place, fill_place, mix, rank};
 use sablecross_drive::{Driving, Order};
 use sablecross_duty::word::{Finding, Request, State, Word};
-use sablecross_duty::{Do, Member, Office};
+use sablecross_duty::{Do, Ended, Member, Office, Pace, Want, Warming};
 
 use super::boxes::{self, Probed, Tag};
 use super::peers::{Line, Peer};
-use super::settings::{DRIVING, Setting, named};
-use super::{In, METHOD};
+use super::settings::{DRIVING, Setting, WARMING, named};
+use super::{Hot, In, METHOD};
 use crate::common::Common;
 use crate::exchange::Event;
 use crate::plain::clock::MS;
 use crate::plain::facts::{self, Fact};
 use crate::upper::Told;
 use crate::wire::intake::paused;
+use crate::wire::lines;
 use crate::wire::rpc::{self, Flaw};
 
 const INBOX: Token = Token(usize::MAX);
@@ -31,7 +32,10 @@
 const BOXES: usize = 1 << 16;
 /// An answer of a voter, and of a box.
 const MOST_ANSWER: usize = 240_000;
-const MOST_LINE: usize = 4_096;
+const MOST_LINE: usize = 256 << 10;
+/// How often a member says what it is asked for most, and how many objects.
+const HOT_EVERY: Ns = 1_000 * MS;
+const MOST_SAID: usize = 24;
 /// A finding older than this tells the module nothing of how the box is.
 const LATELY: Ns = 1_000 * MS;
 /// After the word to stop, the time in which duties are handed over.
@@ -56,15 +60,25 @@
     gone_after: Ns,
     /// While this member owns that duty.
     driving: Option<Driving>,
+    pace: Option<Pace>,
+    warming: Option<(sablecross_duty::Token, Warming)>,
+    hot: Option<Hot>,
+    next_hot: Ns,
+    /// The list as it stands, and which of its kinds are no caches: parents, the origin.
+    list: BTreeMap<u64, facts::Member>,
+    parents: Option<usize>,
+    origin: usize,
 }
 
 impl Agent {
     pub fn new(
         setting: Setting,
-        number: usize,
+        own: &Settings,
         common: Arc<Common>,
         inbox: Receiver<In>,
+        hot: Option<Hot>,
     ) -> io::Result<(Agent, Arc<Waker>)> {
+        let number = own.number;
         let poll = Poll::new()?;
         let waker = Arc::new(Waker::new(poll.registry(), INBOX)?);
         let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_millis() as u64);
@@ -86,6 +100,13 @@
             stopping: None,
             gone_after: setting.gone_after,
             driving: None,
+            pace: setting.warming.map(|p| Pace { from: own.cold_from, after: own.warm_after, ..p }),
+            warming: None,
+            hot,
+            next_hot: now,
+            list: BTreeMap::new(),
+            parents: own.parent_kind,
+            origin: own.origin_kind,
         };
         log::info!("duty member number={} life={life} voters={}", me.number, agent.peers.len());
         Ok((agent, waker))
@@ -99,8 +120,10 @@
             self.office.step(now);
             self.carry(now);
             self.drives(now);
+            self.warms(now);
             let driving = self.driving.as_ref().map_or(Ns::MAX, Driving::next);
-            let next = self.office.next().min(driving).min(now + 250 * MS);
+            let warming = self.warming.as_ref().map_or(Ns::MAX, |(_, w)| w.next());
+            let next = self.office.next().min(driving).min(warming).min(now + 250 * MS);
             if let Err(e) = self.poll.poll(&mut events, Some(self.common.clock.until(next)))
                 && !paused(&e)
             {
@@ -163,6 +186,17 @@
     }
 
     fn listed(&mut self, now: Ns, members: &[facts::Member], whole: bool) {
+        if whole {
+            self.list.clear();
+        }
+        for m in members {
+            let chore = rank(&m.name);
+            if m.state == Listed::Gone {
+                self.list.remove(&chore);
+            } else {
+                self.list.insert(chore, m.clone());
+            }
+        }
         if !self.probing {
             return;
         }
@@ -183,7 +217,8 @@
                 self.tokens.insert(token, chore);
                 let line = Line::new(m.address);
                 let out = BTreeMap::new();
-                self.boxes.insert(chore, Probed { name: m.name.clone(), node: token as u64, line, out });
+                let name = m.name.clone();
+                self.boxes.insert(chore, Probed { name, node: token as u64, line, out, skip: 0 });
             }
         }
         let boxes: BTreeSet<u64> = self.boxes.keys().copied().collect();
@@ -240,12 +275,18 @@
                         if duty == DRIVING {
                             self.driving = Some(Driving::begin(token, self.gone_after));
                         }
+                        if duty == WARMING {
+                            self.warming = self.pace.map(|pace| (token, Warming::new(pace)));
+                        }
                     }
                     Do::Ends(duty, term, by) => {
                         log::info!("duty given up name={} term={term} by={by:?}", named(duty));
                         if duty == DRIVING {
                             self.driving = None;
                         }
+                        if duty == WARMING {
+                            self.warming = None;
+                        }
                     }
                     Do::Holds(duty, entry) if duty == DRIVING => {
                         if let Some(driving) = self.driving.as_mut().filter(|d| d.token() == entry.by) {
@@ -300,6 +341,96 @@
         self.carry(now);
     }
 
+    /// Which caches of the list belong to which pies: those of one location are one.
+    fn pie(&self, kind: impl Fn(Option<usize>) -> bool, zone: Option<&str>) -> (Pie, Vec<u64>) {
+        let of = |m: &facts::Member| kind(self.common.names.machines.get(&m.kind).copied());
+        let all = self.list.iter().filter(|(_, m)| of(m) && zone.is_none_or(|z| z == m.zone));
+        let members: Vec<u64> = all.map(|(chore, _)| *chore).collect();
+        let stands = members.iter().enumerate().map(|(i, rank)| (*rank, i, 0)).collect();
+        (Pie::deal(stands), members)
+    }
+
+    /// Warms fresh caches, while that duty is owned; says what is asked for most here.
+    fn warms(&mut self, now: Ns) {
+        let tick = now >= self.next_hot;
+        if tick {
+            self.next_hot = now + HOT_EVERY;
+            if let Some(mut hot) = self.hot.as_ref().and_then(|hot| hot.lock().ok()) {
+                let top = hot.top(MOST_SAID).into_iter().map(|(want, count)| (want, count as f32)).collect();
+                hot.fade(0.5);
+                self.office.hot(top);
+            }
+        }
+        let (parents, origin) = (self.parents, self.origin);
+        let is_cache = |k: Option<usize>| k.is_some() && k != parents && k != Some(origin);
+        if tick && self.warming.is_some() {
+            let ready = |m: &facts::Member| m.state == Listed::Ready;
+            let is = |m: &facts::Member| is_cache(self.common.names.machines.get(&m.kind).copied());
+            let fresh = self.list.iter().filter(|(_, m)| ready(m) && is(m)).map(|(c, m)| (*c, m.started));
+            let fresh: BTreeMap<u64, Ns> = fresh.collect();
+            let hottest = self.office.hottest();
+            let mut boxes = Vec::new();
+            if let Some((_, warming)) = self.warming.as_mut() {
+                warming.listed(now, &fresh);
+                boxes.extend(warming.boxes());
+            }
+            for of in boxes {
+                let Some(zone) = self.list.get(&of).map(|m| m.zone.clone()) else { continue };
+                let (pie, members) = self.pie(is_cache, Some(&zone));
+                let own = |w: &&Want| {
+                    let home = pie.owner(copy_place(w.object, w.part), |_| true);
+                    home.and_then(|i| members.get(i)) == Some(&of)
+                };
+                let wants: Vec<Want> = hottest.iter().filter(own).copied().collect();
+                if let Some((_, warming)) = self.warming.as_mut() {
+                    warming.wants(of, &wants);
+                }
+            }
+        }
+        let Some((token, warming)) = self.warming.as_mut() else { return };
+        let token = *token;
+        let due = warming.due(now);
+        if due.is_empty() {
+            return;
+        }
+        let (parents, names) = self.pie(|k| k.is_some() && k == parents, None);
+        for (of, want) in due {
+            // Right before each effect.
+            if self.office.token(now, WARMING) != Some(token) {
+                return;
+            }
+            self.fetch(of, want, token, &parents, &names, now);
+        }
+    }
+
+    fn fetch(
+        &mut self,
+        of: u64,
+        want: Want,
+        token: sablecross_duty::Token,
+        parents: &Pie,
+        names: &[u64],
+        now: Ns,
+    ) {
+        let ready =
+            |i: usize| names.get(i).and_then(|n| self.list.get(n)).is_some_and(|m| m.state == Listed::Ready);
+        let home = parents.owner(fill_place(want.object), ready).and_then(|i| names.get(i));
+        let source = home.and_then(|n| self.list.get(n)).map(|m| m.name.clone());
+        let kind = self.common.names.kinds.get(usize::from(want.kind)).cloned();
+        let (Some(probed), Some(source), Some(kind)) = (self.boxes.get_mut(&of), source, kind) else {
+            return;
+        };
+        self.next_probe += 1;
+        let tag = Tag { token, number: self.next_probe };
+        let wait = self.pace.map_or(1, |p| p.patience / MS).max(1);
+        // Sixteen digits that no client's lookup has: the first says so.
+        let name = format!("d{:015x}", mix(token.term ^ mix(self.next_probe)) >> 4);
+        let line = boxes::fetch(&name, &want, &kind, &source, wait, tag);
+        let at = Token(probed.node as usize);
+        // Its time ends it as any other that has no answer.
+        probed.line.say(line.as_bytes(), self.poll.registry(), at, now);
+    }
+
     fn call(&mut self, voter: u32, number: u64, words: Vec<Word>, now: Ns) {
         let request = Request { from: self.office.me(), words };
         let Some(peer) = self.peers.get_mut(voter as usize) else { return };
@@ -399,8 +530,27 @@
             return;
         }
         let mut states = Vec::new();
-        while let Some(end) = probed.line.came.iter().position(|b| *b == b'\n') {
+        let mut fetched = Vec::new();
+        loop {
+            let skipped = probed.skip.min(probed.line.came.len());
+            probed.line.came.drain(..skipped);
+            probed.skip -= skipped;
+            let Some(end) = probed.line.came.iter().position(|b| *b == b'\n').filter(|_| probed.skip == 0)
+            else {
+                break;
+            };
             let line: Vec<u8> = probed.line.came.drain(..=end).collect();
+            if let Some(head) = lines::head(line.trim_ascii_end()) {
+                probed.skip = head.length + 2;
+                fetched.push(
+                    match (head.outcome, std::str::from_utf8(&line).is_ok_and(|l| l.contains("newest="))) {
+                        (Outcome::Satisfied, _) => Ended::Fetched,
+                        (Outcome::NeverSent, true) => Ended::Old,
+                        _ => Ended::Held,
+                    },
+                );
+                continue;
+            }
             let answer = std::str::from_utf8(&line).ok().and_then(boxes::answer);
             if let Some((tag, state)) = answer
                 && let Some(token) = probed.out.remove(&tag.number)
@@ -411,6 +561,9 @@
         if probed.out.is_empty() {
             probed.line.settled();
         }
+        if let Some((_, warming)) = self.warming.as_mut() {
+            fetched.into_iter().for_each(|how| warming.ended(now, chore, how));
+        }
         for (token, state) in states {
             self.office.probed(now, chore, token, state);
         }
--- a/crates/director/src/duty/boxes.rs
+++ b/crates/director/src/duty/boxes.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 
 use sablecross_duty::word::State;
-use sablecross_duty::{Member, Token};
+use sablecross_duty::{Member, Token, Want};
 use sablecross_inhand::settings;
 
 use super::peers::Line;
@@ -42,6 +42,16 @@
     pub line: Line,
     /// Probes out, by number.
     pub out: BTreeMap<u64, Token>,
+    /// Bytes of a body that are still to come, and to be passed over.
+    pub skip: usize,
+}
+
+/// A request that has a cache fetch an object, on behalf of the fleet: the token goes along as a field.
+pub fn fetch(name: &str, want: &Want, kind: &str, source: &str, wait_ms: u64, tag: Tag) -> String {
+    format!(
+        "PULL {name} class={kind},key={:016x},part={},wait={wait_ms},miss={source},prio=1,f=collapse,duty={tag} 0\r\n\r\n",
+        want.object, want.part
+    )
 }
 
 /// A probe's answer: its tag, and how the box is, or by which token a newer owner probes it.
--- a/crates/director/src/duty/mod.rs
+++ b/crates/director/src/duty/mod.rs
@@ -8,12 +8,15 @@
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Sender, TrySendError, bounded};
 use mio::Waker;
+use sablecross::Settings;
+use sablecross_duty::Want;
 use sablecross_duty::word::{Answer, Request};
+use sablecross_spread::Most;
 
 use crate::common::Common;
 use crate::exchange::Client;
@@ -48,31 +51,54 @@
     Stop,
 }
 
+/// What this director is asked for most.
+type Hot = Arc<Mutex<Most<Want>>>;
+
+/// Of so many objects it is known how often they were asked for.
+const MOST_HOT: usize = 64;
+
+struct Way {
+    to_agent: Sender<In>,
+    waker: Arc<Waker>,
+    hot: Option<Hot>,
+}
+
 /// The desk's way to the duties; without settings there is none.
 #[derive(Default)]
-pub struct Duties(Option<(Sender<In>, Arc<Waker>)>);
+pub struct Duties(Option<Way>);
 
 impl Duties {
     /// With the other end, which `Agent::serve` runs in a thread of its own.
     pub fn start(
         setting: Option<Setting>,
-        number: usize,
+        settings: &Settings,
         common: &Arc<Common>,
     ) -> io::Result<(Duties, Option<Agent>)> {
         let Some(setting) = setting else { return Ok((Duties::default(), None)) };
         let (to_agent, from_desk) = bounded(common.limits.events);
-        let (agent, waker) = Agent::new(setting, number, Arc::clone(common), from_desk)?;
-        Ok((Duties(Some((to_agent, waker))), Some(agent)))
+        let hot = setting.warming.is_some().then(|| Arc::new(Mutex::new(Most::new(MOST_HOT))));
+        let (agent, waker) = Agent::new(setting, settings, Arc::clone(common), from_desk, hot.clone())?;
+        Ok((Duties(Some(Way { to_agent, waker, hot })), Some(agent)))
     }
 
     fn tell(&self, what: In) -> bool {
-        let Some((to, waker)) = &self.0 else { return false };
-        let told = !matches!(to.try_send(what), Err(TrySendError::Full(_) | TrySendError::Disconnected(_)));
+        let Some(Way { to_agent, waker, .. }) = &self.0 else { return false };
+        let told =
+            !matches!(to_agent.try_send(what), Err(TrySendError::Full(_) | TrySendError::Disconnected(_)));
         // It wakes by itself before long.
         let _ = waker.wake();
         told
     }
 
+    /// A lookup was taken in.
+    pub fn asked(&self, object: u64, part: u32, kind: usize) {
+        let hot = self.0.as_ref().and_then(|way| way.hot.as_ref());
+        // While the other thread reads it, one is not counted.
+        if let Some(mut hot) = hot.and_then(|hot| hot.try_lock().ok()) {
+            hot.count(Want { object, part, kind: kind as u16 }, 1.0);
+        }
+    }
+
     /// Hands a call over; false if there are more than can be kept, or nobody to take it.
     pub fn called(&self, client: Client, call: u32, body: Vec<u8>) -> bool {
         self.tell(In::Called { client, call, body })
--- a/crates/director/src/duty/settings.rs
+++ b/crates/director/src/duty/settings.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use garde::Validate;
-use sablecross_duty::Terms;
 use sablecross_duty::word::{DEALING, Duty};
+use sablecross_duty::{Pace, Terms};
 use sablecross_forms::Fault;
 use serde::{Deserialize, Serialize};
 
@@ -50,6 +50,20 @@
     #[garde(skip)]
     #[serde(default = "yes")]
     probing: bool,
+    /// Whether fresh caches are warmed; requests a second that a warm cache bears, the part of what a cold one bears that warming
+    /// may take, and objects for one cache at most.
+    #[garde(skip)]
+    #[serde(default)]
+    warming: bool,
+    #[garde(range(min = 0.1, max = 1e6))]
+    #[serde(default = "bears")]
+    warm_bears: f64,
+    #[garde(range(min = 0.01, max = 1.0))]
+    #[serde(default = "quarter")]
+    warm_part: f64,
+    #[garde(range(min = 1, max = 100_000))]
+    #[serde(default = "objects")]
+    warm_objects: usize,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
@@ -90,6 +104,18 @@
     60_000
 }
 
+fn bears() -> f64 {
+    20.0
+}
+
+fn quarter() -> f64 {
+    0.25
+}
+
+fn objects() -> usize {
+    200
+}
+
 fn yes() -> bool {
     true
 }
@@ -101,13 +127,18 @@
     pub addresses: Vec<SocketAddr>,
     pub probing: bool,
     pub gone_after: sablecross::Ns,
+    /// How fresh caches are warmed, if they are; how warm they begin stands in the director's own settings.
+    pub warming: Option<Pace>,
 }
 
 /// Carrying changes of the hierarchy out.
 pub const DRIVING: Duty = 1;
 
+/// Warming fresh caches.
+pub const WARMING: Duty = 2;
+
 /// What a member can own: dealing chores to the living, driving changes of the hierarchy.
-pub const DUTIES: [(Duty, &str); 2] = [(DEALING, "dealing"), (DRIVING, "driving")];
+pub const DUTIES: [(Duty, &str); 3] = [(DEALING, "dealing"), (DRIVING, "driving"), (WARMING, "warming")];
 
 pub fn named(duty: Duty) -> &'static str {
     DUTIES.iter().find(|d| d.0 == duty).map_or("unknown", |d| d.1)
@@ -174,6 +205,14 @@
             addresses: lines.iter().map(|l| l.address).collect(),
             probing: head.probing,
             gone_after: head.gone_after_ms * MS,
+            warming: head.warming.then_some(Pace {
+                bears: head.warm_bears,
+                part: head.warm_part,
+                from: 1.0,
+                after: 0,
+                patience: head.lease_ms * MS,
+                most: head.warm_objects,
+            }),
         })
     }
 }
--- a/crates/director/src/duty_off.rs
+++ b/crates/director/src/duty_off.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::sync::Arc;
 
+use sablecross::Settings;
+
 use crate::common::Common;
 use crate::exchange::Client;
 use crate::plain::facts::Member;
@@ -31,10 +33,12 @@
 pub struct Duties;
 
 impl Duties {
-    pub fn start(_: Option<Setting>, _: usize, _: &Arc<Common>) -> io::Result<(Duties, Option<Agent>)> {
+    pub fn start(_: Option<Setting>, _: &Settings, _: &Arc<Common>) -> io::Result<(Duties, Option<Agent>)> {
         Ok((Duties, None))
     }
 
+    pub fn asked(&self, _object: u64, _part: u32, _kind: usize) {}
+
     pub fn called(&self, _client: Client, _call: u32, _body: Vec<u8>) -> bool {
         false
     }
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -65,7 +65,7 @@
     let nodes = Nodes::new(orders, Arc::clone(&common));
     let upper = Upper::new(config.settings.parent_kind);
     let at_duty = |e| format!("duties: {e}");
-    let (duties, agent) = Duties::start(duty, config.settings.number, &common).map_err(at_duty)?;
+    let (duties, agent) = Duties::start(duty, &config.settings, &common).map_err(at_duty)?;
     let choice = Choice::new(config.settings, config.seed, common.clock.now());
     let mut desk = Desk::new(choice, nodes, outlet, Arc::clone(&common), upper, duties, to_say);
     if let Some(told) = Told::read() {
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -394,6 +394,7 @@
         self.next += 1;
         calls.insert(call, id);
         f.counters.taken += 1;
+        f.duties.asked(asked.object, asked.part, asked.kind);
         let deadline = (asked.arrived + asked.budget).saturating_sub(f.common.limits.margin);
         let lookup = Lookup {
             object: asked.object,
--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -15,6 +15,7 @@
 mod shares;
 mod station;
 mod voter;
+mod warming;
 pub mod word;
 
 pub use chores::Chores;
@@ -25,6 +26,7 @@
 pub use shares::{Shares, Suspicion};
 pub use station::Station;
 pub use voter::{Ask, Reply, Voter};
+pub use warming::{Ended, Pace, Want, Warming};
 
 pub use sablecross::Ns;
 use serde::{Deserialize, Serialize};
--- a/crates/duty/src/office.rs
+++ b/crates/duty/src/office.rs
@@ -9,7 +9,7 @@
 
 use crate::register::{self, Post};
 use crate::word::{Answer, DEALING, Duty, Entry, Finding, Held, Roster, Shown, Stamp, State, Word};
-use crate::{Act, Ask, Chores, End, Member, Ns, Rules, Seat, Station, Token};
+use crate::{Act, Ask, Chores, End, Member, Ns, Rules, Seat, Station, Token, Want};
 
 /// The same at all members of a fleet.
 #[derive(Clone, Debug, PartialEq)]
@@ -124,6 +124,7 @@
     /// Numbers of facts that were heard, by voter.
     heard: Vec<u64>,
     findings: Vec<Finding>,
+    hot: Vec<(Want, f32)>,
     /// The latest term that a box's gate showed beyond the own deal's.
     behind: u64,
     out: Vec<Out>,
@@ -165,6 +166,7 @@
             chores: Chores::new(terms.probe, terms.patience, chance),
             heard: vec![0; terms.voters.len()],
             findings: Vec::new(),
+            hot: Vec::new(),
             behind: 0,
             out: vec![Out::new(); terms.voters.len()],
             next_call: 0,
@@ -251,6 +253,7 @@
             return;
         }
         let findings = std::mem::take(&mut self.findings);
+        let hot = std::mem::take(&mut self.hot);
         let many = self.terms.voters.len() as u32;
         // Facts are asked of one voter, of the next one while that one does not answer.
         let own = self.me.number % many.max(1);
@@ -260,6 +263,9 @@
             if !findings.is_empty() {
                 words.push(Word::Found(findings.clone()));
             }
+            if !hot.is_empty() {
+                words.push(Word::Hot(hot.clone()));
+            }
             if asked == Some(voter) {
                 words.push(Word::Facts(self.heard[voter as usize]));
             }
@@ -759,6 +765,16 @@
         self.next_beat = self.next_beat.min(now);
     }
 
+    /// What this member is asked for most, to be said with the next beat.
+    pub fn hot(&mut self, hot: Vec<(Want, f32)>) {
+        self.hot = hot;
+    }
+
+    /// What the fleet asks for most, as this voter heard it.
+    pub fn hottest(&self) -> Vec<Want> {
+        self.station.as_ref().map(Station::hottest).unwrap_or_default()
+    }
+
     /// What operators are to see of an own duty.
     pub fn status(&mut self, duty: Duty, line: String) {
         self.status.insert(duty, line);
--- a/crates/duty/src/station.rs
+++ b/crates/duty/src/station.rs
@@ -4,11 +4,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::word::{Answer, DEALING, Duty, Finding, Held, Roster, Stamp, State, Word};
-use crate::{Gate, Keeper, Member, Ns, Suspicion, Terms, Token, Voter};
+use crate::{Gate, Keeper, Member, Ns, Suspicion, Terms, Token, Voter, Want};
 
 /// Findings of one box are worth telling for so long.
 const STALE: Ns = 10_000_000_000;
 
+/// Half of what is wanted is forgotten in this time; so many objects are kept.
+const HALF: Ns = 5_000_000_000;
+const MOST_HOT: usize = 512;
+
 #[derive(Clone, Copy, Debug)]
 struct Told {
     number: u64,
@@ -35,6 +39,9 @@
     facts: BTreeMap<u64, Told>,
     by_number: BTreeMap<u64, u64>,
     next_fact: u64,
+    /// What the fleet asks for most, and when that was halved last.
+    hot: BTreeMap<Want, f32>,
+    hot_halved: Ns,
     /// What owners have to tell, by duty: the gate, the number, and what.
     board: BTreeMap<Duty, (Gate, u64, Vec<u8>)>,
     /// What members have in force, by duty and member's number.
@@ -61,6 +68,8 @@
             facts: BTreeMap::new(),
             by_number: BTreeMap::new(),
             next_fact: 1,
+            hot: BTreeMap::new(),
+            hot_halved: now,
             board: BTreeMap::new(),
             in_force: BTreeMap::new(),
         }
@@ -177,6 +186,7 @@
                 Err(old) => said.push(Answer::Old(DEALING, old.highest)),
             },
             Word::Found(findings) => findings.iter().for_each(|f| self.found(now, *f)),
+            Word::Hot(hot) => self.wanted(now, hot),
             Word::Facts(after) => said.push(self.facts(now, *after)),
             Word::Behind(duty, term) => {
                 if let Some(voter) = self.voters.get_mut(duty) {
@@ -259,6 +269,31 @@
         self.by_number.insert(number, f.chore);
     }
 
+    /// Adds up what members are asked for; half of it is forgotten in each span, and what is wanted least.
+    fn wanted(&mut self, now: Ns, hot: &[(Want, f32)]) {
+        for (want, count) in hot.iter().filter(|(_, c)| c.is_finite() && *c > 0.0) {
+            *self.hot.entry(*want).or_default() += count.min(1e6);
+        }
+        if now >= self.hot_halved + HALF || self.hot.len() > 2 * MOST_HOT {
+            self.hot_halved = now;
+            let mut counts: Vec<f32> = self.hot.values().copied().collect();
+            counts.sort_by(|a, b| b.total_cmp(a));
+            let least = counts.get(MOST_HOT).copied().unwrap_or(0.0);
+            self.hot.retain(|_, count| {
+                let kept = *count > least;
+                *count /= 2.0;
+                kept
+            });
+        }
+    }
+
+    /// What the fleet asks for most, the most first.
+    pub fn hottest(&self) -> Vec<Want> {
+        let mut all: Vec<(Want, f32)> = self.hot.iter().map(|(w, c)| (*w, *c)).collect();
+        all.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        all.into_iter().take(MOST_HOT).map(|(w, _)| w).collect()
+    }
+
     /// What was found after that number. One past all numbers here is of an earlier life of this voter: all is told.
     fn facts(&self, now: Ns, after: u64) -> Answer {
         let from = if after >= self.next_fact { 0 } else { after + 1 };
--- a/crates/duty/src/word.rs
+++ b/crates/duty/src/word.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::voter::{Ask, Reply};
-use crate::{Member, Ns, Token};
+use crate::{Member, Ns, Token, Want};
 
 /// A duty by its number.
 pub type Duty = u16;
@@ -79,6 +79,8 @@
     /// The dealer lives, and that deal is in force still.
     Deals(Token, Stamp),
     Found(Vec<Finding>),
+    /// What I am asked for most, with how often of late.
+    Hot(Vec<(Want, f32)>),
     /// What was found since that number?
     Facts(u64),
     /// A gate was passed by a later term than the one I was given.
--- a/crates/lab/src/fleet/node.rs
+++ b/crates/lab/src/fleet/node.rs
@@ -68,6 +68,12 @@
     falls: u64,
     strays: u64,
     gate: Gate,
+    /// The same for warming; what was fetched so, and refused.
+    warm_gate: Gate,
+    warmed: u64,
+    warm_refused: u64,
+    /// Requests of directors since it began anew: when, and whether a copy was there.
+    fresh: Vec<(At, bool)>,
     /// Members whose probes are held up, until when.
     held: HashMap<usize, At>,
     probes: Vec<Probe>,
@@ -112,6 +118,9 @@
     pub falls: u64,
     pub strays: u64,
     pub probes: Vec<Probe>,
+    pub warmed: u64,
+    pub warm_refused: u64,
+    pub fresh: Vec<(At, bool)>,
 }
 
 enum Done {
@@ -224,6 +233,7 @@
             let field = |name: &str| {
                 fields.split(',').filter_map(|f| f.split_once('=')).find(|f| f.0 == name).map(|f| f.1)
             };
+            let warms = field("duty").and_then(|tag| tag.parse::<Tag>().ok());
             let object = field("key").and_then(|k| u64::from_str_radix(k, 16).ok()).unwrap_or(0);
             let director = id.get(..8).and_then(|d| u64::from_str_radix(d, 16).ok()).unwrap_or(0) as usize;
             // A stopped program reads on when it is continued.
@@ -231,8 +241,20 @@
             if stopped > 0.0 {
                 std::thread::sleep(Duration::from_secs_f64(stopped));
             }
-            let done = self.asked(director, object, field("miss").and_then(|m| others.get(m)));
+            let director = warms.map_or(director, |tag| tag.token.owner.number as usize);
+            let refused = warms.and_then(|tag| self.warms(tag));
+            let done = match refused {
+                Some(_) => Done::Silence,
+                None => {
+                    let source = field("miss").and_then(|m| others.get(m));
+                    self.asked(director, object, source, warms.is_some())
+                }
+            };
             let (at, word, said, body) = match done {
+                _ if refused.is_some() => {
+                    let newest = refused.unwrap_or(Tag { token: Duty::default(), number: 0 });
+                    (self.now(), "STALE", format!("newest={newest}"), String::new())
+                }
                 Done::Copy(at, issued, held) => {
                     let how = if held { "HIT" } else { "MISS" };
                     let said = format!("how={how},entity={issued:016x},issued={issued}");
@@ -286,6 +308,21 @@
         (!cut).then_some(said)
     }
 
+    /// A request of whoever warms caches: by which token a newer owner does, if one does.
+    fn warms(&self, tag: Tag) -> Option<Tag> {
+        let mut inner = lock(&self.inner);
+        match inner.warm_gate.pass(tag.token) {
+            Err(old) if self.gated => {
+                inner.warm_refused += 1;
+                Some(Tag { token: old.highest, number: 0 })
+            }
+            _ => {
+                inner.warmed += 1;
+                None
+            }
+        }
+    }
+
     /// Probes of these directors arrive when this is over.
     pub fn holds_probes(&self, directors: &[usize], lasts: f64) {
         let until = self.now() + lasts;
@@ -293,7 +330,7 @@
     }
 
     /// A director's request.
-    fn asked(&self, director: usize, object: u64, source: Option<&Arc<Node>>) -> Done {
+    fn asked(&self, director: usize, object: u64, source: Option<&Arc<Node>>, warms: bool) -> Done {
         let now = self.now();
         let cut = {
             let mut inner = lock(&self.inner);
@@ -304,6 +341,13 @@
             inner.strays += u64::from(inner.gone_from.is_some_and(|from| now > from));
             inner.cuts.contains_key(&director)
         };
+        if !warms {
+            let held = self.held(object).is_some();
+            let mut inner = lock(&self.inner);
+            if inner.since.is_some() {
+                inner.fresh.push((now, held));
+            }
+        }
         // A fill sets out as the request comes, not when the own work is done: what comes to a source in the order of
         // time is what its line is reckoned by.
         let done = match self.work(now) {
@@ -418,7 +462,8 @@
     pub fn begins_cold(&self) -> u64 {
         let mut inner = lock(&self.inner);
         inner.copies = Copies::default();
-        inner.gate = Gate::default();
+        (inner.gate, inner.warm_gate) = (Gate::default(), Gate::default());
+        inner.fresh.clear();
         (inner.since, inner.down_until, inner.gone_from) = (Some(self.now()), 0.0, None);
         unix_ms()
     }
@@ -437,6 +482,9 @@
             falls: inner.falls,
             strays: inner.strays,
             probes: inner.probes.clone(),
+            warmed: inner.warmed,
+            warm_refused: inner.warm_refused,
+            fresh: inner.fresh.clone(),
         }
     }
 }
--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -107,25 +107,37 @@
     voters: Vec<SocketAddr>,
     ways: Ways,
     blows: Vec<Blow>,
+    /// Requests a second that a cache bears.
+    bears: f64,
 }
 
 impl Shared {
-    fn start(d: &Duties, addresses: &[SocketAddr], over: &Arc<AtomicBool>) -> Result<Shared, Failed> {
+    fn start(
+        d: &Duties,
+        bears: f64,
+        addresses: &[SocketAddr],
+        over: &Arc<AtomicBool>,
+    ) -> Result<Shared, Failed> {
         let voters = addresses[..d.voters].to_vec();
         let ways = Ways::start(addresses.len(), &voters, over).map_err(io_error("the links to voters"))?;
-        Ok(Shared { duties: d.clone(), voters, ways, blows: Vec::new() })
+        Ok(Shared { duties: d.clone(), voters, ways, blows: Vec::new(), bears })
     }
 
     /// The settings of one member: its own links to the voters.
     fn settings(&self, member: usize) -> String {
         let d = &self.duties;
         let mut text = format!(
-            "(duty (lease-ms . {}) (round-ms . {}) (apart-ms . {}) (beat-ms . {}) (probe-ms . {}))\n",
+            "(duty (lease-ms . {}) (round-ms . {}) (apart-ms . {}) (beat-ms . {}) (probe-ms . {}){})\n",
             d.lease_ms,
             d.lease_ms / 5,
             (d.lease_ms / 20).max(1),
             d.beat_ms,
-            d.probe_ms
+            d.probe_ms,
+            if d.warming {
+                format!(" (warming . #t) (warm-bears . {:.1})", self.bears)
+            } else {
+                String::new()
+            }
         );
         for (place, own) in self.voters.iter().enumerate() {
             // A voter speaks with itself without a link.
@@ -275,7 +287,8 @@
             addresses.push(at);
         }
     }
-    let mut shared = t.duties.as_ref().map(|d| Shared::start(d, &addresses, &over)).transpose()?;
+    let mut shared =
+        t.duties.as_ref().map(|d| Shared::start(d, can(Tier::Cache), &addresses, &over)).transpose()?;
     for (number, at) in addresses.iter().copied().enumerate() {
         let (config, log) =
             (folder.join(format!("director-{number}.json")), folder.join(format!("director-{number}.log")));
@@ -412,6 +425,17 @@
         w.bytes = s.ways.bytes.load(Ordering::Relaxed) as f64 / seconds / t.directors as f64;
         w.cpu = cpu_used / seconds / t.directors as f64;
         w.wished = wished;
+        for n in &counted {
+            (w.warmed, w.warm_refused) =
+                (w.warmed + n.counted.warmed, w.warm_refused + n.counted.warm_refused);
+            let Some(since) = n.counted.since else { continue };
+            for (at, held) in &n.counted.fresh {
+                let span = ((at - shift - since) / 5.0) as usize;
+                if let Some((hits, all)) = w.fresh.get_mut(span) {
+                    (*hits, *all) = (*hits + u64::from(*held), *all + 1);
+                }
+            }
+        }
         w.versions(&logs);
         w
     });
--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -107,6 +107,10 @@
     #[garde(range(min = 1.0, max = 600.0))]
     #[serde(default = "round_s")]
     pub round_s: f64,
+    /// Whether fresh caches are warmed.
+    #[garde(skip)]
+    #[serde(default)]
+    pub warming: bool,
     /// Every so many seconds another shape of the hierarchy is wished for; 0: never.
     #[garde(range(min = 0.0, max = 3600.0))]
     #[serde(default)]
--- a/crates/lab/src/fleet/watch.rs
+++ b/crates/lab/src/fleet/watch.rs
@@ -69,6 +69,11 @@
     pub back: u64,
     pub apart: u64,
     pub version: u64,
+    /// Requests that warmed caches, and those of old owners that were refused.
+    pub warmed: u64,
+    pub warm_refused: u64,
+    /// At caches that began anew, in the first five seconds and the next: requests with a copy there, and all.
+    pub fresh: [(u64, u64); 2],
 }
 
 /// What a director says of its duties; none: it does not answer.
@@ -271,6 +276,20 @@
             self.takeover[2],
             self.unanswered
         )?;
+        if self.fresh[0].1 > 0 {
+            let part = |(hits, all): (u64, u64)| hits as f64 / all.max(1) as f64;
+            writeln!(
+                f,
+                "caches begun anew: {:.3} of {} requests found a copy in 5 s, {:.3} of {} in the next 5; {} objects fetched to warm \
+                 them, {} of old owners refused",
+                part(self.fresh[0]),
+                self.fresh[0].1,
+                part(self.fresh[1]),
+                self.fresh[1].1,
+                self.warmed,
+                self.warm_refused
+            )?;
+        }
         if self.wished > 0 {
             writeln!(
                 f,
--- a/crates/spread/src/most.rs
+++ b/crates/spread/src/most.rs
@@ -1,23 +1,24 @@
 //! What is asked for most, within a fixed memory.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 
 /// So many counters: any object with more than `total / counters` of what was counted has one, and its count is over
 /// the truth by that much at most.
 #[derive(Clone, Debug)]
-pub struct Most {
+pub struct Most<K = u64> {
     counters: usize,
     /// Count, and how much of it may be another's.
-    held: HashMap<u64, (f64, f64)>,
+    held: HashMap<K, (f64, f64)>,
     total: f64,
 }
 
-impl Most {
-    pub fn new(counters: usize) -> Most {
+impl<K: Copy + Ord + Hash> Most<K> {
+    pub fn new(counters: usize) -> Most<K> {
         Most { counters: counters.max(1), held: HashMap::new(), total: 0.0 }
     }
 
-    pub fn count(&mut self, object: u64, weight: f64) {
+    pub fn count(&mut self, object: K, weight: f64) {
         if weight.is_nan() || weight <= 0.0 {
             return;
         }
@@ -38,6 +39,14 @@
         }
     }
 
+    /// What has been counted most of late, the most first, with its count.
+    pub fn top(&self, most: usize) -> Vec<(K, f64)> {
+        let mut all: Vec<(K, f64)> = self.held.iter().map(|(k, (count, _))| (*k, *count)).collect();
+        all.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        all.truncate(most);
+        all
+    }
+
     /// All counts become this part of themselves: called at the end of a window.
     pub fn fade(&mut self, part: f64) {
         let part = part.clamp(0.0, 1.0);
@@ -49,9 +58,9 @@
     }
 
     /// Objects that surely have more than this part of all, the most first.
-    pub fn over(&self, part: f64) -> Vec<(u64, f64)> {
+    pub fn over(&self, part: f64) -> Vec<(K, f64)> {
         let sure =
-            |(object, (count, over)): (&u64, &(f64, f64))| (*object, (count - over) / self.total.max(1e-9));
+            |(object, (count, over)): (&K, &(f64, f64))| (*object, (count - over) / self.total.max(1e-9));
         let mut found: Vec<_> = self.held.iter().map(sure).filter(|(_, share)| *share > part).collect();
         found.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
         found
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -250,8 +250,13 @@
     z ^ (z >> 31)
 }
 
+/// The place of a part of an object in the pie of the caches.
+pub fn copy_place(object: u64, part: u32) -> u64 {
+    mix(object ^ mix(u64::from(part)))
+}
+
 fn copy_of(lk: &Lookup) -> u64 {
-    mix(lk.object ^ mix(u64::from(lk.part)))
+    copy_place(lk.object, lk.part)
 }
 
 /// An object's place in the pies of its fills.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,5 +3,5 @@
 mod choice;
 mod interface;
 
-pub use choice::{Choice, Pie, Stand, fill_place, mix};
+pub use choice::{Choice, Pie, Stand, copy_place, fill_place, mix};
 pub use interface::*;
