--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -37,7 +37,7 @@
 fn one_owner_at_a_time_between_processes_and_steady_probes() {
     let text = "(fleet (name . \"duty\") (seed . 5) (seconds . 34) (warm-up . 5) (directors . 6) (caches . 5) (parents . 2)
         (rate . 40) (objects . 2000) (kept . 600)
-        (duties ((voters . 3) (lease-ms . 1000) (beat-ms . 200) (probe-ms . 500) (gap-s . 10) (burst . 4) (change-s . 6)))
+        (duties ((voters . 3) (lease-ms . 1000) (beat-ms . 200) (probe-ms . 500) (gap-s . 10) (burst . 4) (change-s . 6) (warming . #t)))
         (faults
           ((kind . kill-owner) (at . 6) (lasts . 2))
           ((kind . kill-driver) (at . 8.3) (lasts . 2))
@@ -47,6 +47,7 @@
           ((kind . part) (at . 21) (lasts . 3))
           ((kind . hold-to) (at . 25) (lasts . 2) (of . 0.7))
           ((kind . reset-ways) (at . 27) (lasts . 0) (of . 1))
+          ((kind . crash-caches) (at . 19) (lasts . 1) (of . 0.2))
           ((kind . kill-voters) (at . 28) (lasts . 0.5) (of . 1))))";
     let trial = settings::read("test", text).unwrap();
     let folder = tempfile::tempdir().unwrap();
@@ -56,7 +57,7 @@
     let watched = report.watched.as_ref().unwrap();
     assert!(watched.owners >= 4 && watched.blows == 3 && watched.unanswered == 0, "{report}");
     assert!(watched.changed >= 1 && watched.back == 0, "{report}");
-    assert!(watched.probes > 200, "{report}");
+    assert!(watched.probes > 200 && watched.warmed > 0, "{report}");
 }
 
 #[test]
