Structured log by tracing, as text or JSON; env_logger goes

Cause: new parts are to log with fields, and env_logger was to go where the director's start is touched. Change: tracing with tracing-subscriber; RUST_LOG as before, SABLECROSS_LOG=json for objects; the lines of the on-call page are the same after the head. The duties' lines carry fields.

--- a/crates/director/src/duty/agent.rs
+++ b/crates/director/src/duty/agent.rs
@@ -108,7 +108,7 @@
             parents: own.parent_kind,
             origin: own.origin_kind,
         };
-        log::info!("duty member number={} life={life} voters={}", me.number, agent.peers.len());
+        tracing::info!(number = me.number, life, voters = agent.peers.len(), "duty member");
         Ok((agent, waker))
     }
 
@@ -127,7 +127,7 @@
             if let Err(e) = self.poll.poll(&mut events, Some(self.common.clock.until(next)))
                 && !paused(&e)
             {
-                return log::error!("duty: {e}");
+                return tracing::error!("duty: {e}");
             }
             let now = self.common.clock.now();
             for event in &events {
@@ -161,7 +161,7 @@
                             rmp_serde::to_vec(&said).ok()
                         }
                         Err(e) => {
-                            log::debug!("duty call of client {client}: {e}");
+                            tracing::debug!("duty call of client {client}: {e}");
                             None
                         }
                     };
@@ -237,9 +237,9 @@
                         peer.line.moves(*at, self.poll.registry(), now);
                     }
                 }
-                log::info!("reload duties voters={}", voters.len());
+                tracing::info!(voters = voters.len(), "reload duties");
             }
-            Err(e) => log::error!("reload failed, the old duties stay: {e}"),
+            Err(e) => tracing::error!("reload failed, the old duties stay: {e}"),
         }
     }
 
@@ -262,7 +262,7 @@
                     Do::Call { voter, number, words } => self.call(voter, number, words, now),
                     Do::Probe { chore, token } => self.probe(chore, token, now),
                     Do::Facts(findings) => self.facts(&findings),
-                    Do::Note(line) => log::info!("{line}"),
+                    Do::Note(line) => tracing::info!("{line}"),
                     Do::Settled(voters) => {
                         for peer in &mut self.peers {
                             peer.line.close(self.poll.registry(), now);
@@ -271,7 +271,7 @@
                         self.peers = voters.iter().filter_map(at).collect();
                     }
                     Do::Begins(duty, token) => {
-                        log::info!("duty owned name={} term={}", named(duty), token.term);
+                        tracing::info!(name = %named(duty), term = token.term, "duty owned");
                         if duty == DRIVING {
                             self.driving = Some(Driving::begin(token, self.gone_after));
                         }
@@ -280,7 +280,7 @@
                         }
                     }
                     Do::Ends(duty, term, by) => {
-                        log::info!("duty given up name={} term={term} by={by:?}", named(duty));
+                        tracing::info!(name = %named(duty), term, ?by, "duty given up");
                         if duty == DRIVING {
                             self.driving = None;
                         }
@@ -313,7 +313,7 @@
                 // The desk outlives this thread, but for the end of the program.
                 let _ = self.common.events.send(Event::Fact(Fact::Hierarchy(Box::new(told))));
             }
-            Err(e) => log::warn!("hierarchy told by a duty can't be used: {e}"),
+            Err(e) => tracing::warn!("hierarchy told by a duty can't be used: {e}"),
         }
     }
 
@@ -334,7 +334,7 @@
             match order {
                 Order::Keep(bytes) => self.office.write(now, DRIVING, bytes),
                 Order::Publish { number, bytes } => self.office.tell(now, DRIVING, number, bytes),
-                Order::Note(line) => log::info!("{line}"),
+                Order::Note(line) => tracing::info!("{line}"),
             }
         }
         self.office.status(DRIVING, driving.status());
--- a/crates/director/src/duty/mod.rs
+++ b/crates/director/src/duty/mod.rs
@@ -113,7 +113,7 @@
 
     pub fn settle(&self, setting: Setting) {
         if !self.tell(In::Settle(Box::new(setting))) {
-            log::error!("reload: duties: they take a restart");
+            tracing::error!("reload: duties: they take a restart");
         }
     }
 
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -1,6 +1,7 @@
 //! Start and stop.
 
 pub mod config;
+mod journal;
 mod signals;
 
 use std::process::ExitCode;
@@ -37,13 +38,11 @@
 
 /// A whole life with its log, as a program's.
 pub fn start() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .format_timestamp_millis()
-        .init();
+    journal::begin();
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            log::error!("{e}");
+            tracing::error!("{e}");
             ExitCode::FAILURE
         }
     }
@@ -106,7 +105,7 @@
         let began = thread::Builder::new().name("duty".into()).stack_size(limits.stack).spawn(run);
         began.map_err(|e| format!("thread duty: {e}"))?;
     }
-    log::info!("serving name={} listen={listen}", config.name);
+    tracing::info!("serving name={} listen={listen}", config.name);
 
     let served = desk.serve(&to_desk);
     desk.report();
--- a/crates/director/src/life/signals.rs
+++ b/crates/director/src/life/signals.rs
@@ -31,7 +31,7 @@
     fn reload(&self, moves: &Sender<(SocketAddr, Known)>) {
         let config = match Config::load() {
             Ok(config) => config,
-            Err(e) => return log::error!("reload failed, the old configuration stays: {e}"),
+            Err(e) => return tracing::error!("reload failed, the old configuration stays: {e}"),
         };
         let same = [
             ("name", self.name == config.name),
@@ -39,9 +39,9 @@
             ("settings", self.settings == config.settings),
         ];
         for (key, _) in same.iter().filter(|(_, same)| !same) {
-            log::warn!("reload: {key}: has changed, which takes a restart");
+            tracing::warn!("reload: {key}: has changed, which takes a restart");
         }
-        log::info!("reload feed={} known={}", config.feed, config.known.last);
+        tracing::info!("reload feed={} known={}", config.feed, config.known.last);
         // The feed's thread ends with the program alone.
         let _ = moves.send((config.feed, config.known));
     }
@@ -61,7 +61,7 @@
                 let settled = Setting::read().map(|read| match read {
                     Ok(setting) => events.send(Event::Settle(Box::new(setting))).is_ok(),
                     Err(e) => {
-                        log::error!("reload failed, the old duties stay: {e}");
+                        tracing::error!("reload failed, the old duties stay: {e}");
                         true
                     }
                 });
@@ -71,7 +71,7 @@
                 match Told::read() {
                     Some(Ok(told)) => events.send(Event::Fact(Fact::Hierarchy(Box::new(told)))),
                     Some(Err(e)) => {
-                        log::error!("reload failed, the old hierarchy stays: {e}");
+                        tracing::error!("reload failed, the old hierarchy stays: {e}");
                         continue;
                     }
                     None => continue,
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -246,7 +246,7 @@
         let f = &mut self.floor;
         f.counters.in_hand = f.kept.values().filter(|k| !k.answered).count() as u64;
         (f.counters.links, f.counters.links_open) = (f.nodes.opened(), f.nodes.open() as u64);
-        log::info!("counters {} {}{}", f.counters, f.common.counters, counters::usage());
+        tracing::info!("counters {} {}{}", f.counters, f.common.counters, counters::usage());
     }
 
     /// Timers whose time has come.
@@ -270,7 +270,7 @@
             self.ended(id, shot, end);
         }
         for line in self.hand.choice.notes() {
-            log::info!("{line}");
+            tracing::info!("{line}");
         }
     }
 
@@ -339,7 +339,7 @@
             }
             Event::Stop => {
                 if self.stopped.is_none() {
-                    log::info!("stopping in_hand={}", self.floor.kept.len());
+                    tracing::info!("stopping in_hand={}", self.floor.kept.len());
                     self.floor.duties.stop();
                     self.stopped = Some(now);
                 }
--- a/crates/director/src/upper.rs
+++ b/crates/director/src/upper.rs
@@ -145,7 +145,10 @@
             // Said once more: the word may have been lost.
             Taken::Same => return Some((Vec::new(), self.in_force())),
             Taken::Older | Taken::Other => {
-                log::warn!("hierarchy passed over version={} in_force={before} why={taken:?}", told.number);
+                tracing::warn!(
+                    "hierarchy passed over version={} in_force={before} why={taken:?}",
+                    told.number
+                );
                 return None;
             }
         }
@@ -156,14 +159,14 @@
         });
         let lines: Vec<Listed> = lines.collect();
         let asked = lines.iter().filter(|l| l.withheld < FULL).count();
-        log::info!(
+        tracing::info!(
             "hierarchy in force version={} before={before} by={} nodes={} asked={asked}",
             told.number,
             told.by,
             told.version.len()
         );
         if asked == 0 {
-            log::warn!("hierarchy version={} asks none of the parents listed", told.number);
+            tracing::warn!("hierarchy version={} asks none of the parents listed", told.number);
         }
         self.current = Some(current);
         Some((lines, self.in_force()))
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -269,7 +269,7 @@
             if let Err(e) = self.poll.poll(&mut events, Some(wait))
                 && !paused(&e)
             {
-                return log::error!("connections of clients: {e}");
+                return tracing::error!("connections of clients: {e}");
             }
             let mut again = std::mem::take(&mut more);
             for event in &events {
@@ -319,7 +319,7 @@
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
                 // Out of descriptors, most likely: the next sweep tries again.
-                Err(e) => return log::warn!("accept failed: {e}"),
+                Err(e) => return tracing::warn!("accept failed: {e}"),
             };
             let (now, client) = (self.of.clock.now(), self.next);
             if self.open.len() >= self.of.limits.clients {
@@ -336,7 +336,7 @@
             let interest = Interest::READABLE | Interest::WRITABLE;
             let token = Token(client as usize);
             if let Err(e) = self.poll.registry().register(&mut stream, token, interest) {
-                log::warn!("connection of a client not served: {e}");
+                tracing::warn!("connection of a client not served: {e}");
                 continue;
             }
             // Without it answers are but slower.
@@ -412,7 +412,7 @@
         let Some(connection) = self.open.remove(&client) else { return };
         if !why.is_empty() {
             counters::add(&self.of.counters.bad_messages, usize::from(why != "idle"));
-            log::debug!("client {client}: {why}");
+            tracing::debug!("client {client}: {why}");
         }
         let unsent = connection.answers.len() + usize::from(connection.writing.is_some());
         counters::add(&self.of.counters.unsent, unsent);
@@ -428,7 +428,7 @@
         Message::Duty { call, body } => Event::Called { client, call, body: body.to_vec() },
         Message::Unfit { call, why } => {
             counters::add(&of.counters.bad_messages, 1);
-            log::debug!("client {client}, call {call}: {why}");
+            tracing::debug!("client {client}, call {call}: {why}");
             Event::Unfit { client, call, crowded: false }
         }
         Message::Lookup { call, fields, body: bytes } => {
--- a/crates/director/src/wire/feed.rs
+++ b/crates/director/src/wire/feed.rs
@@ -62,7 +62,7 @@
                 Ok(()) => "ended".into(),
             };
             if std::mem::take(&mut self.up) {
-                log::info!("feed over after={} why={why}", self.last);
+                tracing::info!("feed over after={} why={why}", self.last);
             }
             // Called again at once, but for one that fails or ends at once: no loop without a pause.
             if self.last == before && start.elapsed() < self.common.limits.feed_pause {
@@ -73,7 +73,7 @@
 
     /// The numbers go on: of what was known there, only what follows the last one is news.
     fn moved(&mut self, address: SocketAddr, known: Known) -> Result<(), Over> {
-        log::info!("feed moved after={} from={} to={address}", self.last, self.address);
+        tracing::info!("feed moved after={} from={} to={address}", self.last, self.address);
         self.address = address;
         for event in known.events {
             if event.n == self.last + 1 {
@@ -103,7 +103,7 @@
         match self.said(word) {
             Ok(()) => self.word = None,
             Err(e) => {
-                log::debug!("feed: in force not heard: {e}");
+                tracing::debug!("feed: in force not heard: {e}");
                 self.word = Some((word, at.max(now) + self.common.limits.feed_silence));
             }
         }
@@ -171,7 +171,7 @@
             Intake::new(self.common.limits.head, self.common.limits.feed_event, &self.common.room);
         let chunked = self.answer_head(&mut intake, &stream)?;
         self.up = true;
-        log::info!("feed up after={}", self.last);
+        tracing::info!("feed up after={}", self.last);
         let mut body = Chunks { left: if chunked { 0 } else { usize::MAX }, chunked, begun: false };
         let mut text = Vec::new();
         loop {
@@ -256,7 +256,7 @@
             Err(why) => {
                 self.last = n.unwrap_or(self.last);
                 counters::add(&self.common.counters.feed_skipped, 1);
-                log::warn!("feed skipped n={}: {why}", n.unwrap_or(0));
+                tracing::warn!("feed skipped n={}: {why}", n.unwrap_or(0));
                 Ok(())
             }
         }
--- a/crates/director/src/wire/links.rs
+++ b/crates/director/src/wire/links.rs
@@ -247,7 +247,7 @@
             if let Err(e) = self.poll.poll(&mut events, Some(wait))
                 && !paused(&e)
             {
-                return log::error!("connections to nodes: {e}");
+                return tracing::error!("connections to nodes: {e}");
             }
             let mut again = std::mem::take(&mut more);
             for event in &events {
@@ -325,7 +325,7 @@
                 self.wires.insert(link, wire);
             }
             Err(e) => {
-                log::debug!("link {link} to {address}: {e}");
+                tracing::debug!("link {link} to {address}: {e}");
                 let _ = self.of.events.send(Event::Lost { link, reached: false, unwritten: Vec::new() });
             }
         }
@@ -346,7 +346,7 @@
         let Some(wire) = self.wires.remove(&link) else { return };
         if wire.up && !why.is_empty() {
             counters::add(&self.of.counters.bad_lines, 1);
-            log::warn!("link {link}: {why}");
+            tracing::warn!("link {link}: {why}");
         }
         let begun = usize::from(wire.written > 0);
         let unwritten = wire.sends.iter().skip(begun).filter(|s| s.body.is_some()).map(|s| s.name).collect();
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -123,7 +123,7 @@
         let (Some(&zone), Some(&machine)) =
             (self.common.names.zones.get(&m.zone), self.common.names.machines.get(&m.kind))
         else {
-            log::warn!("list: {}: zone {} or type {} is not in the settings", m.name, m.zone, m.kind);
+            tracing::warn!("list: {}: zone {} or type {} is not in the settings", m.name, m.zone, m.kind);
             return None;
         };
         let node = match self.numbers.get(&m.name) {
@@ -151,7 +151,7 @@
     /// The number of a node that was not known: one that is free, or a new one.
     fn number(&mut self, m: &Member) -> usize {
         let node = self.free.pop().unwrap_or(self.pools.len());
-        log::info!("node {node} is {}", m.name);
+        tracing::info!("node {node} is {}", m.name);
         let pool = Pool { name: m.name.clone(), address: m.address, links: Vec::new(), gone: None };
         if node == self.pools.len() {
             self.pools.push(pool);
--- a/crates/lab/src/fleet/watch.rs
+++ b/crates/lab/src/fleet/watch.rs
@@ -100,7 +100,7 @@
 
 /// Milliseconds of the day of a line of the log.
 fn at_ms(line: &str) -> Option<u64> {
-    let clock = line.get(12..24)?;
+    let clock = line.get(11..23)?;
     let parts = [clock.get(0..2)?, clock.get(3..5)?, clock.get(6..8)?, clock.get(9..12)?];
     let [h, m, s, ms] = parts.map(|p| p.parse::<u64>().ok());
     Some(((h? * 60 + m?) * 60 + s?) * 1_000 + ms?)
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -71,7 +71,7 @@
 const LEAST_PRICE: f64 = -3.0;
 const MOST_PRICE: f64 = 0.5;
 const DEARER: f64 = 0.24;
-const CHEAPER: f64 = 0.05;
+const CHEAPER: f64 = 0.03;
 const ALIKE: f64 = 0.2;
 const FILLS: f64 = 0.35;
 const FORGOTTEN: f64 = 0.2;
@@ -79,7 +79,7 @@
 /// Of a crowded slice: how many parents are looked at, the home included; by how much the price over the last
 /// windows must lie below the home's, with the newest window's part in it; the part of what may pass on that
 /// does, how it moves with each such fill in time or not, and its least.
-const NEAR: usize = 4;
+const NEAR: usize = 16;
 const APART: f64 = 0.4;
 const NEWEST: f64 = 0.8;
 const PASS_MORE: f64 = 0.05;
