--- a/crates/director/src/duty/settings.rs
+++ b/crates/director/src/duty/settings.rs
@@ -190,6 +190,9 @@
                 "an owner has to renew in time",
             ));
         }
+        if head.warming && !head.probing {
+            return Err(none("duty.warming", "boxes are not probed", "warming goes by the same connections"));
+        }
         let terms = Terms {
             voters: lines.iter().map(|l| l.number).collect(),
             duties: DUTIES.iter().map(|d| d.0).collect(),
