--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -397,6 +397,8 @@
     }
     let seconds = zero.elapsed().as_secs_f64();
     let cpu_used = fleet.0.iter().map(|d| cpu(&d.child)).sum::<f64>() - used;
+    let asked = shared.as_ref().map_or(&[][..], |s| &s.voters[..]);
+    let views: Vec<_> = asked.iter().filter_map(|at| watch::shown(*at)).collect();
     over.store(true, Ordering::Relaxed);
     common.over.store(true, Ordering::Relaxed);
     std::thread::sleep(Duration::from_millis(BUDGET_MS + 600));
@@ -425,6 +427,8 @@
         w.bytes = s.ways.bytes.load(Ordering::Relaxed) as f64 / seconds / t.directors as f64;
         w.cpu = cpu_used / seconds / t.directors as f64;
         w.wished = wished;
+        w.refused_by_voters = views.iter().map(|v| v.refused).sum();
+        w.passed_over = views.iter().map(|v| v.passed_over).sum();
         for n in &counted {
             (w.warmed, w.warm_refused) =
                 (w.warmed + n.counted.warmed, w.warm_refused + n.counted.warm_refused);
--- a/crates/lab/src/fleet/watch.rs
+++ b/crates/lab/src/fleet/watch.rs
@@ -38,6 +38,9 @@
     pub probes: u64,
     /// Refused by the boxes' gates: they came of an old owner.
     pub refused: u64,
+    /// Words of old owners that voters refused, and older deals that members passed over, in the lives that stand at the end.
+    pub refused_by_voters: u64,
+    pub passed_over: u64,
     /// Taken although a newer token was taken before at that box.
     pub disorder: u64,
     /// Two owners taken under one token.
@@ -256,8 +259,15 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "duties: {} probes, {:.2} a box and second, {} of old owners refused, {} taken; {} tokens with two owners",
-            self.probes, self.rate, self.refused, self.disorder, self.twins
+            "duties: {} probes, {:.2} a box and second, {} of old owners refused, {} taken; {} tokens with two owners; {} of their \
+             words refused by voters, {} older deals passed over",
+            self.probes,
+            self.rate,
+            self.refused,
+            self.disorder,
+            self.twins,
+            self.refused_by_voters,
+            self.passed_over
         )?;
         writeln!(
             f,
