No import circle: settings of duties and the method's name stand below wire and exchange

Cause: exchange named the settings in duty, and wire the method's name there, while duty speaks by both. Change: terms.rs and a name in plain. Result: behaviour unchanged; the director's tests pass with and without the feature.

--- a/crates/director/src/duty/agent.rs
+++ b/crates/director/src/duty/agent.rs
@@ -16,12 +16,13 @@
 
 use super::boxes::{self, Probed, Tag};
 use super::peers::{Line, Peer};
-use super::settings::{DRIVING, Setting, WARMING, named};
-use super::{Hot, In, METHOD};
+use super::{Hot, In};
 use crate::common::Common;
 use crate::exchange::Event;
 use crate::plain::clock::MS;
 use crate::plain::facts::{self, Fact};
+use crate::plain::names::DUTY;
+use crate::terms::{DRIVING, Setting, WARMING, named};
 use crate::upper::Told;
 use crate::wire::intake::paused;
 use crate::wire::lines;
@@ -436,7 +437,7 @@
         let Some(peer) = self.peers.get_mut(voter as usize) else { return };
         let Ok(body) = rmp_serde::to_vec(&request) else { return };
         let call = peer.number(number);
-        let bytes = rpc::call(call, METHOD, &body);
+        let bytes = rpc::call(call, DUTY, &body);
         // What can't be said is lost, as on any way.
         if !peer.line.say(&bytes, self.poll.registry(), Token(voter as usize), now) {
             peer.calls.clear();
--- a/crates/director/src/duty/mod.rs
+++ b/crates/director/src/duty/mod.rs
@@ -4,7 +4,6 @@
 mod agent;
 mod boxes;
 mod peers;
-pub mod settings;
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -22,15 +21,14 @@
 use crate::exchange::Client;
 use crate::plain::facts::Member;
 use crate::plain::limits::Limits;
+use crate::plain::names::DUTY;
 use crate::upper::InForce;
 use crate::wire::rpc::{self, Flaw};
 
+pub use crate::terms as settings;
+use crate::terms::Setting;
 pub use agent::Agent;
 pub use boxes::Tag;
-pub use settings::Setting;
-
-/// The method by which members of a fleet call one another.
-pub const METHOD: &str = "duty";
 
 /// What the desk hands on.
 pub enum In {
@@ -136,7 +134,7 @@
     let mut stream = TcpStream::connect_timeout(&at, time)?;
     stream.set_read_timeout(Some(time))?;
     let body = rmp_serde::to_vec(request).map_err(|e| bad(e.to_string()))?;
-    stream.write_all(&rpc::call(1, METHOD, &body))?;
+    stream.write_all(&rpc::call(1, DUTY, &body))?;
     let limits = Limits::of(64, 64, 0, 0);
     let mut bytes = Vec::new();
     loop {
--- a/crates/director/src/duty_off.rs
+++ b/crates/director/src/duty_off.rs
@@ -8,19 +8,9 @@
 use crate::common::Common;
 use crate::exchange::Client;
 use crate::plain::facts::Member;
+use crate::terms::Setting;
 use crate::upper::InForce;
 
-pub const METHOD: &str = "duty";
-
-/// None can be.
-pub enum Setting {}
-
-impl Setting {
-    pub fn read() -> Option<Result<Setting, String>> {
-        None
-    }
-}
-
 pub enum Agent {}
 
 impl Agent {
--- a/crates/director/src/exchange.rs
+++ b/crates/director/src/exchange.rs
@@ -4,9 +4,9 @@
 
 use sablecross::{Load, Ns, Outcome};
 
-use crate::duty::Setting;
 use crate::plain::bodies::Body;
 use crate::plain::facts::Fact;
+use crate::terms::Setting;
 
 /// A client's connection, a connection to a node.
 pub type Client = u64;
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod life;
 pub mod memory;
 pub mod plain;
+#[cfg_attr(not(feature = "duty"), path = "terms_off.rs")]
+pub mod terms;
 #[cfg_attr(not(feature = "hierarchy"), path = "upper_off.rs")]
 pub mod upper;
 pub mod wire;
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -16,11 +16,12 @@
 use signals::Fixed;
 
 use crate::common::Common;
-use crate::duty::{Duties, Setting};
+use crate::duty::Duties;
 use crate::exchange::Event;
 use crate::memory::desk::Desk;
 use crate::plain::facts::Fact;
 use crate::plain::names::Names;
+use crate::terms::Setting;
 use crate::upper::{Told, Upper};
 use crate::wire::clients::Clients;
 use crate::wire::feed::Follower;
--- a/crates/director/src/life/signals.rs
+++ b/crates/director/src/life/signals.rs
@@ -8,9 +8,9 @@
 use signal_hook::iterator::Signals;
 
 use super::config::Config;
-use crate::duty::Setting;
 use crate::exchange::Event;
 use crate::plain::facts::{Fact, Known};
+use crate::terms::Setting;
 use crate::upper::Told;
 
 pub const HEARD: [i32; 3] = [SIGHUP, SIGTERM, SIGUSR1];
--- a/crates/director/src/plain/names.rs
+++ b/crates/director/src/plain/names.rs
@@ -4,6 +4,9 @@
 
 use sablecross_inhand::settings::{Pairs, Result};
 
+/// The method by which members of a fleet call one another.
+pub const DUTY: &str = "duty";
+
 /// The names by which the outside calls what the module numbers.
 #[derive(Debug, Default)]
 pub struct Names {
--- a/crates/director/src/wire/rpc.rs
+++ b/crates/director/src/wire/rpc.rs
@@ -6,10 +6,9 @@
 use rmp::decode::{self, RmpReadErr, ValueReadError};
 use rmp::encode;
 
-use crate::duty::METHOD;
 use crate::plain::clock::MS;
 use crate::plain::limits::Limits;
-use crate::plain::names::Names;
+use crate::plain::names::{DUTY, Names};
 
 #[derive(Debug, PartialEq)]
 pub enum Message<'a> {
@@ -111,7 +110,7 @@
     if method == "alive" {
         return Ok(Message::Alive { call });
     }
-    if names.duties && method == METHOD && parts == 2 {
+    if names.duties && method == DUTY && parts == 2 {
         (0..2 * decode::read_map_len(&mut b)?).try_for_each(|_| skip(&mut b, limits, 0, &mut 0))?;
         let length = decode::read_bin_len(&mut b)? as usize;
         return Ok(Message::Duty { call, body: b.get(..length).ok_or(Flaw::Short)? });
