Read once more: a lost connection to a box forgets its body; seats made anew keep order

Seen on reading the change: when a connection to a box ended in the middle of a body, the bytes still to be passed over stayed counted and the next connection's answers were swallowed; a member whose life was raised stood first or last at all duties alike, as its seats were made by the voter's place and not by each duty's order. Change: one function forgets what was out, at each end of a connection (two of them forgot nothing); seats take their order from Terms::order as elsewhere.

--- a/crates/director/src/duty/agent.rs
+++ b/crates/director/src/duty/agent.rs
@@ -429,7 +429,9 @@
         let line = boxes::fetch(&name, &want, &kind, &source, wait, tag);
         let at = Token(probed.node as usize);
         // Its time ends it as any other that has no answer.
-        probed.line.say(line.as_bytes(), self.poll.registry(), at, now);
+        if !probed.line.say(line.as_bytes(), self.poll.registry(), at, now) {
+            probed.lost();
+        }
     }
 
     fn call(&mut self, voter: u32, number: u64, words: Vec<Word>, now: Ns) {
@@ -453,7 +455,7 @@
         let at = Token(probed.node as usize);
         if !probed.line.say(format!("METER {tag}\r\n").as_bytes(), self.poll.registry(), at, now) {
             // Its time ends it as any other that has no answer.
-            probed.out.clear();
+            probed.lost();
         }
     }
 
@@ -478,8 +480,10 @@
             if !peer.line.write(registry, now) {
                 peer.calls.clear();
             }
-        } else if let Some(probed) = self.tokens.get(&at).and_then(|chore| self.boxes.get_mut(chore)) {
-            probed.line.write(registry, now);
+        } else if let Some(probed) = self.tokens.get(&at).and_then(|chore| self.boxes.get_mut(chore))
+            && !probed.line.write(registry, now)
+        {
+            probed.lost();
         }
     }
 
@@ -527,7 +531,7 @@
     fn probed(&mut self, chore: u64, now: Ns) {
         let Some(probed) = self.boxes.get_mut(&chore) else { return };
         if !probed.line.read(self.poll.registry(), now, MOST_LINE) {
-            probed.out.clear();
+            probed.lost();
             return;
         }
         let mut states = Vec::new();
@@ -580,7 +584,7 @@
         }
         for probed in self.boxes.values_mut().filter(|p| p.line.stuck(now)) {
             probed.line.close(registry, now);
-            probed.out.clear();
+            probed.lost();
         }
     }
 }
--- a/crates/director/src/duty/boxes.rs
+++ b/crates/director/src/duty/boxes.rs
@@ -46,6 +46,14 @@
     pub skip: usize,
 }
 
+impl Probed {
+    /// Its connection has ended: nothing that was out on it comes, nor the rest of a body.
+    pub fn lost(&mut self) {
+        self.out.clear();
+        self.skip = 0;
+    }
+}
+
 /// A request that has a cache fetch an object, on behalf of the fleet: the token goes along as a field.
 pub fn fetch(name: &str, want: &Want, kind: &str, source: &str, wait_ms: u64, tag: Tag) -> String {
     format!(
--- a/crates/duty/src/office.rs
+++ b/crates/duty/src/office.rs
@@ -400,8 +400,11 @@
             self.me.life = life + 1;
             let rules = self.terms.rules();
             let place = self.station.as_ref().map_or(0, Station::me);
-            for (duty, seat) in &mut self.seats {
-                *seat = Seat::new(self.me, place, rules, self.me.life.rotate_left(u32::from(*duty)), now);
+            for (n, duty) in self.terms.duties.iter().enumerate() {
+                if let Some(seat) = self.seats.get_mut(duty) {
+                    let chance = self.me.life.rotate_left(n as u32);
+                    *seat = Seat::new(self.me, self.terms.order(place, n), rules, chance, now);
+                }
             }
             return;
         }
