--- a/crates/director/src/exchange.rs
+++ b/crates/director/src/exchange.rs
@@ -29,6 +29,8 @@
     pub size_kb: f64,
     /// The tag of the copy that the client holds.
     pub tag: Option<Box<str>>,
+    /// The mark by which nodes know a repeat of a deduplicated lookup.
+    pub mark: Option<Box<str>>,
     pub body: Arc<Body>,
     pub arrived: Ns,
     pub budget: Ns,
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -447,6 +447,7 @@
                 group: fields.group,
                 size_kb: fields.size_kb,
                 tag: fields.tag.map(Into::into),
+                mark: fields.mark.map(Into::into),
                 body: Arc::new(body),
                 arrived,
                 budget: fields.budget_ms * MS,
--- a/crates/director/src/wire/lines.rs
+++ b/crates/director/src/wire/lines.rs
@@ -105,6 +105,9 @@
     if let Some(tag) = &asked.tag {
         put(format_args!(",mine={tag}"));
     }
+    if let Some(mark) = &asked.mark {
+        put(format_args!(",once={mark}"));
+    }
     put(format_args!(" {}\r\n", asked.body.bytes().len()));
     line
 }
--- a/crates/director/src/wire/rpc.rs
+++ b/crates/director/src/wire/rpc.rs
@@ -46,6 +46,7 @@
     pub group: u32,
     pub size_kb: f64,
     pub tag: Option<&'a str>,
+    pub mark: Option<&'a str>,
 }
 
 /// Why bytes are no message: more must come, or none will ever make it one.
@@ -145,13 +146,8 @@
                 }
                 fields.size_kb = size;
             }
-            "ver" => {
-                // It becomes a word of a line, in a list of fields.
-                if value.is_empty() || value.len() > 64 || !value.bytes().all(|c| c.is_ascii_alphanumeric()) {
-                    return Err(Flaw::Bad("no tag"));
-                }
-                fields.tag = Some(value);
-            }
+            "ver" => fields.tag = Some(word(value)?),
+            "token" => fields.mark = Some(word(value)?),
             _ => {}
         }
     }
@@ -168,6 +164,12 @@
     text.parse().map_err(|_| Flaw::Bad("a field is not a number"))
 }
 
+/// What becomes a word of a line, in a list of fields.
+fn word(value: &str) -> Read<&str> {
+    let fits = (1..=64).contains(&value.len()) && value.bytes().all(|c| c.is_ascii_alphanumeric());
+    fits.then_some(value).ok_or(Flaw::Bad("a field is no word"))
+}
+
 /// 16 hex digits, small ones: the text goes on as it came.
 fn digits(text: &str) -> Read<[u8; 16]> {
     let digits: [u8; 16] = text.as_bytes().try_into().map_err(|_| Flaw::Bad("not 16 hex digits"))?;
--- a/crates/director/tests/codec.rs
+++ b/crates/director/tests/codec.rs
@@ -44,7 +44,7 @@
     out
 }
 
-const FIELDS: [(&str, &str); 7] = [
+const FIELDS: [(&str, &str); 8] = [
     ("rid", "9b1f03aa5c7e2d41"),
     ("budget", "1500"),
     ("obj", "7f3a9c21e0b4d655"),
@@ -52,6 +52,7 @@
     ("lot", "17"),
     ("mem", "412.5"),
     ("ver", "4be0c1927d55a6f3"),
+    ("token", "d06a66f0be6341e94b0783615350ddcc"),
 ];
 
 #[test]
@@ -67,6 +68,7 @@
         group: 17,
         size_kb: 412.5,
         tag: Some("4be0c1927d55a6f3"),
+        mark: Some("d06a66f0be6341e94b0783615350ddcc"),
     };
     let whole = Message::Lookup { call: 7, fields, body: b"body" };
     assert_eq!(rpc::read(&bytes, &names, &limits), Ok((whole, bytes.len())));
@@ -105,6 +107,8 @@
         with("piece", "4294967296"),
         with("ver", "a,b=c"),
         with("ver", ""),
+        with("token", "a=b"),
+        with("token", ""),
         with("mem", "NaN"),
         with("mem", "-4"),
         without("rid"),
@@ -211,6 +215,7 @@
         group: 17,
         size_kb: 1.0,
         tag: tag.map(Into::into),
+        mark: tag.map(|_| "m7".into()),
         body: room.body(2).expect("room").into(),
         arrived: 0,
         budget: 0,
@@ -232,7 +237,7 @@
     assert_eq!(line(&asked(None), &bare, None), format!("{start} 2\r\n"));
     assert_eq!(
         line(&asked(Some("t1")), &full, Some("parent-a")),
-        format!("{start},miss=parent-a,prio=2,within=1,f=collapse+refresh,mine=t1 2\r\n")
+        format!("{start},miss=parent-a,prio=2,within=1,f=collapse+refresh,mine=t1,once=m7 2\r\n")
     );
     assert_eq!(lines::kill(b"9b1f03aa5c7e2d41"), b"KILL 9b1f03aa5c7e2d41\r\n");
 }
