Sends that wait for a connection are withdrawn on drains, purges and the end of a window

Cause: wire/links.rs begins what waited for its connection whenever that is up, until the time-out; Nodes::listed retired connections of gone nodes alone and nothing looked at sources or purges again; the module's window of a repeat counted from the order, not the first byte. Ruled out: late lists (the broken sends were ordered before the news, begun after).

Change: news withdraw what names the node, as source too, or what was purged, where it is not begun; the connection's thread says so (Unbegun) and the module takes it as never sent. Send names the time by which a repeat must begin (begin_by).

--- a/crates/director/src/exchange.rs
+++ b/crates/director/src/exchange.rs
@@ -85,6 +85,11 @@
         reached: bool,
         unwritten: Vec<Name>,
     },
+    /// A send was not begun to be written in its time, or after it was withdrawn, and never will be.
+    Unbegun {
+        link: Link,
+        name: Name,
+    },
     Fact(Fact),
     /// Another member of the fleet calls; what it is answered, if anything.
     Called {
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -314,6 +314,14 @@
                     self.floor.end(id, shot, outcome, now.saturating_sub(at));
                 }
             }
+            Event::Unbegun { link, name } => {
+                if let Some(Out { id, shot, .. }) = self.floor.nodes.unbegun(link, &name)
+                    && let Some(kept) = self.floor.kept.get_mut(&id)
+                {
+                    kept.links[shot] = None;
+                    self.floor.end(id, shot, Outcome::NeverSent, Ns::MAX);
+                }
+            }
             Event::Fact(fact) => self.fact(fact),
             Event::Called { client, call, body } => {
                 if !self.floor.duties.called(client, call, body) {
@@ -364,6 +372,14 @@
                 self.hand.choice.listed(now, &lines, whole);
             }
             Fact::Purge { object, group, at } => {
+                // What waits for its connection asked for copies from before.
+                let Floor { nodes, kept, .. } = &mut self.floor;
+                nodes.withdraw(|out, _, _| {
+                    kept.get(&out.id).is_some_and(|k| match object {
+                        Some(object) => k.asked.object == object,
+                        None => k.asked.group == group,
+                    })
+                });
                 self.hand.choice.purged(now, object, group, now.saturating_sub(at));
             }
             Fact::Hierarchy(told) => {
--- a/crates/director/src/wire/links.rs
+++ b/crates/director/src/wire/links.rs
@@ -20,9 +20,25 @@
 use crate::plain::counters;
 
 pub enum Order {
-    Dial { link: Link, address: SocketAddr, by: Ns },
-    Pull { link: Link, name: Name, head: Vec<u8>, body: Arc<Body>, until: Ns, off: Arc<AtomicBool> },
-    Kill { link: Link, name: Name },
+    Dial {
+        link: Link,
+        address: SocketAddr,
+        by: Ns,
+    },
+    Pull {
+        link: Link,
+        name: Name,
+        head: Vec<u8>,
+        body: Arc<Body>,
+        until: Ns,
+        off: Arc<AtomicBool>,
+    },
+    Kill {
+        link: Link,
+        name: Name,
+    },
+    /// Some of its sends were withdrawn: what is not begun of them is not to be.
+    Withdraw(Link),
     Close(Link),
 }
 
@@ -69,6 +85,7 @@
 type Over = &'static str;
 
 struct Wire {
+    link: Link,
     stream: TcpStream,
     up: bool,
     /// By when it must be up.
@@ -78,7 +95,7 @@
     sends: VecDeque<Send>,
     /// Bytes of the first send that are written.
     written: usize,
-    /// Sends that were given up before they were written.
+    /// Sends that were passed over, until the kill of each has come, which is passed over too.
     skipped: BTreeSet<Name>,
 }
 
@@ -93,21 +110,33 @@
         Ok(())
     }
 
+    /// Passes over what waits and is not to be begun any more: given up, withdrawn or past its time before the
+    /// connection came up or took it; and the kill of such a one.
+    fn pass_over(&mut self, of: &Common) {
+        let (now, link, mut begun) = (of.clock.now(), self.link, self.written > 0);
+        let skipped = &mut self.skipped;
+        self.sends.retain(|send| {
+            if std::mem::take(&mut begun) {
+                return true;
+            }
+            if send.body.is_none() {
+                return !skipped.remove(&send.name);
+            }
+            let keep = now < send.until && !send.off.load(Ordering::Acquire);
+            if !keep {
+                skipped.insert(send.name);
+                // The desk outlives all connections, but for the end of the program.
+                let _ = of.events.send(Event::Unbegun { link, name: send.name });
+            }
+            keep
+        });
+    }
+
     /// Writes on, as far as there is room.
     fn write(&mut self, of: &Common) -> Result<(), Over> {
+        self.pass_over(of);
         while let Some(send) = self.sends.front().filter(|_| self.up) {
             let now = of.clock.now();
-            // Given up, or its time over, before the connection came up or took it; and the kill of such a one.
-            let late = send.body.is_some() && (send.off.load(Ordering::Acquire) || now >= send.until);
-            if self.written == 0 && late {
-                self.skipped.insert(send.name);
-                self.sends.pop_front();
-                continue;
-            }
-            if self.written == 0 && send.body.is_none() && self.skipped.remove(&send.name) {
-                self.sends.pop_front();
-                continue;
-            }
             if now >= send.until + of.limits.finish {
                 return Err("a send not taken in time");
             }
@@ -118,6 +147,7 @@
                 Ok(true) => {
                     self.written = 0;
                     self.sends.pop_front();
+                    self.pass_over(of);
                 }
                 Ok(false) => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -295,6 +325,10 @@
         let (link, send) = match order {
             Order::Dial { link, address, by } => return self.dial(link, address, by),
             Order::Close(link) => return drop(self.wires.remove(&link)),
+            Order::Withdraw(link) => {
+                self.with(link, |wire, of| wire.write(of));
+                return;
+            }
             Order::Pull { link, name, head, body, until, off } => {
                 (link, Send { name, head, body: Some(body), until, off })
             }
@@ -321,7 +355,8 @@
             Ok(stream) => {
                 let intake = Intake::new(self.of.limits.line, self.of.limits.line, &self.of.room);
                 let (sends, skipped) = (VecDeque::new(), BTreeSet::new());
-                let wire = Wire { stream, up: false, by, intake, coming: None, sends, written: 0, skipped };
+                let wire =
+                    Wire { link, stream, up: false, by, intake, coming: None, sends, written: 0, skipped };
                 self.wires.insert(link, wire);
             }
             Err(e) => {
@@ -343,7 +378,13 @@
 
     /// A connection is over. What was not begun to be written on it never ran.
     fn lose(&mut self, link: Link, why: Over) {
-        let Some(wire) = self.wires.remove(&link) else { return };
+        let Some(mut wire) = self.wires.remove(&link) else { return };
+        // Whole answers may have come before the end: they are owed.
+        for _ in 0..self.of.limits.turns {
+            if !wire.up || wire.read(link, &self.of) != Ok(true) {
+                break;
+            }
+        }
         if wire.up && !why.is_empty() {
             counters::add(&self.of.counters.bad_lines, 1);
             tracing::warn!("link {link}: {why}");
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -25,6 +25,7 @@
 /// A send that is out, and the word between desk and writer that it is not to be written any more.
 struct Flight {
     out: Out,
+    source: Option<usize>,
     off: Arc<AtomicBool>,
 }
 
@@ -105,6 +106,9 @@
         }
         let lines: Vec<Listed> = members.iter().filter_map(|m| self.line(m)).collect();
         let states: HashMap<usize, State> = lines.iter().map(|l| (l.node, l.state)).collect();
+        // What still waits to be written must not begin after the grace, however late its connection comes up.
+        let stays = |node| states.get(&node).map_or(!whole, |s| *s == State::Ready);
+        self.withdraw(|_, node, source| !stays(node) || source.is_some_and(|s| !stays(s)));
         for node in 0..self.pools.len() {
             if states.get(&node).map_or(whole, |s| *s == State::Gone) {
                 self.retire_all(node);
@@ -206,14 +210,14 @@
         let head = lines::pull(asked, send, kind, send.source.map(|s| self.name(s)), way);
         let link = self.choose(send.node, &asked.name, before, out.at)?;
         let open = self.links.get_mut(&link).ok_or(Outcome::NeverSent)?;
-        let until = out.at + send.time_out;
+        let until = send.begin_by.min(out.at + send.time_out);
         let off = Arc::new(AtomicBool::new(false));
         let (body, told) = (Arc::clone(&asked.body), Arc::clone(&off));
         let order = Order::Pull { link, name: asked.name, head, body, until, off: told };
         if !self.orders.give(order) {
             return Err(Outcome::NeverSent);
         }
-        open.out.insert(asked.name, Flight { out, off });
+        open.out.insert(asked.name, Flight { out, source: send.source, off });
         open.used = out.at;
         Ok(link)
     }
@@ -284,7 +288,7 @@
     /// used again: an answer that stopped short or never comes leaves it stuck, for all that follows.
     pub fn give_up(&mut self, link: Link, name: &Name, now: Ns) -> Option<Out> {
         let open = self.links.get_mut(&link)?;
-        let Flight { out, off } = open.out.remove(name)?;
+        let Flight { out, off, .. } = open.out.remove(name)?;
         // What is not written yet never will be: a node must not see it after its client had an answer.
         off.store(true, Ordering::Release);
         let told = self.orders.give(Order::Kill { link, name: *name });
@@ -295,6 +299,33 @@
         Some(out)
     }
 
+    /// Sends that are not to begin any more, if they have not: of each such one the end comes by an event.
+    pub fn withdraw(&mut self, which: impl Fn(&Out, usize, Option<usize>) -> bool) {
+        let mut links: Vec<Link> = Vec::new();
+        for (&link, open) in &self.links {
+            let gone = open.out.values().filter(|f| which(&f.out, open.node, f.source));
+            if gone.map(|flight| flight.off.store(true, Ordering::Release)).count() > 0 {
+                links.push(link);
+            }
+        }
+        links.sort_unstable();
+        for link in links {
+            // With no room for the order it is seen at the next sweep.
+            self.orders.give(Order::Withdraw(link));
+        }
+    }
+
+    /// A send that was never begun; none if it was given up before that was heard.
+    pub fn unbegun(&mut self, link: Link, name: &Name) -> Option<Out> {
+        let open = self.links.get_mut(&link)?;
+        let out = open.out.remove(name)?.out;
+        // The connection passes the kill over as it did the send.
+        if !self.orders.give(Order::Kill { link, name: *name }) || open.retired {
+            self.retire(link);
+        }
+        Some(out)
+    }
+
     /// A connection is over: the sends that were out on it.
     pub fn lost(&mut self, link: Link) -> Vec<Out> {
         self.forget(link)
--- a/crates/director/tests/codec.rs
+++ b/crates/director/tests/codec.rs
@@ -224,6 +224,7 @@
         node: 0,
         source: None,
         time_out: 1_500_400_000,
+        begin_by: u64::MAX,
         oldest: None,
         join: false,
         renew: false,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -619,8 +619,8 @@
         match self.set.object_kinds[lk.kind].effect {
             Effect::Idempotent => true,
             Effect::SideEffecting => maybe.next().is_none(),
-            Effect::Deduplicated { within, memory } => maybe.all(|s| {
-                let near = match (within, self.node(s.node), self.node(to)) {
+            Effect::Deduplicated { within, .. } => {
+                let near = |s: &Sent| match (within, self.node(s.node), self.node(to)) {
                     (Within::All, _, _) => true,
                     (Within::Zone, Some(a), Some(b)) => a.line.zone == b.line.zone,
                     (Within::Cell, Some(a), Some(b)) => {
@@ -628,25 +628,38 @@
                     }
                     _ => false,
                 };
-                near && now < s.at + memory
-            }),
+                now < self.repeat_by(lk) && maybe.all(near)
+            }
         }
     }
 
+    /// Until when nodes know a repeat of this lookup: past it a repeat runs again, whoever makes it.
+    fn repeat_by(&self, lk: &Lookup) -> Ns {
+        let Effect::Deduplicated { memory, .. } = self.set.object_kinds[lk.kind].effect else {
+            return Ns::MAX;
+        };
+        let first = lk.sends.iter().filter(|s| ran(s)).map(|s| s.at.saturating_add(memory)).min();
+        first.unwrap_or(Ns::MAX)
+    }
+
     /// Nothing more to send: wait for what is out, or give the lookup up at once. A client that repeats soon
     /// finds the same trouble and adds to it: it is asked to stay away as long as clients do.
-    fn hold(&mut self, lk: &Lookup) -> Route {
+    fn hold(&mut self, now: Ns, lk: &Lookup) -> Route {
         if lk.sends.iter().any(|s| s.result.is_none()) {
             return Route::NotYet;
         }
-        let effect = self.set.object_kinds[lk.kind].effect;
-        let free = matches!(effect, Effect::Idempotent | Effect::Deduplicated { within: Within::All, .. });
+        // The client's repeat has to come, as this lookup's would, while the nodes still know it for one.
+        let left = self.repeat_by(lk).saturating_sub(now).saturating_sub(BASE);
+        let free = match self.set.object_kinds[lk.kind].effect {
+            Effect::Deduplicated { within: Within::All, .. } => left > 0,
+            effect => effect == Effect::Idempotent,
+        };
         if !free && lk.sends.iter().any(ran) {
             return Route::Fail;
         }
         let part = 0.75 + 0.25 * self.rng.random::<f64>();
         let pause = if self.set.pauses { self.set.longest_pause as f64 * part } else { 0.0 };
-        Route::Nack { pause: pause as Ns }
+        Route::Nack { pause: left.min(pause as Ns) }
     }
 
     /// How the utility for its sending time stands among those of other lookups, in standard deviations.
@@ -665,7 +678,7 @@
         self.turn(now);
         let out = lk.sends.iter().filter(|s| s.result.is_none()).count();
         if now + 2 * self.set.tick >= lk.deadline {
-            return self.hold(lk);
+            return self.hold(now, lk);
         }
         let first = lk.sends.is_empty();
         let hopeless = (lk.deadline - now) as f64 <= HOPELESS * self.predicted(lk);
@@ -674,7 +687,7 @@
         }
         let spent = lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1;
         if hopeless || !first && spent {
-            return self.hold(lk);
+            return self.hold(now, lk);
         }
         if out > 0 && self.jammed {
             return Route::NotYet;
@@ -682,7 +695,7 @@
         let standing = self.standing(lk);
         let allowed = |s: &Send| self.effect_allows(lk, s.node, now);
         let Some(mut send) = self.pick(now, lk, standing).filter(allowed) else {
-            return self.hold(lk);
+            return self.hold(now, lk);
         };
         let price = send.source.and_then(|s| self.node(s)).map_or(LEAST_PRICE, |n| n.price);
         if standing < price {
@@ -690,7 +703,7 @@
         }
         if !first {
             if send.source.is_none() {
-                return self.hold(lk);
+                return self.hold(now, lk);
             }
             self.tokens -= 1.0;
         }
@@ -911,6 +924,7 @@
             node,
             source: source.filter(|&s| s != node),
             time_out: 0,
+            begin_by: self.repeat_by(lk),
             oldest: self.oldest(lk, now, source.is_some()),
             join: self.set.joins,
             renew: kind.fresh > 0,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -136,6 +136,8 @@
     /// Where a miss is filled from; none: no fill.
     pub source: Option<usize>,
     pub time_out: Ns,
+    /// Its first byte is not to leave at this time or later, however long it waits for a connection.
+    pub begin_by: Ns,
     /// The oldest copy that will do; none: the kind's fresh time.
     pub oldest: Option<Ns>,
     pub join: bool,
