Clients' marks of repeats reach the module; extreme settings are refused or served

An az out of range named another key alone. Zone and machine names were matched with spaces and commas turned into underscores, as the simulator's wire does, while lists call them by their own: now by those.

The client's word that it has asked before (again, by the kit's table of names) was passed over on sockets, while the simulator's adapter hands it to the module: now both do.

The cold ramp is held as a sum in a test of the module: 4, 20 and 30 directors, a cache and a parent, a surge of four times the load at once or after 5 s of quiet; every second's calls within N + 2 x root of N + 2.

--- a/crates/director/src/exchange.rs
+++ b/crates/director/src/exchange.rs
@@ -53,6 +53,7 @@
     pub tag: Option<Box<str>>,
     /// The mark by which nodes know a repeat of a deduplicated lookup.
     pub mark: Option<Box<str>>,
+    pub repeat: bool,
     pub body: Arc<Body>,
     pub arrived: Ns,
     pub budget: Ns,
--- a/crates/director/src/life/config.rs
+++ b/crates/director/src/life/config.rs
@@ -56,7 +56,7 @@
             feed: address(&all, "feed")?,
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: not hexadecimal: {seed}"))?,
             settings: settings::decode(&pairs).map_err(in_settings)?,
-            names: Names::of(&pairs).map_err(in_settings)?,
+            names: Names::of(&pairs, &all["settings"]).map_err(in_settings)?,
             limits: Limits::of(
                 count("sockets")?,
                 count("memory_mb")?,
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -442,7 +442,7 @@
             size_kb: asked.size_kb,
             arrived: asked.arrived,
             deadline,
-            repeat: false,
+            repeat: asked.repeat,
             write: false,
             sends: Vec::new(),
         };
--- a/crates/director/src/plain/names.rs
+++ b/crates/director/src/plain/names.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use sablecross_inhand::settings::{Pairs, Result};
+use serde_json::Value;
 
 /// The method by which members of a fleet call one another.
 pub const DUTY: &str = "duty";
@@ -18,11 +19,14 @@
 }
 
 impl Names {
-    pub fn of(p: &Pairs) -> Result<Names> {
+    /// `raw` are the same settings as they were told: lists call zones and machines by the very names.
+    pub fn of(p: &Pairs, raw: &Value) -> Result<Names> {
         let count: usize = p.get("classes.count")?;
         let kinds = (0..count).map(|i| p.text(&format!("classes.{i}.name")).map(str::to_owned));
         let numbered = |key: &str| -> Result<HashMap<String, usize>> {
-            Ok(p.list::<String>(key)?.into_iter().enumerate().map(|(i, name)| (name, i)).collect())
+            let names = raw[key].as_array().ok_or(format!("bad setting: {key}: not a list"))?;
+            let name = |v: &Value| v.as_str().map(str::to_owned).ok_or(format!("bad setting: {key}: {v}"));
+            names.iter().enumerate().map(|(i, v)| Ok((name(v)?, i))).collect()
         };
         Ok(Names {
             kinds: kinds.collect::<Result<_>>()?,
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -572,6 +572,7 @@
                 size_kb: fields.size_kb,
                 tag: fields.tag.map(Into::into),
                 mark: fields.mark.map(Into::into),
+                repeat: fields.repeat,
                 body: Arc::new(body),
                 arrived,
                 budget: fields.budget_ms * MS,
--- a/crates/director/src/wire/rpc.rs
+++ b/crates/director/src/wire/rpc.rs
@@ -47,6 +47,8 @@
     pub size_kb: f64,
     pub tag: Option<&'a str>,
     pub mark: Option<&'a str>,
+    /// The client says that it has asked before.
+    pub repeat: bool,
 }
 
 /// Why bytes are no message: more must come, or none will ever make it one.
@@ -147,6 +149,7 @@
                 fields.size_kb = size;
             }
             "ver" => fields.tag = Some(word(value)?),
+            "again" => fields.repeat = number::<u64>(value)? > 0,
             "token" => fields.mark = Some(word(value)?),
             _ => {}
         }
--- a/crates/director/tests/codec.rs
+++ b/crates/director/tests/codec.rs
@@ -3,12 +3,12 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
-use sablecross::{Choice, Lookup, Outcome, Route, Send, Settings, State};
+use sablecross::{Choice, Lookup, Outcome, Route, Send, Sent, Settings, State};
 use sablecross_director::common::Common;
 use sablecross_director::exchange::{Asked, Call, Withdrawn};
 use sablecross_director::life::config::Config;
 use sablecross_director::plain::bodies::Room;
-use sablecross_director::plain::facts::Member;
+use sablecross_director::plain::facts::{Fact, Member};
 use sablecross_director::plain::limits::Limits;
 use sablecross_director::plain::names::Names;
 use sablecross_director::wire::lines;
@@ -16,6 +16,8 @@
 use sablecross_director::wire::nodes::Nodes;
 use sablecross_director::wire::rpc::{self, Fields, Flaw, Message};
 
+use serde_json::Value;
+
 const SAMPLE: &str = include_str!("../../../deploy/sample.json");
 
 fn limits() -> Limits {
@@ -44,7 +46,7 @@
     out
 }
 
-const FIELDS: [(&str, &str); 8] = [
+const FIELDS: [(&str, &str); 9] = [
     ("rid", "9b1f03aa5c7e2d41"),
     ("budget", "1500"),
     ("obj", "7f3a9c21e0b4d655"),
@@ -53,6 +55,7 @@
     ("mem", "412.5"),
     ("ver", "4be0c1927d55a6f3"),
     ("token", "d06a66f0be6341e94b0783615350ddcc"),
+    ("again", "1"),
 ];
 
 #[test]
@@ -69,6 +72,7 @@
         size_kb: 412.5,
         tag: Some("4be0c1927d55a6f3"),
         mark: Some("d06a66f0be6341e94b0783615350ddcc"),
+        repeat: true,
     };
     let whole = Message::Lookup { call: 7, fields, body: b"body" };
     assert_eq!(rpc::read(&bytes, &names, &limits), Ok((whole, bytes.len())));
@@ -109,6 +113,7 @@
         with("ver", ""),
         with("token", "a=b"),
         with("token", ""),
+        with("again", "perhaps"),
         with("mem", "NaN"),
         with("mem", "-4"),
         without("rid"),
@@ -217,6 +222,7 @@
         size_kb: 1.0,
         tag: tag.map(Into::into),
         mark: tag.map(|_| "m7".into()),
+        repeat: false,
         body: room.body(2).expect("room").into(),
         arrived: 0,
         budget: 0,
@@ -336,6 +342,113 @@
     assert!(Config::parse("{").is_err_and(|e| e.starts_with("configuration:")));
 }
 
+/// Each leaf of the settings, as a path.
+fn leaves(value: &Value, path: String, to: &mut Vec<String>) {
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(k, v)| leaves(v, format!("{path}/{k}"), to)),
+        Value::Array(items) if !items.is_empty() => {
+            items.iter().enumerate().for_each(|(i, v)| leaves(v, format!("{path}/{i}"), to));
+        }
+        _ => to.push(path),
+    }
+}
+
+/// Settings of other customers: keys that are missing, unknown, of another type or far out of range end the start
+/// with the key, or the program works with them.
+#[test]
+fn settings_that_are_missing_unknown_or_extreme_are_refused_by_name_or_served() {
+    let sample: Value = serde_json::from_str(SAMPLE).expect("the sample is good");
+    let mut paths = Vec::new();
+    leaves(&sample["settings"], "/settings".into(), &mut paths);
+    let changes: [Option<Value>; 7] = [
+        None,
+        Some(Value::Null),
+        Some(u64::MAX.into()),
+        Some((-1).into()),
+        Some(0.into()),
+        Some(1e308.into()),
+        Some(Value::String("odd, or so".into())),
+    ];
+    let (mut refused, mut served) = (0, 0);
+    for path in &paths {
+        for change in &changes {
+            let mut all = sample.clone();
+            all["settings"]["unheardOf"] = serde_json::json!({"a": [1, {"b": 2}]});
+            let (above, key) = path.rsplit_once('/').expect("a path");
+            match (all.pointer_mut(above).expect("above"), change) {
+                (Value::Object(fields), None) => drop(fields.remove(key)),
+                (Value::Array(items), None) => drop(items.remove(key.parse().expect("a place"))),
+                (fields, Some(value)) => {
+                    *fields.pointer_mut(&format!("/{key}")).expect("there") = value.clone()
+                }
+                _ => unreachable!("{path}"),
+            }
+            let config = match Config::parse(&all.to_string()) {
+                Err(e) => {
+                    let name =
+                        path.split('/').skip(2).find(|p| p.parse::<usize>().is_err() && e.contains(*p));
+                    assert!(name.is_some() && e.lines().count() == 1, "{path} {change:?}: {e}");
+                    refused += 1;
+                    continue;
+                }
+                Ok(config) => config,
+            };
+            served += 1;
+            let kinds = config.settings.object_kinds.len();
+            let (common, _) = Common::new(config.names, config.limits);
+            let (now, longest) = (common.clock.now(), common.limits.longest_budget);
+            let (_links, orders) = Links::new(&common).expect("polls");
+            let mut nodes = Nodes::new(orders, common);
+            let mut choice = Choice::new(config.settings, 1, now);
+            for event in config.known.events {
+                if let Fact::Members { members, whole } = event.fact {
+                    choice.listed(now, &nodes.listed(&members, whole, 0, 0), whole);
+                }
+            }
+            choice.purged(now, Some(3), 0, 0);
+            for (kind, object) in (0..kinds).flat_map(|k| [(k, 1), (k, 3)]) {
+                let mut lookup = lookup_of(object, now, now + longest);
+                lookup.kind = kind;
+                for later in [0, 1, 500_000_000] {
+                    if let Route::Send(send) = choice.route(now + later, &lookup) {
+                        let Send { node, source, .. } = send;
+                        lookup.sends.push(Sent { node, source, at: now + later, result: None });
+                        choice.patience(now + later, &lookup);
+                        lookup.sends.last_mut().expect("sent").result = Some(Outcome::Error);
+                        choice.after(now + later, &lookup, lookup.sends.len() - 1, later, None);
+                    }
+                }
+            }
+        }
+    }
+    assert!(refused > 100 && served > 50, "{refused} refused, {served} served");
+    // Kinds in another order, with lists in the same one, are the same kinds.
+    let mut turned = sample.clone();
+    let lists =
+        ["/classes", "/extra/freshForUs", "/extra/usableAfterUs", "/extra/multiPart", "/extra/neverKept"];
+    for list in lists {
+        let list = turned["settings"].pointer_mut(list).and_then(Value::as_array_mut).expect("a list");
+        list.reverse();
+    }
+    let [first, other] = [&sample, &turned].map(|s| Config::parse(&s.to_string()).expect("good"));
+    let named = |c: &Config, name: &str| {
+        let at = c.names.kinds.iter().position(|k| k == name).expect("named");
+        c.settings.object_kinds[at].clone()
+    };
+    for name in ["footage", "readings"] {
+        assert_eq!(named(&first, name), named(&other, name));
+    }
+    // Zones are called by the list as by the settings, whatever their names hold.
+    let spaced = SAMPLE.replace("\"edge\"", "\"north, by sea\"");
+    assert_eq!(Config::parse(&spaced).expect("good").names.zones["north, by sea"], 1);
+}
+
+fn lookup_of(object: u64, arrived: u64, deadline: u64) -> Lookup {
+    let (part, group, kind, size_kb) = (0, 0, 0, 10.0);
+    let (repeat, write, sends) = (false, false, Vec::new());
+    Lookup { object, part, group, kind, size_kb, arrived, deadline, repeat, write, sends }
+}
+
 #[test]
 fn the_number_of_a_node_that_is_gone_comes_free() {
     let config = Config::parse(SAMPLE).expect("the sample is good");
--- a/crates/inhand/src/settings.rs
+++ b/crates/inhand/src/settings.rs
@@ -120,8 +120,10 @@
         return Err("bad setting: classes.count=0".into());
     }
     let zone = p.get("az")?;
-    let directors: Vec<usize> = p.list("extra.zoneBalancers")?;
-    p.of(&directors, zone, "extra.zoneBalancers")?;
+    // So many as sums of them can hold.
+    let directors: Vec<u32> = p.list("extra.zoneBalancers")?;
+    let directors: Vec<usize> = directors.into_iter().map(|n| n as usize).collect();
+    p.of(&directors, zone, "extra.zoneBalancers").map_err(|e| format!("{e}, which az names"))?;
     Ok(Settings {
         zone,
         number: p.get("index")?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -522,7 +522,8 @@
     /// When its latency budget ends.
     fn budget_end(&self, lk: &Lookup) -> Ns {
         let kind = &self.set.object_kinds[lk.kind];
-        lk.arrived + kind.latency_budget + (kind.budget_stretch.unwrap_or(0.0) * self.predicted(lk)) as Ns
+        let stretch = (kind.budget_stretch.unwrap_or(0.0) * self.predicted(lk)) as Ns;
+        lk.arrived.saturating_add(kind.latency_budget.saturating_add(stretch))
     }
 
     // ---- who may be sent to ----
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -305,6 +305,43 @@
     }
 }
 
+/// Beyond what settings allow a cold member only 2 x root of N + 2 calls are chance, however many directors send.
+#[test]
+fn the_ramp_of_a_cold_member_holds_for_the_sum_of_all_directors() {
+    // (directors, the fresh member, seconds of quiet before a surge of four times the load begins)
+    let cases = [4, 20, 30].into_iter().flat_map(|n| [1, 50].map(|m| [(n, m, 0), (n, m, 5)])).flatten();
+    for (size, fresh, quiet) in cases {
+        let mut team = team(size, &list(7, 3));
+        for o in 0..16_000 {
+            look(&mut team[o as usize % size], START + o * SEC / 800, o, 50 * MS, Outcome::Satisfied);
+        }
+        let then = START + 20 * SEC;
+        let mut lines = list(7, 3);
+        lines.iter_mut().filter(|l| l.node == fresh).for_each(|l| l.started = then);
+        team.iter_mut().for_each(|c| c.listed(then, &lines, true));
+        let surge = then + quiet * SEC;
+        let mut calls = Vec::new();
+        for o in 0..16_000 {
+            let now = surge + o * SEC / 3_200;
+            let outcome = if o % 4 == 0 { Outcome::Satisfied } else { Outcome::Full };
+            let sent = look(&mut team[o as usize % size], now, 20_000 + o / 4, 50 * MS, outcome);
+            if sent.is_some_and(|s| s.node == fresh || s.source == Some(fresh)) {
+                calls.push(now);
+            }
+        }
+        assert!(calls.len() > 20, "{size} {fresh} {quiet}: {} calls", calls.len());
+        // Before, one of seven caches bore 114 lookups a second and one of three parents 267.
+        let (bears, multiple, cold) = if fresh == 50 { (267.0, 2.0, 0.1) } else { (114.0, 3.0, 0.2) };
+        for (i, &from) in calls.iter().enumerate() {
+            let count = calls[i..].iter().take_while(|&&at| at < from + SEC).count() as f64;
+            let age = (from - then) as f64 / (20 * SEC) as f64;
+            let n = multiple * bears * (cold + (1.0 - cold) * age);
+            let most = n + 2.0 * n.sqrt() + 2.0;
+            assert!(count <= most, "{size} {fresh} {quiet}: {count} of {most:.0} at {:.2}", age * 20.0);
+        }
+    }
+}
+
 #[test]
 fn the_parent_that_serves_all_is_no_measure_for_a_fresh_one() {
     let mut team = team(4, &list(7, 3));
