What was not begun on a connection that ends never ran; such a try costs no further send

Seen in review: a lookup given to a connection whose end lay unread counted as broken, so as one that may have run: the links' thread took orders before it read, wrote onto the dead connection, or dropped the order of one it had just lost while the desk, hearing Lost, knew no better. A side-effecting lookup failed for it, a deduplicated one lost its window. Now ends are read before anything is begun, also right before each send, and Lost names what was begun instead of what was still queued. The module charges no further send for what never left (a test of both, each fails without).

--- a/crates/director/src/exchange.rs
+++ b/crates/director/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Where the client side and the node side meet: plain values, and the one queue that leads to the desk.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -103,11 +104,12 @@
         link: Link,
         ended: Box<Ended>,
     },
-    /// A connection to a node is over; `reached`: it had come up; `unwritten`: what was not begun to be written.
+    /// A connection to a node is over; `reached`: it had come up; `begun`: what of it is written, if only in part,
+    /// and not ended.
     Lost {
         link: Link,
         reached: bool,
-        unwritten: Vec<Name>,
+        begun: BTreeSet<Name>,
     },
     /// A send was not begun to be written in its time, or after it was withdrawn, and never will be.
     Unbegun {
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -313,15 +313,15 @@
                 left.into_iter().for_each(|id| self.cancelled(id));
             }
             Event::Ended { link, ended } => self.answered(link, *ended),
-            Event::Lost { link, reached, unwritten } => {
+            Event::Lost { link, reached, begun } => {
                 for Out { id, shot, at } in self.floor.nodes.lost(link) {
                     let Some(kept) = self.floor.kept.get_mut(&id) else { continue };
                     kept.links[shot] = None;
                     // A connection reset while it was idle says nothing of its node.
                     let outcome = match reached {
                         false => Outcome::Unconnected,
-                        true if unwritten.contains(&kept.asked.name) => Outcome::NeverSent,
-                        true => Outcome::Broken,
+                        true if begun.contains(&kept.asked.name) => Outcome::Broken,
+                        true => Outcome::NeverSent,
                     };
                     self.floor.end(id, shot, outcome, now.saturating_sub(at));
                 }
--- a/crates/director/src/wire/links.rs
+++ b/crates/director/src/wire/links.rs
@@ -95,6 +95,8 @@
     written: usize,
     /// Sends that were passed over, until the kill of each has come, which is passed over too.
     skipped: BTreeSet<Name>,
+    /// Sends that are written, if only in part, and neither answered nor killed.
+    begun: BTreeSet<Name>,
 }
 
 impl Wire {
@@ -141,6 +143,12 @@
             let body = send.body.as_ref().map_or(&[][..], |b| b.bytes());
             let tail = if send.body.is_some() { &b"\r\n"[..] } else { &[] };
             let mut parts = [IoSlice::new(&send.head), IoSlice::new(body), IoSlice::new(tail)];
+            // A kill gives up what it names.
+            if send.body.is_some() {
+                self.begun.insert(send.name);
+            } else {
+                self.begun.remove(&send.name);
+            }
             match write_on(&self.stream, &mut parts, &mut self.written) {
                 Ok(true) => {
                     self.written = 0;
@@ -179,9 +187,12 @@
                 }
                 self.intake.used(2);
                 counters::add(&of.counters.body_bytes, self.coming.as_ref().map_or(0, |c| c.length));
-                let ended = self.coming.take().map(|c| Box::new(c.end(of.clock.now())));
-                if ended.is_some_and(|ended| of.events.send(Event::Ended { link, ended }).is_err()) {
-                    return Err("the desk has gone");
+                if let Some(coming) = self.coming.take() {
+                    let ended = Box::new(coming.end(of.clock.now()));
+                    self.begun.remove(&ended.name);
+                    if of.events.send(Event::Ended { link, ended }).is_err() {
+                        return Err("the desk has gone");
+                    }
                 }
             }
         }
@@ -253,6 +264,8 @@
     orders: Receiver<Order>,
     of: Arc<Common>,
     wires: BTreeMap<Link, Wire>,
+    /// Connections that have more to say than their share.
+    more: Vec<Link>,
 }
 
 impl Links {
@@ -260,37 +273,41 @@
         let poll = Poll::new()?;
         let (orders, from_desk) = bounded(of.limits.orders);
         let orders = Orders { orders, waker: Waker::new(poll.registry(), ORDERS)? };
-        Ok((Links { poll, orders: from_desk, of: Arc::clone(of), wires: BTreeMap::new() }, orders))
+        Ok((
+            Links { poll, orders: from_desk, of: Arc::clone(of), wires: BTreeMap::new(), more: Vec::new() },
+            orders,
+        ))
     }
 
     /// Serves for ever, or until the desk is gone.
     pub fn serve(mut self) {
         let limits = &Arc::clone(&self.of).limits;
         let mut events = Events::with_capacity(limits.turns);
-        // Connections that have more to say than their share.
-        let mut more: Vec<Link> = Vec::new();
         let mut sweep = self.of.clock.now();
         loop {
-            let wait = if more.is_empty() { self.of.clock.until(sweep) } else { Default::default() };
+            let wait = if self.more.is_empty() { self.of.clock.until(sweep) } else { Default::default() };
             if let Err(e) = self.poll.poll(&mut events, Some(wait))
                 && !paused(&e)
             {
                 return tracing::error!("connections to nodes: {e}");
             }
-            let mut again = std::mem::take(&mut more);
-            for event in &events {
-                if event.token() == ORDERS {
-                    continue;
-                }
+            let mut again = std::mem::take(&mut self.more);
+            let mut writable = Vec::new();
+            for event in events.iter().filter(|event| event.token() != ORDERS) {
                 let link = event.token().0 as Link;
                 if event.is_writable() {
-                    self.with(link, |wire, of| {
-                        wire.rise()?;
-                        wire.write(of)
-                    });
+                    self.with(link, |wire, _| wire.rise());
+                    writable.push(link);
                 }
                 again.push(link);
             }
+            again.sort_unstable();
+            again.dedup();
+            // What has come first: nothing is begun on a connection whose end is here already.
+            again.into_iter().for_each(|link| self.read(link));
+            for link in writable {
+                self.with(link, |wire, of| wire.write(of));
+            }
             loop {
                 match self.orders.try_recv() {
                     Ok(order) => self.order(order),
@@ -298,13 +315,6 @@
                     Err(_) => return,
                 }
             }
-            again.sort_unstable();
-            again.dedup();
-            more.extend(
-                again
-                    .into_iter()
-                    .filter(|&link| self.with(link, |wire, of| wire.read(link, of)) == Some(true)),
-            );
             let now = self.of.clock.now();
             if now >= sweep {
                 self.sweep(now);
@@ -319,6 +329,12 @@
         run(wire, &self.of).map_err(|why| self.lose(link, why)).ok()
     }
 
+    fn read(&mut self, link: Link) {
+        if self.with(link, |wire, of| wire.read(link, of)) == Some(true) {
+            self.more.push(link);
+        }
+    }
+
     fn order(&mut self, order: Order) {
         let (link, send) = match order {
             Order::Dial { link, address, by } => return self.dial(link, address, by),
@@ -327,7 +343,13 @@
                 self.with(link, |wire, of| wire.write(of));
                 return;
             }
-            Order::Pull { link, send } => (link, send),
+            Order::Pull { link, send } => {
+                // Its end may have come since it was looked at: what is not begun on it has never run.
+                if self.wires.get(&link).is_some_and(|wire| wire.up) {
+                    self.read(link);
+                }
+                (link, send)
+            }
             Order::Kill { link, name } => {
                 let until = self.of.clock.now() + self.of.limits.undated;
                 let (head, off, withdrawn) = (lines::kill(&name), Arc::default(), Withdrawn::default());
@@ -351,14 +373,24 @@
         match made {
             Ok(stream) => {
                 let intake = Intake::new(self.of.limits.line, self.of.limits.line, &self.of.room);
-                let (sends, skipped) = (VecDeque::new(), BTreeSet::new());
-                let wire =
-                    Wire { link, stream, up: false, by, intake, coming: None, sends, written: 0, skipped };
+                let (sends, skipped, begun) = (VecDeque::new(), BTreeSet::new(), BTreeSet::new());
+                let wire = Wire {
+                    link,
+                    stream,
+                    up: false,
+                    by,
+                    intake,
+                    coming: None,
+                    sends,
+                    written: 0,
+                    skipped,
+                    begun,
+                };
                 self.wires.insert(link, wire);
             }
             Err(e) => {
                 tracing::debug!("link {link} to {address}: {e}");
-                let _ = self.of.events.send(Event::Lost { link, reached: false, unwritten: Vec::new() });
+                let _ = self.of.events.send(Event::Lost { link, reached: false, begun: BTreeSet::new() });
             }
         }
     }
@@ -386,8 +418,6 @@
             counters::add(&self.of.counters.bad_lines, 1);
             tracing::warn!("link {link}: {why}");
         }
-        let begun = usize::from(wire.written > 0);
-        let unwritten = wire.sends.iter().skip(begun).filter(|s| s.body.is_some()).map(|s| s.name).collect();
-        let _ = self.of.events.send(Event::Lost { link, reached: wire.up, unwritten });
+        let _ = self.of.events.send(Event::Lost { link, reached: wire.up, begun: wire.begun });
     }
 }
--- a/crates/director/tests/crossings.rs
+++ b/crates/director/tests/crossings.rs
@@ -255,12 +255,7 @@
         c.write(b"\x93\x02\xadcancelRequest\x91\x05");
         c.ask(5, object + 0x100, 4_000);
         w.signal("CONT");
-        let second = loop {
-            let told = w.cache.next();
-            if told.line.starts_with("PULL ") {
-                break told;
-            }
-        };
+        let second = w.cache.later_pull();
         second.answer("ACK", "how=HIT,entity=t1,issued=1", b"of the second");
         // The first may still have been answered before its client's word was read.
         let (call, mut answer) = c.answer();
@@ -358,6 +353,35 @@
     assert_eq!(String::from_utf8_lossy(&came), "");
 }
 
+/// Held, then let go: the end of a resting connection and a lookup for it are there in one moment.
+#[test]
+fn what_was_not_begun_on_a_connection_that_ends_never_ran() {
+    let w = World::with(|config| config.replacen("\"idempotent\"", "\"at_most_once\"", 1));
+    let mut c = w.client();
+    for call in 1..=24 {
+        c.ask(call, u64::from(call), 4_000);
+        let pull = w.cache.later_pull();
+        pull.answer("ACK", "how=HIT,entity=t1,issued=1", b"first");
+        c.satisfied(call, b"first");
+        w.signal("STOP");
+        pull.stream.shutdown(std::net::Shutdown::Both).expect("shut");
+        c.ask(100 + call, 0x100 + u64::from(call), 4_000);
+        w.signal("CONT");
+        // On a new connection, or by another way if it had been given to the one that ended.
+        let start = Instant::now();
+        let again = loop {
+            let told = [&w.cache, &w.parent].into_iter().find_map(|n| n.told.try_recv().ok());
+            match told.filter(|t| t.line.starts_with("PULL ")) {
+                Some(told) => break told,
+                None => assert!(start.elapsed() < LONG, "sent again"),
+            }
+        };
+        again.answer("ACK", "how=HIT,entity=t1,issued=1", b"second");
+        c.satisfied(100 + call, b"second");
+    }
+    assert_eq!(w.reported()["failed"], 0);
+}
+
 #[test]
 fn discovery_is_taken_up_again_though_idle_clients_fill_all_places() {
     let mut w = World::with(|c| c.replace("\"sockets\": 1024", "\"sockets\": 64"));
--- a/crates/director/tests/help/mod.rs
+++ b/crates/director/tests/help/mod.rs
@@ -84,6 +84,16 @@
         told
     }
 
+    /// The next send, whatever else is told before it.
+    pub fn later_pull(&self) -> Told {
+        loop {
+            let told = self.next();
+            if told.line.starts_with("PULL ") {
+                return told;
+            }
+        }
+    }
+
     pub fn quiet(&self) {
         let told = self.told.recv_timeout(SHORT).map(|t| t.line);
         assert_eq!(told.err(), Some(RecvTimeoutError::Timeout));
--- a/crates/director/tests/sockets.rs
+++ b/crates/director/tests/sockets.rs
@@ -158,12 +158,7 @@
         c.ask(1, 0x77, 2_000);
         let first = w.cache.pull();
         fault(&first);
-        let again = loop {
-            let told = w.cache.next();
-            if told.line.starts_with("PULL ") {
-                break told;
-            }
-        };
+        let again = w.cache.later_pull();
         assert_ne!(again.connection, first.connection, "{name}");
         again.answer("ACK", "how=HIT,entity=t1,issued=1", b"whole");
         c.satisfied(1, b"whole");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -686,7 +686,9 @@
         if first {
             self.arrived(now, lk);
         }
-        let spent = lk.sends.len() >= self.set.most_sends || self.tokens < 1.0 || out > 1;
+        // What never left asked nothing of anyone: the next is no further send.
+        let free = lk.sends.iter().all(|s| s.result == Some(Outcome::NeverSent));
+        let spent = lk.sends.len() >= self.set.most_sends || !free && self.tokens < 1.0 || out > 1;
         if hopeless || !first && spent {
             return self.hold(now, lk);
         }
@@ -706,7 +708,7 @@
             if send.source.is_none() {
                 return self.hold(now, lk);
             }
-            self.tokens -= 1.0;
+            self.tokens -= f64::from(u8::from(!free));
         }
         send.time_out = lk.deadline - now - 2 * self.set.tick;
         if first && send.source.is_none() {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -180,6 +180,18 @@
     }
 }
 
+#[test]
+fn what_never_left_spends_no_further_send() {
+    let mut c = director(settings(), &list(4, 2));
+    for object in 0..40 {
+        let mut lk = lookup(object, START);
+        go(&mut c, START, &mut lk);
+        end(&mut c, START, &mut lk, Outcome::NeverSent);
+        assert!(matches!(go(&mut c, START, &mut lk), Route::Send(_)), "{object}");
+        end(&mut c, START + MS, &mut lk, Outcome::Satisfied);
+    }
+}
+
 #[test]
 fn a_repeat_comes_while_nodes_know_it_or_not_at_all() {
     let effect = Effect::Deduplicated { within: Within::All, memory: SEC };
