--- a/crates/director/src/wire/links.rs
+++ b/crates/director/src/wire/links.rs
@@ -18,6 +18,7 @@
 use crate::exchange::{Copy, Ended, Event, Link, Name, Withdrawn};
 use crate::plain::bodies::Body;
 use crate::plain::counters;
+use crate::plain::sparing::Sparing;
 
 pub enum Order {
     Dial {
@@ -84,6 +85,7 @@
 
 struct Wire {
     link: Link,
+    address: SocketAddr,
     stream: TcpStream,
     up: bool,
     /// By when it must be up.
@@ -266,6 +268,8 @@
     wires: BTreeMap<Link, Wire>,
     /// Connections that have more to say than their share.
     more: Vec<Link>,
+    sweep_at: Ns,
+    log: Sparing,
 }
 
 impl Links {
@@ -274,7 +278,15 @@
         let (orders, from_desk) = bounded(of.limits.orders);
         let orders = Orders { orders, waker: Waker::new(poll.registry(), ORDERS)? };
         Ok((
-            Links { poll, orders: from_desk, of: Arc::clone(of), wires: BTreeMap::new(), more: Vec::new() },
+            Links {
+                poll,
+                orders: from_desk,
+                of: Arc::clone(of),
+                wires: BTreeMap::new(),
+                more: Vec::new(),
+                sweep_at: 0,
+                log: Sparing::default(),
+            },
             orders,
         ))
     }
@@ -283,9 +295,9 @@
     pub fn serve(mut self) {
         let limits = &Arc::clone(&self.of).limits;
         let mut events = Events::with_capacity(limits.turns);
-        let mut sweep = self.of.clock.now();
         loop {
-            let wait = if self.more.is_empty() { self.of.clock.until(sweep) } else { Default::default() };
+            let wait =
+                if self.more.is_empty() { self.of.clock.until(self.sweep_at) } else { Default::default() };
             if let Err(e) = self.poll.poll(&mut events, Some(wait))
                 && !paused(&e)
             {
@@ -316,10 +328,10 @@
                 }
             }
             let now = self.of.clock.now();
-            if now >= sweep {
+            if now >= self.sweep_at {
                 self.sweep(now);
                 let dialing = self.wires.values().any(|wire| !wire.up);
-                sweep = now + if dialing { limits.margin } else { limits.sweep };
+                self.sweep_at = now + if dialing { limits.margin } else { limits.sweep };
             }
         }
     }
@@ -374,8 +386,11 @@
             Ok(stream) => {
                 let intake = Intake::new(self.of.limits.line, self.of.limits.line, &self.of.room);
                 let (sends, skipped, begun) = (VecDeque::new(), BTreeSet::new(), BTreeSet::new());
+                // It must be given up in its time, if it does not come up.
+                self.sweep_at = self.sweep_at.min(self.of.clock.now() + self.of.limits.margin);
                 let wire = Wire {
                     link,
+                    address,
                     stream,
                     up: false,
                     by,
@@ -416,7 +431,8 @@
         }
         if wire.up && !why.is_empty() {
             counters::add(&self.of.counters.bad_lines, 1);
-            tracing::warn!("link {link}: {why}");
+            let address = wire.address;
+            self.log.warn(self.of.clock.now(), || format!("link {link} to {address}: {why}"));
         }
         let _ = self.of.events.send(Event::Lost { link, reached: wire.up, begun: wire.begun });
     }
--- a/crates/director/tests/crossings.rs
+++ b/crates/director/tests/crossings.rs
@@ -39,10 +39,12 @@
         let mut w = World::with(|config| {
             cache_at(&config, late.address).replace("\"dialTimeoutUs\": 400000", "\"dialTimeoutUs\": 4000000")
         });
-        let (_, feed) = w.feed.call();
+        let _old = w.feed.call();
         let mut c = w.client();
         c.ask(1, 0x77, 5_000);
         w.counted("sends", 1);
+        w.reload();
+        let (_, feed) = w.feed.call();
         tell(&feed, 2, &news(late.address, w.parent.address));
         if other {
             w.parent.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"another way");
@@ -122,6 +124,7 @@
     half.write(&[0x94, 0, 1, 0xa5, b'a', b'l']);
     waits.ask(1, 0x77, 5_000);
     w.counted("sends", 1);
+    w.reload();
     w.signal("TERM");
     w.logged("stopping in_hand=1");
     half.write(b"ive\x91\x80");
@@ -167,6 +170,7 @@
     let mut resting: Vec<Client> = (0..29).map(|_| w.client()).collect();
     assert!(resting.iter_mut().all(Client::alive));
     w.signal("STOP");
+    w.signal("HUP");
     resting[0].ask(1, 0x77, 4_000);
     let mut new: Vec<Client> = (0..3).map(|_| w.client()).collect();
     w.signal("CONT");
@@ -221,6 +225,7 @@
         let mut c = w.client();
         c.ask(1, 0x77, 4_000);
         w.counted("sends", 1);
+        w.reload();
         go(c);
         w.counted("cancelled", 1);
         let mut stream = late.open();
@@ -300,6 +305,7 @@
     let mut c = w.client();
     c.ask(1, 0x77, 600);
     let endless = w.cache.pull();
+    w.reload();
     endless.write(format!("{} ACK how=HIT,entity=t1,issued=1 240000\r\nnever", endless.name()).as_bytes());
     assert_eq!(c.nacked(), 1);
     assert_eq!(rest(&w.cache), ["KILL"], "its connection is not used again");
@@ -392,10 +398,7 @@
     w.feed.0 = std::net::TcpListener::bind("127.0.0.1:0").expect("bound");
     let idle: Vec<Client> = (0..120).map(|_| w.client()).collect();
     w.counted("made_room", 90);
-    for _ in 0..3 {
-        w.signal("HUP");
-        w.logged("feed moved");
-    }
+    (0..3).for_each(|_| w.reload());
     let mut c = w.client();
     c.ask(1, 0x77, 4_000);
     w.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"reached");
--- a/crates/director/tests/help/mod.rs
+++ b/crates/director/tests/help/mod.rs
@@ -292,6 +292,12 @@
         signal(self.child.id(), name);
     }
 
+    /// The same configuration once more, as an operator sends it: the feed is called again.
+    pub fn reload(&self) {
+        self.signal("HUP");
+        self.logged("feed moved");
+    }
+
     /// The figures of the next line of counters.
     pub fn counters(&self) -> HashMap<String, u64> {
         let line = self.logged("counters ");
