--- a/src/choice.rs
+++ b/src/choice.rs
@@ -869,9 +869,10 @@
         overflow.or_else(|| cache.map(|c| self.order(lk, now, c, source)))
     }
 
-    /// Where a fill goes whose home it can't pay: to the nearest neighbour that is cheaper by far, and was so for
-    /// some time. Guards against slices that are hot, or whose parent is slow, while others idle; where all are
-    /// dear alike nothing moves. Harm: the neighbour fetches what the home holds, so what comes late goes less.
+    /// Where a fill goes whose home it can't pay: to the nearest neighbour that is cheaper by far, and was
+    /// so for some time. Guards against slices that are hot, or whose parent is slow, while others idle;
+    /// where all are dear alike nothing moves. Harm: the neighbour fetches what the home holds, so what comes
+    /// late goes less.
     fn lighter(&self, home: usize, pos: u64, standing: f64, now: Ns, fit: impl Fn(usize) -> bool) -> usize {
         let of = |m: usize| self.node(m).map_or((0.0, 0.0), |n| (n.price, n.lasting));
         let (price, lasting) = of(home);
