--- a/crates/director/src/exchange.rs
+++ b/crates/director/src/exchange.rs
@@ -21,7 +21,8 @@
     pub turn: u64,
 }
 
-/// The word that a client has gone or cancelled: it is ahead of the events that say so.
+/// The word, of a client that has gone or cancelled or of the desk, that something is not wanted any more: it is
+/// ahead of the events and orders that say so.
 #[derive(Clone, Debug, Default)]
 pub struct Withdrawn(Arc<AtomicBool>);
 
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -512,36 +512,36 @@
     /// is under way; past a bound of such connections the one that has had most of it is cut.
     fn close(&mut self, client: Client, why: Over) {
         let Some(connection) = self.open.get_mut(&client) else { return };
-        let now = self.of.clock.now();
-        if connection.ending.is_none() {
-            if let Over::Fault(why) = why {
-                counters::add(&self.of.counters.bad_messages, 1);
-                self.log.warn(now, || format!("client {}: closed: {why}", connection.peer));
-            }
-            let unsent = connection.answers.len() + usize::from(connection.writing.is_some());
-            counters::add(&self.of.counters.unsent, unsent);
-            connection.calls.values().for_each(|(_, withdrawn)| withdrawn.say());
-            let _ = self.of.events.send(Event::Left { client });
-            if why != Over::Gone && connection.stream.shutdown(Shutdown::Write).is_ok() {
-                connection.calls.clear();
-                connection.answers.clear();
-                (connection.writing, connection.whole_by) = (None, None);
-                connection.intake = Intake::new(0, 0, &self.of.room);
-                connection.ending = Some(now + self.of.limits.last_bytes);
-                self.ending += 1;
-                if self.ending > self.of.limits.ending {
-                    let all = self.open.iter().filter_map(|(id, c)| Some((c.ending?, *id)));
-                    if let Some((_, first)) = all.min() {
-                        self.ending -= 1;
-                        self.open.remove(&first);
-                    }
-                }
-                return;
-            }
-        } else {
+        if connection.ending.is_some() {
             self.ending -= 1;
+            self.open.remove(&client);
+            return;
+        }
+        let now = self.of.clock.now();
+        if let Over::Fault(why) = why {
+            counters::add(&self.of.counters.bad_messages, 1);
+            self.log.warn(now, || format!("client {}: closed: {why}", connection.peer));
+        }
+        let unsent = connection.answers.len() + usize::from(connection.writing.is_some());
+        counters::add(&self.of.counters.unsent, unsent);
+        connection.calls.values().for_each(|(_, withdrawn)| withdrawn.say());
+        let _ = self.of.events.send(Event::Left { client });
+        if why == Over::Gone || connection.stream.shutdown(Shutdown::Write).is_err() {
+            self.open.remove(&client);
+            return;
+        }
+        connection.calls.clear();
+        connection.answers.clear();
+        (connection.writing, connection.whole_by) = (None, None);
+        connection.intake = Intake::new(0, 0, &self.of.room);
+        connection.ending = Some(now + self.of.limits.last_bytes);
+        self.ending += 1;
+        let all = self.open.iter().filter_map(|(id, c)| Some((c.ending?, *id)));
+        if self.ending > self.of.limits.ending
+            && let Some((_, first)) = all.min()
+        {
+            self.close(first, Over::Gone);
         }
-        self.open.remove(&client);
     }
 }
 
--- a/crates/director/src/wire/links.rs
+++ b/crates/director/src/wire/links.rs
@@ -5,7 +5,6 @@
 use std::io::{self, ErrorKind, IoSlice, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use crossbeam_channel::{Receiver, Sender, bounded};
 use mio::net::TcpStream;
@@ -65,7 +64,7 @@
     pub body: Option<Arc<Body>>,
     pub until: Ns,
     /// The desk's word, and the client's, that it is not to be begun any more.
-    pub off: Arc<AtomicBool>,
+    pub off: Withdrawn,
     pub withdrawn: Withdrawn,
 }
 
@@ -124,7 +123,7 @@
             if send.body.is_none() {
                 return !skipped.remove(&send.name);
             }
-            let keep = now < send.until && !send.off.load(Ordering::Acquire) && !send.withdrawn.said();
+            let keep = now < send.until && !send.off.said() && !send.withdrawn.said();
             if !keep {
                 skipped.insert(send.name);
                 // The desk outlives all connections, but for the end of the program.
@@ -167,7 +166,7 @@
     }
 
     /// Passes on whole answers, up to a share; whether there may be more at once. Ends at bytes that are no answer.
-    fn read(&mut self, link: Link, of: &Common) -> Result<bool, Over> {
+    fn read(&mut self, of: &Common) -> Result<bool, Over> {
         for _ in 0..of.limits.turns {
             let done = match self.coming.as_mut() {
                 Some(coming) => coming.on(&mut self.intake, &self.stream),
@@ -192,7 +191,7 @@
                 if let Some(coming) = self.coming.take() {
                     let ended = Box::new(coming.end(of.clock.now()));
                     self.begun.remove(&ended.name);
-                    if of.events.send(Event::Ended { link, ended }).is_err() {
+                    if of.events.send(Event::Ended { link: self.link, ended }).is_err() {
                         return Err("the desk has gone");
                     }
                 }
@@ -342,7 +341,7 @@
     }
 
     fn read(&mut self, link: Link) {
-        if self.with(link, |wire, of| wire.read(link, of)) == Some(true) {
+        if self.with(link, |wire, of| wire.read(of)) == Some(true) {
             self.more.push(link);
         }
     }
@@ -364,7 +363,7 @@
             }
             Order::Kill { link, name } => {
                 let until = self.of.clock.now() + self.of.limits.undated;
-                let (head, off, withdrawn) = (lines::kill(&name), Arc::default(), Withdrawn::default());
+                let (head, off, withdrawn) = (lines::kill(&name), Withdrawn::default(), Withdrawn::default());
                 (link, Send { name, head, body: None, until, off, withdrawn })
             }
         };
@@ -425,7 +424,7 @@
         let Some(mut wire) = self.wires.remove(&link) else { return };
         // Whole answers may have come before the end: they are owed.
         for _ in 0..self.of.limits.turns {
-            if !wire.up || wire.read(link, &self.of) != Ok(true) {
+            if !wire.up || wire.read(&self.of) != Ok(true) {
                 break;
             }
         }
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -4,14 +4,13 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use sablecross::{Listed, Ns, Outcome, State, rank};
 
 use super::links::{Order, Orders};
 use super::{lines, links};
 use crate::common::Common;
-use crate::exchange::{Asked, Link, Name};
+use crate::exchange::{Asked, Link, Name, Withdrawn};
 use crate::plain::facts::Member;
 
 /// One send on a connection.
@@ -26,7 +25,7 @@
 struct Flight {
     out: Out,
     source: Option<usize>,
-    off: Arc<AtomicBool>,
+    off: Withdrawn,
 }
 
 struct Open {
@@ -211,10 +210,9 @@
         let link = self.choose(send.node, &asked.name, before, out.at)?;
         let open = self.links.get_mut(&link).ok_or(Outcome::NeverSent)?;
         let until = send.begin_by.min(out.at + send.time_out);
-        let off = Arc::new(AtomicBool::new(false));
-        let (body, told, withdrawn) =
-            (Some(Arc::clone(&asked.body)), Arc::clone(&off), asked.withdrawn.clone());
-        let written = links::Send { name: asked.name, head, body, until, off: told, withdrawn };
+        let off = Withdrawn::default();
+        let (body, withdrawn) = (Some(Arc::clone(&asked.body)), asked.withdrawn.clone());
+        let written = links::Send { name: asked.name, head, body, until, off: off.clone(), withdrawn };
         if !self.orders.give(Order::Pull { link, send: written }) {
             return Err(Outcome::NeverSent);
         }
@@ -291,7 +289,7 @@
         let open = self.links.get_mut(&link)?;
         let Flight { out, off, .. } = open.out.remove(name)?;
         // What is not written yet never will be: a node must not see it after its client had an answer.
-        off.store(true, Ordering::Release);
+        off.say();
         let told = self.orders.give(Order::Kill { link, name: *name });
         let quiet = open.heard <= out.at && now >= out.at + self.common.limits.quiet;
         if !told || quiet || open.retired {
@@ -305,7 +303,7 @@
         let mut links: Vec<Link> = Vec::new();
         for (&link, open) in &self.links {
             let gone = open.out.values().filter(|f| which(&f.out, open.node, f.source));
-            if gone.map(|flight| flight.off.store(true, Ordering::Release)).count() > 0 {
+            if gone.map(|flight| flight.off.say()).count() > 0 {
                 links.push(link);
             }
         }
--- a/crates/director/tests/crossings.rs
+++ b/crates/director/tests/crossings.rs
@@ -36,9 +36,7 @@
     ];
     for (i, (news, other)) in cases.into_iter().enumerate() {
         let late = Late::start();
-        let mut w = World::with(|config| {
-            cache_at(&config, late.address).replace("\"dialTimeoutUs\": 400000", "\"dialTimeoutUs\": 4000000")
-        });
+        let w = World::with(|config| moved_late(&config, "cache-a", &late));
         let _old = w.feed.call();
         let mut c = w.client();
         c.ask(1, 0x77, 5_000);
@@ -52,14 +50,13 @@
         } else {
             assert_eq!(c.nacked(), 1, "{i}");
         }
-        // The connection may come up now: all that ever comes on it is its end.
-        let mut stream = (i != 1).then(|| late.open());
-        w.signal("TERM");
-        let mut came = Vec::new();
-        // One to a node that is gone was closed before it came up.
-        stream.as_mut().map(|s| s.read_to_end(&mut came).expect("closed"));
-        assert_eq!(String::from_utf8_lossy(&came), "", "{i}");
-        assert!(w.child.wait().expect("ends").success());
+        // The connection may come up now: all that ever comes on it is its end. One to a node that is gone was
+        // closed before it came up.
+        if i == 1 {
+            stopped(w);
+        } else {
+            assert_eq!(ended(w, &late), "", "{i}");
+        }
     }
 }
 
@@ -73,11 +70,8 @@
     let name = line.split(' ').nth(1).expect("a name");
     // Held: it hears of the answer and of the reset in the same moment.
     w.signal("STOP");
-    std::io::Write::write_all(
-        &mut &*stream,
-        format!("{name} ACK how=HIT,entity=t1,issued=1 5\r\nwhole\r\n").as_bytes(),
-    )
-    .expect("written");
+    let answer = format!("{name} ACK how=HIT,entity=t1,issued=1 5\r\nwhole\r\n");
+    (&*stream).write_all(answer.as_bytes()).expect("written");
     SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).expect("set");
     SockRef::from(&*stream).shutdown(std::net::Shutdown::Read).expect("shut");
     assert_eq!(w.cache.next().line, "closed");
@@ -103,6 +97,19 @@
     }
 }
 
+/// All that comes on a connection that comes up at last, until the program has ended.
+fn ended(w: World, late: &Late) -> String {
+    std::thread::scope(|scope| {
+        let mut stream = late.open();
+        let came = scope.spawn(move || {
+            let mut came = String::new();
+            stream.read_to_string(&mut came).map(|_| came).expect("closed")
+        });
+        stopped(w);
+        came.join().expect("read")
+    })
+}
+
 fn stopped(mut w: World) {
     w.signal("TERM");
     let start = Instant::now();
@@ -114,12 +121,10 @@
 }
 
 #[test]
-fn at_a_stop_what_is_half_read_waits_or_is_half_written_is_carried_to_its_end() {
+fn at_a_stop_what_is_half_read_or_waits_is_carried_to_its_end() {
     let late = Late::start();
-    let w = World::with(|config| {
-        cache_at(&config, late.address).replace("\"dialTimeoutUs\": 400000", "\"dialTimeoutUs\": 4000000")
-    });
-    // Half a lookup; another whose send waits for a connection; answers that a slow client has not read.
+    let w = World::with(|config| moved_late(&config, "cache-a", &late));
+    // Half a request, and a lookup whose send waits for a connection.
     let (mut half, mut waits) = (w.client(), w.client());
     half.write(&[0x94, 0, 1, 0xa5, b'a', b'l']);
     waits.ask(1, 0x77, 5_000);
@@ -145,8 +150,9 @@
 
 #[test]
 fn an_answer_that_leaves_slowly_is_whole_at_the_end_of_the_program() {
-    let mut w = World::start();
-    let mut c = w.client();
+    let w = World::start();
+    let (mut c, mut half) = (w.client(), w.client());
+    let late = lookup(9, 0x99, 3_000, &[]);
     SockRef::from(&c.0).set_recv_buffer_size(4_096).expect("set");
     let body = vec![7; 240_000];
     for call in 1..=4 {
@@ -154,13 +160,18 @@
         w.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", &body);
     }
     w.counted("satisfied", 4);
+    // Beside it half a lookup, the rest of which comes after the signal.
+    half.write(&late[..20]);
     w.signal("TERM");
     w.logged("stopping");
+    half.write(&late[20..]);
+    w.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"owed too");
+    half.satisfied(9, b"owed too");
     for _ in 0..4 {
         assert!(c.answer().1 == Answer::Satisfied(body.clone(), vec![]));
     }
     c.closed();
-    assert!(w.child.wait().expect("ends").success());
+    stopped(w);
 }
 
 /// Held, then let go: the request and those that want its connection's place are there in one moment.
@@ -219,20 +230,14 @@
     for go in ways {
         // While its send waits for a connection.
         let late = Late::start();
-        let w = World::with(|config| {
-            cache_at(&config, late.address).replace("\"dialTimeoutUs\": 400000", "\"dialTimeoutUs\": 4000000")
-        });
+        let w = World::with(|config| moved_late(&config, "cache-a", &late));
         let mut c = w.client();
         c.ask(1, 0x77, 4_000);
         w.counted("sends", 1);
         w.reload();
         go(c);
         w.counted("cancelled", 1);
-        let mut stream = late.open();
-        stopped(w);
-        let mut came = Vec::new();
-        stream.read_to_end(&mut came).expect("closed");
-        assert_eq!(String::from_utf8_lossy(&came), "");
+        assert_eq!(ended(w, &late), "");
         // While a second copy is due soon: its home is silent.
         let w = World::with(|config| config.replace("\"aimUs\": 3000000", "\"aimUs\": 200000"));
         let mut c = w.client();
@@ -263,12 +268,11 @@
         let second = w.cache.later_pull();
         second.answer("ACK", "how=HIT,entity=t1,issued=1", b"of the second");
         // The first may still have been answered before its client's word was read.
-        let (call, mut answer) = c.answer();
-        if answer == Answer::Satisfied(b"of the first".to_vec(), vec![]) {
-            assert!(second.line.contains("key=") && call == 5);
-            answer = c.answer().1;
+        let mut answer = c.answer();
+        if answer == (5, Answer::Satisfied(b"of the first".to_vec(), vec![])) {
+            answer = c.answer();
         }
-        assert_eq!(answer, Answer::Satisfied(b"of the second".to_vec(), vec![]));
+        assert_eq!(answer, (5, Answer::Satisfied(b"of the second".to_vec(), vec![])));
     }
 }
 
@@ -333,15 +337,11 @@
     // A deduplicated one, with its mark: the further send waits for a connection for longer than nodes know it.
     let late = Late::start();
     let w = World::with(|config| {
-        let parent = config.find("\"parent-a\", \"address\": \"").expect("named") + 24;
-        let end = parent + config[parent..].find('"').expect("ends");
-        format!("{}{}{}", &config[..parent], late.address, &config[end..])
-            .replacen(
-                "\"idempotent\", \"group\": \"all\", \"memorySpanUs\": 5000000",
-                "\"deduplicated\", \"group\": \"all\", \"memorySpanUs\": 400000",
-                1,
-            )
-            .replace("\"dialTimeoutUs\": 400000", "\"dialTimeoutUs\": 4000000")
+        moved_late(&config, "parent-a", &late).replacen(
+            "\"idempotent\", \"group\": \"all\", \"memorySpanUs\": 5000000",
+            "\"deduplicated\", \"group\": \"all\", \"memorySpanUs\": 400000",
+            1,
+        )
     });
     let (_, feed) = w.feed.call();
     let mut c = w.client();
@@ -352,11 +352,7 @@
     w.told(2);
     pull.answer("EIO", "-", b"");
     assert_eq!(c.answer(), (1, Answer::Error("Failed".into(), vec![])));
-    let mut stream = late.open();
-    stopped(w);
-    let mut came = Vec::new();
-    stream.read_to_end(&mut came).expect("closed");
-    assert_eq!(String::from_utf8_lossy(&came), "");
+    assert_eq!(ended(w, &late), "");
 }
 
 /// Held, then let go: the end of a resting connection and a lookup for it are there in one moment.
@@ -416,3 +412,24 @@
     drop(idle);
     stopped(w);
 }
+
+/// Each call of a feed that is down takes as long as a connection may: signals don't wait for it.
+#[test]
+fn a_stop_is_heard_behind_many_reloads_while_discovery_is_down() {
+    let late = Late::start();
+    let w = World::with(|config| {
+        let feed = config.find("\"feed\": \"").expect("named") + 9;
+        let end = feed + config[feed..].find('"').expect("ends");
+        format!("{}{}{}", &config[..feed], late.address, &config[end..])
+            .replace("\"dialTimeoutUs\": 400000", "\"dialTimeoutUs\": 4000000")
+    });
+    for _ in 0..5 {
+        w.signal("HUP");
+        w.logged("reload feed=");
+    }
+    let start = Instant::now();
+    w.signal("TERM");
+    w.logged("stopping");
+    assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
+    stopped(w);
+}
--- a/crates/director/tests/help/mod.rs
+++ b/crates/director/tests/help/mod.rs
@@ -20,13 +20,19 @@
 pub const LONG: Duration = Duration::from_secs(5);
 pub const SHORT: Duration = Duration::from_millis(200);
 
-/// The sample with another address for its cache.
-pub fn cache_at(config: &str, address: SocketAddr) -> String {
-    let at = config.find("\"cache-a\", \"address\": \"").expect("named") + 23;
+/// The sample with another address for one of its nodes.
+pub fn moved(config: &str, node: &str, address: SocketAddr) -> String {
+    let before = format!("\"{node}\", \"address\": \"");
+    let at = config.find(&before).expect("named") + before.len();
     let end = at + config[at..].find('"').expect("ends");
     format!("{}{address}{}", &config[..at], &config[end..])
 }
 
+/// The same with one that comes up late, and the patience to wait for it.
+pub fn moved_late(config: &str, node: &str, late: &Late) -> String {
+    moved(config, node, late.address).replace("\"dialTimeoutUs\": 400000", "\"dialTimeoutUs\": 4000000")
+}
+
 /// A line that a node was told, or the end of a connection.
 pub struct Told {
     pub line: String,
@@ -343,6 +349,23 @@
     assert!(done.success());
 }
 
+/// The bytes of a lookup.
+pub fn lookup(call: u8, object: u64, budget_ms: u64, more: &[(&str, &str)]) -> Vec<u8> {
+    let (name, budget) = (format!("{:08x}{object:08x}", u32::from(call)), budget_ms.to_string());
+    let object = format!("{object:016x}");
+    let mut fields = vec![("rid", &*name), ("budget", &*budget), ("obj", &*object), ("piece", "0")];
+    fields.extend([("lot", "17"), ("mem", "10.5")].iter().chain(more));
+    let mut out = vec![0x94, 0, 0xcc, call];
+    rmp::encode::write_str(&mut out, "footage").expect("written");
+    out.push(0x92);
+    rmp::encode::write_map_len(&mut out, fields.len() as u32).expect("written");
+    for text in fields.iter().flat_map(|(name, value)| [name, value]) {
+        rmp::encode::write_str(&mut out, text).expect("written");
+    }
+    out.extend([0xc4, 0]);
+    out
+}
+
 pub struct Client(pub TcpStream);
 
 #[derive(Debug, PartialEq)]
@@ -362,19 +385,7 @@
     }
 
     pub fn ask_with(&mut self, call: u8, object: u64, budget_ms: u64, more: &[(&str, &str)]) {
-        let (name, budget) = (format!("{:08x}{object:08x}", u32::from(call)), budget_ms.to_string());
-        let object = format!("{object:016x}");
-        let mut fields = vec![("rid", &*name), ("budget", &*budget), ("obj", &*object), ("piece", "0")];
-        fields.extend([("lot", "17"), ("mem", "10.5")].iter().chain(more));
-        let mut out = vec![0x94, 0, 0xcc, call];
-        rmp::encode::write_str(&mut out, "footage").expect("written");
-        out.push(0x92);
-        rmp::encode::write_map_len(&mut out, fields.len() as u32).expect("written");
-        for text in fields.iter().flat_map(|(name, value)| [name, value]) {
-            rmp::encode::write_str(&mut out, text).expect("written");
-        }
-        out.extend([0xc4, 0]);
-        self.write(&out);
+        self.write(&lookup(call, object, budget_ms, more));
     }
 
     pub fn alive(&mut self) -> bool {
--- a/crates/director/tests/sockets.rs
+++ b/crates/director/tests/sockets.rs
@@ -172,7 +172,7 @@
     let silent = Late::start();
     let refusing = SocketAddr::from(([127, 0, 0, 1], 1));
     for (address, dial) in [(refusing, 0), (silent.address, 350)] {
-        let w = World::with(|config| cache_at(&config, address));
+        let w = World::with(|config| moved(&config, "cache-a", address));
         let (mut c, start) = (w.client(), Instant::now());
         c.ask(1, 0x77, 2_000);
         assert!(w.client().alive(), "the desk waits for no connection");
