Lab: the circle between run and directors goes, what stood twice in both rigs is folded

run.rs and directors.rs imported each other for the error type. Processes that end with their trial, their CPU reading and signals, the error type and end_with_parent now stand in process.rs below both; report files, panels of plots and breaches in outcome.rs; the one form of a settings file in settings.rs; the end of both commands in cli/trial.rs.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -5,7 +5,7 @@
 use clap::Args;
 use sablecross_lab::fleet;
 
-use crate::Verdict;
+use crate::{Verdict, trial};
 
 #[derive(Args)]
 pub struct Arguments {
@@ -25,25 +25,14 @@
 }
 
 pub fn run(a: &Arguments) -> Result<Verdict, Vec<String>> {
-    let name = a.file.display().to_string();
-    let text = std::fs::read_to_string(&a.file).map_err(|e| vec![format!("{name}: {e}")])?;
-    let mut trial = fleet::settings::read(&name, &text)
-        .map_err(|f| f.iter().map(ToString::to_string).collect::<Vec<_>>())?;
+    let mut trial = trial::settings(&a.file, fleet::settings::read)?;
     trial.seed = a.seed.unwrap_or(trial.seed);
     trial.directors = a.directors.unwrap_or(trial.directors);
-    let own = std::env::current_exe().map_err(|e| vec![format!("this program: {e}")])?;
-    let program = || match &a.director {
-        Some(other) => std::process::Command::new(other),
-        None => {
-            let mut command = std::process::Command::new(&own);
-            command.args(["lab", "director"]);
-            command
-        }
-    };
-    let report =
-        fleet::run(&trial, &program, &a.out, |line| eprintln!("{line}")).map_err(|e| vec![e.to_string()])?;
-    report.write(&a.out).map_err(|e| vec![format!("{}: {e}", a.out.display())])?;
-    print!("{report}");
-    println!("report, plot and logs: {}", a.out.display());
-    Ok(if report.breaches().is_empty() { Verdict::Well } else { Verdict::Refused })
+    trial::run(&a.out, |own| {
+        let program = || match &a.director {
+            Some(other) => std::process::Command::new(other),
+            None => own(&["lab", "director"]),
+        };
+        fleet::run(&trial, &program, &a.out, |line| eprintln!("{line}"))
+    })
 }
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -5,7 +5,7 @@
 use clap::Subcommand;
 use sablecross_lab::settings;
 
-use crate::Verdict;
+use crate::{Verdict, trial};
 
 #[derive(Subcommand)]
 pub enum Command {
@@ -26,21 +26,10 @@
 
 pub fn run(command: &Command) -> Result<Verdict, Vec<String>> {
     let Command::Run { file, out, seed } = command else { return Ok(Verdict::Well) };
-    let name = file.display().to_string();
-    let text = std::fs::read_to_string(file).map_err(|e| vec![format!("{name}: {e}")])?;
-    let mut experiment =
-        settings::read(&name, &text).map_err(|f| f.iter().map(ToString::to_string).collect::<Vec<_>>())?;
+    let mut experiment = trial::settings(file, settings::read)?;
     experiment.seed = seed.unwrap_or(experiment.seed);
-    let own = std::env::current_exe().map_err(|e| vec![format!("this program: {e}")])?;
-    let director = || {
-        let mut command = std::process::Command::new(&own);
-        command.args(["lab", "director"]);
-        command
-    };
-    let report = sablecross_lab::run(&experiment, &director, out, |line| eprintln!("{line}"))
-        .map_err(|e| vec![e.to_string()])?;
-    report.write(out).map_err(|e| vec![format!("{}: {e}", out.display())])?;
-    print!("{report}");
-    println!("report, plot and logs: {}", out.display());
-    Ok(if report.breaches().is_empty() { Verdict::Well } else { Verdict::Refused })
+    trial::run(out, |program| {
+        let director = || program(&["lab", "director"]);
+        sablecross_lab::run(&experiment, &director, out, |line| eprintln!("{line}"))
+    })
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod hierarchy;
 mod lab;
+mod trial;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/cli/src/trial.rs
@@ -0,0 +1,34 @@
+//! What the commands that run a trial have in common.
+
+use std::path::Path;
+use std::process::Command;
+
+use sablecross_forms::Fault;
+use sablecross_lab::{Failed, Outcome};
+
+use crate::Verdict;
+
+/// The settings of a trial.
+pub fn settings<T>(file: &Path, read: fn(&str, &str) -> Result<T, Vec<Fault>>) -> Result<T, Vec<String>> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| vec![format!("{name}: {e}")])?;
+    read(&name, &text).map_err(|f| f.iter().map(ToString::to_string).collect())
+}
+
+/// Runs it, with this program under other words as its processes; then writes and prints the report.
+pub fn run<R: Outcome>(
+    out: &Path,
+    trial: impl FnOnce(&dyn Fn(&[&str]) -> Command) -> Result<R, Failed>,
+) -> Result<Verdict, Vec<String>> {
+    let own = std::env::current_exe().map_err(|e| vec![format!("this program: {e}")])?;
+    let program = |words: &[&str]| {
+        let mut command = Command::new(&own);
+        command.args(words);
+        command
+    };
+    let report = trial(&program).map_err(|e| vec![e.to_string()])?;
+    report.write(out).map_err(|e| vec![format!("{}: {e}", out.display())])?;
+    print!("{report}");
+    println!("report, plot and logs: {}", out.display());
+    Ok(if report.breaches().is_empty() { Verdict::Well } else { Verdict::Refused })
+}
--- a/crates/lab/src/directors.rs
+++ b/crates/lab/src/directors.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -13,7 +13,7 @@
 
 use crate::feed::Feed;
 use crate::load::BUDGET_MS;
-use crate::run::{Failed, io_error};
+use crate::process::{Failed, Process};
 
 /// Ports that are free, below those that connections are given by themselves: a director that was killed finds its own
 /// again, and installations beside one another seldom meet.
@@ -47,28 +47,20 @@
     config: &Path,
     log: &Path,
     duty: Option<&Path>,
-) -> Result<Child, Failed> {
-    let out = std::fs::File::options().create(true).append(true).open(log);
-    let out = out.map_err(io_error(log.display().to_string()))?;
+) -> Result<Process, Failed> {
     let mut command = program();
     command.env_remove("SABLECROSS_DUTY");
     command.envs(duty.map(|file| ("SABLECROSS_DUTY", file)));
-    command.env("NODE_CONFIG", config).stderr(out).stdout(Stdio::null()).stdin(Stdio::piped());
-    command.spawn().map_err(io_error("a director"))
+    command.env("NODE_CONFIG", config).stdout(Stdio::null());
+    Process::start(&mut command, log, "a director")
 }
 
 /// Waits until it takes connections, so long after `since` at most.
-pub fn serving(
-    number: usize,
-    at: SocketAddr,
-    log: &Path,
-    since: Instant,
-    most: Duration,
-) -> Result<(), Failed> {
+pub fn serving(name: &str, at: SocketAddr, log: &Path, since: Instant, most: Duration) -> Result<(), Failed> {
     while TcpStream::connect(at).is_err() {
         if since.elapsed() > most {
             return Err(Failed::NotServing {
-                name: format!("director-{number}"),
+                name: name.into(),
                 within: most.as_secs(),
                 log: log.display().to_string(),
             });
--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -1,17 +1,15 @@
 //! What a trial came to: how even each tier's load was, what each fault did to the others, what became of lookups.
 
 use std::collections::BTreeMap;
-use std::error::Error;
 use std::fmt;
-use std::path::Path;
 
-use plotters::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use super::load::Tally;
 use super::node::{Counted, Tier};
 use super::settings::Trial;
 use super::watch::Watched;
+use crate::outcome::{Outcome, Panel};
 
 /// Seconds of a window in which load is to be even.
 const WINDOW: usize = 5;
@@ -189,9 +187,10 @@
             watched: None,
         }
     }
+}
 
-    /// What a trial must not show; empty when all is well.
-    pub fn breaches(&self) -> Vec<String> {
+impl Outcome for Report {
+    fn breaches(&self) -> Vec<String> {
         let mut found = Vec::new();
         let mut none = |what: &str, n: u64| {
             if n > 0 {
@@ -228,47 +227,24 @@
         found
     }
 
-    /// Writes report.json, report.txt and plot.svg to a folder.
-    pub fn write(&self, folder: &Path) -> Result<(), Box<dyn Error>> {
-        std::fs::write(folder.join("report.json"), serde_json::to_string_pretty(self)?)?;
-        std::fs::write(folder.join("report.txt"), self.to_string())?;
-        self.plot(&folder.join("plot.svg"))
+    fn title(&self) -> String {
+        format!("{}: {} directors, {} lookups", self.trial.name, self.trial.directors, self.total.asked)
     }
 
     /// What came to each node by second, and what was satisfied.
-    fn plot(&self, file: &Path) -> Result<(), Box<dyn Error>> {
-        let area = SVGBackend::new(file, (900, 760)).into_drawing_area();
-        area.fill(&WHITE)?;
-        let title =
-            format!("{}: {} directors, {} lookups", self.trial.name, self.trial.directors, self.total.asked);
-        let area = area.titled(&title, ("sans-serif", 20))?;
+    fn panels(&self) -> Vec<Panel> {
         let named = |with: &str| -> Vec<Vec<u64>> {
             let of = self.came.iter().filter(|(name, _)| name.starts_with(with));
             of.map(|(_, s)| s.iter().map(|n| u64::from(*n)).collect()).collect()
         };
         let lookups: [fn(&Tally) -> u64; 3] = [|t| t.asked, |t| t.satisfied, |t| t.nacked];
         let ends = lookups.map(|of| self.seconds.iter().map(of).collect()).to_vec();
-        let parts = [
-            ("requests a second at each cache", named("cache")),
-            ("requests a second at each parent", named("parent")),
-            ("lookups a second: asked, satisfied, nacked", ends),
-        ];
-        for (part, (name, curves)) in area.split_evenly((3, 1)).into_iter().zip(parts) {
-            let most = curves.iter().flatten().max().copied().unwrap_or(0) * 11 / 10 + 1;
-            let mut chart = ChartBuilder::on(&part)
-                .caption(name, ("sans-serif", 14))
-                .margin(4)
-                .x_label_area_size(20)
-                .y_label_area_size(48)
-                .build_cartesian_2d(0..self.seconds.len().max(1), 0..most)?;
-            chart.configure_mesh().y_labels(4).draw()?;
-            for (i, curve) in curves.iter().enumerate() {
-                let points = curve.iter().enumerate().map(|(at, n)| (at, *n));
-                chart.draw_series(LineSeries::new(points, &Palette99::pick(i)))?;
-            }
-        }
-        area.present()?;
-        Ok(())
+        let panel = |name, curves| Panel { name, curves, line: None };
+        vec![
+            panel("requests a second at each cache", named("cache")),
+            panel("requests a second at each parent", named("parent")),
+            panel("lookups a second: asked, satisfied, nacked", ends),
+        ]
     }
 }
 
--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -3,15 +3,15 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command};
+use std::process::Command;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
-use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use sablecross_director::duty::settings::DRIVING;
 use sablecross_duty::word::DEALING;
 use serde_json::Value;
@@ -26,7 +26,7 @@
 use crate::feed::Feed;
 use crate::load::BUDGET_MS;
 use crate::node::Common;
-use crate::run::{Failed, io_error};
+use crate::process::{Failed, Process, io_error};
 
 /// Copies of the feed, each told at its own time.
 const FEEDS: usize = 3;
@@ -41,7 +41,7 @@
     /// The settings of its duties.
     duty: Option<PathBuf>,
     at: SocketAddr,
-    child: Child,
+    process: Process,
     clients: Option<Arc<Clients>>,
     feed: usize,
     /// Killed by the trial, and not begun anew yet.
@@ -50,18 +50,11 @@
 
 impl Director {
     fn start(&mut self, program: &dyn Fn() -> Command) -> Result<(), Failed> {
-        self.child = spawn_director(program, &self.config, &self.log, self.duty.as_deref())?;
+        self.process = spawn_director(program, &self.config, &self.log, self.duty.as_deref())?;
         self.killed = false;
         Ok(())
     }
 
-    fn signal(&self, signal: Signal) {
-        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
-            // It may have ended by itself, which the report counts.
-            let _ = kill_process(pid, signal);
-        }
-    }
-
     fn struck(&self, from: f64, to: f64) {
         if let Some(clients) = &self.clients {
             clients.struck(from, to);
@@ -69,18 +62,6 @@
     }
 }
 
-struct Fleet(Vec<Director>);
-
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for director in &mut self.0 {
-            // A stopped one ends as well; it may have ended by itself.
-            let _ = director.child.kill();
-            let _ = director.child.wait();
-        }
-    }
-}
-
 /// What is to be done at its time.
 enum Act {
     Begin(usize),
@@ -194,15 +175,6 @@
     text
 }
 
-/// CPU seconds that a process has used.
-fn cpu(child: &Child) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap_or_default();
-    let after = stat.rsplit_once(") ").map_or("", |s| s.1);
-    let ticks = |n: usize| after.split(' ').nth(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
-    // Of user and system, in hundredths of a second.
-    (ticks(11) + ticks(12)) / 100.0
-}
-
 fn listed(node: &Node, status: &str, since: u64) -> Value {
     let kind = match node.tier {
         Tier::Cache => "small",
@@ -264,12 +236,7 @@
     let others = Arc::new(nodes.iter().map(|n| (n.name.clone(), Arc::clone(n))).collect::<HashMap<_, _>>());
     nodes.iter().zip(listeners).for_each(|(node, listener)| node.serve(listener, &others));
 
-    let common = Arc::new(Common {
-        begun,
-        over: AtomicBool::new(false),
-        seconds: Mutex::default(),
-        addresses: RwLock::default(),
-    });
+    let common = Arc::new(Common::begun(begun));
     let endpoints: Vec<Value> = nodes.iter().map(|n| listed(n, "ready", 0)).collect();
     let mut feeds = Vec::new();
     for _ in 0..FEEDS {
@@ -278,7 +245,7 @@
         feeds.push(feed);
     }
 
-    let mut fleet = Fleet(Vec::new());
+    let mut fleet = Vec::new();
     let mut ports = Ports::new();
     let mut addresses = Vec::new();
     while addresses.len() < t.directors {
@@ -301,11 +268,11 @@
             std::fs::write(file, text).map_err(io_error(file.display().to_string()))?;
         }
         let duty = duty.map(|(file, _)| file);
-        let child = spawn_director(program, &config, &log, duty.as_deref())?;
-        fleet.0.push(Director { config, log, duty, at, child, clients: None, feed, killed: false });
+        let process = spawn_director(program, &config, &log, duty.as_deref())?;
+        fleet.push(Director { config, log, duty, at, process, clients: None, feed, killed: false });
     }
-    for (number, director) in fleet.0.iter().enumerate() {
-        serving(number, director.at, &director.log, begun, Duration::from_secs(60))?;
+    for (number, director) in fleet.iter().enumerate() {
+        serving(&format!("director-{number}"), director.at, &director.log, begun, Duration::from_secs(60))?;
     }
     tell(&format!("{} directors serve after {:.1} s", t.directors, begun.elapsed().as_secs_f64()));
 
@@ -314,14 +281,14 @@
     // Clients and the report count from here.
     let zero = Instant::now();
     let shift = (zero - begun).as_secs_f64();
-    for (number, director) in fleet.0.iter_mut().enumerate() {
+    for (number, director) in fleet.iter_mut().enumerate() {
         let rate = t.rate * weights[number] / all;
         let wants = Wants { objects: t.objects, hot: t.hot, rate, seed: t.seed };
         director.clients = Some(Clients::start(number, director.at, wants, zero, &over));
     }
 
     let zero_ms = crate::node::unix_ms();
-    let used: f64 = fleet.0.iter().map(|d| cpu(&d.child)).sum();
+    let used: f64 = fleet.iter().map(|d| d.process.cpu()).sum();
     let faults: Vec<Fault> = t.faults.iter().cloned().chain(rounds(t, &mut rng)).collect();
     let mut acts: Vec<(f64, Act)> = Vec::new();
     for (n, fault) in faults.iter().enumerate() {
@@ -347,7 +314,7 @@
         while let Some(act) = due(&mut acts, now) {
             match act {
                 Act::Begin(n) => {
-                    let one = begin(t, &faults[n], &mut rng, &nodes, &mut fleet.0, shared.as_mut(), now)?;
+                    let one = begin(t, &faults[n], &mut rng, &nodes, &mut fleet, shared.as_mut(), now)?;
                     if one.fault.kind == Kind::CrashCaches {
                         acts.push((now + NOTICE, Act::Told(one.nodes.clone())));
                     }
@@ -365,7 +332,7 @@
                 }
                 Act::End(n) => {
                     let Some(one) = running.remove(&n) else { continue };
-                    let lines = end(&one, &nodes, &mut fleet.0, program, &feeds, t, shared.as_ref())?;
+                    let lines = end(&one, &nodes, &mut fleet, program, &feeds, t, shared.as_ref())?;
                     acts.extend(told(&lines, t, now));
                 }
                 Act::Told(which) => {
@@ -389,20 +356,20 @@
         let second = now as u64;
         if second > said {
             said = second;
-            let alive = fleet.0.iter_mut().filter(|d| !d.killed);
-            ended = alive.filter_map(|d| d.child.try_wait().ok().flatten()).count();
+            let alive = fleet.iter_mut().filter(|d| !d.killed);
+            ended = alive.filter_map(|d| d.process.ended().then_some(())).count();
             tell(&format!("{second:>4} of {} s", t.seconds));
         }
         woken = Instant::now();
     }
     let seconds = zero.elapsed().as_secs_f64();
-    let cpu_used = fleet.0.iter().map(|d| cpu(&d.child)).sum::<f64>() - used;
+    let cpu_used = fleet.iter().map(|d| d.process.cpu()).sum::<f64>() - used;
     let asked = shared.as_ref().map_or(&[][..], |s| &s.voters[..]);
     let views: Vec<_> = asked.iter().filter_map(|at| watch::shown(*at)).collect();
     over.store(true, Ordering::Relaxed);
     common.over.store(true, Ordering::Relaxed);
     std::thread::sleep(Duration::from_millis(BUDGET_MS + 600));
-    let tallies: Vec<_> = fleet.0.iter().filter_map(|d| d.clients.as_ref()).map(|c| c.tally()).collect();
+    let tallies: Vec<_> = fleet.iter().filter_map(|d| d.clients.as_ref()).map(|c| c.tally()).collect();
     let skip = (shift * 10.0).round() as usize;
     let mut probes = BTreeMap::new();
     let counted = nodes.iter().map(|n| {
@@ -419,7 +386,7 @@
     let watched = shared.as_ref().map(|s| {
         let excused: Vec<_> =
             struck.iter().flat_map(|s| s.nodes.iter().map(|n| (n.clone(), s.from, s.to))).collect();
-        let logs: Vec<&Path> = fleet.0.iter().map(|d| d.log.as_path()).collect();
+        let logs: Vec<&Path> = fleet.iter().map(|d| d.log.as_path()).collect();
         let voters = logs.iter().enumerate().take(s.voters.len());
         let begun: Vec<_> = voters.flat_map(|(n, log)| watch::begun(n, log, zero_ms)).collect();
         let warm_up = t.warm_up as f64;
@@ -549,15 +516,14 @@
             Kind::StopDirectors | Kind::StopVoters | Kind::StopOwner | Kind::StopDriver => {
                 // What waited for it meanwhile may be late for a moment after it.
                 director.struck(now, fault.at + fault.lasts + 0.5);
-                director.signal(Signal::STOP);
+                director.process.signal(Signal::STOP);
             }
             Kind::KillDirectors | Kind::KillVoters | Kind::KillOwner | Kind::KillDriver
                 if !director.killed =>
             {
                 director.struck(now, fault.at + fault.lasts + 2.0);
                 director.killed = true;
-                director.child.kill().map_err(io_error("a director's end"))?;
-                director.child.wait().map_err(io_error("a director's end"))?;
+                director.process.kill().map_err(io_error("a director's end"))?;
             }
             _ => {}
         }
@@ -593,7 +559,7 @@
     for d in &one.directors {
         match one.fault.kind {
             Kind::StopDirectors | Kind::StopVoters | Kind::StopOwner | Kind::StopDriver => {
-                directors[*d].signal(Signal::CONT);
+                directors[*d].process.signal(Signal::CONT);
             }
             Kind::KillDirectors | Kind::KillVoters | Kind::KillOwner | Kind::KillDriver
                 if directors[*d].killed =>
--- a/crates/lab/src/fleet/settings.rs
+++ b/crates/lab/src/fleet/settings.rs
@@ -4,6 +4,8 @@
 use sablecross_forms::Fault as Flaw;
 use serde::{Deserialize, Serialize};
 
+use crate::settings::only;
+
 #[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 enum Form {
@@ -252,15 +254,8 @@
 }
 
 pub fn read(file: &str, text: &str) -> Result<Trial, Vec<Flaw>> {
-    let mut forms = sablecross_forms::read::<Form>(file, text)?;
-    let Some(first) = forms.pop() else {
-        let (key, what) = ("fleet".into(), "no (fleet ...) form".into());
-        return Err(vec![Flaw { file: file.into(), line: 1, column: 1, key, what, todo: String::new() }]);
-    };
-    if !forms.is_empty() {
-        return Err(vec![first.fault(file, "fleet", "a second trial", "keep one a file")]);
-    }
-    let Form::Fleet(trial) = first.value.clone();
+    let first = only(file, text, "fleet")?;
+    let Form::Fleet(trial) = &first.value;
     let end = trial.seconds as f64;
     let wrong = if trial.warm_up as f64 >= end {
         Some(("fleet.warm-up", "longer than the whole"))
@@ -277,6 +272,6 @@
         Some((key, what)) => {
             Err(vec![first.fault(file, key, what, "leave time after it, and name whom it strikes")])
         }
-        None => Ok(trial),
+        None => Ok(trial.clone()),
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,10 +7,14 @@
 pub mod fleet;
 pub mod load;
 pub mod node;
+mod outcome;
+mod process;
 pub mod report;
 pub mod run;
 pub mod settings;
 
+pub use outcome::Outcome;
+pub use process::{Failed, end_with_parent};
 pub use report::Report;
-pub use run::{end_with_parent, run};
+pub use run::run;
 pub use settings::Experiment;
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -48,6 +48,11 @@
 }
 
 impl Common {
+    pub fn begun(begun: Instant) -> Common {
+        let over = AtomicBool::new(false);
+        Common { begun, over, seconds: Mutex::default(), addresses: RwLock::default() }
+    }
+
     pub fn count(&self, what: impl FnOnce(&mut Second)) {
         let at = self.begun.elapsed().as_secs() as usize;
         let mut seconds = lock(&self.seconds);
--- /dev/null
+++ b/crates/lab/src/process.rs
@@ -0,0 +1,82 @@
+//! Processes of a trial: they end with it, and what the system says of them.
+
+use std::io;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+use rustix::process::{Pid, Signal, kill_process};
+use sablecross_hierarchy::change::No;
+use thiserror::Error;
+
+use crate::node::spawn;
+
+#[derive(Debug, Error)]
+pub enum Failed {
+    #[error("{what}: {why}")]
+    Io { what: String, why: io::Error },
+    #[error("the log of the driver: {0}")]
+    Log(#[from] sablecross_store::Error),
+    #[error("the hierarchy of the experiment: {0}")]
+    Hierarchy(#[from] No),
+    #[error("{name} did not serve within {within} s: see {log}")]
+    NotServing { name: String, within: u64, log: String },
+}
+
+pub(crate) fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> Failed {
+    let what = what.into();
+    move |why| Failed::Io { what, why }
+}
+
+/// A process of a trial ends with it, however that ends: then the pipe that it reads is closed.
+pub fn end_with_parent() {
+    spawn(|| {
+        let _ = io::copy(&mut io::stdin(), &mut io::sink());
+        std::process::exit(0);
+    });
+}
+
+/// A process that ends with the trial.
+pub struct Process(pub Child);
+
+impl Process {
+    /// What it logs is added to the file.
+    pub fn start(command: &mut Command, log: &Path, what: &str) -> Result<Process, Failed> {
+        let out = std::fs::File::options().create(true).append(true).open(log);
+        let out = out.map_err(io_error(log.display().to_string()))?;
+        command.stderr(out).stdin(Stdio::piped());
+        command.spawn().map(Process).map_err(io_error(what))
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        if let Some(pid) = i32::try_from(self.0.id()).ok().and_then(Pid::from_raw) {
+            // It may have ended by itself, which the report counts.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.0.kill()?;
+        self.0.wait().map(drop)
+    }
+
+    /// Whether it has ended by itself.
+    pub fn ended(&mut self) -> bool {
+        matches!(self.0.try_wait(), Ok(Some(_)))
+    }
+
+    /// CPU seconds that it has used.
+    pub fn cpu(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap_or_default();
+        let after = stat.rsplit_once(") ").map_or("", |s| s.1);
+        let ticks = |n: usize| after.split(' ').nth(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+        // Of user and system, in hundredths of a second.
+        (ticks(11) + ticks(12)) / 100.0
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A stopped one ends as well; it may have ended by itself.
+        let _ = self.kill();
+    }
+}
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -1,16 +1,14 @@
 //! What an experiment came to: a table, JSON, a plot over time.
 
 use std::collections::BTreeMap;
-use std::error::Error;
 use std::fmt;
 use std::ops::Range;
-use std::path::Path;
 
-use plotters::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use crate::load::{Seen, histogram};
 use crate::node::Second;
+use crate::outcome::{Outcome, Panel};
 use crate::settings::Experiment;
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -92,9 +90,10 @@
             notes,
         }
     }
+}
 
-    /// What an experiment must not show; empty when all is well.
-    pub fn breaches(&self) -> Vec<String> {
+impl Outcome for Report {
+    fn breaches(&self) -> Vec<String> {
         let mut found = Vec::new();
         let mut none = |what: &str, n: u64| {
             if n > 0 {
@@ -113,44 +112,23 @@
         found
     }
 
-    /// Writes report.json, report.txt and plot.svg to a folder.
-    pub fn write(&self, folder: &Path) -> Result<(), Box<dyn Error>> {
-        std::fs::write(folder.join("report.json"), serde_json::to_string_pretty(self)?)?;
-        std::fs::write(folder.join("report.txt"), self.to_string())?;
-        self.plot(&folder.join("plot.svg"))
+    fn title(&self) -> String {
+        format!("{}: {} lookups, {} changes", self.experiment.name, self.lookups, self.changes)
     }
 
-    fn plot(&self, file: &Path) -> Result<(), Box<dyn Error>> {
-        let area = SVGBackend::new(file, (900, 720)).into_drawing_area();
-        area.fill(&WHITE)?;
-        let title = format!("{}: {} lookups, {} changes", self.experiment.name, self.lookups, self.changes);
-        let area = area.titled(&title, ("sans-serif", 20))?;
-        type Curve = (&'static str, fn(&Second) -> u64, RGBColor);
-        let curves: [Curve; 4] = [
-            ("fetches at the origin, a second (line: ceiling)", |s| s.origin, BLUE),
-            ("hits, a second", |s| s.hits, GREEN),
-            ("99th percentile of the latency, ms", |s| s.p99 / 1_000, RED),
-            ("version told", |s| s.version, BLACK),
-        ];
-        for (part, (name, of, colour)) in area.split_evenly((4, 1)).into_iter().zip(curves) {
-            let ceiling = if name.starts_with("fetches") { self.experiment.ceiling as u64 } else { 0 };
-            let most = self.seconds.iter().map(of).max().unwrap_or(0).max(ceiling) * 11 / 10 + 1;
-            let mut chart = ChartBuilder::on(&part)
-                .caption(name, ("sans-serif", 14))
-                .margin(4)
-                .x_label_area_size(20)
-                .y_label_area_size(48)
-                .build_cartesian_2d(0..self.seconds.len().max(1), 0..most)?;
-            chart.configure_mesh().y_labels(4).draw()?;
-            let points = self.seconds.iter().enumerate().map(|(at, s)| (at, of(s)));
-            chart.draw_series(LineSeries::new(points, &colour))?;
-            if ceiling > 0 {
-                let line = [(0, ceiling), (self.seconds.len(), ceiling)];
-                chart.draw_series(LineSeries::new(line, &RED))?;
-            }
-        }
-        area.present()?;
-        Ok(())
+    fn panels(&self) -> Vec<Panel> {
+        let panel = |name, of: fn(&Second) -> u64, line| Panel {
+            name,
+            curves: vec![self.seconds.iter().map(of).collect()],
+            line,
+        };
+        let ceiling = Some(self.experiment.ceiling as u64);
+        vec![
+            panel("fetches at the origin, a second (line: ceiling)", |s| s.origin, ceiling),
+            panel("hits, a second", |s| s.hits, None),
+            panel("99th percentile of the latency, ms", |s| s.p99 / 1_000, None),
+            panel("version told", |s| s.version, None),
+        ]
     }
 }
 
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -1,26 +1,25 @@
 //! One experiment from start to end.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Receiver, channel};
-use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
-use sablecross_hierarchy::change::{No, Party};
+use sablecross_hierarchy::change::Party;
 use sablecross_hierarchy::spec::Told;
 use sablecross_hierarchy::{Act, Admission, Driver, FULL, Hierarchy, Input, Member, NodeId, Record, Rules};
 use sablecross_store::Log;
-use thiserror::Error;
 
 use crate::directors::{Like, Ports, configuration, endpoint, members, serving, spawn_director};
 use crate::feed::{Feed, Said};
 use crate::load::{BUDGET_MS, Client, Purges, Seen};
 use crate::node::{Common, Node, Role, lock, spawn, unix_ms};
+use crate::process::{Failed, io_error};
 use crate::report::Report;
 use crate::settings::Experiment;
 
@@ -33,44 +32,6 @@
 /// A node that left gets nothing so long after the last lookup from before has ended, in milliseconds.
 const STRAY_GRACE: u64 = 2_000;
 
-#[derive(Debug, Error)]
-pub enum Failed {
-    #[error("{what}: {why}")]
-    Io { what: String, why: io::Error },
-    #[error("the log of the driver: {0}")]
-    Log(#[from] sablecross_store::Error),
-    #[error("the hierarchy of the experiment: {0}")]
-    Hierarchy(#[from] No),
-    #[error("director {name} did not serve within {within} s: see {log}")]
-    NotServing { name: String, within: u64, log: String },
-}
-
-pub(crate) fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> Failed {
-    let what = what.into();
-    move |why| Failed::Io { what, why }
-}
-
-/// Directors that end with the experiment, however that ends.
-struct Fleet(Vec<Child>);
-
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for child in &mut self.0 {
-            // It may have ended by itself.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
-/// A director of the lab ends with it, however that ends: then the pipe that it reads is closed.
-pub fn end_with_parent() {
-    spawn(|| {
-        let _ = io::copy(&mut io::stdin(), &mut io::sink());
-        std::process::exit(0);
-    });
-}
-
 /// Makes the hierarchy of an experiment, and changes of it.
 struct Shape<'a> {
     e: &'a Experiment,
@@ -375,12 +336,7 @@
     mut tell: impl FnMut(&str),
 ) -> Result<Report, Failed> {
     std::fs::create_dir_all(folder).map_err(io_error(folder.display().to_string()))?;
-    let common = Arc::new(Common {
-        begun: Instant::now(),
-        over: AtomicBool::new(false),
-        seconds: Mutex::default(),
-        addresses: RwLock::default(),
-    });
+    let common = Arc::new(Common::begun(Instant::now()));
     let mut shape = Shape { e, rng: Pcg32::seed_from_u64(e.seed) };
     let first = shape.first();
 
@@ -406,7 +362,7 @@
     let told = serde_json::to_string(&Told::of(1, &first)).unwrap_or_default();
     feed.tell(&format!("\"hierarchy\":{told}"));
 
-    let mut fleet = Fleet(Vec::new());
+    let mut fleet = Vec::new();
     let mut addresses = Vec::new();
     let mut ports = Ports::new();
     let like = Like { cold_from: 0.25, warm_us: WARM_AFTER / 1_000, falls_at: 2.0, stream_kb_per_s: 9000.0 };
@@ -417,8 +373,8 @@
         let _ = std::fs::remove_file(&log);
         let text = configuration(number, e.directors, e.seed, spare, &feed, &like).to_string();
         std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
-        fleet.0.push(spawn_director(director, &config, &log, None)?);
-        serving(number, spare, &log, Instant::now(), Duration::from_secs(10))?;
+        fleet.push(spawn_director(director, &config, &log, None)?);
+        serving(&format!("director-{number}"), spare, &log, Instant::now(), Duration::from_secs(10))?;
         addresses.push(spare);
     }
 
--- a/crates/lab/src/settings.rs
+++ b/crates/lab/src/settings.rs
@@ -1,7 +1,8 @@
 //! An experiment, from its settings file.
 
 use garde::Validate;
-use sablecross_forms::Fault;
+use sablecross_forms::{Fault, Placed};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
@@ -82,16 +83,25 @@
     true
 }
 
-pub fn read(file: &str, text: &str) -> Result<Experiment, Vec<Fault>> {
-    let mut forms = sablecross_forms::read::<Form>(file, text)?;
+/// The only form of a file, under this word.
+pub(crate) fn only<T>(file: &str, text: &str, word: &str) -> Result<Placed<T>, Vec<Fault>>
+where
+    T: DeserializeOwned + Validate<Context = ()>,
+{
+    let mut forms = sablecross_forms::read::<T>(file, text)?;
     let Some(first) = forms.pop() else {
-        let (key, what) = ("experiment".into(), "no (experiment ...) form".into());
+        let (key, what) = (word.into(), format!("no ({word} ...) form"));
         return Err(vec![Fault { file: file.into(), line: 1, column: 1, key, what, todo: String::new() }]);
     };
     if !forms.is_empty() {
-        return Err(vec![first.fault(file, "experiment", "a second experiment", "keep one a file")]);
+        return Err(vec![first.fault(file, word, format!("a second {word}"), "keep one a file")]);
     }
-    let Form::Experiment(e) = first.value.clone();
+    Ok(first)
+}
+
+pub fn read(file: &str, text: &str) -> Result<Experiment, Vec<Fault>> {
+    let first = only(file, text, "experiment")?;
+    let Form::Experiment(e) = &first.value;
     if e.warm_up >= e.seconds {
         return Err(vec![first.fault(
             file,
@@ -100,5 +110,5 @@
             "leave time after it",
         )]);
     }
-    Ok(e)
+    Ok(e.clone())
 }
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::process::Command;
 
+use sablecross_lab::Outcome;
 use sablecross_lab::fleet::{run, settings};
 
 #[test]
