Director: the numbers of nodes and lines of the list stand apart from connections

plain/roster.rs decides how the module numbers nodes and reads the list; wire/nodes.rs keeps pools by these numbers.

--- a/crates/director/src/plain/mod.rs
+++ b/crates/director/src/plain/mod.rs
@@ -6,4 +6,5 @@
 pub mod facts;
 pub mod limits;
 pub mod names;
+pub mod roster;
 pub mod sparing;
--- /dev/null
+++ b/crates/director/src/plain/roster.rs
@@ -0,0 +1,98 @@
+//! The numbers by which the module knows the nodes, and lines of the list as it reads them. A node is known by its name:
+//! addresses differ from director to director, and a new node may have the address of one that has gone.
+
+use std::collections::HashMap;
+
+use sablecross::{Listed, State, rank};
+
+use super::facts::Member;
+use super::names::Names;
+
+#[derive(Default)]
+struct Known {
+    name: String,
+    /// Once it is gone, the number of the first lookup that came after: when all before it are out of hand,
+    /// none can have sent to that node, and its number is free for another.
+    gone: Option<u64>,
+}
+
+#[derive(Default)]
+pub struct Roster {
+    /// By the module's numbers.
+    nodes: Vec<Known>,
+    numbers: HashMap<String, usize>,
+    free: Vec<usize>,
+}
+
+impl Roster {
+    pub fn number_of(&self, name: &str) -> Option<usize> {
+        self.numbers.get(name).copied()
+    }
+
+    pub fn name(&self, node: usize) -> &str {
+        self.nodes.get(node).map_or("", |k| &k.name)
+    }
+
+    /// Lets go of the numbers of nodes that went before the oldest lookup in hand came, and that are idle.
+    pub fn release(&mut self, oldest: u64, idle: impl Fn(usize) -> bool) {
+        for (node, known) in self.nodes.iter_mut().enumerate() {
+            if idle(node) && known.gone.take_if(|first| *first <= oldest).is_some() {
+                self.numbers.remove(&std::mem::take(&mut known.name));
+                self.free.push(node);
+            }
+        }
+    }
+
+    /// One line, unless the settings do not know its like or it went before it came.
+    pub fn line(&mut self, names: &Names, m: &Member) -> Option<Listed> {
+        let (Some(&zone), Some(&machine)) = (names.zones.get(&m.zone), names.machines.get(&m.kind)) else {
+            tracing::warn!("list: {}: zone {} or type {} is not in the settings", m.name, m.zone, m.kind);
+            return None;
+        };
+        let node = match self.numbers.get(&m.name) {
+            Some(&node) => node,
+            None if m.state == State::Gone => return None,
+            None => self.number(&m.name),
+        };
+        Some(Listed {
+            node,
+            rank: rank(&m.name),
+            zone,
+            machine,
+            cell: m.cell,
+            started: m.started,
+            state: m.state,
+            withheld: 0,
+        })
+    }
+
+    /// The number of a node that was not known: one that is free, or a new one.
+    fn number(&mut self, name: &str) -> usize {
+        let node = self.free.pop().unwrap_or(self.nodes.len());
+        tracing::info!("node {node} is {name}");
+        if node == self.nodes.len() {
+            self.nodes.push(Known::default());
+        }
+        self.nodes[node] = Known { name: name.to_owned(), gone: None };
+        self.numbers.insert(name.to_owned(), node);
+        node
+    }
+
+    /// Notes who is gone, as the lines and those that a whole list leaves out say; `next` is the lookup to come.
+    /// Those that are gone, again where they are.
+    pub fn settle(&mut self, lines: &[Listed], whole: bool, next: u64) -> Vec<usize> {
+        let states: HashMap<usize, State> = lines.iter().map(|l| (l.node, l.state)).collect();
+        let mut gone = Vec::new();
+        for (node, known) in self.nodes.iter_mut().enumerate() {
+            if states.get(&node).map_or(whole, |s| *s == State::Gone) {
+                gone.push(node);
+                if !known.name.is_empty() {
+                    known.gone.get_or_insert(next);
+                }
+            } else if states.contains_key(&node) {
+                known.gone = None;
+            }
+        }
+        gone
+    }
+}
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -5,13 +5,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use sablecross::{Listed, Ns, Outcome, State, rank};
+use sablecross::{Listed, Ns, Outcome, State};
 
 use super::links::{Order, Orders};
 use super::{lines, links};
 use crate::common::Common;
 use crate::exchange::{Asked, Link, Name, Withdrawn};
 use crate::plain::facts::Member;
+use crate::plain::roster::Roster;
 
 /// One send on a connection.
 #[derive(Clone, Copy, Debug)]
@@ -40,20 +41,15 @@
 }
 
 struct Pool {
-    name: String,
     address: SocketAddr,
     links: Vec<Link>,
-    /// Once its node is gone, the number of the first lookup that came after: when all before it are out of hand,
-    /// none can have sent to that node, and its number is free for another.
-    gone: Option<u64>,
 }
 
 pub struct Nodes {
     common: Arc<Common>,
     /// By the module's numbers.
     pools: Vec<Pool>,
-    numbers: HashMap<String, usize>,
-    free: Vec<usize>,
+    roster: Roster,
     links: HashMap<Link, Open>,
     next: Link,
     orders: Orders,
@@ -66,8 +62,7 @@
         Nodes {
             common,
             pools: Vec::new(),
-            numbers: HashMap::new(),
-            free: Vec::new(),
+            roster: Roster::default(),
             links: HashMap::new(),
             next: 0,
             orders,
@@ -84,85 +79,40 @@
     }
 
     pub fn number_of(&self, name: &str) -> Option<usize> {
-        self.numbers.get(name).copied()
+        self.roster.number_of(name)
     }
 
     pub fn name(&self, node: usize) -> &str {
-        self.pools.get(node).map_or("", |p| &p.name)
+        self.roster.name(node)
     }
 
-    /// Lines of the list as the module reads them. A node is known by its name: addresses differ from
-    /// director to director, and a new node may have the address of one that has gone.
+    /// Lines of the list as the module reads them.
     ///
     /// `oldest` is the oldest lookup in hand, `next` the one to come: numbers of nodes that are gone are given out
     /// again, so that what is kept by them is bounded by the nodes there are and the lookups in hand.
     pub fn listed(&mut self, members: &[Member], whole: bool, oldest: u64, next: u64) -> Vec<Listed> {
-        for (node, pool) in self.pools.iter_mut().enumerate() {
-            if pool.links.is_empty() && pool.gone.take_if(|first| *first <= oldest).is_some() {
-                self.numbers.remove(&std::mem::take(&mut pool.name));
-                self.free.push(node);
-            }
-        }
+        let pools = &self.pools;
+        self.roster.release(oldest, |node| pools[node].links.is_empty());
         let lines: Vec<Listed> = members.iter().filter_map(|m| self.line(m)).collect();
         let states: HashMap<usize, State> = lines.iter().map(|l| (l.node, l.state)).collect();
         // What still waits to be written must not begin after the grace, however late its connection comes up.
         let stays = |node| states.get(&node).map_or(!whole, |s| *s == State::Ready);
         self.withdraw(|_, node, source| !stays(node) || source.is_some_and(|s| !stays(s)));
-        for node in 0..self.pools.len() {
-            if states.get(&node).map_or(whole, |s| *s == State::Gone) {
-                self.retire_all(node);
-                let pool = &mut self.pools[node];
-                if !pool.name.is_empty() {
-                    pool.gone.get_or_insert(next);
-                }
-            } else if states.contains_key(&node) {
-                self.pools[node].gone = None;
-            }
+        for node in self.roster.settle(&lines, whole, next) {
+            self.retire_all(node);
         }
         lines
     }
 
     fn line(&mut self, m: &Member) -> Option<Listed> {
-        let (Some(&zone), Some(&machine)) =
-            (self.common.names.zones.get(&m.zone), self.common.names.machines.get(&m.kind))
-        else {
-            tracing::warn!("list: {}: zone {} or type {} is not in the settings", m.name, m.zone, m.kind);
-            return None;
-        };
-        let node = match self.numbers.get(&m.name) {
-            Some(&node) => node,
-            // One that went before it came need not be known.
-            None if m.state == State::Gone => return None,
-            None => self.number(m),
-        };
-        if self.pools[node].address != m.address {
-            self.retire_all(node);
-        }
-        self.pools[node].address = m.address;
-        Some(Listed {
-            node,
-            rank: rank(&m.name),
-            zone,
-            machine,
-            cell: m.cell,
-            started: m.started,
-            state: m.state,
-            withheld: 0,
-        })
-    }
-
-    /// The number of a node that was not known: one that is free, or a new one.
-    fn number(&mut self, m: &Member) -> usize {
-        let node = self.free.pop().unwrap_or(self.pools.len());
-        tracing::info!("node {node} is {}", m.name);
-        let pool = Pool { name: m.name.clone(), address: m.address, links: Vec::new(), gone: None };
-        if node == self.pools.len() {
-            self.pools.push(pool);
-        } else {
-            self.pools[node] = pool;
+        let line = self.roster.line(&self.common.names, m)?;
+        if line.node == self.pools.len() {
+            self.pools.push(Pool { address: m.address, links: Vec::new() });
+        } else if self.pools[line.node].address != m.address {
+            self.retire_all(line.node);
+            self.pools[line.node].address = m.address;
         }
-        self.numbers.insert(m.name.clone(), node);
-        node
+        Some(line)
     }
 
     fn retire_all(&mut self, node: usize) {
