The feed's reading side stands without I/O, and further feeds may be named

Need: relays, hollow directors and the director itself are to read the same bytes by the same rules on gaps and repeats, and readers of a lost relay are to spread over the others. Seen: the follower owned its socket, a thread and its rules in one type; the search for an event's end looked through all that had come for each event (a burst of 1,000 read 1,000 times), once for plain ends and once for CR LF. Change: crates/feed: Stream (head, chunks, blocks), Cursor (news, repeats, gaps), Feeds (home and others, in an order of each reader's own, home again after 20 to 40 s). The director's thread keeps sockets, time-outs and the queue. The configuration may name 'feeds'; the platform's has none, and its wire is as before. A stream that ends and is taken up at once is no log line. Measured: tests of feed (2,000 ways to cut the bytes) and director pass, with and without duties. a_silent_node_costs_no_deadline failed once of five runs while the machine was at a load of 19 on 8 cores (20 ms of margin), and passed three times after it.

--- a/crates/director/src/life/config.rs
+++ b/crates/director/src/life/config.rs
@@ -16,7 +16,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub feed: SocketAddr,
+    /// The control feed, then others with the same events, for when it is down.
+    pub feeds: Vec<SocketAddr>,
     pub seed: u64,
     pub settings: Settings,
     pub names: Names,
@@ -53,7 +54,7 @@
         Ok(Config {
             name: string(&all, "name")?.to_owned(),
             listen: address(&all, "listen")?,
-            feed: address(&all, "feed")?,
+            feeds: feeds(&all)?,
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: not hexadecimal: {seed}"))?,
             settings: settings::decode(&pairs).map_err(in_settings)?,
             names: Names::of(&pairs, &all["settings"]).map_err(in_settings)?,
@@ -72,6 +73,18 @@
     all.get(key).ok_or(format!("{key}: missing"))?.as_str().ok_or(format!("{key}: not a string"))
 }
 
+/// `feed`, and `feeds` where the installation has more than one; the platform names none.
+fn feeds(all: &Value) -> Result<Vec<SocketAddr>> {
+    let mut feeds = vec![address(all, "feed")?];
+    if let Some(more) = all.get("feeds") {
+        for (i, at) in more.as_array().ok_or("feeds: not a list")?.iter().enumerate() {
+            let text = at.as_str().ok_or(format!("feeds.{i}: not a string"))?;
+            feeds.push(text.parse().map_err(|_| format!("feeds.{i}: not an address: {text}"))?);
+        }
+    }
+    Ok(feeds)
+}
+
 fn address(all: &Value, key: &str) -> Result<SocketAddr> {
     let text = string(all, key)?;
     text.parse().map_err(|_| format!("{key}: not an address: {text}"))
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -10,6 +10,7 @@
 
 use crossbeam_channel::{Sender, bounded};
 use sablecross::Choice;
+use sablecross_feed::{Cursor, Feeds};
 use signal_hook::iterator::Signals;
 
 use config::Config;
@@ -86,13 +87,14 @@
     let heard = common.events.clone();
     let hear = Box::new(move || signals::hear(caught, &fixed, &heard, &to_feed));
     vital("signals", hear)?;
+    let (home, others) = config.feeds.split_first().ok_or("feed: missing")?;
     let follower = Follower {
-        address: config.feed,
-        last: config.known.last,
+        cursor: Cursor::after(config.known.last),
+        feeds: Feeds::new(&config.name, *home, others),
         common: Arc::clone(&common),
         moves,
-        gap: None,
         up: true,
+        first: true,
         party: config.name.clone(),
         in_force,
         word: None,
--- a/crates/director/src/life/signals.rs
+++ b/crates/director/src/life/signals.rs
@@ -9,9 +9,10 @@
 
 use super::config::Config;
 use crate::exchange::Event;
-use crate::plain::facts::{Fact, Known};
+use crate::plain::facts::Fact;
 use crate::terms::Setting;
 use crate::upper::Told;
+use crate::wire::feed::Move;
 
 pub const HEARD: [i32; 3] = [SIGHUP, SIGTERM, SIGUSR1];
 
@@ -22,17 +23,17 @@
     settings: Settings,
     /// Moves that the feed's thread has not come to yet: a later one takes the place of the oldest, so that no
     /// signal waits behind a feed that is down.
-    overtaken: Receiver<(SocketAddr, Known)>,
+    overtaken: Receiver<Move>,
 }
 
 impl Fixed {
-    pub fn of(config: &Config, overtaken: Receiver<(SocketAddr, Known)>) -> Fixed {
+    pub fn of(config: &Config, overtaken: Receiver<Move>) -> Fixed {
         let Config { name, listen, settings, .. } = config;
         Fixed { name: name.clone(), listen: *listen, settings: settings.clone(), overtaken }
     }
 
     /// Reads the configuration again: the feed moves, all else takes a restart. A faulty one changes nothing.
-    fn reload(&self, moves: &Sender<(SocketAddr, Known)>) {
+    fn reload(&self, moves: &Sender<Move>) {
         let config = match Config::load() {
             Ok(config) => config,
             Err(e) => return tracing::error!("reload failed, the old configuration stays: {e}"),
@@ -45,8 +46,8 @@
         for (key, _) in same.iter().filter(|(_, same)| !same) {
             tracing::warn!("reload: {key}: has changed, which takes a restart");
         }
-        tracing::info!("reload feed={} known={}", config.feed, config.known.last);
-        let mut latest = (config.feed, config.known);
+        tracing::info!("reload feed={} known={}", config.feeds[0], config.known.last);
+        let mut latest = (config.feeds, config.known);
         while let Err(TrySendError::Full(back)) = moves.try_send(latest) {
             latest = back;
             let _ = self.overtaken.try_recv();
@@ -55,12 +56,7 @@
 }
 
 /// Hears signals for ever, or until the desk is gone.
-pub fn hear(
-    mut signals: Signals,
-    fixed: &Fixed,
-    events: &Sender<Event>,
-    moves: &Sender<(SocketAddr, Known)>,
-) {
+pub fn hear(mut signals: Signals, fixed: &Fixed, events: &Sender<Event>, moves: &Sender<Move>) {
     for signal in signals.forever() {
         let told = match signal {
             SIGHUP => {
--- a/crates/director/tests/codec.rs
+++ b/crates/director/tests/codec.rs
@@ -320,6 +320,8 @@
         ("\"name\": \"sample\"", "\"name\": 7", "name:"),
         ("\"listen\": \"127.0.0.1:10080\"", "\"listen\": \"here\"", "listen:"),
         ("\"feed\": \"127.0.0.1:7070\",", "", "feed:"),
+        ("\"feed\": ", "\"feeds\": 7, \"feed\": ", "feeds:"),
+        ("\"feed\": ", "\"feeds\": [\"127.0.0.1:1\", \"there\"], \"feed\": ", "feeds.1:"),
         ("6e1f0c27a4d59b83", "no number", "seed:"),
         ("\"memory_mb\": 192", "\"memory_mb\": -1", "limits.memory_mb:"),
         ("\"sockets\": 1024", "\"sockets\": 0", "limits.sockets:"),
--- a/crates/director/tests/sockets.rs
+++ b/crates/director/tests/sockets.rs
@@ -518,3 +518,27 @@
     }
     std::fs::remove_file(path).expect("removed");
 }
+
+/// A configuration may name further feeds with the same events: where the first is down, one of them is followed, from the same number.
+#[test]
+fn another_feed_is_followed_where_the_first_is_down() {
+    let other = Feed(TcpListener::bind("127.0.0.1:0").expect("bound"));
+    let at = other.0.local_addr().expect("bound");
+    let w = World::with(|c| c.replacen("\"feed\"", &format!("\"feeds\": [\"{at}\"], \"feed\""), 1));
+    let (last, stream) = w.feed.call();
+    assert_eq!(last, 1);
+    let purge = |n: u64| format!("{{\"n\":{n},\"purge\":{{\"group\":17,\"at\":1}}}}");
+    tell(&stream, 2, &purge(2));
+    w.told(2);
+    // Its end alone is none of its faults: it is called again, once.
+    drop(stream);
+    let (last, stream) = w.feed.call();
+    assert_eq!(last, 2);
+    drop(stream);
+    w.feed.answered("HTTP/1.1 503 Busy\r\n\r\n");
+    let (last, stream) = other.call();
+    assert_eq!(last, 2);
+    w.logged("feed over after=2 why=answer 503");
+    tell(&stream, 3, &purge(3));
+    w.told(3);
+}
