Scale trials: hollow directors, many to a process, beside real ones, on one source

sablecross scale FILE runs control at full size. Relays and faults between them are wired, and not run yet as the role is not here.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -22,6 +22,9 @@
     /// A director of an experiment: what `run` starts.
     #[command(hide = true)]
     Director,
+    /// Hollow directors of a scale trial.
+    #[command(hide = true)]
+    Hollow,
 }
 
 pub fn run(command: &Command) -> Result<Verdict, Vec<String>> {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod hierarchy;
 mod lab;
+mod scale;
 mod trial;
 
 use std::process::ExitCode;
@@ -28,6 +29,8 @@
     Duty(duty::Command),
     /// A trial of a fleet on loopback: hundreds of directors, faults between them, how even the load stays.
     FleetTrial(fleet::Arguments),
+    /// A trial of control at full size: thousands of hollow directors, real ones beside them, relays, faults.
+    Scale(scale::Arguments),
     /// A small installation on loopback: real directors, stand-in nodes, load, a report.
     #[command(subcommand)]
     Lab(lab::Command),
@@ -47,6 +50,16 @@
             sablecross_lab::end_with_parent();
             return sablecross_director::life::start();
         }
+        Command::Lab(lab::Command::Hollow) => {
+            return match sablecross_lab::scale::hollow() {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(e) => {
+                    eprintln!("{e}");
+                    ExitCode::FAILURE
+                }
+            };
+        }
+        Command::Scale(arguments) => scale::run(&arguments),
         Command::FleetTrial(arguments) => fleet::run(&arguments),
         Command::Lab(command) => lab::run(&command),
     };
--- a/crates/lab/src/directors.rs
+++ b/crates/lab/src/directors.rs
@@ -11,7 +11,6 @@
 use rand_pcg::Pcg32;
 use serde_json::{Value, json};
 
-use crate::feed::Feed;
 use crate::load::BUDGET_MS;
 use crate::process::{Failed, Process};
 
@@ -95,14 +94,13 @@
     directors: usize,
     seed: u64,
     listen: SocketAddr,
-    feed: &Feed,
+    (feed, known): (SocketAddr, &[String]),
     like: &Like,
 ) -> Value {
-    let known: Vec<Value> =
-        feed.known().iter().filter_map(|event| serde_json::from_str(event).ok()).collect();
+    let known: Vec<Value> = known.iter().filter_map(|event| serde_json::from_str(event).ok()).collect();
     json!({
         "name": format!("director-{number}"), "listen": listen, "seed": format!("{:x}", seed + number as u64),
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "feed": feed.address,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "feed": feed,
         "flow_bytes_per_s": 1e6, "link_bytes_per_s": 1e7, "known": {"n": known.len(), "events": known},
         "settings": {
             "az": 1, "index": number, "discovery": "pushed", "periodUs": 1000, "zones": ["hub", "edge"],
--- a/crates/lab/src/fleet/load.rs
+++ b/crates/lab/src/fleet/load.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::node::At;
+use crate::acts::pause;
 use crate::load::{Answer, BUDGET_MS, any_answer, lookup};
 use crate::node::{lock, spawn};
 
@@ -129,7 +130,7 @@
             if self.now() < next {
                 continue;
             }
-            next += -(1.0 - rng.random::<f64>()).ln() / wants.rate;
+            next += pause(&mut rng, wants.rate);
             let hot = rng.random::<f64>() < wants.hot;
             let object = if hot { 0 } else { (wants.objects as f64 * rng.random::<f64>().powi(3)) as u64 };
             let Some(link) = self.link() else { continue };
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -8,7 +8,7 @@
 mod run;
 pub mod settings;
 mod watch;
-mod ways;
+pub(crate) mod ways;
 
 pub use report::Report;
 pub use run::run;
--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -22,6 +22,7 @@
 use super::settings::{Duties, Fault, Kind, Trial};
 use super::watch::{self, Blow, Watched};
 use super::ways::{Held, Pair, Ways};
+use crate::acts::{due, some};
 use crate::directors::{Like, Ports, configuration, endpoint, members, serving, spawn_director};
 use crate::feed::Feed;
 use crate::load::BUDGET_MS;
@@ -187,19 +188,7 @@
 fn configured(t: &Trial, number: usize, listen: SocketAddr, feed: &Feed) -> String {
     let warm_us = (WARM_AFTER * 1e6) as u64;
     let like = Like { cold_from: COLD_FROM, warm_us, falls_at: FALLS_AT, stream_kb_per_s: 400.0 };
-    configuration(number, t.directors, t.seed, listen, feed, &like).to_string()
-}
-
-/// Some of so many, by chance: the part of them, and one at least.
-fn some(rng: &mut Pcg32, of: usize, part: f64) -> Vec<usize> {
-    let mut all: Vec<usize> = (0..of).collect();
-    let n = ((of as f64 * part).round() as usize).clamp(1, of);
-    for i in 0..n {
-        let other = rng.random_range(i..of);
-        all.swap(i, other);
-    }
-    all.truncate(n);
-    all
+    configuration(number, t.directors, t.seed, listen, (feed.address, &feed.known()), &like).to_string()
 }
 
 /// Runs it. `program` starts a real director, whose log goes to the folder; `tell` hears of the progress.
@@ -391,7 +380,7 @@
         let begun: Vec<_> = voters.flat_map(|(n, log)| watch::begun(n, log, zero_ms)).collect();
         let warm_up = t.warm_up as f64;
         let mut w = Watched::of(&s.duties, seconds, warm_up, &probes, &excused, &s.blows, &begun);
-        w.bytes = s.ways.bytes.load(Ordering::Relaxed) as f64 / seconds / t.directors as f64;
+        w.bytes = s.ways.bytes(|_| true).iter().sum::<u64>() as f64 / seconds / t.directors as f64;
         w.cpu = cpu_used / seconds / t.directors as f64;
         w.wished = wished;
         w.refused_by_voters = views.iter().map(|v| v.refused).sum();
@@ -413,13 +402,6 @@
     Ok(Report { watched, ..Report::of(t, &counted, &tallies, &struck, (ended, late)) })
 }
 
-/// Takes the earliest one whose time has come.
-fn due(acts: &mut Vec<(f64, Act)>, now: f64) -> Option<Act> {
-    let all = acts.iter().enumerate().filter(|(_, (at, _))| *at <= now);
-    let first = all.min_by(|a, b| a.1.0.total_cmp(&b.1.0)).map(|(n, _)| n)?;
-    Some(acts.remove(first).1)
-}
-
 /// A change of the list: to the first copy of the feed at once, to the others later.
 fn told(lines: &[Value], t: &Trial, now: f64) -> Vec<(f64, Act)> {
     if lines.is_empty() {
--- a/crates/lab/src/fleet/ways.rs
+++ b/crates/lab/src/fleet/ways.rs
@@ -3,13 +3,14 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
+use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::node::{lock, spawn};
 
@@ -29,29 +30,54 @@
     reset: Vec<Pair>,
 }
 
+/// Bytes that were passed on, what was asked and what was answered.
+type Bytes = Arc<BTreeMap<Pair, [AtomicU64; 2]>>;
+
+/// A link to be: whose, to where, and the address from which it is dialled.
+pub struct Planned {
+    pub pair: Pair,
+    pub to: SocketAddr,
+    pub from: Ipv4Addr,
+}
+
+/// A connection from an address of one's own, begun.
+pub fn dial_from(from: Ipv4Addr, to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    // A delay is harmless.
+    let _ = socket.set_tcp_nodelay(true);
+    socket.bind(&SocketAddr::from((from, 0)).into())?;
+    match socket.connect(&to.into()) {
+        Err(e) if e.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => Err(e),
+        _ => Ok(TcpStream::from_std(socket.into())),
+    }
+}
+
 pub struct Ways {
     orders: Arc<Mutex<Orders>>,
-    /// Bytes that were passed on, both ways.
-    pub bytes: Arc<AtomicU64>,
+    bytes: Bytes,
     addresses: BTreeMap<Pair, SocketAddr>,
 }
 
 impl Ways {
     /// Links from each of so many members to each voter.
     pub fn start(members: usize, voters: &[SocketAddr], over: &Arc<AtomicBool>) -> io::Result<Ways> {
+        let all = (0..members).flat_map(|m| voters.iter().enumerate().map(move |(v, to)| ((m, v), *to)));
+        Ways::between(all.map(|(pair, to)| Planned { pair, to, from: Ipv4Addr::LOCALHOST }).collect(), over)
+    }
+
+    pub fn between(planned: Vec<Planned>, over: &Arc<AtomicBool>) -> io::Result<Ways> {
         let poll = Poll::new()?;
         let mut listeners = Vec::new();
         let mut addresses = BTreeMap::new();
-        for member in 0..members {
-            for (voter, at) in voters.iter().enumerate() {
-                let mut listener = TcpListener::bind(([127, 0, 0, 1], 0).into())?;
-                poll.registry().register(&mut listener, Token(listeners.len()), Interest::READABLE)?;
-                addresses.insert((member, voter), listener.local_addr()?);
-                listeners.push((listener, (member, voter), *at));
-            }
+        for link in planned {
+            let mut listener = TcpListener::bind(([127, 0, 0, 1], 0).into())?;
+            poll.registry().register(&mut listener, Token(listeners.len()), Interest::READABLE)?;
+            addresses.insert(link.pair, listener.local_addr()?);
+            listeners.push((listener, link));
         }
         let orders: Arc<Mutex<Orders>> = Arc::default();
-        let bytes = Arc::<AtomicU64>::default();
+        let bytes: Bytes = Arc::new(addresses.keys().map(|pair| (*pair, Default::default())).collect());
         let relay = Relay {
             poll,
             listeners,
@@ -69,6 +95,18 @@
         self.addresses.get(&(member, voter)).copied()
     }
 
+    /// Bytes of the links that are meant, what was asked and what was answered.
+    pub fn bytes(&self, which: impl Fn(&Pair) -> bool) -> [u64; 2] {
+        let of = self.bytes.iter().filter(|(pair, _)| which(pair));
+        of.fold([0, 0], |[to, from], (_, [t, f])| {
+            [to + t.load(Ordering::Relaxed), from + f.load(Ordering::Relaxed)]
+        })
+    }
+
+    pub fn pairs(&self) -> impl Iterator<Item = &Pair> {
+        self.addresses.keys()
+    }
+
     pub fn holds(&self, pair: Pair, held: Held) {
         let mut orders = lock(&self.orders);
         if held == Held::default() {
@@ -97,12 +135,12 @@
 
 struct Relay {
     poll: Poll,
-    listeners: Vec<(TcpListener, Pair, SocketAddr)>,
+    listeners: Vec<(TcpListener, Planned)>,
     /// By number; the member's end has the even token, the voter's the odd one after it.
     open: BTreeMap<usize, Open>,
     next: usize,
     orders: Arc<Mutex<Orders>>,
-    bytes: Arc<AtomicU64>,
+    bytes: Bytes,
 }
 
 impl Relay {
@@ -133,8 +171,8 @@
     fn accept(&mut self, at: usize) {
         let first = self.listeners.len();
         while let Ok((mut stream, _)) = self.listeners[at].0.accept() {
-            let (pair, to) = (self.listeners[at].1, self.listeners[at].2);
-            let Ok(mut voter) = TcpStream::connect(to) else { continue };
+            let Planned { pair, to, from } = self.listeners[at].1;
+            let Ok(mut voter) = dial_from(from, to) else { continue };
             let token = first + 2 * self.next;
             let both = Interest::READABLE | Interest::WRITABLE;
             let begun = self
@@ -145,10 +183,8 @@
             if begun.is_err() {
                 continue;
             }
-            for s in [&stream, &voter] {
-                // A delay is harmless.
-                let _ = s.set_nodelay(true);
-            }
+            // A delay is harmless.
+            let _ = stream.set_nodelay(true);
             let end = |stream| End { stream, out: VecDeque::new() };
             self.open.insert(self.next, Open { pair, member: end(stream), voter: end(voter) });
             self.next += 1;
@@ -158,10 +194,11 @@
 
 impl Open {
     /// Takes in what either end says; false once one has ended.
-    fn reads(&mut self, bytes: &AtomicU64) -> bool {
-        let Open { member, voter, .. } = self;
-        take_in(&mut member.stream, &mut voter.out, bytes)
-            && take_in(&mut voter.stream, &mut member.out, bytes)
+    fn reads(&mut self, bytes: &Bytes) -> bool {
+        let Open { pair, member, voter } = self;
+        let [asked, answered] = &bytes[pair];
+        take_in(&mut member.stream, &mut voter.out, asked)
+            && take_in(&mut voter.stream, &mut member.out, answered)
     }
 
     fn writes(&mut self, held: Held) -> bool {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! and feed in this one, load, changes of the hierarchy, faults; a report. Stand-ins follow the operators' published
 //! protocol. Nothing here decides for directors: the driver and its plans are those of `sablecross-hierarchy`.
 
+mod acts;
 mod directors;
 pub mod feed;
 pub mod fleet;
@@ -11,6 +12,7 @@
 mod process;
 pub mod report;
 pub mod run;
+pub mod scale;
 pub mod settings;
 
 pub use outcome::Outcome;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -20,6 +20,8 @@
     Hierarchy(#[from] No),
     #[error("{name} did not serve within {within} s: see {log}")]
     NotServing { name: String, within: u64, log: String },
+    #[error("does not fit: {0}")]
+    TooLarge(String),
 }
 
 pub(crate) fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> Failed {
@@ -66,11 +68,12 @@
 
     /// CPU seconds that it has used.
     pub fn cpu(&self) -> f64 {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap_or_default();
-        let after = stat.rsplit_once(") ").map_or("", |s| s.1);
-        let ticks = |n: usize| after.split(' ').nth(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
-        // Of user and system, in hundredths of a second.
-        (ticks(11) + ticks(12)) / 100.0
+        cpu_of(self.0.id())
+    }
+
+    /// MB of memory that it holds.
+    pub fn memory(&self) -> f64 {
+        megabytes(&format!("/proc/{}/status", self.0.id()), "VmRSS:")
     }
 }
 
@@ -80,3 +83,25 @@
         let _ = self.kill();
     }
 }
+
+/// CPU seconds that a process has used.
+pub fn cpu_of(process: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+    let after = stat.rsplit_once(") ").map_or("", |s| s.1);
+    let ticks = |n: usize| after.split(' ').nth(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+    // Of user and system, in hundredths of a second.
+    (ticks(11) + ticks(12)) / 100.0
+}
+
+/// MB that a file of the system names behind this key.
+fn megabytes(file: &str, key: &str) -> f64 {
+    let text = std::fs::read_to_string(file).unwrap_or_default();
+    let line = text.lines().find_map(|l| l.strip_prefix(key));
+    let kb = line.and_then(|l| l.split_whitespace().next()?.parse::<f64>().ok());
+    kb.unwrap_or(0.0) / 1_024.0
+}
+
+/// MB of memory of the machine.
+pub fn machine_memory() -> f64 {
+    megabytes("/proc/meminfo", "MemTotal:")
+}
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -371,7 +371,8 @@
         let (config, log) =
             (folder.join(format!("director-{number}.json")), folder.join(format!("director-{number}.log")));
         let _ = std::fs::remove_file(&log);
-        let text = configuration(number, e.directors, e.seed, spare, &feed, &like).to_string();
+        let text = configuration(number, e.directors, e.seed, spare, (feed.address, &feed.known()), &like)
+            .to_string();
         std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
         fleet.push(spawn_director(director, &config, &log, None)?);
         serving(&format!("director-{number}"), spare, &log, Instant::now(), Duration::from_secs(10))?;
--- /dev/null
+++ b/crates/lab/src/scale/hollow.rs
@@ -0,0 +1,426 @@
+//! One hollow director: the product's own code for control, no clients. The rules on the feed are those of
+//! `sablecross-feed`, events are read by the director's own code, and the module is told of them.
+
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use sablecross::{Choice, Ns};
+use sablecross_director::life::config::Config;
+use sablecross_director::plain::clock::Clock;
+use sablecross_director::plain::facts::{Fact, Numbered};
+use sablecross_director::plain::roster::Roster;
+use sablecross_director::upper::Upper;
+use sablecross_feed::{Cursor, Feeds, Said, Stream, Verdict, request};
+use serde_json::Value;
+
+use crate::fleet::ways::dial_from;
+
+use super::words::{Came, Finished, Own, Tick, Told, shared_ns};
+
+/// What the directors of one process have in common.
+pub struct Shared {
+    pub config: Config,
+    pub clock: Clock,
+    pub began: Instant,
+    pub tick: Tick,
+    pub found: Finished,
+    /// By number.
+    pub came: BTreeMap<u64, Came>,
+    pub limbo: Vec<(SocketAddr, TcpStream)>,
+}
+
+impl Shared {
+    fn came(&mut self, number: u64, content: u32, timed: bool) {
+        let came = self.came.entry(number).or_default();
+        if came.by > 0 && came.content != content {
+            self.found.differs += 1;
+        }
+        (came.number, came.content, came.by) = (number, content, came.by + 1);
+        if timed {
+            came.last = shared_ns();
+        }
+    }
+}
+
+enum Link {
+    /// Killed.
+    Off,
+    Waits(Instant),
+    /// What is dialled into a cut never answers.
+    Dials(Option<TcpStream>, Instant),
+    Open(Box<Open>),
+}
+
+struct Open {
+    socket: TcpStream,
+    stream: Stream,
+    heard: Instant,
+}
+
+/// What a director holds in one life.
+struct Life {
+    choice: Choice,
+    roster: Roster,
+    upper: Upper,
+    cursor: Cursor,
+    feeds: Feeds,
+    began: Instant,
+    /// The most that was in force elsewhere when it began: up to there it catches up.
+    behind: u64,
+    caught_up: bool,
+    up: bool,
+    /// The last number taken, and up to where nothing was passed over or a whole list took its place.
+    last: u64,
+    solid: u64,
+    /// By content: which were taken.
+    seen: Vec<u64>,
+    /// From where to where it was told a whole list in place of what came between, and when.
+    jumps: Vec<(u64, u64, u64)>,
+    /// By node: its last change.
+    list: Vec<u32>,
+}
+
+pub struct Hollow {
+    pub own: Own,
+    token: Token,
+    life: Box<Life>,
+    link: Link,
+    called: Instant,
+    before: u64,
+    pub cut: Vec<SocketAddr>,
+    pub slow: bool,
+}
+
+/// Why a connection is over.
+enum Over {
+    Failed,
+    Again,
+    Ended,
+}
+
+impl From<io::Error> for Over {
+    fn from(_: io::Error) -> Over {
+        Over::Failed
+    }
+}
+
+impl Life {
+    fn begin(own: &Own, shared: &Shared, behind: u64) -> Life {
+        let Config { settings, known, .. } = &shared.config;
+        let mut settings = settings.clone();
+        settings.number = own.number;
+        let (home, others) = own.feeds.split_first().expect("a hollow director has a feed");
+        let mut life = Life {
+            choice: Choice::new(settings, own.number as u64, shared.clock.now()),
+            roster: Roster::default(),
+            upper: Upper::new(shared.config.settings.parent_kind),
+            cursor: Cursor::after(known.last),
+            feeds: Feeds::new(&format!("hollow-{}", own.number), *home, others),
+            began: Instant::now(),
+            behind,
+            caught_up: behind == 0,
+            up: false,
+            last: known.last,
+            solid: known.last,
+            seen: Vec::new(),
+            jumps: Vec::new(),
+            list: Vec::new(),
+        };
+        for event in &known.events {
+            life.take(&event.fact, shared);
+        }
+        life
+    }
+
+    /// As the desk does it.
+    fn take(&mut self, fact: &Fact, shared: &Shared) {
+        let now: Ns = shared.clock.now();
+        match fact {
+            Fact::Members { members, whole } => {
+                let Life { roster, upper, .. } = self;
+                roster.release(u64::MAX, |_| true);
+                let names = &shared.config.names;
+                let mut lines: Vec<_> = members.iter().filter_map(|m| roster.line(names, m)).collect();
+                roster.settle(&lines, *whole, 0);
+                upper.list(&mut lines, *whole, |node| roster.name(node).to_owned());
+                self.choice.listed(now, &lines, *whole);
+                // Nobody writes its notes to a log.
+                self.choice.notes();
+            }
+            Fact::Purge { object, group, at } => {
+                self.choice.purged(now, *object, *group, now.saturating_sub(*at));
+            }
+            Fact::Hierarchy(told) => {
+                if let Some((lines, _)) = self.upper.take(told) {
+                    self.choice.listed(now, &lines, false);
+                }
+            }
+        }
+    }
+
+    /// Checks by itself what the rules of the feed let through.
+    fn check(&mut self, number: u64, event: &Value, shared: &mut Shared) {
+        let found = &mut shared.found;
+        found.disorder += u64::from(number <= self.last);
+        let members = event.get("members");
+        let whole = members.is_some_and(|m| m["snapshot"] == true);
+        self.last = number;
+        if whole {
+            self.jumps.push((self.solid, number, shared.clock.now() / 1_000_000));
+            self.solid = number;
+        } else if number == self.solid + 1 {
+            self.solid = number;
+        }
+        let content = match members {
+            Some(_) if whole => 0,
+            Some(members) => members["index"].as_u64().unwrap_or(0) as u32,
+            None => {
+                let key = event.pointer("/purge/key").and_then(Value::as_str).unwrap_or_default();
+                u64::from_str_radix(key, 16).unwrap_or(0) as u32
+            }
+        };
+        if content > 0 {
+            let (word, bit) = (content as usize / 64, 1 << (content % 64));
+            if self.seen.len() <= word {
+                self.seen.resize(word + 1, 0);
+            }
+            found.twice += u64::from(self.seen[word] & bit != 0);
+            self.seen[word] |= bit;
+        }
+        let held = if whole { std::mem::take(&mut self.list) } else { Vec::new() };
+        for line in members.and_then(|m| m["endpoints"].as_array()).into_iter().flatten() {
+            let node = line["name"].as_str().and_then(|n| n.rsplit('-').next()?.parse::<usize>().ok());
+            let (Some(node), Some(change)) = (node, line["weight"].as_u64()) else { continue };
+            if self.list.len() <= node {
+                self.list.resize(node + 1, 0);
+            }
+            let before = held.get(node).copied().unwrap_or_default().max(self.list[node]);
+            found.disorder += u64::from(before > change as u32);
+            self.list[node] = change as u32;
+        }
+        shared.came(number, content, number > self.behind);
+    }
+
+    /// What it has not taken of all that was told, unless that binds no more.
+    fn finish(&self, told: &[Told], list: &[(u32, bool)], known: u64, binds_ms: u64, found: &mut Finished) {
+        for t in told.iter().filter(|t| t.number > known) {
+            let taken =
+                self.seen.get(t.content as usize / 64).is_some_and(|w| w & (1 << (t.content % 64)) != 0);
+            if taken {
+                continue;
+            }
+            let passed = self.jumps.iter().find(|(from, to, _)| (from + 1..=*to).contains(&t.number));
+            match passed {
+                Some((_, _, at)) if t.purged_ms == 0 || t.purged_ms + binds_ms <= *at => found.lapsed += 1,
+                _ => found.missed += 1,
+            }
+        }
+        let same = list.iter().enumerate().all(|(n, (change, gone))| {
+            let held = self.list.get(n).copied().unwrap_or(0);
+            held == *change || (*gone && held == 0)
+        });
+        found.wrong_lists += u64::from(!same);
+    }
+}
+
+impl Hollow {
+    pub fn new(own: Own, token: Token, shared: &Shared, spread: Duration) -> Hollow {
+        let life = Box::new(Life::begin(&own, shared, 0));
+        let now = Instant::now();
+        let (link, cut) = (Link::Waits(now + spread), Vec::new());
+        Hollow { own, token, life, link, called: now, before: 0, cut, slow: false }
+    }
+
+    pub fn is_on(&self) -> bool {
+        !matches!(self.link, Link::Off)
+    }
+
+    /// Its call was answered once in this life.
+    pub fn is_up(&self) -> bool {
+        self.is_on() && self.life.up
+    }
+
+    pub fn last(&self) -> u64 {
+        self.life.cursor.last()
+    }
+
+    /// It forgets all that it knew.
+    pub fn kill(&mut self, shared: &mut Shared) {
+        let link = std::mem::replace(&mut self.link, Link::Off);
+        self.drop_link(link, shared);
+    }
+
+    pub fn start(&mut self, shared: &mut Shared) {
+        if self.is_on() {
+            return;
+        }
+        let behind = shared.tick.most;
+        *self.life = Life::begin(&self.own, shared, behind);
+        shared.found.restarts += 1;
+        self.link = Link::Waits(Instant::now());
+    }
+
+    fn drop_link(&mut self, link: Link, shared: &mut Shared) {
+        let address = self.life.feeds.at();
+        let socket = match link {
+            Link::Open(open) => open.socket,
+            Link::Dials(Some(socket), _) => socket,
+            _ => return,
+        };
+        // Nobody at the other end hears of it before the cut is healed.
+        if self.cut.contains(&address) {
+            shared.limbo.push((address, socket));
+        }
+    }
+
+    /// What is due by the clock.
+    pub fn tick(&mut self, shared: &mut Shared, registry: &Registry) {
+        let limits = &shared.config.limits;
+        let done = match &mut self.link {
+            Link::Off => return,
+            Link::Waits(until) if Instant::now() < *until => return,
+            Link::Waits(_) => return self.call(shared, registry),
+            Link::Dials(_, since) if since.elapsed() < Duration::from_nanos(limits.dial) => return,
+            Link::Dials(..) => Err(Over::Failed),
+            Link::Open(open) if open.heard.elapsed() >= limits.feed_silence => Err(Over::Failed),
+            Link::Open(_) if self.slow => self.read(shared, 1),
+            Link::Open(_) => return,
+        };
+        self.ended(done, shared);
+    }
+
+    fn call(&mut self, shared: &mut Shared, registry: &Registry) {
+        shared.tick.calls += 1;
+        (self.called, self.before) = (Instant::now(), self.last());
+        let at = self.life.feeds.at();
+        if self.cut.contains(&at) {
+            self.link = Link::Dials(None, self.called);
+            return;
+        }
+        match self.dial(at, registry) {
+            Ok(socket) => self.link = Link::Dials(Some(socket), self.called),
+            Err(e) => self.ended(Err(e.into()), shared),
+        }
+    }
+
+    fn dial(&self, at: SocketAddr, registry: &Registry) -> io::Result<TcpStream> {
+        let mut socket = dial_from(self.own.source, at)?;
+        registry.register(&mut socket, self.token, Interest::READABLE | Interest::WRITABLE)?;
+        Ok(socket)
+    }
+
+    /// Its socket can do something.
+    pub fn ready(&mut self, shared: &mut Shared) {
+        let done = self.on_ready(shared);
+        self.ended(done, shared);
+    }
+
+    fn on_ready(&mut self, shared: &mut Shared) -> Result<(), Over> {
+        let at = self.life.feeds.at();
+        if self.cut.contains(&at) {
+            return Ok(());
+        }
+        if let Link::Dials(socket, _) = &mut self.link {
+            let Some(open) = socket else { return Ok(()) };
+            if let Some(e) = open.take_error()? {
+                return Err(e.into());
+            }
+            match open.peer_addr() {
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::NotConnected => return Ok(()),
+                Err(e) => return Err(e.into()),
+            }
+            // So few bytes always fit into a new connection.
+            let asks = request(at, self.life.cursor.last());
+            open.write_all(asks.as_bytes())?;
+            shared.tick.bytes_out += asks.len() as u64;
+            let stream = Stream::new(shared.config.limits.feed_event);
+            let Some(socket) = socket.take() else { return Ok(()) };
+            self.link = Link::Open(Box::new(Open { socket, stream, heard: Instant::now() }));
+        }
+        if self.slow { Ok(()) } else { self.read(shared, 16 << 10) }
+    }
+
+    fn read(&mut self, shared: &mut Shared, most: usize) -> Result<(), Over> {
+        let mut bytes = [0; 16 << 10];
+        loop {
+            let Link::Open(open) = &mut self.link else { return Ok(()) };
+            match open.socket.read(&mut bytes[..most]) {
+                Ok(0) => return Err(open.stream.end().map_or(Over::Failed, |()| Over::Ended)),
+                Ok(n) => {
+                    shared.tick.reads += 1;
+                    shared.tick.bytes_in += n as u64;
+                    open.heard = Instant::now();
+                    open.stream.take(&bytes[..n]);
+                    while let Link::Open(open) = &mut self.link
+                        && let Some(said) = open.stream.said().map_err(|_| Over::Failed)?
+                    {
+                        match said {
+                            Said::Up => {
+                                self.life.feeds.answered();
+                                self.life.up = true;
+                            }
+                            Said::Event { id, data } => self.event(id, &data, shared)?,
+                            Said::Comment(_) => {}
+                        }
+                    }
+                    if most == 1 {
+                        return Ok(());
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e.into()),
+            }
+        }
+    }
+
+    fn event(&mut self, id: Option<u64>, data: &str, shared: &mut Shared) -> Result<(), Over> {
+        let value: Result<Value, String> = serde_json::from_str(data).map_err(|e| e.to_string());
+        let parsed = value.as_ref().map_err(String::clone).and_then(Numbered::of);
+        match self.life.cursor.event(id, parsed.map(|e| (e.n, e.fact))) {
+            Verdict::Take(fact) => {
+                shared.tick.taken += 1;
+                self.life.take(&fact, shared);
+                let number = self.last();
+                self.life.check(number, value.as_ref().unwrap_or(&Value::Null), shared);
+                shared.tick.most = shared.tick.most.max(number);
+                if !self.life.caught_up && number >= self.life.behind {
+                    self.life.caught_up = true;
+                    shared.found.catch_up.push(self.life.began.elapsed().as_millis() as u64);
+                }
+            }
+            Verdict::Repeat => {}
+            Verdict::Again(_) => {
+                shared.tick.gaps += 1;
+                return Err(Over::Again);
+            }
+            Verdict::Skip { .. } => shared.tick.skipped += 1,
+        }
+        Ok(())
+    }
+
+    /// The rules of the follower on whom to call next, and when.
+    fn ended(&mut self, done: Result<(), Over>, shared: &mut Shared) {
+        let Err(over) = done else { return };
+        let link = std::mem::replace(&mut self.link, Link::Off);
+        self.drop_link(link, shared);
+        match over {
+            Over::Failed => self.life.feeds.failed(shared.began.elapsed()),
+            Over::Ended => self.life.feeds.ended(shared.began.elapsed()),
+            Over::Again => {}
+        }
+        let pause = shared.config.limits.feed_pause;
+        let early = self.last() == self.before && self.called.elapsed() < pause;
+        self.link = Link::Waits(Instant::now() + if early { pause } else { Duration::ZERO });
+    }
+
+    pub fn finish(&self, told: &[Told], list: &[(u32, bool)], binds_ms: u64, shared: &mut Shared) {
+        let known = shared.config.known.last;
+        self.life.finish(told, list, known, binds_ms, &mut shared.found);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/pool.rs
@@ -0,0 +1,160 @@
+//! A process of hollow directors: one thread for all their sockets, orders by its standard input, words by its output.
+
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, Write};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, TryRecvError, channel};
+use std::time::{Duration, Instant};
+
+use mio::{Events, Poll, Token, Waker};
+use sablecross_director::life::config::Config;
+use sablecross_director::plain::clock::Clock;
+
+use super::hollow::{Hollow, Shared};
+use super::words::{Finished, Order, Tick, Word, shared_ns};
+use crate::node::spawn;
+
+const WAKER: Token = Token(0);
+/// How often what is due by the clock is looked for, and how often the trial hears of it.
+const TURN: Duration = Duration::from_millis(20);
+const SAY: Duration = Duration::from_millis(250);
+/// The first calls are spread over this time.
+const SPREAD: Duration = Duration::from_secs(2);
+
+struct Pool {
+    poll: Poll,
+    shared: Shared,
+    /// By token; where the trial's numbers are among them.
+    hollow: Vec<Hollow>,
+    places: BTreeMap<usize, usize>,
+    binds_ms: u64,
+}
+
+fn bad(why: impl ToString) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, why.to_string())
+}
+
+fn say(word: &Word) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    serde_json::to_writer(&mut out, word)?;
+    out.write_all(b"\n")?;
+    out.flush()
+}
+
+/// Lives until the trial has what it came to, or is gone.
+pub fn run() -> io::Result<()> {
+    let poll = Poll::new()?;
+    let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
+    let (to_pool, orders) = channel();
+    spawn(move || {
+        for line in io::stdin().lock().lines().map_while(Result::ok) {
+            let order = serde_json::from_str(&line).map_err(bad);
+            if to_pool.send(order).is_err() || waker.wake().is_err() {
+                return;
+            }
+        }
+        // The trial is gone.
+        std::process::exit(0);
+    });
+    let first: io::Result<Order> = orders.recv().map_err(bad)?;
+    let Order::Begin { config, directors, binds_ms } = first? else { return Err(bad("no beginning")) };
+    let config = Config::parse(&config).map_err(bad)?;
+    let shared = Shared {
+        tick: Tick { most: config.known.last, ..Tick::default() },
+        config,
+        clock: Clock::start(),
+        began: Instant::now(),
+        found: Finished::default(),
+        came: BTreeMap::new(),
+        limbo: Vec::new(),
+    };
+    let places = directors.iter().enumerate().map(|(place, own)| (own.number, place)).collect();
+    let many = directors.len().max(1) as u32;
+    let hollow = directors.into_iter().enumerate();
+    let hollow = hollow.map(|(n, own)| Hollow::new(own, Token(n + 1), &shared, SPREAD * n as u32 / many));
+    Pool { poll, hollow: hollow.collect(), shared, places, binds_ms }.serve(&orders)
+}
+
+impl Pool {
+    fn serve(mut self, orders: &Receiver<io::Result<Order>>) -> io::Result<()> {
+        let mut events = Events::with_capacity(1_024);
+        let (mut turn, mut word) = (Instant::now(), Instant::now());
+        loop {
+            match self.poll.poll(&mut events, Some(turn.saturating_duration_since(Instant::now()))) {
+                Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
+                _ => {}
+            }
+            for event in events.iter().filter(|e| e.token() != WAKER) {
+                self.hollow[event.token().0 - 1].ready(&mut self.shared);
+            }
+            loop {
+                match orders.try_recv() {
+                    Ok(order) => {
+                        if self.order(order?)? {
+                            return Ok(());
+                        }
+                    }
+                    Err(TryRecvError::Empty) => break,
+                    Err(TryRecvError::Disconnected) => return Ok(()),
+                }
+            }
+            if Instant::now() < turn {
+                continue;
+            }
+            turn = Instant::now() + TURN;
+            let registry = self.poll.registry();
+            self.hollow.iter_mut().for_each(|h| h.tick(&mut self.shared, registry));
+            if Instant::now() >= word {
+                word = Instant::now() + SAY;
+                self.say()?;
+            }
+        }
+    }
+
+    fn say(&mut self) -> io::Result<()> {
+        let on = self.hollow.iter().filter(|h| h.is_on());
+        let tick = &mut self.shared.tick;
+        tick.at = shared_ns();
+        tick.alive = on.clone().count();
+        tick.up = on.clone().filter(|h| h.is_up()).count();
+        tick.least = on.map(Hollow::last).min().unwrap_or(tick.most);
+        say(&Word::Tick(*tick))
+    }
+
+    /// Whether that was the last one.
+    fn order(&mut self, order: Order) -> io::Result<bool> {
+        let Pool { hollow, places, shared, .. } = self;
+        let mut each = |numbers: &[usize], to: &mut dyn FnMut(&mut Hollow, &mut Shared)| {
+            for place in numbers.iter().filter_map(|n| places.get(n)) {
+                to(&mut hollow[*place], shared);
+            }
+        };
+        match order {
+            Order::Begin { .. } => return Err(bad("a second beginning")),
+            Order::Kill(who) => each(&who, &mut |h, shared| h.kill(shared)),
+            Order::Start(who) => each(&who, &mut |h, shared| h.start(shared)),
+            Order::Cut(who, from) => each(&who, &mut |h, _| h.cut.extend(&from)),
+            Order::Slow(who, slow) => each(&who, &mut |h, shared| {
+                h.slow = slow;
+                h.ready(shared);
+            }),
+            Order::Heal => {
+                // What came meanwhile was never seen: the sockets are looked at anew.
+                for h in hollow.iter_mut().filter(|h| !h.cut.is_empty()) {
+                    h.cut.clear();
+                    h.ready(shared);
+                }
+                shared.limbo.clear();
+            }
+            Order::Finish { told, list } => {
+                for h in hollow.iter().filter(|h| h.is_on()) {
+                    h.finish(&told, &list, self.binds_ms, shared);
+                }
+                shared.found.came = std::mem::take(&mut shared.came).into_values().collect();
+                say(&Word::Finished(Box::new(std::mem::take(&mut shared.found))))?;
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/source.rs
@@ -0,0 +1,343 @@
+//! The load in control: purges and changes of the list by seeded chance, published as an operator's program does it, to
+//! whichever relay owns the feed, or told by the one source of a star.
+
+use std::collections::VecDeque;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use serde_json::{Value, json};
+
+use super::settings::Scale;
+use super::words::{Told, shared_ns};
+use crate::acts::pause;
+use crate::feed::Feed;
+use crate::node::{lock, spawn, unix_ms};
+
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Publishers of purges at most: each waits for the answer to one event.
+const MOST_PUBLISHERS: usize = 64;
+
+/// Where events go.
+#[derive(Clone)]
+pub enum Outlet {
+    Star(Feed),
+    /// All relays, as anyone but the owner refuses and the owner moves.
+    Relays(Arc<Vec<SocketAddr>>),
+}
+
+/// A call over HTTP on a connection that is kept.
+fn call(link: &mut Option<BufReader<TcpStream>>, at: SocketAddr, ask: &str) -> io::Result<(u16, Value)> {
+    let mut kept = match link.take() {
+        Some(kept) => kept,
+        None => {
+            let stream = TcpStream::connect_timeout(&at, PATIENCE)?;
+            stream.set_read_timeout(Some(PATIENCE))?;
+            stream.set_nodelay(true)?;
+            BufReader::new(stream)
+        }
+    };
+    kept.get_mut().write_all(ask.as_bytes())?;
+    let (mut code, mut length) = (0, 0usize);
+    loop {
+        let mut line = String::new();
+        if kept.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let line = line.trim_end().to_ascii_lowercase();
+        match line.split_once(": ") {
+            _ if line.is_empty() => break,
+            Some(("content-length", value)) => length = value.parse().unwrap_or(0),
+            None => code = line.split(' ').nth(1).and_then(|c| c.parse().ok()).unwrap_or(0),
+            Some(_) => {}
+        }
+    }
+    let mut body = vec![0; length];
+    kept.read_exact(&mut body)?;
+    *link = Some(kept);
+    Ok((code, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+}
+
+/// What a relay says of itself.
+pub fn status(at: SocketAddr) -> Option<Value> {
+    let (code, said) = call(&mut None, at, &format!("GET /v1/status HTTP/1.1\r\nHost: {at}\r\n\r\n")).ok()?;
+    (code == 200).then_some(said)
+}
+
+/// The place of the relay that owns the feed now.
+pub fn owner(relays: &[SocketAddr]) -> Option<usize> {
+    relays.iter().position(|at| status(*at).is_some_and(|s| s["role"] == "owner"))
+}
+
+/// One that publishes, one event after the other.
+struct Publisher {
+    outlet: Outlet,
+    to: Option<SocketAddr>,
+    link: Option<BufReader<TcpStream>>,
+    again: Arc<AtomicUsize>,
+    given_up: Arc<AtomicBool>,
+}
+
+impl Publisher {
+    /// The number that it got; nothing, once the trial has given up.
+    fn publish(&mut self, event: &str, mark: &str) -> Option<u64> {
+        let relays = match &self.outlet {
+            Outlet::Star(feed) => return Some(feed.tell(event)),
+            Outlet::Relays(relays) => Arc::clone(relays),
+        };
+        while !self.given_up.load(Ordering::Relaxed) {
+            if self.to.is_none() {
+                self.to = owner(&relays).map(|n| relays[n]);
+            }
+            if let Some(at) = self.to {
+                let length = event.len() + 2;
+                let ask = format!(
+                    "POST /v1/events HTTP/1.1\r\nHost: {at}\r\nSablecross-Mark: {mark}\r\n\
+                     Content-Length: {length}\r\n\r\n{{{event}}}"
+                );
+                match call(&mut self.link, at, &ask) {
+                    Ok((200, said)) if said["n"].is_u64() => return said["n"].as_u64(),
+                    _ => (self.to, self.link) = (None, None),
+                }
+            }
+            self.again.fetch_add(1, Ordering::Relaxed);
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        None
+    }
+}
+
+/// An event of the load, and what became of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Published {
+    pub change: bool,
+    /// When it was due at the source, by the clock that all processes share.
+    pub at: u64,
+    pub purged_ms: u64,
+    /// Once it is confirmed.
+    pub number: Option<u64>,
+    pub confirmed: u64,
+}
+
+/// A node of the list.
+#[derive(Clone, Copy)]
+struct Line {
+    status: &'static str,
+    since: u64,
+    change: u32,
+}
+
+struct List {
+    zones: usize,
+    lines: Vec<Line>,
+}
+
+impl List {
+    /// As the list says it; what it was changed by last stands as its weight, which directors pass over.
+    fn line(&self, n: usize) -> Value {
+        let last = self.lines.len() - 1;
+        let kind = match n {
+            _ if n == last => "origin",
+            _ if n % 30 == 29 => "parent",
+            _ => "small",
+        };
+        let Line { status, since, change } = self.lines[n];
+        let address = SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 10_080));
+        json!({"name": format!("node-{n}"), "address": address, "zone": format!("zone-{}", n % self.zones),
+            "type": kind, "group": n % 8, "status": status, "weight": change, "since_ms": since})
+    }
+}
+
+/// The first word of the load: the whole list.
+pub fn whole(s: &Scale) -> String {
+    let list = List::of(s);
+    let lines: Vec<Value> = (0..s.nodes).map(|n| list.line(n)).collect();
+    format!("\"members\":{}", json!({"index": 0, "snapshot": true, "endpoints": lines}))
+}
+
+impl List {
+    fn of(s: &Scale) -> List {
+        List { zones: s.zones, lines: vec![Line { status: "ready", since: 0, change: 0 }; s.nodes] }
+    }
+
+    /// Another state of one node, never of the origin.
+    fn change(&mut self, rng: &mut Pcg32, content: u32) -> String {
+        let n = rng.random_range(0..self.lines.len() - 1);
+        let line = &mut self.lines[n];
+        line.change = content;
+        line.status = match (line.status, rng.random::<f64>() < 0.5) {
+            ("ready", true) => "draining",
+            ("ready", false) => "gone",
+            _ => "ready",
+        };
+        if line.status == "ready" {
+            line.since = unix_ms();
+        }
+        format!("\"members\":{}", json!({"index": content, "snapshot": false, "endpoints": [self.line(n)]}))
+    }
+}
+
+#[derive(Default)]
+struct Queue {
+    waiting: Mutex<(VecDeque<u32>, bool)>,
+    more: Condvar,
+}
+
+impl Queue {
+    fn push(&self, content: u32) {
+        lock(&self.waiting).0.push_back(content);
+        self.more.notify_one();
+    }
+
+    fn end(&self) {
+        lock(&self.waiting).1 = true;
+        self.more.notify_all();
+    }
+
+    /// The next one; nothing, once it has ended and all are taken.
+    fn next(&self) -> Option<u32> {
+        let mut waiting = lock(&self.waiting);
+        loop {
+            if let Some(content) = waiting.0.pop_front() {
+                return Some(content);
+            }
+            if waiting.1 {
+                return None;
+            }
+            waiting = self.more.wait(waiting).unwrap_or_else(|e| e.into_inner());
+        }
+    }
+}
+
+/// By content, from 1; content 0 is not of the load.
+type All = Arc<Mutex<Vec<Published>>>;
+
+pub struct Source {
+    all: All,
+    list: Arc<Mutex<List>>,
+    queues: Arc<[Queue; 2]>,
+    outlet: Outlet,
+    mark: u64,
+    seed: u64,
+    again: Arc<AtomicUsize>,
+    given_up: Arc<AtomicBool>,
+    rng: Pcg32,
+    due: [f64; 2],
+}
+
+impl Source {
+    /// Tells the whole list first; its number.
+    pub fn start(s: &Scale, outlet: Outlet) -> Option<(Source, u64)> {
+        let mut rng = Pcg32::seed_from_u64(s.seed);
+        let due = [s.purges, s.changes].map(|r| if r > 0.0 { pause(&mut rng, r) } else { f64::INFINITY });
+        let source = Source {
+            all: All::default(),
+            list: Arc::new(Mutex::new(List::of(s))),
+            queues: Arc::default(),
+            outlet,
+            mark: unix_ms(),
+            seed: s.seed + 1,
+            again: Arc::default(),
+            given_up: Arc::default(),
+            rng,
+            due,
+        };
+        let first = source.publisher().publish(&whole(s), &format!("{}-0", source.mark))?;
+        let many = match &source.outlet {
+            Outlet::Star(_) => 1,
+            Outlet::Relays(_) => ((s.purges * 0.3) as usize + 4).min(MOST_PUBLISHERS),
+        };
+        (0..many).for_each(|_| source.begin(false));
+        // Changes of one node keep their order.
+        source.begin(true);
+        Some((source, first))
+    }
+
+    fn publisher(&self) -> Publisher {
+        Publisher {
+            outlet: self.outlet.clone(),
+            to: None,
+            link: None,
+            again: Arc::clone(&self.again),
+            given_up: Arc::clone(&self.given_up),
+        }
+    }
+
+    fn begin(&self, changes: bool) {
+        let (all, list, queues) = (Arc::clone(&self.all), Arc::clone(&self.list), Arc::clone(&self.queues));
+        let (mut publisher, mark) = (self.publisher(), self.mark);
+        let mut rng = Pcg32::seed_from_u64(self.seed);
+        spawn(move || {
+            while let Some(content) = queues[usize::from(changes)].next() {
+                let event = if changes {
+                    lock(&list).change(&mut rng, content)
+                } else {
+                    let at = lock(&all)[content as usize - 1].purged_ms;
+                    format!("\"purge\":{{\"key\":\"{content:016x}\",\"at\":{at}}}")
+                };
+                let Some(number) = publisher.publish(&event, &format!("{mark}-{content}")) else { return };
+                let published = &mut lock(&all)[content as usize - 1];
+                (published.number, published.confirmed) = (Some(number), shared_ns());
+            }
+        });
+    }
+
+    /// Hands on what is due by now, in seconds from the start of the load.
+    pub fn step(&mut self, s: &Scale, now: f64) {
+        for (which, rate) in [s.purges, s.changes].into_iter().enumerate() {
+            while self.due[which] <= now {
+                self.due[which] += pause(&mut self.rng, rate);
+                self.hand_on(which == 1);
+            }
+        }
+    }
+
+    fn hand_on(&self, change: bool) {
+        let content = {
+            let mut all = lock(&self.all);
+            let purged_ms = if change { 0 } else { unix_ms() };
+            all.push(Published { change, at: shared_ns(), purged_ms, number: None, confirmed: 0 });
+            all.len() as u32
+        };
+        self.queues[usize::from(change)].push(content);
+    }
+
+    pub fn burst(&self, purges: usize) {
+        (0..purges).for_each(|_| self.hand_on(false));
+    }
+
+    /// Waits so long at most until all that was handed on is confirmed.
+    pub fn end(&self, most: Duration) {
+        self.queues.iter().for_each(Queue::end);
+        let begun = Instant::now();
+        while begun.elapsed() < most && lock(&self.all).iter().any(|p| p.number.is_none()) {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        self.given_up.store(true, Ordering::Relaxed);
+    }
+
+    pub fn all(&self) -> Vec<Published> {
+        lock(&self.all).clone()
+    }
+
+    pub fn told(&self) -> Vec<Told> {
+        let all = lock(&self.all);
+        let numbered =
+            all.iter().enumerate().filter_map(|(n, p)| Some((n as u32 + 1, p.purged_ms, p.number?)));
+        numbered.map(|(content, purged_ms, number)| Told { number, content, purged_ms }).collect()
+    }
+
+    /// Of each node its last change, and whether it has gone.
+    pub fn list(&self) -> Vec<(u32, bool)> {
+        lock(&self.list).lines.iter().map(|l| (l.change, l.status == "gone")).collect()
+    }
+
+    /// Events that had to be published again.
+    pub fn again(&self) -> usize {
+        self.again.load(Ordering::Relaxed)
+    }
+}
