--- /dev/null
+++ b/crates/relay/src/log.rs
@@ -0,0 +1,305 @@
+//! The numbered log: the list as it stands up to a number, and every event after that which may bind still.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use sablecross_duty::Token;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::event::{Event, Fault, Kind};
+use crate::horizon::Horizon;
+
+/// Text by which a publisher knows its event again; longer ones are refused.
+pub const LONGEST_MARK: usize = 128;
+
+/// An event with its number and the token of the owner that made it, as voters hand it on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    pub number: u64,
+    pub by: Token,
+    /// Without its number.
+    pub body: String,
+    pub mark: Option<String>,
+}
+
+/// All that was told up to a number, as far as it counts still.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Base {
+    pub number: u64,
+    /// The token of the entry with this number.
+    pub by: Token,
+    /// A whole list is known. Until then nothing can be told to those who are behind.
+    pub listed: bool,
+    /// The latest index of the list, as its publisher counts.
+    pub index: u64,
+    /// The endpoints' JSON by their names.
+    pub members: BTreeMap<String, String>,
+    /// The latest hierarchy, as the body of its event.
+    pub hierarchy: Option<String>,
+}
+
+impl Base {
+    fn fold(&mut self, number: u64, by: Token, event: &Event) {
+        (self.number, self.by) = (number, by);
+        match event.kind() {
+            Kind::Purge { .. } => {}
+            Kind::Hierarchy => self.hierarchy = Some(event.body().to_owned()),
+            Kind::Members { .. } => {
+                let Some((whole, endpoints)) = event.endpoints() else { return };
+                if whole {
+                    self.members.clear();
+                    self.listed = true;
+                }
+                self.index = self.index.max(event.index().unwrap_or(0));
+                for e in endpoints {
+                    if e.gone {
+                        self.members.remove(&e.name);
+                    } else {
+                        self.members.insert(e.name, e.raw);
+                    }
+                }
+            }
+        }
+    }
+
+    fn bytes(&self) -> usize {
+        let members: usize = self.members.iter().map(|(name, raw)| name.len() + raw.len()).sum();
+        members + self.hierarchy.as_ref().map_or(0, String::len)
+    }
+
+    /// The hierarchy under the number before its own, and the whole list under its own.
+    fn frames(&self, hierarchy: bool) -> Vec<u8> {
+        let mut out = Vec::new();
+        if let Some(body) = self.hierarchy.as_ref().filter(|_| hierarchy) {
+            let n = self.number - 1;
+            out.extend_from_slice(format!("id: {n}\ndata: {{\"n\":{n},{}\n\n", &body[1..]).as_bytes());
+        }
+        let list = Event::whole(self.index, self.members.values().map(String::as_str));
+        out.extend_from_slice(&list.frame(self.number));
+        out
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Kept {
+    kind: Kind,
+    by: Token,
+    mark: Option<String>,
+    /// When it came here, Unix ms.
+    taken: u64,
+    frame: Box<[u8]>,
+}
+
+impl Kept {
+    fn body(&self, number: u64) -> String {
+        let head = head(number);
+        let rest = self.frame.get(head..self.frame.len().saturating_sub(2)).unwrap_or_default();
+        format!("{{{}", String::from_utf8_lossy(rest))
+    }
+}
+
+fn head(number: u64) -> usize {
+    "id: \ndata: {\"n\":,".len() + 2 * number.checked_ilog10().map_or(1, |l| l as usize + 1)
+}
+
+/// Why the log takes no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error(
+    "the log holds {bytes} bytes of {most}: what it holds binds still, so nothing more is taken until it is over"
+)]
+pub struct Full {
+    pub bytes: usize,
+    pub most: usize,
+}
+
+/// What is told: consecutive numbers, never cut. Events that may be cut still are kept by `Group`.
+#[derive(Clone, Debug)]
+pub struct Log {
+    base: Base,
+    events: VecDeque<Kept>,
+    marks: BTreeMap<String, u64>,
+    horizon: Horizon,
+    bytes: usize,
+    base_bytes: usize,
+    /// The base as it is told, with and without its hierarchy, for the number that it was made for.
+    told: Option<(u64, [Box<[u8]>; 2])>,
+}
+
+impl Log {
+    pub fn new(horizon: Horizon) -> Log {
+        Log::with(horizon, Base::default())
+    }
+
+    pub fn with(horizon: Horizon, base: Base) -> Log {
+        let base_bytes = base.bytes();
+        Log {
+            base,
+            events: VecDeque::new(),
+            marks: BTreeMap::new(),
+            horizon,
+            bytes: 0,
+            base_bytes,
+            told: None,
+        }
+    }
+
+    pub fn horizon(&self) -> Horizon {
+        self.horizon
+    }
+
+    pub fn base(&self) -> &Base {
+        &self.base
+    }
+
+    /// The number of its last event, 0 before the first.
+    pub fn last(&self) -> u64 {
+        self.base.number + self.events.len() as u64
+    }
+
+    /// The token of its last event.
+    pub fn by(&self) -> Token {
+        self.events.back().map_or(self.base.by, |e| e.by)
+    }
+
+    /// A whole list was told.
+    pub fn listed(&self) -> bool {
+        self.base.listed || self.events.iter().any(|e| e.kind == Kind::Members { whole: true })
+    }
+
+    /// Bytes of the base and all events.
+    pub fn bytes(&self) -> usize {
+        self.bytes + self.base_bytes
+    }
+
+    /// Whether so many bytes more are taken within `most`.
+    pub fn room(&self, more: usize, most: usize) -> Result<(), Full> {
+        let bytes = self.bytes();
+        if bytes + more > most { Err(Full { bytes, most }) } else { Ok(()) }
+    }
+
+    /// The number under which this mark was published, as far as the log reaches.
+    pub fn marked(&self, mark: &str) -> Option<u64> {
+        self.marks.get(mark).copied()
+    }
+
+    /// Takes the next event, at this Unix ms, under the number that it gets.
+    pub fn push(&mut self, event: &Event, by: Token, mark: Option<&str>, unix: u64) -> u64 {
+        let number = self.last() + 1;
+        let frame = event.frame(number).into_boxed_slice();
+        self.bytes += frame.len();
+        if let Some(mark) = mark {
+            self.marks.insert(mark.to_owned(), number);
+        }
+        let mark = mark.map(str::to_owned);
+        self.events.push_back(Kept { kind: event.kind(), by, mark, taken: unix, frame });
+        number
+    }
+
+    /// As `push`, of an entry that was read elsewhere.
+    pub fn take(&mut self, entry: &Entry, unix: u64) -> Result<u64, Fault> {
+        let (_, event) = Event::read(entry.body.as_bytes(), usize::MAX)?;
+        Ok(self.push(&event, entry.by, entry.mark.as_deref(), unix))
+    }
+
+    /// Folds what binds nobody any more into the base, at this Unix ms: as far as it is all over, and never to a hierarchy, as
+    /// the number before the base's has to be free for that.
+    pub fn trim(&mut self, unix: u64) {
+        let over = |log: &Log, e: &Kept| match e.kind {
+            // Nobody has the list, so nobody follows from here yet.
+            Kind::Members { .. } if !log.base.listed && log.base.number > 0 => true,
+            Kind::Purge { at } => log.horizon.over(at.max(e.taken), unix),
+            _ => log.horizon.over(e.taken, unix),
+        };
+        loop {
+            let done = self.events.iter().take_while(|e| over(self, e));
+            let ends = done.enumerate().find(|(i, e)| {
+                let number = self.base.number + 1 + *i as u64;
+                e.kind != Kind::Hierarchy && number >= 2
+            });
+            let Some((i, _)) = ends else { return };
+            for _ in 0..=i {
+                let Some(e) = self.events.pop_front() else { return };
+                let number = self.base.number + 1;
+                self.bytes -= e.frame.len();
+                if let Some(mark) = e.mark.as_ref().filter(|m| self.marks.get(*m) == Some(&number)) {
+                    self.marks.remove(mark);
+                }
+                if matches!(e.kind, Kind::Purge { .. }) {
+                    (self.base.number, self.base.by) = (number, e.by);
+                } else if let Ok((_, event)) = Event::read(e.body(number).as_bytes(), usize::MAX) {
+                    self.base.fold(number, e.by, &event);
+                    self.base_bytes = self.base.bytes();
+                }
+            }
+        }
+    }
+
+    /// Appends to `out` what follows `cursor`, as it is on the wire: at least one event, and no further one past `most` bytes
+    /// of `out`. Returns the number up to which it was told; the same as `cursor` if there is nothing to tell.
+    ///
+    /// One that is behind the base gets that, as one whole.
+    pub fn after(&mut self, cursor: u64, most: usize, out: &mut Vec<u8>) -> u64 {
+        let mut cursor = cursor;
+        let start = out.len();
+        if cursor < self.base.number {
+            if !self.base.listed {
+                return cursor;
+            }
+            let number = self.base.number;
+            if self.told.as_ref().is_none_or(|(n, _)| *n != number) {
+                let made = [self.base.frames(false), self.base.frames(true)];
+                self.told = Some((number, made.map(Vec::into_boxed_slice)));
+            }
+            if let Some((_, told)) = &self.told {
+                out.extend_from_slice(&told[usize::from(cursor + 1 < number)]);
+            }
+            cursor = number;
+        }
+        let first = usize::try_from(cursor - self.base.number).unwrap_or(usize::MAX);
+        for e in self.events.iter().skip(first) {
+            if out.len() > start && out.len() + e.frame.len() > most {
+                break;
+            }
+            out.extend_from_slice(&e.frame);
+            cursor += 1;
+        }
+        cursor
+    }
+
+    /// Entries after this number, none before the base, up to so many bytes and at least one.
+    pub fn entries(&self, after: u64, most: usize) -> Vec<Entry> {
+        let first = after.max(self.base.number);
+        let skip = usize::try_from(first - self.base.number).unwrap_or(usize::MAX);
+        let mut bytes = 0;
+        let mut entries = Vec::new();
+        for (i, e) in self.events.iter().enumerate().skip(skip) {
+            bytes += e.frame.len();
+            if bytes > most && !entries.is_empty() {
+                break;
+            }
+            let number = self.base.number + 1 + i as u64;
+            entries.push(Entry { number, by: e.by, body: e.body(number), mark: e.mark.clone() });
+        }
+        entries
+    }
+
+    /// The list with all that was told, as a base at this number; none of its purges.
+    pub fn folded(&self, number: u64) -> Base {
+        let mut base = self.base.clone();
+        for (i, e) in self.events.iter().enumerate().filter(|(_, e)| !matches!(e.kind, Kind::Purge { .. })) {
+            let of = self.base.number + 1 + i as u64;
+            if let Ok((_, event)) = Event::read(e.body(of).as_bytes(), usize::MAX) {
+                base.fold(of, e.by, &event);
+            }
+        }
+        Base { number, by: Token::default(), ..base }
+    }
+
+    /// Purges that may bind still at this Unix ms, as bodies in their order.
+    pub fn binding(&self, unix: u64) -> Vec<String> {
+        let binds =
+            |e: &Kept| matches!(e.kind, Kind::Purge { at } if !self.horizon.over(at.max(e.taken), unix));
+        let numbered = self.events.iter().enumerate();
+        numbered.filter(|(_, e)| binds(e)).map(|(i, e)| e.body(self.base.number + 1 + i as u64)).collect()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/readers.rs
@@ -0,0 +1,187 @@
+//! Who reads here, what each has in force, and the number that all have: a call with `Last-Event-ID: n` says that n is in
+//! force there, so no word is needed for it.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use sablecross_duty::Ns;
+use serde::{Deserialize, Serialize};
+
+use crate::relay::Status;
+
+#[derive(Clone, Copy, Debug)]
+struct Reader {
+    /// In force there, by its last word.
+    number: u64,
+    /// Its last word, or the end of its last stream.
+    heard: Ns,
+    streams: u32,
+}
+
+/// A reader as status shows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    pub name: String,
+    /// In force there.
+    pub number: u64,
+    pub heard_ms_ago: u64,
+    pub connected: bool,
+    /// It was away for so long that the floor does not wait for it any more.
+    pub missing: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Readers {
+    all: BTreeMap<String, Reader>,
+    missed: Ns,
+    forgotten: Ns,
+    floor: u64,
+    /// When the floor came to which number, Unix ms: the newest last.
+    passed: VecDeque<(u64, u64)>,
+    most_passed: usize,
+}
+
+impl Readers {
+    /// `missed`: one that is away for longer holds the floor no more. `forgotten`: nor is it known any more.
+    pub fn new(missed: Ns, forgotten: Ns, most_passed: usize) -> Readers {
+        let passed = VecDeque::new();
+        Readers { all: BTreeMap::new(), missed, forgotten, floor: 0, passed, most_passed }
+    }
+
+    /// A call with this number: what is in force there. The stream that begins counts until `went`.
+    pub fn comes(&mut self, now: Ns, name: &str, number: u64) {
+        let streams = self.all.get(name).map_or(0, |r| r.streams) + 1;
+        self.all.insert(name.to_owned(), Reader { number, heard: now, streams });
+    }
+
+    /// A word without a stream: a voter's answer.
+    pub fn says(&mut self, now: Ns, name: &str, number: u64) {
+        let streams = self.all.get(name).map_or(0, |r| r.streams);
+        self.all.insert(name.to_owned(), Reader { number, heard: now, streams });
+    }
+
+    /// A stream of it is over.
+    pub fn went(&mut self, now: Ns, name: &str) {
+        if let Some(r) = self.all.get_mut(name) {
+            r.streams = r.streams.saturating_sub(1);
+            r.heard = r.heard.max(now);
+        }
+    }
+
+    fn missing(&self, now: Ns, r: &Reader) -> bool {
+        r.streams == 0 && now.saturating_sub(r.heard) > self.missed
+    }
+
+    /// What all have that count, and this program itself up to `own`. It never falls: one that begins behind it is waited for
+    /// before it rises again.
+    pub fn floor(&mut self, now: Ns, own: u64) -> u64 {
+        let forgotten = self.forgotten;
+        self.all.retain(|_, r| r.streams > 0 || now.saturating_sub(r.heard) <= forgotten);
+        let counted = self.all.values().filter(|r| !self.missing(now, r)).map(|r| r.number);
+        let least = counted.min().map_or(own, |n| n.min(own));
+        self.floor = self.floor.max(least);
+        self.floor
+    }
+
+    /// Notes that the floor stands for all there are, at this Unix ms: the owner's is.
+    pub fn everywhere(&mut self, unix: u64) {
+        if self.floor > 0 && self.passed.back().is_none_or(|(n, _)| *n < self.floor) {
+            if self.passed.len() >= self.most_passed {
+                self.passed.pop_front();
+            }
+            self.passed.push_back((self.floor, unix));
+        }
+    }
+
+    /// Numbers in force everywhere, each with since when (Unix ms), as far back as is kept.
+    pub fn passed(&self) -> Vec<(u64, u64)> {
+        self.passed.iter().copied().collect()
+    }
+
+    pub fn views(&self, now: Ns) -> Vec<View> {
+        let view = |(name, r): (&String, &Reader)| View {
+            name: name.clone(),
+            number: r.number,
+            heard_ms_ago: now.saturating_sub(r.heard) / 1_000_000,
+            connected: r.streams > 0,
+            missing: self.missing(now, r),
+        };
+        self.all.iter().map(view).collect()
+    }
+
+    /// How many read here now.
+    pub fn connected(&self) -> usize {
+        self.all.values().filter(|r| r.streams > 0).count()
+    }
+}
+
+/// A reader as all relays together know it: where it was heard last.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Merged {
+    pub name: String,
+    pub number: u64,
+    pub heard_unix_ms: u64,
+    pub connected: bool,
+    pub relay: String,
+}
+
+/// What several relays know together.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Whole {
+    /// By name.
+    pub readers: Vec<Merged>,
+    /// Numbers in force at all that counted, each with since when (Unix ms), by number.
+    pub passed: Vec<(u64, u64)>,
+    /// The highest number told anywhere.
+    pub last: u64,
+}
+
+/// Where a number is in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InForce {
+    pub number: u64,
+    /// Since this Unix ms, at the latest, at all that counted then; none: not yet, or too long ago to be known.
+    pub since_unix_ms: Option<u64>,
+    /// Who has a lower number, each with when it was heard last: those that did not count among them.
+    pub missing: Vec<Merged>,
+}
+
+/// Each reader by its name, as the relay knows it that heard it last. What a relay says of itself counts, not what others heard
+/// of it.
+pub fn merge(all: &[Status]) -> Whole {
+    let mut readers: BTreeMap<String, Merged> = BTreeMap::new();
+    for s in all {
+        let (name, relay) = (s.name.clone(), s.name.clone());
+        let own = Merged { name, number: s.last, heard_unix_ms: s.unix_ms, connected: true, relay };
+        readers.insert(s.name.clone(), own);
+    }
+    for s in all {
+        for v in s.readers.iter().filter(|v| all.iter().all(|o| o.name != v.name)) {
+            let one = Merged {
+                name: v.name.clone(),
+                number: v.number,
+                heard_unix_ms: s.unix_ms.saturating_sub(v.heard_ms_ago),
+                connected: v.connected,
+                relay: s.name.clone(),
+            };
+            let of = |m: &Merged| (m.heard_unix_ms, m.number);
+            if readers.get(&v.name).is_none_or(|known| of(&one) > of(known)) {
+                readers.insert(v.name.clone(), one);
+            }
+        }
+    }
+    let mut passed: BTreeMap<u64, u64> = BTreeMap::new();
+    for (n, unix) in all.iter().flat_map(|s| &s.passed) {
+        let since = passed.entry(*n).or_insert(*unix);
+        *since = (*since).min(*unix);
+    }
+    let last = all.iter().map(|s| s.last).max().unwrap_or(0);
+    Whole { readers: readers.into_values().collect(), passed: passed.into_iter().collect(), last }
+}
+
+impl Whole {
+    pub fn in_force(&self, number: u64) -> InForce {
+        let since = self.passed.iter().filter(|(n, _)| *n >= number).map(|(_, unix)| *unix).min();
+        let missing = self.readers.iter().filter(|r| r.number < number).cloned().collect();
+        InForce { number, since_unix_ms: since, missing }
+    }
+}
