The relay as a process: sablecross relay run, show, publish

Cause: nothing stood between one source of events and thousands of directors. The command line runs a relay, shows the tier, publishes events under a mark.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod hierarchy;
 mod lab;
+mod relay;
 
 use std::process::ExitCode;
 
@@ -27,6 +28,9 @@
     Duty(duty::Command),
     /// A trial of a fleet on loopback: hundreds of directors, faults between them, how even the load stays.
     FleetTrial(fleet::Arguments),
+    /// Relays between one source of events and the directors: run, show, publish.
+    #[command(subcommand)]
+    Relay(relay::Command),
     /// A small installation on loopback: real directors, stand-in nodes, load, a report.
     #[command(subcommand)]
     Lab(lab::Command),
@@ -48,6 +52,7 @@
         }
         Command::FleetTrial(arguments) => fleet::run(&arguments),
         Command::Lab(command) => lab::run(&command),
+        Command::Relay(command) => relay::run(&command),
     };
     match done {
         Ok(Verdict::Well) => ExitCode::SUCCESS,
