--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod hierarchy;
 mod lab;
+mod relay;
 mod scale;
 mod trial;
 
@@ -31,6 +32,9 @@
     FleetTrial(fleet::Arguments),
     /// A trial of control at full size: thousands of hollow directors, real ones beside them, relays, faults.
     Scale(scale::Arguments),
+    /// Relays between one source of events and the directors: run, show, publish.
+    #[command(subcommand)]
+    Relay(relay::Command),
     /// A small installation on loopback: real directors, stand-in nodes, load, a report.
     #[command(subcommand)]
     Lab(lab::Command),
@@ -62,6 +66,7 @@
         Command::Scale(arguments) => scale::run(&arguments),
         Command::FleetTrial(arguments) => fleet::run(&arguments),
         Command::Lab(command) => lab::run(&command),
+        Command::Relay(command) => relay::run(&command),
     };
     match done {
         Ok(Verdict::Well) => ExitCode::SUCCESS,
--- a/crates/lab/src/scale/tier.rs
+++ b/crates/lab/src/scale/tier.rs
@@ -32,7 +32,7 @@
 
 impl Relay {
     fn spawn(program: Program, file: &Path, log: &Path) -> Result<Process, Failed> {
-        let mut command = program(&["relay", "run"]);
+        let mut command = program(&["relay", "run", "--with-parent"]);
         command.arg(file).stdout(Stdio::null());
         Process::start(&mut command, log, "a relay")
     }
