--- a/crates/relay/src/group.rs
+++ b/crates/relay/src/group.rs
@@ -1,12 +1,22 @@
 //! The group of voters: one of them at a time takes events in and numbers them; what a majority keeps is told.
+//!
+//! Owners come and go by `sablecross_duty`; the log is kept as Raft keeps its own (Ongaro, Ousterhout 2014), with tokens for
+//! terms: a new owner shuts out older ones at a majority, goes on from the furthest log there, and tells nothing before an
+//! entry of its own is kept by a majority.
+//!
+//! Voters have no disk. One that begins anew has forgotten what it promised and kept: it answers neither reads nor keeps until a
+//! majority of others have said what they hold. What it said in its earlier life must not be counted beside what others say
+//! after they told it: all answers carry the latest lives that the speaker knows, and one of an earlier life drops out (crash
+//! vectors: Michael, Ports, Sharma, Szekeres 2017). When no majority remembers, the log begins anew past every number that may
+//! have been told (`era`).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-use sablecross_duty::{Ask, Member, Ns, Reply as Said, Rules as SeatRules, Token};
+use sablecross_duty::{Act, Ask, Gate, Member, Ns, Reply as Said, Rules as SeatRules, Seat, Token, Voter};
 use serde::{Deserialize, Serialize};
 
-use crate::event::Event;
-use crate::log::{Base, Entry, Log};
+use crate::event::{Event, Fault, Kind};
+use crate::log::{Base, Entry, LONGEST_MARK, Log};
 use crate::relay::{Do, Refusal, Status};
 use crate::upstream::Freshness;
 
@@ -20,6 +30,8 @@
     pub patience: Ns,
     /// The owner speaks to each voter at least this often.
     pub beat: Ns,
+    /// And at most so often, so that events gather: 0 is at once.
+    pub gather: Ns,
     /// Most bytes of entries in one call.
     pub most_call: usize,
     /// Voters that all, or most, began anew go on with what is left once all have spoken, or a majority after this time.
@@ -118,9 +130,14 @@
     /// Kept up to this number; all that count here have the floor in force.
     Kept {
         by: Token,
+        era: u64,
         upto: u64,
         floor: u64,
     },
+    /// It began anew when too few remembered, and keeps nothing but a log that begins anew as well.
+    Unsure {
+        by: Token,
+    },
     /// What is before that is not as the owner has it: what it has in common ends here at the latest.
     Has {
         by: Token,
@@ -131,81 +148,839 @@
     Old(Token),
 }
 
+/// What a voter that begins anew has heard: of which life, the newest token, whether that one is sure, what it holds.
+type Heard = BTreeMap<u32, (u64, Token, bool, Held)>;
+
+#[derive(Debug)]
+struct Learning {
+    since: Ns,
+    next: Ns,
+    heard: Heard,
+    /// Too few remembered: it speaks, says so, and goes on asking.
+    unsure: bool,
+}
+
+/// How far a voter is, as the owner knows it.
+#[derive(Clone, Debug, Default)]
+struct Progress {
+    life: u64,
+    matched: Option<u64>,
+    /// The next entry for it; none: the base first.
+    next: Option<u64>,
+    told: u64,
+    out: Option<u64>,
+    spoken: Option<Ns>,
+    unsure: bool,
+}
+
+#[derive(Debug)]
+enum Phase {
+    Reads { since: Ns, next: Ns, heard: Heard },
+    Feeds,
+}
+
+/// The owner's part.
+#[derive(Debug)]
+struct Post {
+    token: Token,
+    phase: Phase,
+    progress: Vec<Progress>,
+    /// Publishers that wait for a number to be kept.
+    tickets: BTreeMap<u64, Vec<u64>>,
+    begun: bool,
+}
+
+#[derive(Debug)]
+struct Uncommitted {
+    by: Token,
+    event: Event,
+    mark: Option<String>,
+}
+
 #[derive(Debug)]
 pub struct Group {
+    place: u32,
     rules: Rules,
+    voter: Voter,
+    seat: Seat,
+    gate: Gate,
+    /// What may be told.
     log: Log,
-    _place: u32,
-    _me: Member,
-    _waits: BTreeMap<u64, u64>,
+    /// What is kept after that, and may be cut still.
+    tail: VecDeque<Uncommitted>,
+    tail_bytes: usize,
+    era: u64,
+    /// The number that this era began with: nothing of it is told before a majority keeps what follows.
+    began: u64,
+    /// By whom this era was confirmed last.
+    era_by: Token,
+    sure: bool,
+    learning: Option<Learning>,
+    /// The latest life of each that is known.
+    lives: Vec<u64>,
+    fresh: Freshness,
+    post: Option<Post>,
+    next_call: u64,
+    /// The highest number that a reader here called with.
+    highest: u64,
+    acts: Vec<Do>,
 }
 
 impl Group {
-    pub fn new(me: Member, place: u32, rules: Rules, log: Log, _chance: u64, _now: Ns) -> Group {
-        Group { rules, log, _place: place, _me: me, _waits: BTreeMap::new() }
+    pub fn new(me: Member, place: u32, rules: Rules, log: Log, chance: u64, now: Ns) -> Group {
+        let voters = rules.names.len();
+        let mut lives = vec![0; voters];
+        if let Some(own) = lives.get_mut(place as usize) {
+            *own = me.life;
+        }
+        let alone = voters <= 1;
+        let learns = !alone && rules.defences.learning;
+        let learning = learns.then(|| Learning { since: now, next: now, heard: Heard::new(), unsure: false });
+        Group {
+            place,
+            voter: Voter::begin(now, rules.seat.lease),
+            seat: Seat::new(me, place, rules.seat, chance, now),
+            gate: Gate::default(),
+            log,
+            tail: VecDeque::new(),
+            tail_bytes: 0,
+            era: 0,
+            began: 0,
+            era_by: Token::default(),
+            sure: !alone && !rules.defences.learning,
+            learning,
+            lives,
+            fresh: Freshness::never(),
+            post: None,
+            next_call: 0,
+            highest: 0,
+            acts: Vec::new(),
+            rules,
+        }
     }
 
     pub fn log(&self) -> &Log {
         &self.log
     }
 
-    pub fn log_mut(&mut self) -> &mut Log {
-        &mut self.log
+    /// As `Log::after`, of what may be told.
+    pub fn after(&mut self, cursor: u64, most: usize, out: &mut Vec<u8>) -> u64 {
+        if self.log.last() <= self.began { cursor } else { self.log.after(cursor, most, out) }
+    }
+
+    /// A reader called with this number.
+    pub fn heard_of(&mut self, number: u64) {
+        // Past this no JSON number is exact: it is none of ours.
+        if number < 1 << 53 {
+            self.highest = self.highest.max(number);
+        }
     }
 
     /// The token under which it is the source now.
-    pub fn token(&self, _now: Ns) -> Option<Token> {
-        None
+    pub fn token(&self, now: Ns) -> Option<Token> {
+        let feeds = self.post.as_ref().is_some_and(|p| matches!(p.phase, Phase::Feeds));
+        self.seat.token(now).filter(|_| feeds)
     }
 
     /// The owner that was heard of last.
-    pub fn owner(&self, _now: Ns) -> Option<Member> {
-        None
+    pub fn owner(&self, now: Ns) -> Option<Member> {
+        let own = self.seat.token(now).map(|t| t.owner);
+        own.or_else(|| self.voter.owner(now).map(|(m, _)| m))
+    }
+
+    pub fn fresh(&self, now: Ns) -> Freshness {
+        let mut fresh = self.fresh;
+        if let Some(token) = self.token(now) {
+            fresh.heard(now, 0, Some(token));
+        }
+        fresh
+    }
+
+    /// The last number that is kept here, told or not, and the token of its owner.
+    fn last(&self) -> (u64, Token) {
+        let by = self.tail.back().map_or(self.log.by(), |u| u.by);
+        (self.log.last() + self.tail.len() as u64, by)
     }
 
+    /// It has not heard enough yet to speak of the log.
+    fn silent(&self) -> bool {
+        self.learning.as_ref().is_some_and(|l| !l.unsure)
+    }
+
+    fn voters(&self) -> u32 {
+        self.rules.names.len() as u32
+    }
+
+    fn others(&self) -> impl Iterator<Item = u32> + use<> {
+        let me = self.place;
+        (0..self.voters()).filter(move |v| *v != me)
+    }
+
+    fn majority(&self, of: usize) -> bool {
+        of * 2 > self.rules.names.len()
+    }
+
+    fn life(&self, voter: u32) -> u64 {
+        self.lives.get(voter as usize).copied().unwrap_or(0)
+    }
+
+    /// Whether what was said in this life counts beside all else that is known.
+    fn counts(&self, voter: u32, life: u64) -> bool {
+        !self.rules.defences.lives || life == self.life(voter)
+    }
+
+    fn note(&mut self, line: String) {
+        self.acts.push(Do::Note(line));
+    }
+
+    fn call(&mut self, voter: u32, call: Call) -> u64 {
+        self.next_call += 1;
+        let request = Request { from: self.place, lives: self.lives.clone(), call };
+        self.acts.push(Do::Call { voter, number: self.next_call, request });
+        self.next_call
+    }
+
+    /// Lives that another knows of. Its own must be the latest: one whose clock was set back counts on past what is known.
+    fn lives(&mut self, now: Ns, lives: &[u64]) {
+        for (voter, life) in lives.iter().enumerate().take(self.lives.len()) {
+            if voter != self.place as usize {
+                self.lives[voter] = self.lives[voter].max(*life);
+            } else if *life > self.lives[voter]
+                && let Some(l) = &mut self.learning
+            {
+                self.lives[voter] = life + 1;
+                (l.next, l.heard) = (now, Heard::new());
+            }
+        }
+    }
+
+    // Time.
+
     pub fn next(&self) -> Ns {
-        self.rules.beat
+        let learning = self.learning.as_ref().map_or(Ns::MAX, |l| l.next);
+        let post = match &self.post {
+            None => Ns::MAX,
+            Some(Post { phase: Phase::Reads { next, .. }, .. }) => *next,
+            Some(p) => self.others().map(|v| self.due(&p.progress[v as usize])).min().unwrap_or(Ns::MAX),
+        };
+        self.seat.next().min(learning).min(post)
+    }
+
+    /// When the owner speaks to a voter next.
+    fn due(&self, p: &Progress) -> Ns {
+        let Some(spoken) = p.spoken else { return 0 };
+        let news = p.next.is_none_or(|n| n <= self.last().0) || p.told < self.log.last();
+        match (p.out.is_some(), news) {
+            (true, _) => spoken + self.rules.patience,
+            (false, true) => spoken + self.rules.gather,
+            (false, false) => spoken + self.rules.beat,
+        }
+    }
+
+    pub fn step(&mut self, now: Ns, unix: u64) -> Vec<Do> {
+        let acts = self.seat.step(now);
+        self.seated(now, acts);
+        self.learn(now, unix);
+        self.read(now, unix);
+        self.feed(now);
+        self.log.trim(unix);
+        std::mem::take(&mut self.acts)
+    }
+
+    fn seated(&mut self, now: Ns, acts: Vec<Act>) {
+        let mut acts = VecDeque::from(acts);
+        while let Some(act) = acts.pop_front() {
+            match act {
+                Act::Tell(voter, ask) if voter == self.place => {
+                    if let Some(said) = self.voter.hear(now, ask) {
+                        acts.extend(self.seat.hear(now, voter, said));
+                    }
+                }
+                Act::Tell(voter, ask) => {
+                    self.call(voter, Call::Duty(ask));
+                }
+                Act::Begins(token) => {
+                    if let Err(old) = self.pass(token) {
+                        acts.extend(self.seat.refused(now, old.term));
+                        continue;
+                    }
+                    let phase = Phase::Reads { since: now, next: now, heard: Heard::new() };
+                    let progress = vec![Progress::default(); self.rules.names.len()];
+                    let tickets = BTreeMap::new();
+                    self.post = Some(Post { token, phase, progress, tickets, begun: false });
+                }
+                Act::Ends { .. } => self.ends(),
+            }
+        }
     }
 
-    pub fn fresh(&self, _now: Ns) -> Freshness {
-        Freshness::never()
+    fn ends(&mut self) {
+        let Some(post) = self.post.take() else { return };
+        for ticket in post.tickets.into_values().flatten() {
+            self.acts.push(Do::Published { ticket, result: Err(Refusal::Ended) });
+        }
+        if post.begun {
+            self.acts.push(Do::Ends(post.token));
+        }
     }
 
-    pub fn step(&mut self, _now: Ns, _unix: u64) -> Vec<Do> {
-        Vec::new()
+    /// Another owner is newer.
+    fn refused(&mut self, now: Ns, newer: Token) {
+        self.voter.learn(newer.term);
+        let acts = self.seat.refused(now, newer.term);
+        self.seated(now, acts);
+        self.ends();
     }
 
-    pub fn called(&mut self, _now: Ns, _unix: u64, _request: Request, _floor: u64) -> (Reply, Vec<Do>) {
-        (Reply::default(), Vec::new())
+    fn pass(&mut self, token: Token) -> Result<(), Token> {
+        let passed = self.gate.pass(token).map_err(|old| old.highest);
+        self.voter.learn(self.gate.highest().term);
+        if self.rules.defences.gate { passed } else { Ok(()) }
     }
 
-    /// With the name and the floor of the voter, where it said so.
+    // Beginning anew.
+
+    fn learn(&mut self, now: Ns, unix: u64) {
+        let patience = self.rules.patience;
+        let Some(l) = self.learning.as_mut().filter(|l| now >= l.next) else { return };
+        l.next = now + patience;
+        for voter in self.others() {
+            self.call(voter, Call::Learn);
+        }
+        self.learnt(now, unix);
+    }
+
+    /// Whether it has heard enough: a majority of others that are sure, or else what there is.
+    fn learnt(&mut self, now: Ns, unix: u64) {
+        let Some(l) = &self.learning else { return };
+        let heard: Vec<_> = l.heard.iter().filter(|(v, (life, ..))| self.counts(**v, *life)).collect();
+        let sure = self.majority(heard.iter().filter(|(_, h)| h.2).count());
+        let all = heard.len() + 1 == self.rules.names.len();
+        let waited = now.saturating_sub(l.since) >= self.rules.anew_after;
+        let some = !l.unsure && (all || waited && self.majority(heard.len() + 1));
+        if !sure && !some {
+            return;
+        }
+        let promised = heard.iter().map(|(_, h)| h.1).max().unwrap_or_default();
+        let heard: Vec<Held> = heard.into_iter().map(|(_, h)| h.3.clone()).collect();
+        self.sure = sure;
+        match &mut self.learning {
+            Some(l) if !sure => l.unsure = true,
+            _ => self.learning = None,
+        }
+        if promised > self.gate.highest() {
+            self.gate = Gate::with(promised);
+            self.voter.learn(promised.term);
+        }
+        self.adopt(unix, heard);
+        let (kept, told) = (self.last().0, self.log.last());
+        let how = if sure { "from most" } else { "from what is left, as too few remember" };
+        self.note(format!("begun anew: learnt {how}: {told} told, {kept} kept"));
+    }
+
+    /// The furthest of these logs and its own.
+    fn adopt(&mut self, unix: u64, all: Vec<Held>) {
+        let rank = |h: &Held| (h.era, h.last.1, h.last.0);
+        let own = (self.era, self.last().1, self.last().0);
+        let best = all.iter().max_by_key(|h| rank(h)).cloned().filter(|h| rank(h) > own);
+        let era = best.as_ref().map_or(self.era, |b| b.era);
+        let committed = all.iter().filter(|h| h.era == era).map(|h| h.committed).max().unwrap_or(0);
+        if let Some(held) = best {
+            if let Some(base) = held.base.filter(|b| held.era != self.era || b.number > self.log.last()) {
+                if held.era != self.era {
+                    self.began = base.number;
+                }
+                self.log = Log::with(self.log.horizon(), base);
+            }
+            self.era = held.era;
+            self.cut(0);
+            let told = self.log.last();
+            for entry in held.entries.iter().filter(|e| e.number > told) {
+                if let Err(e) = self.append(entry) {
+                    self.note(format!("entry {} that was read is refused: {e}", entry.number));
+                    break;
+                }
+            }
+        }
+        self.commit(unix, committed);
+    }
+
+    // What is kept.
+
+    /// Keeps so many of the tail.
+    fn cut(&mut self, keep: usize) {
+        for u in self.tail.drain(keep.min(self.tail.len())..) {
+            self.tail_bytes -= u.event.body().len();
+        }
+    }
+
+    fn append(&mut self, entry: &Entry) -> Result<(), Fault> {
+        let (_, event) = Event::read(entry.body.as_bytes(), usize::MAX)?;
+        self.tail_bytes += event.body().len();
+        self.tail.push_back(Uncommitted { by: entry.by, event, mark: entry.mark.clone() });
+        Ok(())
+    }
+
+    /// What is kept up to this number may be told from here on.
+    fn commit(&mut self, unix: u64, upto: u64) {
+        while self.log.last() < upto {
+            let Some(u) = self.tail.pop_front() else { break };
+            self.tail_bytes -= u.event.body().len();
+            let number = self.log.push(&u.event, u.by, u.mark.as_deref(), unix);
+            let own = self.post.as_mut().filter(|p| p.token == u.by);
+            for ticket in own.and_then(|p| p.tickets.remove(&number)).unwrap_or_default() {
+                self.acts.push(Do::Published { ticket, result: Ok(number) });
+            }
+        }
+    }
+
+    fn entries(&self, after: u64, most: usize) -> Vec<Entry> {
+        let mut entries = self.log.entries(after, most);
+        let mut bytes: usize = entries.iter().map(|e| e.body.len()).sum();
+        if entries.last().map_or(after.max(self.log.base().number), |e| e.number) < self.log.last() {
+            return entries;
+        }
+        let first = self.log.last() + 1;
+        for (i, u) in self.tail.iter().enumerate().filter(|(i, _)| first + *i as u64 > after) {
+            bytes += u.event.body().len();
+            if bytes > most && !entries.is_empty() {
+                break;
+            }
+            let (number, body) = (first + i as u64, u.event.body().to_owned());
+            entries.push(Entry { number, by: u.by, body, mark: u.mark.clone() });
+        }
+        entries
+    }
+
+    /// What it holds after this number of this era; of another one, all.
+    fn held(&self, after: Option<(u64, u64)>) -> Held {
+        let from = after.filter(|(era, n)| *era == self.era && *n >= self.log.base().number);
+        let base = from.is_none().then(|| self.log.base().clone());
+        let entries = self.entries(from.map_or(0, |(_, n)| n), usize::MAX);
+        Held { era: self.era, last: self.last(), committed: self.log.last(), base, entries }
+    }
+
+    /// The token of a number that is kept.
+    fn by(&self, number: u64) -> Option<Token> {
+        let in_tail = number.checked_sub(self.log.last() + 1);
+        match in_tail {
+            Some(i) => self.tail.get(usize::try_from(i).ok()?).map(|u| u.by),
+            None => self.log.by_of(number),
+        }
+    }
+
+    // Calls.
+
+    /// What it answers another voter. `floor`: what all that read here have in force.
+    pub fn called(&mut self, now: Ns, unix: u64, request: Request, floor: u64) -> (Reply, Vec<Do>) {
+        if request.from >= self.voters() || request.from == self.place {
+            return (Reply::default(), Vec::new());
+        }
+        self.lives(now, &request.lives);
+        let answer = self.answer(now, unix, request.call, floor);
+        (Reply { lives: self.lives.clone(), answer }, std::mem::take(&mut self.acts))
+    }
+
+    fn answer(&mut self, now: Ns, unix: u64, call: Call, floor: u64) -> Answer {
+        match call {
+            Call::Duty(ask) => self.voter.hear(now, ask).map_or(Answer::Nothing, Answer::Duty),
+            Call::Learn => {
+                Answer::Learnt { promised: self.gate.highest(), sure: self.sure, held: self.held(None) }
+            }
+            _ if self.silent() => Answer::Nothing,
+            Call::Read { by, era, after } => match self.let_in(now, by) {
+                Err(newer) => Answer::Old(newer),
+                Ok(()) => Answer::Held { by, sure: self.sure, held: self.held(Some((era, after))) },
+            },
+            Call::Keep { by, .. } if self.let_in(now, by).is_err() => Answer::Old(self.gate.highest()),
+            Call::Keep { by, era, previous, base, entries, committed } => {
+                if !self.install(by, era, base) {
+                    return if self.sure {
+                        Answer::Has { by, era: self.era, committed: self.log.last() }
+                    } else {
+                        Answer::Unsure { by }
+                    };
+                }
+                self.fresh.heard(now, 0, Some(by));
+                match self.keep(by, previous, &entries) {
+                    None => Answer::Has { by, era: self.era, committed: self.log.last() },
+                    Some(upto) => {
+                        self.commit(unix, committed.min(upto));
+                        Answer::Kept { by, era, upto, floor: floor.min(self.log.last()) }
+                    }
+                }
+            }
+        }
+    }
+
+    /// An owner's token at the gate; if it is newer than its own, its own is over.
+    fn let_in(&mut self, now: Ns, by: Token) -> Result<(), Token> {
+        self.pass(by)?;
+        if self.rules.defences.gate && self.post.as_ref().is_some_and(|p| p.token != by) {
+            self.refused(now, by);
+        }
+        Ok(())
+    }
+
+    /// Whether its log is of the owner's era, after it took the base if that is one or further on.
+    fn install(&mut self, by: Token, era: u64, base: Option<Base>) -> bool {
+        if era != self.era {
+            // A late call of the same owner from before it began anew changes nothing.
+            let later = (by, era) > (self.era_by, self.era);
+            let Some(base) = base.filter(|_| later) else { return false };
+            self.cut(0);
+            self.began = base.number;
+            self.log = Log::with(self.log.horizon(), base);
+            (self.sure, self.learning) = (true, None);
+            self.note(format!("the log begins anew, era {era}: {} is the first number", self.log.last()));
+        } else if !self.sure {
+            return false;
+        } else if let Some(base) = base.filter(|b| b.number > self.log.last()) {
+            // What it kept behind the base stays, if it is the same log: it may have been counted.
+            let same = self.by(base.number) == Some(base.by);
+            let drop = usize::try_from(base.number - self.log.last()).unwrap_or(usize::MAX);
+            if same {
+                for u in self.tail.drain(..drop.min(self.tail.len())) {
+                    self.tail_bytes -= u.event.body().len();
+                }
+            } else {
+                self.cut(0);
+            }
+            self.log = Log::with(self.log.horizon(), base);
+        }
+        (self.era, self.era_by) = (era, by.max(self.era_by));
+        true
+    }
+
+    /// Keeps entries behind the previous one. Up to which number its log is now the owner's; none: the previous is another.
+    fn keep(&mut self, by: Token, previous: (u64, Token), entries: &[Entry]) -> Option<u64> {
+        let told = self.log.last();
+        let matches = previous.0 <= told || self.by(previous.0) == Some(previous.1);
+        if !matches && self.rules.defences.previous {
+            return None;
+        }
+        let mut upto = previous.0;
+        for entry in entries {
+            if entry.number != upto + 1 {
+                break;
+            }
+            upto = entry.number;
+            if entry.number <= told || self.by(entry.number) == Some(entry.by) {
+                continue;
+            }
+            // Another owner's, which no majority kept.
+            self.cut(usize::try_from(entry.number - told - 1).unwrap_or(usize::MAX));
+            if let Err(e) = self.append(entry) {
+                self.note(format!("entry {upto} of the owner of term {} is refused: {e}", by.term));
+                return Some(upto - 1);
+            }
+        }
+        Some(upto)
+    }
+
+    /// What came back of a call; the name and the floor of the voter, where it said so.
     pub fn answered(
         &mut self,
-        _now: Ns,
-        _unix: u64,
-        _voter: u32,
-        _number: u64,
-        _reply: Reply,
+        now: Ns,
+        unix: u64,
+        voter: u32,
+        number: u64,
+        reply: Reply,
     ) -> (Option<(String, u64)>, Vec<Do>) {
-        (None, Vec::new())
+        if voter >= self.voters() || voter == self.place {
+            return (None, Vec::new());
+        }
+        self.lives(now, &reply.lives);
+        let life = reply.lives.get(voter as usize).copied().unwrap_or(0);
+        if let Some(p) = self.post.as_mut().and_then(|p| p.progress.get_mut(voter as usize))
+            && p.out == Some(number)
+        {
+            p.out = None;
+        }
+        let floor = self.heard(now, unix, voter, life, reply.answer);
+        let name = self.rules.names.get(voter as usize).cloned();
+        (name.zip(floor), std::mem::take(&mut self.acts))
     }
 
+    fn heard(&mut self, now: Ns, unix: u64, voter: u32, life: u64, answer: Answer) -> Option<u64> {
+        let token = self.post.as_ref().map(|p| p.token);
+        match answer {
+            Answer::Nothing => {}
+            Answer::Duty(said) => {
+                let acts = self.seat.hear(now, voter, said);
+                self.seated(now, acts);
+                self.read(now, unix);
+            }
+            Answer::Learnt { promised, sure, held } => {
+                if let Some(l) = &mut self.learning {
+                    l.heard.insert(voter, (life, promised, sure, held));
+                    self.learnt(now, unix);
+                    self.read(now, unix);
+                }
+            }
+            Answer::Held { by, sure, held } if token == Some(by) => {
+                if let Some(Post { phase: Phase::Reads { heard, .. }, .. }) = &mut self.post {
+                    heard.insert(voter, (life, by, sure, held));
+                    self.enough(now, unix);
+                }
+            }
+            Answer::Kept { by, era, upto, floor } if token == Some(by) && era == self.era => {
+                if !self.counts(voter, life) {
+                    return None;
+                }
+                let p = self.post.as_mut()?.progress.get_mut(voter as usize)?;
+                if p.life != life {
+                    *p = Progress { life, out: p.out, spoken: p.spoken, ..Progress::default() };
+                }
+                p.matched = p.matched.max(Some(upto));
+                p.next = p.next.max(Some(upto + 1));
+                p.unsure = false;
+                self.most_keep(unix);
+                self.feed(now);
+                return Some(floor);
+            }
+            Answer::Has { by, era, committed } if token == Some(by) => {
+                let same = era == self.era && committed >= self.log.base().number;
+                let p = self.post.as_mut()?.progress.get_mut(voter as usize)?;
+                p.next = same.then_some(committed + 1);
+                self.feed(now);
+            }
+            Answer::Unsure { by } if token == Some(by) => self.unsure(now, voter),
+            Answer::Old(newer) if token.is_some_and(|t| t != newer && newer.term >= t.term) => {
+                self.refused(now, newer);
+            }
+            _ => {}
+        }
+        None
+    }
+
+    /// A voter keeps nothing but a log that begins anew. If no majority is left without such voters, the owner reads again.
+    fn unsure(&mut self, now: Ns, voter: u32) {
+        let Some(post) = self.post.as_mut() else { return };
+        if let Some(p) = post.progress.get_mut(voter as usize) {
+            p.unsure = true;
+        }
+        let left = post.progress.iter().filter(|p| !p.unsure).count();
+        if matches!(post.phase, Phase::Feeds) && left * 2 <= post.progress.len() {
+            post.phase = Phase::Reads { since: now, next: now, heard: Heard::new() };
+        }
+    }
+
+    // The owner.
+
+    /// Asks those whom it has not heard.
+    fn read(&mut self, now: Ns, unix: u64) {
+        let patience = self.rules.patience;
+        let (era, after) = (self.era, self.log.last());
+        let Some(Post { token, phase: Phase::Reads { next, heard, .. }, .. }) = &mut self.post else {
+            return;
+        };
+        if now < *next {
+            return;
+        }
+        *next = now + patience;
+        let (by, heard): (Token, Vec<u32>) = (*token, heard.keys().copied().collect());
+        for voter in self.others().filter(|v| !heard.contains(v)) {
+            self.call(voter, Call::Read { by, era, after });
+        }
+        self.enough(now, unix);
+    }
+
+    /// Goes on once a majority that forgot nothing has spoken; else with what is left, once all have, or most for long.
+    fn enough(&mut self, now: Ns, unix: u64) {
+        let Some(Post { phase: Phase::Reads { since, heard, .. }, token, .. }) = &self.post else { return };
+        if self.silent() {
+            return;
+        }
+        let token = *token;
+        let own = (self.life(self.place), token, self.sure, self.held(None));
+        let waited = now.saturating_sub(*since) >= self.rules.anew_after;
+        let mut heard: Vec<_> = heard.iter().filter(|(v, h)| self.counts(**v, h.0)).map(|(_, h)| h).collect();
+        heard.push(&own);
+        let sure = self.majority(heard.iter().filter(|h| h.2).count());
+        let all = heard.len() == self.rules.names.len();
+        if !sure && !all && !(waited && self.majority(heard.len())) {
+            return;
+        }
+        let heard: Vec<Held> = heard.into_iter().map(|h| h.3.clone()).collect();
+        self.adopt(unix, heard);
+        self.era_by = token;
+        if !sure {
+            self.anew(unix, token);
+        } else {
+            let event = Event::nothing();
+            self.tail_bytes += event.body().len();
+            self.tail.push_back(Uncommitted { by: token, event, mark: None });
+        }
+        let next = sure.then_some(self.last().0);
+        let Some(post) = &mut self.post else { return };
+        post.phase = Phase::Feeds;
+        for p in &mut post.progress {
+            *p = Progress { next, ..Progress::default() };
+        }
+        if !post.begun {
+            post.begun = true;
+            self.acts.push(Do::Begins(token));
+        }
+        self.most_keep(unix);
+        self.feed(now);
+    }
+
+    /// The log begins anew: the list and the purges that bind as far as they are left, under numbers that nobody was told yet.
+    fn anew(&mut self, unix: u64, by: Token) {
+        let waiting = self.post.as_mut().map(|p| std::mem::take(&mut p.tickets)).unwrap_or_default();
+        for ticket in waiting.into_values().flatten() {
+            self.acts.push(Do::Published { ticket, result: Err(Refusal::Ended) });
+        }
+        let last = self.last().0;
+        self.commit(unix, last);
+        let purges = self.log.binding(unix);
+        let number = (last + 1).max(unix).max(self.highest + 1).max(2);
+        let base = Base { by, ..self.log.folded(number) };
+        let listed = base.listed;
+        self.log = Log::with(self.log.horizon(), base);
+        self.began = number;
+        self.era = unix.max(self.era + 1);
+        (self.sure, self.learning) = (true, None);
+        self.cut(0);
+        let opening = Entry { body: Event::nothing().body().to_owned(), ..Entry::default() };
+        let purges = purges.into_iter().filter(|_| listed);
+        let entries = purges.map(|(body, mark)| Entry { body, mark, ..Entry::default() });
+        for entry in [opening].into_iter().chain(entries) {
+            if let Err(e) = self.append(&Entry { by, ..entry }) {
+                self.note(format!("an entry that was left is refused: {e}"));
+            }
+        }
+        self.note(format!(
+            "too few voters remember: the log begins anew at {number}, whole list {}, {} purges that bind; \
+             publish the list and the purges that bind once more",
+            if listed { "known" } else { "unknown" },
+            self.tail.len() - 1
+        ));
+    }
+
+    /// Commits what a majority keeps, once that is an entry of its own.
+    fn most_keep(&mut self, unix: u64) {
+        let (last, by) = self.last();
+        let Some(post) = &self.post else { return };
+        if !matches!(post.phase, Phase::Feeds) {
+            return;
+        }
+        let others = self.others().filter_map(|v| {
+            let p = post.progress.get(v as usize)?;
+            p.matched.filter(|_| self.counts(v, p.life))
+        });
+        let mut kept: Vec<u64> = others.chain([last]).collect();
+        kept.sort_unstable_by(|a, b| b.cmp(a));
+        let most = kept.get(self.rules.names.len() / 2).copied().unwrap_or(0).min(last);
+        let most = if self.rules.defences.majority { most } else { last };
+        let token = post.token;
+        if most > self.log.last()
+            && (self.by(most) == Some(token) || by == token && !self.rules.defences.majority)
+        {
+            self.commit(unix, most);
+        }
+    }
+
+    /// Speaks to each voter whose time has come.
+    fn feed(&mut self, now: Ns) {
+        let Some(post) = &self.post else { return };
+        if !matches!(post.phase, Phase::Feeds) {
+            return;
+        }
+        let token = post.token;
+        let due: Vec<u32> = self
+            .others()
+            .filter(|v| post.progress.get(*v as usize).is_some_and(|p| now >= self.due(p)))
+            .collect();
+        for voter in due {
+            let next = self.post.as_ref().and_then(|p| p.progress.get(voter as usize)).and_then(|p| p.next);
+            let next = next.filter(|n| *n > self.log.base().number && self.by(n - 1).is_some());
+            let base = next.is_none().then(|| self.log.base().clone());
+            let after = next.map_or(self.log.base().number, |n| n - 1);
+            let previous = (after, self.by(after).unwrap_or_default());
+            let entries = self.entries(after, self.rules.most_call);
+            let upto = after + entries.len() as u64;
+            let (era, committed) = (self.era, self.log.last());
+            let number = self.call(voter, Call::Keep { by: token, era, previous, base, entries, committed });
+            if let Some(p) = self.post.as_mut().and_then(|p| p.progress.get_mut(voter as usize)) {
+                p.out = Some(number);
+                p.spoken = Some(now);
+                p.told = committed.min(upto);
+            }
+        }
+    }
+
+    /// Takes an event in. The verdict comes as `Do::Published` once most keep it; at once if its mark was published before.
     pub fn publish(
         &mut self,
-        _now: Ns,
-        _unix: u64,
-        _ticket: u64,
-        _mark: Option<&str>,
-        _event: Event,
-        _most_log: usize,
+        now: Ns,
+        unix: u64,
+        ticket: u64,
+        mark: Option<&str>,
+        event: Event,
+        most_log: usize,
     ) -> Result<Vec<Do>, Refusal> {
-        Err(Refusal::NotOwner(None))
+        let token = self.token(now).ok_or(Refusal::NotOwner(self.owner(now)))?;
+        if let Some(long) = mark.map(str::len).filter(|l| *l > LONGEST_MARK) {
+            return Err(Refusal::Mark(long));
+        }
+        if let Some(number) = mark.and_then(|m| self.log.marked(m)) {
+            return Ok(vec![Do::Published { ticket, result: Ok(number) }]);
+        }
+        let waits = self.tail.iter().position(|u| u.mark.is_some() && u.mark.as_deref() == mark);
+        let number = match waits {
+            Some(i) => self.log.last() + 1 + i as u64,
+            None => {
+                self.may_take(unix, &event, most_log)?;
+                self.tail_bytes += event.body().len();
+                self.tail.push_back(Uncommitted { by: token, event, mark: mark.map(str::to_owned) });
+                self.last().0
+            }
+        };
+        if let Some(post) = &mut self.post {
+            post.tickets.entry(number).or_default().push(ticket);
+        }
+        self.most_keep(unix);
+        self.feed(now);
+        Ok(std::mem::take(&mut self.acts))
     }
 
-    pub fn hand_over(&mut self, _now: Ns) -> Vec<Do> {
-        Vec::new()
+    fn may_take(&self, unix: u64, event: &Event, most_log: usize) -> Result<(), Refusal> {
+        let whole = |u: &Uncommitted| u.event.kind() == Kind::Members { whole: true };
+        let listed = self.log.listed() || self.tail.iter().any(whole);
+        match event.kind() {
+            Kind::Members { whole: true } => {}
+            _ if !listed => return Err(Refusal::Unlisted),
+            Kind::Purge { at } => {
+                let ahead = self.rules.ahead / 1_000_000;
+                let by = at.saturating_sub(unix);
+                if by > ahead {
+                    return Err(Refusal::Ahead(by, ahead));
+                }
+            }
+            _ => {}
+        }
+        // Its head on the wire comes to it.
+        Ok(self.log.room(self.tail_bytes + event.body().len() + 64, most_log)?)
     }
 
-    pub fn shows(&self, _now: Ns, _status: &mut Status) {}
+    pub fn hand_over(&mut self, now: Ns) -> Vec<Do> {
+        let acts = self.seat.hand_over(now, None);
+        self.seated(now, acts);
+        std::mem::take(&mut self.acts)
+    }
+
+    pub fn shows(&self, now: Ns, status: &mut Status) {
+        let owns = self.token(now);
+        status.role = if owns.is_some() { "owner" } else { "voter" }.into();
+        if let Some(owner) = self.owner(now) {
+            status.owner = Some(owner.number);
+        }
+        status.term = owns.map_or(self.gate.highest().term, |t| t.term);
+        status.kept = self.last().0;
+        status.learning_ms = self.learning.as_ref().map(|l| now.saturating_sub(l.since) / 1_000_000);
+        status.anew_unix_ms = self.era;
+        status.refused = self.gate.refused();
+    }
 }
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::event::{Event, Fault, Kind};
+use crate::event::{Event, Kind};
 use crate::horizon::Horizon;
 
 /// Text by which a publisher knows its event again; longer ones are refused.
@@ -121,6 +121,7 @@
     horizon: Horizon,
     bytes: usize,
     base_bytes: usize,
+    listed: bool,
     /// The base as it is told, with and without its hierarchy, for the number that it was made for.
     told: Option<(u64, [Box<[u8]>; 2])>,
 }
@@ -131,16 +132,9 @@
     }
 
     pub fn with(horizon: Horizon, base: Base) -> Log {
-        let base_bytes = base.bytes();
-        Log {
-            base,
-            events: VecDeque::new(),
-            marks: BTreeMap::new(),
-            horizon,
-            bytes: 0,
-            base_bytes,
-            told: None,
-        }
+        let (base_bytes, listed) = (base.bytes(), base.listed);
+        let (events, marks) = (VecDeque::new(), BTreeMap::new());
+        Log { base, events, marks, horizon, bytes: 0, base_bytes, listed, told: None }
     }
 
     pub fn horizon(&self) -> Horizon {
@@ -161,9 +155,17 @@
         self.events.back().map_or(self.base.by, |e| e.by)
     }
 
+    /// The token of a number that it holds.
+    pub fn by_of(&self, number: u64) -> Option<Token> {
+        match number.checked_sub(self.base.number + 1) {
+            Some(i) => self.events.get(usize::try_from(i).ok()?).map(|e| e.by),
+            None => (number == self.base.number).then_some(self.base.by),
+        }
+    }
+
     /// A whole list was told.
     pub fn listed(&self) -> bool {
-        self.base.listed || self.events.iter().any(|e| e.kind == Kind::Members { whole: true })
+        self.listed
     }
 
     /// Bytes of the base and all events.
@@ -187,6 +189,7 @@
         let number = self.last() + 1;
         let frame = event.frame(number).into_boxed_slice();
         self.bytes += frame.len();
+        self.listed |= event.kind() == Kind::Members { whole: true };
         if let Some(mark) = mark {
             self.marks.insert(mark.to_owned(), number);
         }
@@ -195,18 +198,12 @@
         number
     }
 
-    /// As `push`, of an entry that was read elsewhere.
-    pub fn take(&mut self, entry: &Entry, unix: u64) -> Result<u64, Fault> {
-        let (_, event) = Event::read(entry.body.as_bytes(), usize::MAX)?;
-        Ok(self.push(&event, entry.by, entry.mark.as_deref(), unix))
-    }
-
     /// Folds what binds nobody any more into the base, at this Unix ms: as far as it is all over, and never to a hierarchy, as
     /// the number before the base's has to be free for that.
     pub fn trim(&mut self, unix: u64) {
         let over = |log: &Log, e: &Kept| match e.kind {
             // Nobody has the list, so nobody follows from here yet.
-            Kind::Members { .. } if !log.base.listed && log.base.number > 0 => true,
+            Kind::Members { whole: false } if !log.base.listed && log.base.number > 0 => true,
             Kind::Purge { at } => log.horizon.over(at.max(e.taken), unix),
             _ => log.horizon.over(e.taken, unix),
         };
@@ -241,10 +238,14 @@
     pub fn after(&mut self, cursor: u64, most: usize, out: &mut Vec<u8>) -> u64 {
         let mut cursor = cursor;
         let start = out.len();
-        if cursor < self.base.number {
-            if !self.base.listed {
+        if cursor < self.base.number && !self.base.listed {
+            // The first list that is told is a base by itself.
+            if self.events.front().is_none_or(|e| e.kind != Kind::Members { whole: true }) {
                 return cursor;
             }
+            cursor = self.base.number;
+        }
+        if cursor < self.base.number {
             let number = self.base.number;
             if self.told.as_ref().is_none_or(|(n, _)| *n != number) {
                 let made = [self.base.frames(false), self.base.frames(true)];
@@ -295,11 +296,11 @@
         Base { number, by: Token::default(), ..base }
     }
 
-    /// Purges that may bind still at this Unix ms, as bodies in their order.
-    pub fn binding(&self, unix: u64) -> Vec<String> {
+    /// Purges that may bind still at this Unix ms, as bodies with their marks, in their order.
+    pub fn binding(&self, unix: u64) -> Vec<(String, Option<String>)> {
         let binds =
             |e: &Kept| matches!(e.kind, Kind::Purge { at } if !self.horizon.over(at.max(e.taken), unix));
-        let numbered = self.events.iter().enumerate();
-        numbered.filter(|(_, e)| binds(e)).map(|(i, e)| e.body(self.base.number + 1 + i as u64)).collect()
+        let numbered = (self.base.number + 1..).zip(&self.events);
+        numbered.filter(|(_, e)| binds(e)).map(|(n, e)| (e.body(n), e.mark.clone())).collect()
     }
 }
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -12,7 +12,7 @@
 struct Reader {
     /// In force there, by its last word.
     number: u64,
-    /// Its last word, or the end of its last stream.
+    /// Its last word.
     heard: Ns,
     streams: u32,
 }
@@ -25,7 +25,7 @@
     pub number: u64,
     pub heard_ms_ago: u64,
     pub connected: bool,
-    /// It was away for so long that the floor does not wait for it any more.
+    /// It said no word for so long that the floor does not wait for it any more.
     pub missing: bool,
 }
 
@@ -41,7 +41,8 @@
 }
 
 impl Readers {
-    /// `missed`: one that is away for longer holds the floor no more. `forgotten`: nor is it known any more.
+    /// `missed`: one that said no word for longer holds the floor no more, also if its stream is open still. `forgotten`: nor
+    /// is one that is away known any more.
     pub fn new(missed: Ns, forgotten: Ns, most_passed: usize) -> Readers {
         let passed = VecDeque::new();
         Readers { all: BTreeMap::new(), missed, forgotten, floor: 0, passed, most_passed }
@@ -60,15 +61,14 @@
     }
 
     /// A stream of it is over.
-    pub fn went(&mut self, now: Ns, name: &str) {
+    pub fn went(&mut self, name: &str) {
         if let Some(r) = self.all.get_mut(name) {
             r.streams = r.streams.saturating_sub(1);
-            r.heard = r.heard.max(now);
         }
     }
 
     fn missing(&self, now: Ns, r: &Reader) -> bool {
-        r.streams == 0 && now.saturating_sub(r.heard) > self.missed
+        now.saturating_sub(r.heard) > self.missed
     }
 
     /// What all have that count, and this program itself up to `own`. It never falls: one that begins behind it is waited for
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -21,7 +21,7 @@
     pub most_event: usize,
     /// Past so many bytes of log nothing more is taken from publishers.
     pub most_log: usize,
-    /// A reader that is away for longer holds no number back.
+    /// A reader that said no word (called) for longer holds no number back.
     pub missed: Ns,
     /// And after so long it is not known any more.
     pub forgotten: Ns,
@@ -166,7 +166,8 @@
         std::mem::take(&mut self.acts)
     }
 
-    fn log(&self) -> &Log {
+    /// What may be told.
+    pub fn log(&self) -> &Log {
         match &self.part {
             Part::Voter(g) => g.log(),
             Part::Plain(p) => &p.log,
@@ -257,6 +258,11 @@
         }
     }
 
+    /// The token under which it is the source now.
+    pub fn source(&self, now: Ns) -> Option<Token> {
+        if let Part::Voter(g) = &self.part { g.token(now) } else { None }
+    }
+
     /// Gives the source up, as at a planned stop.
     pub fn hand_over(&mut self, now: Ns) {
         if let Part::Voter(g) = &mut self.part {
@@ -309,18 +315,21 @@
     /// A reader calls with this number: its stream begins with what `after` gives for it.
     pub fn comes(&mut self, now: Ns, unix: u64, name: &str, number: u64) {
         self.readers.comes(now, name, number);
+        if let Part::Voter(g) = &mut self.part {
+            g.heard_of(number);
+        }
         self.count(now, unix);
     }
 
     /// A stream of a reader is over.
-    pub fn went(&mut self, now: Ns, name: &str) {
-        self.readers.went(now, name);
+    pub fn went(&mut self, name: &str) {
+        self.readers.went(name);
     }
 
     /// As `Log::after`: what follows the cursor, appended to `out`; returns the new cursor.
     pub fn after(&mut self, cursor: u64, most: usize, out: &mut Vec<u8>) -> u64 {
         match &mut self.part {
-            Part::Voter(g) => g.log_mut().after(cursor, most, out),
+            Part::Voter(g) => g.after(cursor, most, out),
             Part::Plain(p) => p.log.after(cursor, most, out),
         }
     }
--- /dev/null
+++ b/crates/relay/tests/schedules.rs
@@ -0,0 +1,703 @@
+//! Schedules by chance: voters, plain relays, publishers and directors, with messages late, lost, doubled and out of order,
+//! links cut one way, processes stopped that wake late, and restarts without memory.
+//!
+//! `SABLECROSS_RELAY_SCHEDULES=N` plays so many.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use sablecross_relay::*;
+
+const MS: Ns = 1_000_000;
+const UNIX: u64 = 1_700_000_000_000;
+/// The Unix clock runs so much faster, so that horizons are short.
+const FAST: u64 = 20;
+const TICK: Ns = 5 * MS;
+const FAULTS_END: Ns = 7_000 * MS;
+const END: Ns = 13_000 * MS;
+
+#[derive(Clone, Debug)]
+enum Message {
+    Request(Request),
+    Reply(Reply),
+}
+
+struct Letter {
+    from: usize,
+    to: usize,
+    /// The life of the caller: what comes back to another one is lost with its connection.
+    life: u64,
+    number: u64,
+    message: Message,
+}
+
+struct Process {
+    relay: Relay,
+    life: u64,
+    offset: Ns,
+    stopped: Ns,
+    /// For plain relays: the upstream that is called, and the cursor of that stream.
+    stream: Option<(usize, u64, Ns)>,
+    told: u64,
+}
+
+#[derive(Default)]
+struct Director {
+    last: u64,
+    at: Option<(usize, u64, Ns)>,
+    gap: Option<u64>,
+    list: BTreeSet<String>,
+    heard: Ns,
+}
+
+struct Order {
+    body: String,
+    mark: String,
+    asked: Option<Ns>,
+    number: Option<u64>,
+}
+
+struct World {
+    rng: Pcg32,
+    now: Ns,
+    voters: usize,
+    rules: Rules,
+    all: Vec<Process>,
+    letters: BTreeMap<(Ns, u64), Letter>,
+    sent: u64,
+    cut: BTreeMap<(usize, usize), Ns>,
+    directors: Vec<Director>,
+    orders: Vec<Order>,
+    truth: BTreeMap<u64, String>,
+    loss: f64,
+    double: f64,
+    late: f64,
+    /// Majorities may forget too.
+    forgetful: bool,
+    lives: u64,
+    fault: Option<String>,
+    harm: bool,
+}
+
+fn settings(name: String) -> Settings {
+    Settings {
+        name,
+        horizon: Horizon { cleared: 0, slack: 0 },
+        most_event: 1 << 16,
+        most_log: 1 << 20,
+        missed: 1_000 * MS,
+        forgotten: 3_600_000 * MS,
+        most_passed: 4_096,
+    }
+}
+
+fn endpoint(name: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"10.0.0.1:1","zone":"z","type":"std","group":0,"status":"ready","since_ms":0}}"#
+    )
+}
+
+fn names(body: &str) -> Option<(bool, BTreeSet<(String, bool)>)> {
+    let (_, event) = Event::read(body.as_bytes(), usize::MAX).ok()?;
+    let (whole, all) = event.endpoints()?;
+    Some((whole, all.into_iter().map(|e| (e.name, e.gone)).collect()))
+}
+
+fn fold(list: &mut BTreeSet<String>, body: &str) {
+    let Some((whole, all)) = names(body) else { return };
+    if whole {
+        list.clear();
+    }
+    for (name, gone) in all {
+        if gone {
+            list.remove(&name);
+        } else {
+            list.insert(name);
+        }
+    }
+}
+
+impl World {
+    fn new(seed: u64, defences: Defences, forgetful: bool) -> World {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let voters = rng.random_range(3..=5usize);
+        let plain = rng.random_range(1..=2usize);
+        let seat = sablecross_duty::Rules {
+            voters: voters as u32,
+            lease: 400 * MS,
+            round: 100 * MS,
+            apart: 40 * MS,
+        };
+        let rules = Rules {
+            names: (0..voters).map(|v| format!("r{v}")).collect(),
+            seat,
+            patience: 120 * MS,
+            beat: 150 * MS,
+            gather: rng.random_range(0..=20) * MS,
+            most_call: if rng.random_bool(0.5) { 300 } else { 1 << 16 },
+            anew_after: if forgetful { 2_000 * MS } else { Ns::MAX },
+            ahead: 60_000 * MS,
+            defences,
+        };
+        let (loss, double, late) =
+            (0.2 * rng.random::<f64>(), 0.15 * rng.random::<f64>(), 0.3 * rng.random::<f64>());
+        let mut w = World {
+            now: 0,
+            voters,
+            rules,
+            all: Vec::new(),
+            letters: BTreeMap::new(),
+            sent: 0,
+            cut: BTreeMap::new(),
+            directors: (0..4).map(|_| Director::default()).collect(),
+            orders: Vec::new(),
+            truth: BTreeMap::new(),
+            loss,
+            double,
+            late,
+            forgetful,
+            lives: 0,
+            fault: None,
+            harm: true,
+            rng,
+        };
+        for place in 0..voters + plain {
+            let process = w.begin(place);
+            w.all.push(process);
+        }
+        w
+    }
+
+    fn begin(&mut self, place: usize) -> Process {
+        self.lives += 1;
+        let life = self.lives;
+        let offset = self.rng.random_range(0..1_000_000) * MS;
+        let now = self.now + offset;
+        let set = settings(format!("r{place}"));
+        let relay = if place < self.voters {
+            let me = Member { number: place as u32, life };
+            Relay::voter(set, me, place as u32, self.rules.clone(), self.rng.random(), now)
+        } else {
+            let upstream = Upstream::new(self.voters, 600 * MS, 500 * MS, 5_000 * MS, now);
+            Relay::plain(set, upstream)
+        };
+        Process { relay, life, offset, stopped: 0, stream: None, told: 0 }
+    }
+
+    fn unix(&self) -> u64 {
+        UNIX + self.now / MS * FAST
+    }
+
+    fn wrong(&mut self, what: String) {
+        if self.fault.is_none() {
+            self.fault = Some(format!("at {} ms: {what}", self.now / MS));
+        }
+    }
+
+    fn send(&mut self, letter: Letter) {
+        let cut = self.cut.get(&(letter.from, letter.to)).is_some_and(|until| self.now < *until);
+        if cut || self.harm && self.rng.random_bool(self.loss) {
+            return;
+        }
+        let many = if self.harm && self.rng.random_bool(self.double) { 2 } else { 1 };
+        for _ in 0..many {
+            let late = self.harm && self.rng.random_bool(self.late);
+            let delay = if late { self.rng.random_range(50..2_000) } else { self.rng.random_range(1..25) };
+            let Letter { from, to, life, number, .. } = letter;
+            let message = letter.message.clone();
+            self.sent += 1;
+            self.letters
+                .insert((self.now + delay * MS, self.sent), Letter { from, to, life, number, message });
+        }
+    }
+
+    fn acts(&mut self, of: usize) {
+        for act in self.all[of].relay.acts() {
+            match act {
+                Do::Call { voter, number, request } => {
+                    let (life, to) = (self.all[of].life, voter as usize);
+                    let message = Message::Request(request);
+                    self.send(Letter { from: of, to, life, number, message });
+                }
+                Do::Published { ticket, result: Ok(n) } => {
+                    let order = &mut self.orders[ticket as usize];
+                    let before = order.number.replace(n);
+                    let body = order.body.clone();
+                    if self.truth.get(&n) != Some(&body) {
+                        self.wrong(format!("answered {n}, where {:?} is and not {body}", self.truth.get(&n)));
+                    } else if before.is_some_and(|b| b != n) && !self.forgetful {
+                        self.wrong(format!("{body} has the numbers {before:?} and {n}"));
+                    }
+                }
+                Do::Published { ticket, result: Err(e) } => {
+                    self.orders[ticket as usize].asked = None;
+                    if e == Refusal::Unlisted {
+                        self.orders[0].number = None;
+                        self.orders[0].asked = None;
+                    }
+                }
+                Do::Begins(_) | Do::Ends(_) | Do::Note(_) => {}
+            }
+        }
+    }
+
+    /// What a voter may tell is what all voters may tell under that number.
+    fn committed(&mut self, of: usize) {
+        if of >= self.voters {
+            return;
+        }
+        let p = &mut self.all[of];
+        let (from, last) = (p.told, p.relay.last());
+        p.told = last;
+        if last < from {
+            self.wrong(format!("voter {of} goes back from {from} to {last}"));
+        }
+        if last == from {
+            return;
+        }
+        // A log that began anew has a base that nobody published.
+        let base = self.all[of].relay.log().base();
+        if last > base.number && !self.truth.contains_key(&base.number) {
+            let whole = || Event::whole(base.index, base.members.values().map(String::as_str));
+            let event = if base.listed { whole() } else { Event::nothing() };
+            self.truth.insert(base.number, event.body().to_owned());
+        }
+        for e in self.all[of].relay.log().entries(from, usize::MAX) {
+            let known = self.truth.entry(e.number).or_insert(e.body.clone());
+            if *known != e.body {
+                let what = format!("voter {of}: {} is {} and was {known}", e.number, e.body);
+                self.wrong(what);
+            }
+        }
+    }
+
+    fn deliver(&mut self, letter: Letter) {
+        let Letter { from, to, life, number, message } = letter;
+        let unix = self.unix();
+        let now = self.now + self.all[to].offset;
+        match message {
+            Message::Request(request) => {
+                let reply = self.all[to].relay.called(now, unix, request);
+                self.committed(to);
+                self.acts(to);
+                self.send(Letter { from: to, to: from, life, number, message: Message::Reply(reply) });
+            }
+            Message::Reply(reply) if self.all[to].life == life => {
+                self.all[to].relay.answered(now, unix, from as u32, number, reply);
+                self.committed(to);
+                self.acts(to);
+            }
+            Message::Reply(..) => {}
+        }
+    }
+
+    fn stands(&self, of: usize) -> bool {
+        self.now >= self.all[of].stopped
+    }
+
+    fn tick(&mut self) {
+        let due: Vec<(Ns, u64)> = self.letters.range(..=(self.now, u64::MAX)).map(|(k, _)| *k).collect();
+        for key in due {
+            let Some(letter) = self.letters.remove(&key) else { continue };
+            if self.stands(letter.to) {
+                self.deliver(letter);
+            } else {
+                // It is there when the process wakes, before anything else.
+                let at = self.all[letter.to].stopped;
+                self.letters.insert((at, key.1), letter);
+            }
+        }
+        for of in 0..self.all.len() {
+            let now = self.now + self.all[of].offset;
+            if self.stands(of) && (of >= self.voters || now >= self.all[of].relay.next(now)) {
+                let unix = self.unix();
+                self.all[of].relay.step(now, unix);
+                self.committed(of);
+                self.acts(of);
+            }
+        }
+    }
+
+    // Streams: bytes come whole and in order, or the stream breaks.
+
+    fn pull(&mut self, from: usize, cursor: u64, most: usize) -> (u64, Vec<(u64, String)>) {
+        let mut out = Vec::new();
+        let upto = self.all[from].relay.after(cursor, most, &mut out);
+        let text = String::from_utf8(out).expect("text");
+        let block = |b: &str| {
+            let (id, data) = b.split_once("\ndata: ").expect("two lines");
+            (id.strip_prefix("id: ").and_then(|n| n.parse().ok()).expect("a number"), data.to_owned())
+        };
+        (upto, text.split_terminator("\n\n").map(block).collect())
+    }
+
+    fn plain(&mut self, of: usize) {
+        let (now, unix) = (self.now + self.all[of].offset, self.unix());
+        let Some((at, number)) = self.all[of].relay.follows(now) else { return };
+        let name = format!("r{of}");
+        if let Some((old, _, since)) = self.all[of].stream
+            && (old != at || self.now > since + 300 * MS || !self.stands(old))
+        {
+            self.all[old].relay.went(&name);
+            self.all[of].stream = None;
+            if !self.stands(old) {
+                self.all[of].relay.failed(now);
+                return;
+            }
+        }
+        if !self.stands(at) || self.cut.get(&(at, of)).is_some_and(|until| self.now < *until) {
+            self.all[of].relay.failed(now);
+            return;
+        }
+        let theirs = self.now + self.all[at].offset;
+        if self.all[of].stream.is_none() {
+            self.all[at].relay.comes(theirs, unix, &name, number);
+            self.all[of].stream = Some((at, number, self.now));
+        }
+        let Some((_, cursor, since)) = self.all[of].stream else { return };
+        let (upto, blocks) = self.pull(at, cursor, 4_000);
+        self.all[of].stream = Some((at, upto, since));
+        let comment = self.all[at].relay.comment(theirs);
+        self.all[of].relay.commented(now, &comment);
+        for (n, data) in blocks {
+            if let Took::Again(_) = self.all[of].relay.told(now, unix, Some(n), data.as_bytes()) {
+                self.all[at].relay.went(&name);
+                self.all[of].stream = None;
+                return;
+            }
+        }
+    }
+
+    /// A director: the rules of its follower (`crates/director/src/wire/feed.rs`).
+    fn direct(&mut self, d: usize) {
+        let unix = self.unix();
+        let name = format!("d{d}");
+        if let Some((at, _, since)) = self.directors[d].at {
+            let silent = !self.stands(at) && self.now > self.directors[d].heard + 400 * MS;
+            let breaks = self.harm && self.rng.random_bool(0.01);
+            if silent || breaks || self.now > since + 300 * MS {
+                self.all[at].relay.went(&name);
+                self.directors[d].at = None;
+                if !silent && !breaks && self.stands(at) {
+                    self.call(d, at);
+                }
+            }
+        } else {
+            let at = self.rng.random_range(0..self.all.len());
+            self.call(d, at);
+        }
+        let Some((at, cursor, since)) = self.directors[d].at else { return };
+        if !self.stands(at) {
+            return;
+        }
+        let (upto, blocks) = self.pull(at, cursor, 400);
+        self.directors[d].at = Some((at, upto, since));
+        self.directors[d].heard = self.now;
+        for (n, data) in blocks {
+            let last = self.directors[d].last;
+            if n <= last {
+                continue;
+            }
+            if n > last + 1 && self.directors[d].gap != Some(last) {
+                self.directors[d].gap = Some(last);
+                self.all[at].relay.went(&name);
+                self.directors[d].at = None;
+                return;
+            }
+            self.takes(d, n, &data, unix);
+        }
+    }
+
+    fn call(&mut self, d: usize, at: usize) {
+        if self.stands(at) {
+            let (theirs, unix) = (self.now + self.all[at].offset, self.unix());
+            let last = self.directors[d].last;
+            self.all[at].relay.comes(theirs, unix, &format!("d{d}"), last);
+            self.directors[d].at = Some((at, last, self.now));
+            self.directors[d].heard = self.now;
+        }
+    }
+
+    fn takes(&mut self, d: usize, n: u64, data: &str, unix: u64) {
+        let last = self.directors[d].last;
+        let (number, event) = Event::read(data.as_bytes(), usize::MAX).expect("an event");
+        let body = event.body();
+        if number != Some(n) {
+            self.wrong(format!("director {d}: {number:?} under {n}"));
+        }
+        let as_told = self.truth.get(&n).is_some_and(|t| t == body);
+        if !as_told {
+            // A base, then: the list as it stands there.
+            let mut list = BTreeSet::new();
+            self.truth.range(..=n).for_each(|(_, b)| fold(&mut list, b));
+            let told =
+                names(body).map(|(whole, all)| (whole, all.into_iter().map(|(name, _)| name).collect()));
+            if told != Some((true, list)) {
+                self.wrong(format!("director {d} after {last}: {n} is {data} and {:?}", self.truth.get(&n)));
+            }
+        }
+        if n > last + 1 && !self.forgetful {
+            let over = |b: &str| match Event::read(b.as_bytes(), usize::MAX).map(|(_, e)| e.kind()) {
+                Ok(event::Kind::Purge { at }) => unix >= at + horizon::HELD / MS,
+                _ => true,
+            };
+            let missed =
+                self.truth.range(last + 1..n).find(|(_, b)| !over(b)).map(|(m, b)| format!("{m} {b}"));
+            if let Some(missed) = missed {
+                self.wrong(format!("director {d} goes from {last} to {n} past {missed}, which binds"));
+            }
+            if as_told && names(body).is_none_or(|(whole, _)| !whole) {
+                self.wrong(format!("director {d} goes from {last} to {n} with no whole list"));
+            }
+        }
+        self.directors[d].last = n;
+        self.directors[d].gap = None;
+        fold(&mut self.directors[d].list, body);
+    }
+
+    // Publishing.
+
+    fn publish(&mut self) {
+        let i = self.orders.len();
+        if self.now < FAULTS_END && self.rng.random_bool(0.1) {
+            let name = format!("s{}", self.rng.random_range(0..6));
+            let body = if i == 0 || self.rng.random_bool(0.05) {
+                let all = ["s0", "s1", "s2"].map(endpoint).join(",");
+                format!(r#"{{"members":{{"index":{i},"snapshot":true,"endpoints":[{all}]}}}}"#)
+            } else if self.rng.random_bool(0.2) {
+                let line = endpoint(&name);
+                let line = if self.rng.random_bool(0.4) { line.replace("ready", "gone") } else { line };
+                format!(r#"{{"members":{{"index":{i},"snapshot":false,"endpoints":[{line}]}}}}"#)
+            } else {
+                format!(r#"{{"purge":{{"key":"{i:016x}","at":{}}}}}"#, self.unix())
+            };
+            self.orders.push(Order { body, mark: format!("m{i}"), asked: None, number: None });
+        }
+        let (now, unix) = (self.now, self.unix());
+        let waits = |o: &Order| o.number.is_none() && o.asked.is_none_or(|at| now > at + 700 * MS);
+        let due: Vec<usize> = (0..self.orders.len()).filter(|i| waits(&self.orders[*i])).take(3).collect();
+        for i in due {
+            // Whoever says that it is the source; else any.
+            let owner = (0..self.voters).find(|v| {
+                let theirs = now + self.all[*v].offset;
+                self.stands(*v) && self.all[*v].relay.source(theirs).is_some()
+            });
+            let at = owner.unwrap_or_else(|| self.rng.random_range(0..self.voters));
+            if !self.stands(at) {
+                continue;
+            }
+            self.orders[i].asked = Some(now);
+            let theirs = now + self.all[at].offset;
+            let (body, mark) = (self.orders[i].body.clone(), self.orders[i].mark.clone());
+            self.all[at].relay.publish(theirs, unix, i as u64, Some(&mark), body.as_bytes());
+            self.committed(at);
+            self.acts(at);
+        }
+    }
+
+    // Faults.
+
+    fn hurt(&mut self) {
+        let many = self.all.len();
+        let one = self.rng.random_range(0..many);
+        let until = self.now + self.rng.random_range(100..2_500) * MS;
+        match self.rng.random_range(0..6) {
+            0 | 1 => self.restart(one),
+            2 => self.all[one].stopped = until,
+            3 => {
+                let other = self.rng.random_range(0..many);
+                self.cut.insert((one, other), until);
+            }
+            4 => {
+                for other in 0..many {
+                    self.cut.insert((one, other), until);
+                    self.cut.insert((other, one), until);
+                }
+            }
+            _ => {
+                let now = self.now + self.all[one].offset;
+                // The owner, most of all, is stopped and wakes late.
+                if self.all[one].relay.source(now).is_some() {
+                    self.all[one].stopped = until;
+                } else if self.stands(one) {
+                    self.all[one].relay.hand_over(now);
+                    self.acts(one);
+                }
+            }
+        }
+    }
+
+    fn restart(&mut self, one: usize) {
+        if one < self.voters && !self.forgetful {
+            // Those that have learned nothing yet count as lost: a majority besides is needed that remembers.
+            let (now, unix) = (self.now, self.unix());
+            let unsure = (0..self.voters).filter(|v| *v != one).filter(|v| {
+                let theirs = now + self.all[*v].offset;
+                self.all[*v].relay.status(theirs, unix).learning_ms.is_some()
+            });
+            if (self.voters - 1 - unsure.count()) * 2 <= self.voters || now < 2_000 * MS {
+                return;
+            }
+        }
+        let process = self.begin(one);
+        self.all[one] = process;
+        let gone = |at: &Option<(usize, u64, Ns)>| at.is_some_and(|(of, ..)| of == one);
+        self.directors.iter_mut().filter(|d| gone(&d.at)).for_each(|d| d.at = None);
+        self.all.iter_mut().filter(|p| gone(&p.stream)).for_each(|p| p.stream = None);
+    }
+
+    /// What is said to be in force everywhere is so at each reader that any relay knows.
+    fn claims(&mut self) {
+        let (now, unix) = (self.now, self.unix());
+        let statuses: Vec<Status> =
+            self.all.iter_mut().map(|p| p.relay.status(now + p.offset, unix)).collect();
+        let whole = merge(&statuses);
+        for r in &whole.readers {
+            if let Some(d) = r.name.strip_prefix('d').and_then(|d| d.parse::<usize>().ok())
+                && r.number > self.directors[d].last
+            {
+                self.wrong(format!(
+                    "{} is said to have {}, has {}",
+                    r.name, r.number, self.directors[d].last
+                ));
+            }
+        }
+        for (n, _) in whole.passed.iter().rev().take(3) {
+            let known: BTreeSet<&str> = whole.readers.iter().map(|r| r.name.as_str()).collect();
+            let behind = (0..self.directors.len())
+                .find(|d| known.contains(format!("d{d}").as_str()) && self.directors[*d].last < *n);
+            if let Some(d) = behind
+                && whole.in_force(*n).missing.is_empty()
+            {
+                let last = self.directors[d].last;
+                self.wrong(format!("{n} is said to be in force everywhere, director {d} has {last}"));
+            }
+        }
+    }
+
+    fn play(mut self) -> Result<World, String> {
+        while self.now < END && self.fault.is_none() {
+            self.now += TICK;
+            self.harm = self.now < FAULTS_END;
+            if !self.harm {
+                self.cut.clear();
+                self.all.iter_mut().for_each(|p| p.stopped = p.stopped.min(FAULTS_END));
+            }
+            self.tick();
+            if self.now.is_multiple_of(10 * TICK) {
+                (0..self.directors.len()).for_each(|d| self.direct(d));
+                (self.voters..self.all.len())
+                    .filter(|p| self.stands(*p))
+                    .collect::<Vec<_>>()
+                    .into_iter()
+                    .for_each(|p| self.plain(p));
+            }
+            if self.now > 1_000 * MS {
+                self.publish();
+            }
+            if self.harm && self.now > 1_000 * MS && self.rng.random_bool(0.006) {
+                self.hurt();
+            }
+            if self.now.is_multiple_of(40 * TICK) {
+                self.claims();
+            }
+        }
+        if self.fault.is_none() {
+            self.ends();
+        }
+        self.fault.take().map_or(Ok(self), Err)
+    }
+
+    fn ends(&mut self) {
+        let last = self.truth.last_key_value().map_or(0, |(n, _)| *n);
+        let mut list = BTreeSet::new();
+        self.truth.values().for_each(|b| fold(&mut list, b));
+        for p in 0..self.all.len() {
+            if self.all[p].relay.last() != last {
+                self.wrong(format!("relay {p} ends at {}, not at {last}", self.all[p].relay.last()));
+            }
+        }
+        for d in 0..self.directors.len() {
+            if self.directors[d].last != last || self.directors[d].list != list {
+                let ends = (self.directors[d].last, self.directors[d].list.clone());
+                self.wrong(format!("director {d} ends at {ends:?}, not at {last} {list:?}"));
+            }
+        }
+        if let Some(o) = self.orders.iter().find(|o| o.number.is_none()) {
+            let what = format!("{} was never taken", o.body);
+            self.wrong(what);
+        }
+        let mut purges: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut twice = None;
+        for (n, body) in self.truth.iter().filter(|(_, b)| b.starts_with("{\"purge")) {
+            twice =
+                twice.or(purges.insert(body, *n).map(|before| format!("{body} is told as {before} and {n}")));
+        }
+        if let Some(twice) = twice.filter(|_| !self.forgetful) {
+            self.wrong(twice);
+        }
+    }
+}
+
+fn many() -> u64 {
+    std::env::var("SABLECROSS_RELAY_SCHEDULES").ok().and_then(|n| n.parse().ok()).unwrap_or(10_000)
+}
+
+/// The faults found in these seeds, the first of them with its seed.
+fn found(
+    seeds: std::ops::Range<u64>,
+    defences: Defences,
+    forgetful: bool,
+) -> (u64, Option<(u64, String)>, u64) {
+    const THREADS: u64 = 4;
+    let one = |t: u64| {
+        let (mut wrong, mut first, mut told) = (0, None, 0);
+        for seed in seeds.clone().filter(|s| s % THREADS == t) {
+            match World::new(seed, defences, forgetful).play() {
+                Ok(w) => told += w.truth.len() as u64,
+                Err(e) => {
+                    wrong += 1;
+                    first = first.or(Some((seed, e)));
+                }
+            }
+        }
+        (wrong, first, told)
+    };
+    std::thread::scope(|s| {
+        let all: Vec<_> = (0..THREADS).map(|t| s.spawn(move || one(t))).collect();
+        let all = all.into_iter().map(|t| t.join().expect("played"));
+        all.reduce(|a, b| (a.0 + b.0, [a.1, b.1].into_iter().flatten().min(), a.2 + b.2)).expect("threads")
+    })
+}
+
+#[test]
+fn nothing_told_is_lost_doubled_reordered_or_changed() {
+    let (wrong, first, told) = found(0..many(), Defences::default(), false);
+    println!("{} schedules, {told} events told", many());
+    assert_eq!(first, None, "{wrong} in all");
+    assert!(told > 10 * many(), "{told} events");
+}
+
+#[test]
+fn when_no_majority_remembers_numbers_go_on_and_all_readers_follow() {
+    let (wrong, first, told) = found(0..many() / 10, Defences::default(), true);
+    println!("{} schedules, {told} events told", many() / 10);
+    assert_eq!(first, None, "{wrong} in all");
+}
+
+#[test]
+fn each_defence_that_is_left_out_is_found() {
+    let all = Defences::default();
+    let left_out = [
+        ("gate", Defences { gate: false, ..all }),
+        ("previous", Defences { previous: false, ..all }),
+        ("majority", Defences { majority: false, ..all }),
+        ("learning", Defences { learning: false, ..all }),
+    ];
+    for (name, defences) in left_out {
+        let (wrong, first, _) = found(0..400, defences, false);
+        println!("without {name}: {wrong} of 400, {first:?}");
+        assert!(wrong > 0, "{name} was left out and nothing found");
+    }
+}
