--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use sablecross_hierarchy::Admission;
 use sablecross_hierarchy::spec::Told as Spec;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -141,7 +142,9 @@
 
 fn hierarchy(text: &str) -> Result<Kind, Fault> {
     let spec: Spec = serde_json::from_str(text).map_err(|e| Fault::Hierarchy(why(e)))?;
-    spec.hierarchy(None).map_err(Fault::Hierarchy)?;
+    let (_, version) = spec.hierarchy(None).map_err(Fault::Hierarchy)?;
+    // As directors check it: one that they would pass over is not told.
+    Admission::sound(&version).map_err(|e| Fault::Hierarchy(e.to_string()))?;
     Ok(Kind::Hierarchy)
 }
 
--- a/crates/relay/src/group.rs
+++ b/crates/relay/src/group.rs
@@ -151,6 +151,9 @@
 /// What a voter that begins anew has heard: of which life, the newest token, whether that one is sure, what it holds.
 type Heard = BTreeMap<u32, (u64, Token, bool, Held)>;
 
+/// One that is unsure asks so much more seldom: answers are whole logs.
+const UNSURE: Ns = 8;
+
 #[derive(Debug)]
 struct Learning {
     since: Ns,
@@ -282,6 +285,11 @@
         self.seat.token(now).filter(|_| feeds)
     }
 
+    /// The names of all voters.
+    pub fn names(&self) -> &[String] {
+        &self.rules.names
+    }
+
     /// The owner that was heard of last.
     pub fn owner(&self, now: Ns) -> Option<Member> {
         let own = self.seat.token(now).map(|t| t.owner);
@@ -342,14 +350,15 @@
 
     /// Lives that another knows of. Its own must be the latest: one whose clock was set back counts on past what is known.
     fn lives(&mut self, now: Ns, lives: &[u64]) {
+        let me = self.place as usize;
         for (voter, life) in lives.iter().enumerate().take(self.lives.len()) {
-            if voter != self.place as usize {
+            if voter != me {
                 self.lives[voter] = self.lives[voter].max(*life);
-            } else if *life > self.lives[voter]
-                && let Some(l) = &mut self.learning
-            {
-                self.lives[voter] = life + 1;
-                (l.next, l.heard) = (now, Heard::new());
+            } else if *life > self.lives[me] {
+                self.lives[me] = life + 1;
+                if let Some(l) = &mut self.learning {
+                    (l.next, l.heard) = (now, Heard::new());
+                }
             }
         }
     }
@@ -443,7 +452,7 @@
     fn learn(&mut self, now: Ns, unix: u64) {
         let patience = self.rules.patience;
         let Some(l) = self.learning.as_mut().filter(|l| now >= l.next) else { return };
-        l.next = now + patience;
+        l.next = now + if l.unsure { UNSURE * patience } else { patience };
         for voter in self.others() {
             self.call(voter, Call::Learn);
         }
@@ -921,7 +930,9 @@
         event: Event,
         most_log: usize,
     ) -> Result<Vec<Do>, Refusal> {
-        let token = self.token(now).ok_or(Refusal::NotOwner(self.owner(now)))?;
+        // One that owns the duty and reads still is no source either.
+        let other = self.owner(now).filter(|_| self.seat.token(now).is_none());
+        let token = self.token(now).ok_or(Refusal::NotOwner(other))?;
         if let Some(long) = mark.map(str::len).filter(|l| *l > LONGEST_MARK) {
             return Err(Refusal::Mark(long));
         }
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -12,8 +12,9 @@
 struct Reader {
     /// In force there, by its last word.
     number: u64,
-    /// Its last word.
+    /// Its last word, or since when it is expected.
     heard: Ns,
+    came: bool,
     streams: u32,
 }
 
@@ -23,7 +24,8 @@
     pub name: String,
     /// In force there.
     pub number: u64,
-    pub heard_ms_ago: u64,
+    /// Since its last word; none: it never came.
+    pub heard_ms_ago: Option<u64>,
     pub connected: bool,
     /// It said no word for so long that the floor does not wait for it any more.
     pub missing: bool,
@@ -51,13 +53,19 @@
     /// A call with this number: what is in force there. The stream that begins counts until `went`.
     pub fn comes(&mut self, now: Ns, name: &str, number: u64) {
         let streams = self.all.get(name).map_or(0, |r| r.streams) + 1;
-        self.all.insert(name.to_owned(), Reader { number, heard: now, streams });
+        self.all.insert(name.to_owned(), Reader { number, heard: now, came: true, streams });
+    }
+
+    /// One that is to come counts with nothing, unless it is known.
+    pub fn expects(&mut self, now: Ns, name: &str) {
+        let none = Reader { number: 0, heard: now, came: false, streams: 0 };
+        self.all.entry(name.to_owned()).or_insert(none);
     }
 
     /// A word without a stream: a voter's answer.
     pub fn says(&mut self, now: Ns, name: &str, number: u64) {
         let streams = self.all.get(name).map_or(0, |r| r.streams);
-        self.all.insert(name.to_owned(), Reader { number, heard: now, streams });
+        self.all.insert(name.to_owned(), Reader { number, heard: now, came: true, streams });
     }
 
     /// A stream of it is over.
@@ -101,7 +109,7 @@
         let view = |(name, r): (&String, &Reader)| View {
             name: name.clone(),
             number: r.number,
-            heard_ms_ago: now.saturating_sub(r.heard) / 1_000_000,
+            heard_ms_ago: r.came.then(|| now.saturating_sub(r.heard) / 1_000_000),
             connected: r.streams > 0,
             missing: self.missing(now, r),
         };
@@ -119,7 +127,8 @@
 pub struct Merged {
     pub name: String,
     pub number: u64,
-    pub heard_unix_ms: u64,
+    /// Its last word; none: it never came.
+    pub heard_unix_ms: Option<u64>,
     pub connected: bool,
     pub relay: String,
 }
@@ -151,7 +160,7 @@
     let mut readers: BTreeMap<String, Merged> = BTreeMap::new();
     for s in all {
         let (name, relay) = (s.name.clone(), s.name.clone());
-        let own = Merged { name, number: s.last, heard_unix_ms: s.unix_ms, connected: true, relay };
+        let own = Merged { name, number: s.last, heard_unix_ms: Some(s.unix_ms), connected: true, relay };
         readers.insert(s.name.clone(), own);
     }
     for s in all {
@@ -159,7 +168,7 @@
             let one = Merged {
                 name: v.name.clone(),
                 number: v.number,
-                heard_unix_ms: s.unix_ms.saturating_sub(v.heard_ms_ago),
+                heard_unix_ms: v.heard_ms_ago.map(|ago| s.unix_ms.saturating_sub(ago)),
                 connected: v.connected,
                 relay: s.name.clone(),
             };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -166,6 +166,12 @@
         std::mem::take(&mut self.acts)
     }
 
+    /// A reader that is to come, as the settings name it: it counts as one with nothing until it does, and is missing after a
+    /// while. Without that a relay that begins anew knows of no readers until they call.
+    pub fn expects(&mut self, now: Ns, name: &str) {
+        self.readers.expects(now, name);
+    }
+
     /// What may be told.
     pub fn log(&self) -> &Log {
         match &self.part {
@@ -191,7 +197,10 @@
     /// What time brings. `unix` in milliseconds.
     pub fn step(&mut self, now: Ns, unix: u64) {
         match &mut self.part {
-            Part::Voter(g) => self.acts.extend(g.step(now, unix)),
+            Part::Voter(g) => {
+                let acts = g.step(now, unix);
+                self.done(now, acts);
+            }
             Part::Plain(p) => {
                 let age = p.fresh.age(now);
                 if p.upstream.step(now, age) {
@@ -214,6 +223,18 @@
         }
     }
 
+    /// What the group did. A new owner waits for the word of all voters.
+    fn done(&mut self, now: Ns, acts: Vec<Do>) {
+        if let Part::Voter(g) = &self.part
+            && acts.iter().any(|a| matches!(a, Do::Begins(_)))
+        {
+            for name in g.names().iter().filter(|n| **n != self.set.name) {
+                self.readers.expects(now, name);
+            }
+        }
+        self.acts.extend(acts);
+    }
+
     // Voters.
 
     /// A call of another voter, and what it is to be answered.
@@ -233,7 +254,7 @@
     pub fn answered(&mut self, now: Ns, unix: u64, voter: u32, number: u64, reply: Reply) {
         let Part::Voter(g) = &mut self.part else { return };
         let (floor, acts) = g.answered(now, unix, voter, number, reply);
-        self.acts.extend(acts);
+        self.done(now, acts);
         if let Some((name, floor)) = floor {
             self.readers.says(now, &name, floor);
             self.count(now, unix);
@@ -247,10 +268,6 @@
             self.acts.push(refused(Refusal::NotOwner(None)));
             return;
         };
-        if g.token(now).is_none() {
-            self.acts.push(refused(Refusal::NotOwner(g.owner(now))));
-            return;
-        }
         let read = Event::read(text, self.set.most_event).map_err(Refusal::from);
         match read.and_then(|(_, event)| g.publish(now, unix, ticket, mark, event, self.set.most_log)) {
             Ok(acts) => self.acts.extend(acts),
--- /dev/null
+++ b/crates/relay/tests/cases.rs
@@ -0,0 +1,353 @@
+//! Single cases of the log, of readers and of a relay in a chain.
+
+use sablecross_relay::log::Full;
+use sablecross_relay::*;
+
+const MS: Ns = 1_000_000;
+const SEC: Ns = 1_000 * MS;
+const HORIZON: Horizon = Horizon { cleared: 6 * SEC, slack: 4 * SEC };
+const UNIX: u64 = 1_700_000_000_000;
+/// Past the horizon, in ms.
+const OVER: u64 = 130_000;
+
+fn event(body: &str) -> Event {
+    Event::read(body.as_bytes(), 1 << 20).expect(body).1
+}
+
+fn purge(key: u64, at: u64) -> Event {
+    event(&format!(r#"{{"purge":{{"key":"{key:016x}","at":{at}}}}}"#))
+}
+
+fn line(name: &str, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"10.0.0.1:1","zone":"z","type":"std","group":0,"status":"{status}","weight":4,"since_ms":0}}"#
+    )
+}
+
+fn list(index: u64, whole: bool, lines: &[String]) -> Event {
+    let lines = lines.join(",");
+    event(&format!(r#"{{"members":{{"index":{index},"snapshot":{whole},"endpoints":[{lines}]}}}}"#))
+}
+
+fn hierarchy(version: u64) -> Event {
+    event(&format!(
+        r#"{{"hierarchy":{{"head":{{"version":{version},"ceiling":100.0}},"nodes":[{{"name":"origin","tier":0,"capacity":100.0}},{{"name":"p1","tier":1,"sources":["origin"],"capacity":100.0}}]}}}}"#
+    ))
+}
+
+fn push(log: &mut Log, event: &Event, unix: u64) -> u64 {
+    log.push(event, Token::default(), None, unix)
+}
+
+/// The numbers and bodies that a reader with this number is told in one go.
+fn told(log: &mut Log, cursor: u64, most: usize) -> (u64, Vec<(u64, String)>) {
+    let mut out = Vec::new();
+    let upto = log.after(cursor, most, &mut out);
+    let text = String::from_utf8(out).expect("text");
+    let block = |b: &str| {
+        let (id, data) = b.split_once("\ndata: ").expect("two lines");
+        let (n, event) = Event::read(data.as_bytes(), 1 << 20).expect(data);
+        assert_eq!(id, format!("id: {}", n.expect("a number")));
+        (n.expect("a number"), event.body().to_owned())
+    };
+    (upto, text.split_terminator("\n\n").map(block).collect())
+}
+
+/// Five list events and a hierarchy, then a purge that binds for longer.
+fn aged() -> Log {
+    let mut log = Log::new(HORIZON);
+    push(&mut log, &list(1, true, &[line("a", "ready"), line("b", "ready")]), UNIX);
+    push(&mut log, &purge(1, UNIX), UNIX);
+    push(&mut log, &list(2, false, &[line("c", "ready")]), UNIX);
+    push(&mut log, &list(3, false, &[line("a", "draining"), line("b", "gone")]), UNIX);
+    push(&mut log, &hierarchy(7), UNIX);
+    push(&mut log, &purge(2, UNIX + 50_000), UNIX);
+    push(&mut log, &purge(3, UNIX), UNIX);
+    log
+}
+
+#[test]
+fn the_bytes_on_the_wire_are_those_of_the_protocol() {
+    let mut log = Log::new(HORIZON);
+    push(&mut log, &event("{\"purge\" : {\"group\":17,\n \"at\":5}}"), UNIX);
+    let mut out = b"before".to_vec();
+    assert_eq!(log.after(0, 0, &mut out), 1);
+    assert_eq!(
+        String::from_utf8_lossy(&out),
+        "beforeid: 1\ndata: {\"n\":1,\"purge\":{\"group\":17,  \"at\":5}}\n\n"
+    );
+    assert_eq!(log.after(1, 0, &mut out), 1, "nothing to tell");
+    assert_eq!(log.after(9, 0, &mut out), 9, "a reader that is ahead waits");
+}
+
+#[test]
+fn the_base_moves_past_what_is_over_and_to_no_hierarchy() {
+    let mut log = aged();
+    log.trim(UNIX + OVER - 1);
+    assert_eq!(log.base().number, 0, "all binds still");
+    log.trim(UNIX + OVER);
+    // 5 is the hierarchy, 6 binds for 50 s more.
+    assert_eq!((log.base().number, log.last()), (4, 7));
+    log.trim(UNIX + OVER + 50_000);
+    assert_eq!((log.base().number, log.last()), (7, 7));
+    let members: Vec<&String> = log.base().members.keys().collect();
+    assert_eq!(members, ["a", "c"], "b has gone");
+    assert_eq!(log.base().members["a"], line("a", "draining"), "its JSON as it came");
+}
+
+#[test]
+fn one_that_is_behind_the_base_gets_hierarchy_list_and_what_binds() {
+    let mut log = aged();
+    log.trim(UNIX + OVER + 50_000);
+    push(&mut log, &purge(4, UNIX + OVER), UNIX + OVER + 50_000);
+    let whole = list(3, true, &[line("a", "draining"), line("c", "ready")]).body().to_owned();
+    let after = (8, purge(4, UNIX + OVER).body().to_owned());
+    let before = (6, hierarchy(7).body().to_owned());
+    for cursor in [0, 3, 5] {
+        let all = vec![before.clone(), (7, whole.clone()), after.clone()];
+        assert_eq!(told(&mut log, cursor, 1 << 20), (8, all), "after {cursor}");
+    }
+    assert_eq!(told(&mut log, 6, 1 << 20), (8, vec![(7, whole), after.clone()]), "its hierarchy is known");
+    assert_eq!(told(&mut log, 7, 1 << 20), (8, vec![after]));
+    // In small batches the base comes as one whole.
+    assert_eq!(told(&mut log, 0, 10).0, 7);
+}
+
+#[test]
+fn bursts_and_large_events_go_out_in_batches_to_fast_and_slow_readers() {
+    let mut log = Log::new(HORIZON);
+    push(&mut log, &list(1, true, &[]), UNIX);
+    for key in 0..1_000 {
+        push(&mut log, &purge(key, UNIX), UNIX);
+    }
+    let large: Vec<String> = (0..300).map(|i| line(&format!("s{i}"), "ready")).collect();
+    push(&mut log, &list(2, false, &large), UNIX);
+    push(&mut log, &purge(1, UNIX), UNIX);
+    // In step all get the same bytes, whoever is behind gets them later.
+    let (mut slow, mut fast, mut all) = (1, 1, Vec::new());
+    let mut largest = 0;
+    while fast < log.last() {
+        let (upto, events) = told(&mut log, fast, 16_384);
+        let bytes: usize = events.iter().map(|(_, b)| b.len()).sum();
+        assert!(bytes <= 16_384 || events.len() == 1, "{} of {bytes} bytes", events.len());
+        largest = largest.max(bytes);
+        fast = upto;
+        all.extend(events);
+    }
+    assert!(largest > 30_000, "the large one goes alone: {largest}");
+    assert_eq!(all.iter().map(|e| e.0).collect::<Vec<_>>(), (2..=1_003).collect::<Vec<_>>());
+    let mut theirs = Vec::new();
+    while slow < log.last() {
+        let (upto, events) = told(&mut log, slow, 1);
+        assert_eq!(events.len(), 1);
+        slow = upto;
+        theirs.extend(events);
+    }
+    assert_eq!(theirs, all);
+    assert_eq!(log.room(1, log.bytes()), Err(Full { bytes: log.bytes(), most: log.bytes() }));
+    assert_eq!(log.room(1, log.bytes() + 1), Ok(()));
+}
+
+#[test]
+fn a_mark_is_known_as_long_as_its_event_is_kept() {
+    let mut log = Log::new(HORIZON);
+    push(&mut log, &list(1, true, &[]), UNIX);
+    assert_eq!(log.push(&purge(1, UNIX), Token::default(), Some("m"), UNIX), 2);
+    assert_eq!(log.marked("m"), Some(2));
+    log.trim(UNIX + OVER);
+    assert_eq!(log.marked("m"), None);
+}
+
+#[test]
+fn faulty_events_are_refused_with_what_and_where() {
+    let endpoint = |l: &str| {
+        format!(r#"{{"members":{{"index":1,"snapshot":true,"endpoints":[{},{l}]}}}}"#, line("a", "ready"))
+    };
+    let cases = [
+        (r#"{"purge":{"key":"12","at":5}"#.to_owned(), "EOF while parsing an object at line 1 column 28"),
+        ("{\"n\":1}".to_owned(), "no members, purge or hierarchy"),
+        ("[1]".to_owned(), "no JSON as the feed has it"),
+        (r#"{"purge":{"at":5}}"#.to_owned(), "purge: it names neither a key nor a group"),
+        (r#"{"purge":{"key":"xyz","at":5}}"#.to_owned(), "purge: key \"xyz\" is no object"),
+        (r#"{"purge":{"key":"12"}}"#.to_owned(), "purge: missing field `at`"),
+        (r#"{"purge":{"key":"12","at":5},"members":{}}"#.to_owned(), "more than one of"),
+        (r#"{"members":{"index":1,"endpoints":[]}}"#.to_owned(), "members: missing field `snapshot`"),
+        (endpoint(&line("b", "lost")), "members: endpoint 1 (b): unknown variant `lost`"),
+        (endpoint(r#"{"name":"b","address":"here"}"#), "members: endpoint 1 (b): invalid socket address"),
+        (r#"{"hierarchy":{"head":{}}}"#.to_owned(), "hierarchy: missing field"),
+        (format!(r#"{{"purge":{{"key":"12","at":5}}}}{}"#, " ".repeat(200)), "has 229 bytes, more than 200"),
+    ];
+    for (text, why) in cases {
+        let most = if text.len() == 229 { 200 } else { 1 << 16 };
+        let fault = Event::read(text.as_bytes(), most).expect_err(&text).to_string();
+        assert!(fault.contains(why), "{text}: {fault}");
+    }
+    assert!(matches!(Event::read(b"{\"purge\":{\"key\":\"\xff\"}}", 100), Err(Fault::Json(_))));
+}
+
+#[test]
+fn the_floor_waits_for_all_that_speak_and_never_falls() {
+    let mut r = Readers::new(10 * SEC, 3_600 * SEC, 3);
+    r.expects(0, "c");
+    r.comes(0, "a", 5);
+    r.comes(0, "b", 7);
+    assert_eq!(r.floor(SEC, 9), 0, "c is expected");
+    r.comes(SEC, "c", 8);
+    assert_eq!(r.floor(SEC, 9), 5);
+    // a is silent with its stream open: it holds the floor for so long, and is named.
+    for s in 1..=10 {
+        r.comes(s * SEC, "b", 9);
+        r.comes(s * SEC, "c", 9);
+        assert_eq!(r.floor(s * SEC, 9), 5);
+    }
+    assert_eq!(r.floor(10 * SEC + 1, 9), 9);
+    let missing: Vec<View> = r.views(11 * SEC).into_iter().filter(|v| v.missing).collect();
+    assert_eq!(
+        (missing[0].name.as_str(), missing[0].number, missing[0].heard_ms_ago),
+        ("a", 5, Some(11_000))
+    );
+    // One that comes anew lowers nothing, and is waited for before the floor rises.
+    r.comes(11 * SEC, "d", 0);
+    assert_eq!(r.floor(11 * SEC, 12), 9);
+    r.comes(12 * SEC, "d", 12);
+    r.comes(12 * SEC, "b", 12);
+    r.comes(12 * SEC, "c", 12);
+    assert_eq!(r.floor(12 * SEC, 12), 12);
+    for name in ["a", "b", "c", "d"] {
+        (0..20).for_each(|_| r.went(name));
+    }
+    r.floor(4_000 * SEC, 12);
+    assert!(r.views(4_000 * SEC).is_empty(), "forgotten");
+}
+
+#[test]
+fn a_reader_that_moves_counts_where_it_was_heard_last() {
+    let view = |name: &str, number, ago| View {
+        name: name.into(),
+        number,
+        heard_ms_ago: ago,
+        connected: false,
+        missing: false,
+    };
+    let status = |name: &str, last, passed: &[(u64, u64)], readers| Status {
+        name: name.into(),
+        unix_ms: UNIX,
+        last,
+        passed: passed.to_vec(),
+        readers,
+        ..Status::default()
+    };
+    let whole = merge(&[
+        status(
+            "r0",
+            20,
+            &[(10, 100), (20, 200)],
+            vec![view("d1", 9, Some(5_000)), view("r1", 3, Some(1)), view("d2", 0, None)],
+        ),
+        status(
+            "r1",
+            20,
+            &[(12, 90)],
+            vec![view("d1", 20, Some(10)), view("d2", 20, Some(60_000)), view("d3", 4, Some(9_000))],
+        ),
+    ]);
+    let names: Vec<(&str, u64, &str)> =
+        whole.readers.iter().map(|r| (r.name.as_str(), r.number, r.relay.as_str())).collect();
+    assert_eq!(
+        names,
+        [("d1", 20, "r1"), ("d2", 20, "r1"), ("d3", 4, "r1"), ("r0", 20, "r0"), ("r1", 20, "r1")]
+    );
+    assert_eq!(whole.in_force(4).missing, []);
+    assert_eq!(whole.in_force(11).since_unix_ms, Some(90));
+    let late = whole.in_force(20);
+    assert_eq!((late.since_unix_ms, late.missing.len()), (Some(200), 1));
+    assert_eq!(late.missing[0].heard_unix_ms, Some(UNIX - 9_000));
+    assert_eq!(whole.in_force(21).since_unix_ms, None);
+}
+
+#[test]
+fn relays_that_follow_one_another_in_a_circle_grow_old_together() {
+    let mut ages = [Freshness::never(); 3];
+    ages[0].heard(SEC, 0, Some(Token { term: 4, owner: Member { number: 2, life: 9 } }));
+    for s in 2..60 {
+        for i in 0..3 {
+            let told = ages[(i + 2) % 3].comment(s * SEC);
+            let (age, owner) = Freshness::read(&told).expect("a comment of a relay");
+            ages[i].heard(s * SEC + 20 * MS, age, owner);
+        }
+    }
+    for age in ages {
+        assert!(age.age(60 * SEC) > 50 * SEC, "{}", age.comment(60 * SEC));
+        assert_eq!(age.owner.map(|t| (t.term, t.owner.number)), Some((4, 2)));
+    }
+    assert_eq!(Freshness::read(": still here"), None);
+    assert_eq!(Freshness::never().comment(5), ": fresh - owner - term -\n\n");
+}
+
+fn settings(name: &str) -> Settings {
+    Settings {
+        name: name.into(),
+        horizon: HORIZON,
+        most_event: 1 << 16,
+        most_log: 1 << 20,
+        missed: 10 * SEC,
+        forgotten: 3_600 * SEC,
+        most_passed: 100,
+    }
+}
+
+#[test]
+fn a_plain_relay_turns_from_a_stale_upstream_and_home_again() {
+    let mut r = Relay::plain(settings("p"), Upstream::new(3, 3 * SEC, 5 * SEC, 60 * SEC, 0));
+    let at = |r: &mut Relay, s: u64| {
+        r.step(s * SEC, UNIX);
+        r.follows(s * SEC).map(|(at, _)| at)
+    };
+    assert_eq!(at(&mut r, 4), Some(0), "it is given time");
+    assert_eq!(at(&mut r, 6), Some(1), "it never said that it is fresh");
+    r.commented(7 * SEC, ": fresh 100 owner 1 term 3");
+    assert_eq!(at(&mut r, 10), Some(1));
+    r.commented(11 * SEC, ": fresh 4000 owner 1 term 3");
+    assert_eq!(at(&mut r, 12), Some(2), "its word is old");
+    r.failed(13 * SEC);
+    assert_eq!(at(&mut r, 13), Some(0));
+    r.failed(13 * SEC);
+    for s in 14..=74 {
+        r.commented(s * SEC, ": a word of an outside feed");
+        assert_eq!(at(&mut r, s), Some(if s <= 73 { 1 } else { 0 }), "at {s} s");
+    }
+}
+
+#[test]
+fn a_plain_relay_takes_a_gap_the_second_time_and_keeps_numbers_past_what_it_cannot_read() {
+    let mut r = Relay::plain(settings("p"), Upstream::new(1, 3 * SEC, 5 * SEC, 60 * SEC, 0));
+    let tell = |r: &mut Relay, n: u64, e: &Event| {
+        let frame = String::from_utf8(e.frame(n)).expect("text");
+        let data = frame.split_once("data: ").expect("data").1.trim_end().to_owned();
+        r.told(SEC, UNIX, Some(n), data.as_bytes())
+    };
+    let whole = list(9, true, &[line("a", "ready")]);
+    assert!(matches!(tell(&mut r, 8, &hierarchy(3)), Took::Again(_)));
+    assert_eq!(tell(&mut r, 8, &hierarchy(3)), Took::Passed);
+    assert_eq!((r.last(), r.follows(SEC)), (0, Some((0, 0))), "half a base is none");
+    assert_eq!(tell(&mut r, 9, &whole), Took::New);
+    assert_eq!(tell(&mut r, 9, &whole), Took::Passed);
+    assert_eq!(tell(&mut r, 10, &purge(1, UNIX)), Took::New);
+    assert!(matches!(tell(&mut r, 12, &purge(3, UNIX)), Took::Again(_)));
+    assert!(matches!(tell(&mut r, 12, &purge(3, UNIX)), Took::Again(_)), "no whole list: never past a purge");
+    assert_eq!(tell(&mut r, 11, &purge(2, UNIX)), Took::New);
+    assert!(matches!(r.told(SEC, UNIX, Some(12), b"{\"n\":12,\"pur"), Took::Again(_)));
+    assert_eq!(r.told(SEC, UNIX, Some(12), b"{\"n\":12,\"pur"), Took::New);
+    assert!(r.acts().iter().any(|a| matches!(a, Do::Note(n) if n.contains("event 12"))), "a line says so");
+    let mut out = Vec::new();
+    assert_eq!(r.after(9, 1 << 20, &mut out), 12);
+    let nothing = String::from_utf8(Event::nothing().frame(12)).expect("text");
+    assert!(String::from_utf8_lossy(&out).ends_with(&nothing));
+    // It calls with what its readers have, and passes over what it is told again.
+    r.comes(2 * SEC, UNIX, "d", 12);
+    assert_eq!(tell(&mut r, 13, &purge(4, UNIX)), Took::New);
+    assert_eq!(r.follows(2 * SEC), Some((0, 12)));
+    assert_eq!(tell(&mut r, 13, &purge(4, UNIX)), Took::Passed);
+    r.comes(3 * SEC, UNIX, "d", 13);
+    assert_eq!(r.follows(3 * SEC), Some((0, 13)));
+}
