Relay: the horizon's held time is a setting, the floor is worked out every 50 ms

Cause: trials between processes have to see the end of a horizon; thousands of readers were gone through at each call.

--- a/crates/relay/src/group.rs
+++ b/crates/relay/src/group.rs
@@ -777,7 +777,7 @@
 
     // The owner.
 
-    /// Asks those whom it has not heard.
+    /// Asks those whom it has not heard, or not in the life that they live now.
     fn read(&mut self, now: Ns, unix: u64) {
         let patience = self.rules.patience;
         let (era, after) = (self.era, self.log.last());
@@ -788,7 +788,8 @@
             return;
         }
         *next = now + patience;
-        let (by, heard): (Token, Vec<u32>) = (*token, heard.keys().copied().collect());
+        let (by, heard) = (*token, heard.iter().map(|(v, h)| (*v, h.0)).collect::<Vec<_>>());
+        let heard: Vec<u32> = heard.into_iter().filter(|(v, l)| self.counts(*v, *l)).map(|h| h.0).collect();
         for voter in self.others().filter(|v| !heard.contains(v)) {
             self.call(voter, Call::Read { by, era, after });
         }
@@ -808,7 +809,7 @@
         heard.push(&own);
         let sure = self.majority(heard.iter().filter(|h| h.2).count());
         let all = heard.len() == self.rules.names.len();
-        if !sure && !all && !(waited && self.majority(heard.len())) {
+        if !(sure || all || waited && self.majority(heard.len())) {
             return;
         }
         let heard: Vec<Held> = heard.into_iter().map(|h| h.3.clone()).collect();
--- a/crates/relay/src/horizon.rs
+++ b/crates/relay/src/horizon.rs
@@ -13,6 +13,8 @@
 pub struct Horizon {
     /// The largest `purge_cleared` of all directors' settings.
     pub cleared: Ns,
+    /// `HELD` in service. Trials that have to see the end of a horizon take less: no module may rely on such a log.
+    pub held: Ns,
     /// How far apart clocks may be, and a purge may be on its way.
     pub slack: Ns,
 }
@@ -20,7 +22,7 @@
 impl Horizon {
     /// How long a purge binds from when it was made.
     pub fn binds(&self) -> Ns {
-        self.cleared + HELD
+        self.cleared + self.held
     }
 
     /// How long an event is kept.
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -8,6 +8,9 @@
 
 use crate::relay::Status;
 
+/// How often the floor is worked out.
+const EVERY: Ns = 50_000_000;
+
 #[derive(Clone, Copy, Debug)]
 struct Reader {
     /// In force there, by its last word.
@@ -37,6 +40,8 @@
     missed: Ns,
     forgotten: Ns,
     floor: u64,
+    /// When the floor is worked out next: all readers are gone through.
+    due: Ns,
     /// When the floor came to which number, Unix ms: the newest last.
     passed: VecDeque<(u64, u64)>,
     most_passed: usize,
@@ -47,7 +52,7 @@
     /// is one that is away known any more.
     pub fn new(missed: Ns, forgotten: Ns, most_passed: usize) -> Readers {
         let passed = VecDeque::new();
-        Readers { all: BTreeMap::new(), missed, forgotten, floor: 0, passed, most_passed }
+        Readers { all: BTreeMap::new(), missed, forgotten, floor: 0, due: 0, passed, most_passed }
     }
 
     /// A call with this number: what is in force there. The stream that begins counts until `went`.
@@ -79,9 +84,13 @@
         now.saturating_sub(r.heard) > self.missed
     }
 
-    /// What all have that count, and this program itself up to `own`. It never falls: one that begins behind it is waited for
-    /// before it rises again.
+    /// What all have that count, and this program itself up to `own`, as of up to 50 ms ago. It never falls: one that begins
+    /// behind it is waited for before it rises again.
     pub fn floor(&mut self, now: Ns, own: u64) -> u64 {
+        if now < self.due {
+            return self.floor;
+        }
+        self.due = now + EVERY;
         let forgotten = self.forgotten;
         self.all.retain(|_, r| r.streams > 0 || now.saturating_sub(r.heard) <= forgotten);
         let counted = self.all.values().filter(|r| !self.missing(now, r)).map(|r| r.number);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -379,7 +379,7 @@
             last: self.last(),
             kept: self.last(),
             log_bytes: self.log().bytes(),
-            endpoints: self.log().listed().then_some(base.members.len()),
+            endpoints: self.log().listed().then(|| self.log().folded(self.last()).members.len()),
             floor,
             passed: self.readers.passed(),
             readers: self.readers.views(now),
