--- a/crates/relay/src/group.rs
+++ b/crates/relay/src/group.rs
@@ -271,6 +271,10 @@
         if self.log.last() <= self.began { cursor } else { self.log.after(cursor, most, out) }
     }
 
+    pub fn endpoints(&mut self) -> Option<usize> {
+        self.log.endpoints()
+    }
+
     /// A reader called with this number.
     pub fn heard_of(&mut self, number: u64) {
         // Past this no JSON number is exact: it is none of ours.
@@ -285,6 +289,12 @@
         self.seat.token(now).filter(|_| feeds)
     }
 
+    /// The same, or who is the source. One that owns the duty and reads still is none either.
+    pub fn sources(&self, now: Ns) -> Result<Token, Refusal> {
+        let other = self.owner(now).filter(|_| self.seat.token(now).is_none());
+        self.token(now).ok_or(Refusal::NotOwner(other))
+    }
+
     /// The names of all voters.
     pub fn names(&self) -> &[String] {
         &self.rules.names
@@ -931,9 +941,7 @@
         event: Event,
         most_log: usize,
     ) -> Result<Vec<Do>, Refusal> {
-        // One that owns the duty and reads still is no source either.
-        let other = self.owner(now).filter(|_| self.seat.token(now).is_none());
-        let token = self.token(now).ok_or(Refusal::NotOwner(other))?;
+        let token = self.sources(now)?;
         if let Some(long) = mark.map(str::len).filter(|l| *l > LONGEST_MARK) {
             return Err(Refusal::Mark(long));
         }
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -122,6 +122,8 @@
     bytes: usize,
     base_bytes: usize,
     listed: bool,
+    /// How many endpoints the list has, once that was asked for.
+    endpoints: Option<usize>,
     /// The base as it is told, with and without its hierarchy, for the number that it was made for.
     told: Option<(u64, [Box<[u8]>; 2])>,
 }
@@ -134,7 +136,7 @@
     pub fn with(horizon: Horizon, base: Base) -> Log {
         let (base_bytes, listed) = (base.bytes(), base.listed);
         let (events, marks) = (VecDeque::new(), BTreeMap::new());
-        Log { base, events, marks, horizon, bytes: 0, base_bytes, listed, told: None }
+        Log { base, events, marks, horizon, bytes: 0, base_bytes, listed, endpoints: None, told: None }
     }
 
     pub fn horizon(&self) -> Horizon {
@@ -168,6 +170,14 @@
         self.listed
     }
 
+    /// How many endpoints the list has; none: no whole list was told.
+    pub fn endpoints(&mut self) -> Option<usize> {
+        if self.listed && self.endpoints.is_none() {
+            self.endpoints = Some(self.folded(self.last()).members.len());
+        }
+        self.endpoints
+    }
+
     /// Bytes of the base and all events.
     pub fn bytes(&self) -> usize {
         self.bytes + self.base_bytes
@@ -190,6 +200,9 @@
         let frame = event.frame(number).into_boxed_slice();
         self.bytes += frame.len();
         self.listed |= event.kind() == Kind::Members { whole: true };
+        if matches!(event.kind(), Kind::Members { .. }) {
+            self.endpoints = None;
+        }
         if let Some(mark) = mark {
             self.marks.insert(mark.to_owned(), number);
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -268,7 +268,8 @@
             self.acts.push(refused(Refusal::NotOwner(None)));
             return;
         };
-        let read = Event::read(text, self.set.most_event).map_err(Refusal::from);
+        let most = self.set.most_event;
+        let read = g.sources(now).and_then(|_| Ok(Event::read(text, most)?));
         match read.and_then(|(_, event)| g.publish(now, unix, ticket, mark, event, self.set.most_log)) {
             Ok(acts) => self.acts.extend(acts),
             Err(e) => self.acts.push(refused(e)),
@@ -367,6 +368,10 @@
         let floor = self.readers.floor(now, self.last());
         let fresh = self.fresh(now);
         let age = fresh.age(now);
+        let endpoints = match &mut self.part {
+            Part::Voter(g) => g.endpoints(),
+            Part::Plain(p) => p.log.endpoints(),
+        };
         let base = self.log().base();
         let mut status = Status {
             name: self.set.name.clone(),
@@ -379,7 +384,7 @@
             last: self.last(),
             kept: self.last(),
             log_bytes: self.log().bytes(),
-            endpoints: self.log().listed().then(|| self.log().folded(self.last()).members.len()),
+            endpoints,
             floor,
             passed: self.readers.passed(),
             readers: self.readers.views(now),
