--- a/crates/cli/src/relay.rs
+++ b/crates/cli/src/relay.rs
@@ -1,24 +1,22 @@
 //! `sablecross relay ...`: runs a relay, shows what the tier knows, publishes events.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::{Args, Subcommand};
 use sablecross_relay::readers::{InForce, Merged};
 use sablecross_relay::{Event, Status, merge};
 use sablecross_tier::Setting;
 use sablecross_tier::call::Line;
-use serde::Deserialize;
+use sablecross_tier::publish::{No, Publisher};
+use sablecross_tier::settings::Member;
 use serde_json::{Value, json};
 
 use crate::Verdict;
 
 /// The longest status that is read.
 const LONGEST: usize = 64 << 20;
-/// Between two rounds of looking for the owner.
-const PAUSE: Duration = Duration::from_millis(100);
 
 #[derive(Args)]
 pub struct Whom {
@@ -74,7 +72,7 @@
         Command::Run { file, with_parent } => {
             let setting = Setting::load(file)?;
             if *with_parent {
-                sablecross_lab::end_with_parent();
+                sablecross_tier::life::end_with_parent();
             }
             sablecross_tier::life::run(setting).map_err(|e| vec![format!("{}: {e}", file.display())])?;
             Ok(Verdict::Well)
@@ -107,7 +105,7 @@
     let time = whom.time();
     // All at once: one that hangs holds nobody up.
     let asked: Vec<_> = std::thread::scope(|all| {
-        let one = |m: &sablecross_tier::settings::Member| {
+        let one = |m: &Member| {
             let m = *m;
             (m, all.spawn(move || status(m.address, time)))
         };
@@ -193,21 +191,6 @@
     Ok(text)
 }
 
-#[derive(Deserialize)]
-struct Answer {
-    n: Option<u64>,
-    error: Option<String>,
-    owner: Option<u32>,
-}
-
-/// What became of an event.
-enum Came {
-    Told(u64),
-    /// For good: another voter would say the same.
-    Refused(String),
-    Late(String),
-}
-
 fn publish(whom: &Whom, mark: Option<&str>, events: &[String]) -> Result<Verdict, Vec<String>> {
     let setting = Setting::load(&whom.settings)?;
     if setting.voters().next().is_none() {
@@ -225,72 +208,24 @@
         return Err(faults);
     }
     let made = format!("{}-{}", unix(), std::process::id());
+    let voters: Vec<Member> = setting.voters().copied().collect();
+    let mut publisher = Publisher::new(&voters);
     for (i, body) in bodies.iter().enumerate() {
         let mark = match mark {
             Some(mark) if bodies.len() == 1 => mark.to_owned(),
             Some(mark) => format!("{mark}-{}", i + 1),
             None => format!("{made}-{}", i + 1),
         };
-        match told(&setting, &mark, body, whom.time()) {
-            Came::Told(n) => println!("{n}"),
-            Came::Refused(why) => {
-                eprintln!("event {} is refused: {why}", i + 1);
-                return Ok(Verdict::Refused);
-            }
-            Came::Late(why) => {
-                eprintln!(
-                    "event {} was not answered in {:?}, the last word was: {why}; whether it will be told is not known: \
-                     publish it again with --mark {mark}",
-                    i + 1,
-                    whom.time()
-                );
+        match publisher.publish(&mark, body, whom.time()) {
+            Ok(n) => println!("{n}"),
+            Err(no) => {
+                eprintln!("event {} of {}: {no}", i + 1, bodies.len());
+                if let No::Late(..) = no {
+                    eprintln!("whether it will be told is not known: publish it again with --mark {mark}");
+                }
                 return Ok(Verdict::Refused);
             }
         }
     }
     Ok(Verdict::Well)
 }
-
-/// Looks for the owner, and publishes there under the same mark until it is answered.
-fn told(setting: &Setting, mark: &str, body: &[u8], time: Duration) -> Came {
-    let by = Instant::now() + time;
-    let mut why = String::new();
-    let mut order: VecDeque<SocketAddr> = setting.voters().map(|m| m.address).collect();
-    let mut left = order.len();
-    while let Some(at) = order.pop_front() {
-        order.push_back(at);
-        let patience = by.saturating_duration_since(Instant::now()).min(Duration::from_secs(2));
-        if patience.is_zero() {
-            return Came::Late(why);
-        }
-        let headers = format!("Sablecross-Mark: {mark}\r\nConnection: close\r\n");
-        match Line::new(at, patience, LONGEST).call("POST", "/v1/events", &headers, body) {
-            Ok((code, answer)) => {
-                let said: Option<Answer> = serde_json::from_slice(&answer).ok();
-                let owner = said.as_ref().and_then(|a| a.owner);
-                match said {
-                    Some(Answer { n: Some(n), .. }) if code == 200 => return Came::Told(n),
-                    Some(Answer { error: Some(e), .. }) if code != 503 => return Came::Refused(e),
-                    Some(Answer { error: Some(e), .. }) => why = format!("{at}: {e}"),
-                    _ => why = format!("{at}: answer {code}"),
-                }
-                // Whom it takes for the owner is asked next.
-                let named = setting.voters().find(|m| Some(m.number) == owner && m.address != at);
-                if let Some(place) = named.and_then(|m| order.iter().position(|a| *a == m.address)) {
-                    order.swap(0, place);
-                    if left > 1 {
-                        left -= 1;
-                        continue;
-                    }
-                }
-            }
-            Err(e) => why = format!("{at}: {e}"),
-        }
-        left = left.saturating_sub(1);
-        if left == 0 {
-            left = order.len();
-            std::thread::sleep(PAUSE);
-        }
-    }
-    Came::Late(why)
-}
--- /dev/null
+++ b/crates/tier/src/bin/tier-relay.rs
@@ -0,0 +1,18 @@
+//! A relay of a trial: what tests start. `sablecross relay run FILE` is the same.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let file = std::env::args_os().nth(1).unwrap_or_default();
+    let done = sablecross_tier::Setting::load(std::path::Path::new(&file)).and_then(|setting| {
+        sablecross_tier::life::end_with_parent();
+        sablecross_tier::life::run(setting).map_err(|e| vec![e.to_string()])
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(faults) => {
+            faults.iter().for_each(|f| eprintln!("{f}"));
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod life;
 mod lines;
 mod peers;
+pub mod publish;
 mod server;
 pub mod settings;
 
--- a/crates/tier/src/life.rs
+++ b/crates/tier/src/life.rs
@@ -46,3 +46,11 @@
     spawn("signals".into(), heard).map_err(|e| Failed::Io("a thread", e))?;
     server.serve()
 }
+
+/// Ends this program with the one that started it, however that ends: then the pipe that it reads is closed.
+pub fn end_with_parent() {
+    std::thread::spawn(|| {
+        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        std::process::exit(0);
+    });
+}
