--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -37,6 +37,8 @@
 const DRAINED: Ns = 2_000 * MS;
 /// After the word to stop.
 const LEAVING: Ns = 500 * MS;
+/// The owner speaks to a voter at most so often, so that what is published at once goes together.
+const GATHER: Ns = 5 * MS;
 /// Most bytes of entries in a call between voters, and what a call may have beside the largest event and the base.
 const CALL: usize = 1 << 20;
 /// Moments of numbers in force everywhere that are kept.
@@ -157,6 +159,7 @@
         names,
         patience: 2 * h.round_ms * MS,
         beat: (h.lease_ms / 4).min(500) * MS,
+        gather: GATHER,
         most_call: CALL,
         anew_after: h.anew_ms * MS,
         ahead: h.slack_ms / 2 * MS,
@@ -338,7 +341,7 @@
             && (kept.is_err() || !matches!(conn.state, State::Streams(_)))
             && let Some(name) = name
         {
-            self.relay.went(now, &name);
+            self.relay.went(&name);
         }
         if kept.is_ok() {
             self.conns.insert(at, conn);
@@ -527,7 +530,7 @@
             if let Some(name) = name
                 && (kept.is_err() || !matches!(conn.state, State::Streams(_)))
             {
-                self.relay.went(now, &name);
+                self.relay.went(&name);
             }
             kept.is_ok()
         });
--- a/crates/tier/src/settings.rs
+++ b/crates/tier/src/settings.rs
@@ -4,7 +4,7 @@
 
 use garde::Validate;
 use sablecross_forms::{Fault, Placed};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -24,7 +24,7 @@
     pub number: u32,
     /// Where it listens, if not at its member's address.
     #[garde(skip)]
-    #[serde(default)]
+    #[serde(default, deserialize_with = "some")]
     pub listen: Option<SocketAddr>,
     /// New events are told to readers at most so often, and a stream is handed so many bytes at a time.
     #[garde(range(min = 5, max = 10_000))]
@@ -120,6 +120,11 @@
     pub address: SocketAddr,
 }
 
+/// A value that may be absent; the file has no mark for one that is there.
+fn some<'de, D: Deserializer<'de>>(from: D) -> Result<Option<SocketAddr>, D::Error> {
+    SocketAddr::deserialize(from).map(Some)
+}
+
 fn batch_ms() -> u64 {
     100
 }
