Relays under faults between processes: kills, stops, cuts, old sources

Trials start relays as processes on loopback addresses of their own and follow them by sablecross_feed: voters killed and back with an older log, one stopped for 5 s, one cut one way by a proxy that holds what is on it, the source stopped in mid-batch and waking under another owner, a hand-over, all voters begun anew, marks published twice.

--- /dev/null
+++ b/crates/tier/tests/common/mod.rs
@@ -0,0 +1,469 @@
+//! Relays as processes, readers that follow them by the product's own code, faults between them.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{JoinHandle, sleep, spawn};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use rustix::process::{Pid, Signal, kill_process};
+use sablecross_feed::{Cursor, Feeds, Said, Stream, Verdict};
+use sablecross_relay::Status;
+use sablecross_tier::call::Line;
+use sablecross_tier::publish::{No, Publisher};
+use sablecross_tier::settings::Member;
+use socket2::{Domain, Socket, Type};
+use tempfile::TempDir;
+
+pub const PATIENCE: Duration = Duration::from_secs(12);
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn unix() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock").as_millis() as u64
+}
+
+/// Waits until it is so; false if it does not come about.
+pub fn until(most: Duration, mut so: impl FnMut() -> bool) -> bool {
+    let begun = Instant::now();
+    while !so() {
+        if begun.elapsed() > most {
+            return false;
+        }
+        sleep(ms(20));
+    }
+    true
+}
+
+pub const LIST: &str = r#"{"members":{"index":1,"snapshot":true,"endpoints":[{"name":"n","address":"127.0.0.1:9","zone":"e","type":"s","group":0,"status":"ready","weight":1,"since_ms":0}]}}"#;
+
+pub fn purge(key: u64) -> String {
+    format!(r#"{{"purge":{{"key":"{key:016x}","at":{}}}}}"#, unix())
+}
+
+/// A connection between two that can be held: what is on it stays on it.
+#[derive(Clone, Default)]
+pub struct Holds {
+    pub to: Arc<AtomicBool>,
+    pub from: Arc<AtomicBool>,
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream, holds: Arc<AtomicBool>) {
+    let mut bytes = [0; 8_192];
+    while let Ok(n) = from.read(&mut bytes) {
+        while holds.load(Ordering::Relaxed) {
+            sleep(ms(10));
+        }
+        if n == 0 || to.write_all(&bytes[..n]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Write);
+}
+
+pub fn proxy(at: SocketAddr, target: SocketAddr) -> Holds {
+    let listener = TcpListener::bind(at).expect("a proxy's address");
+    let holds = Holds::default();
+    let own = holds.clone();
+    spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let own = own.clone();
+            spawn(move || {
+                let Ok(on) = TcpStream::connect_timeout(&target, ms(500)) else { return };
+                let (a, b) = (stream.try_clone().expect("a clone"), on.try_clone().expect("a clone"));
+                let to = own.to.clone();
+                spawn(move || pump(a, b, to));
+                pump(on, stream, own.from);
+            });
+        }
+    });
+    holds
+}
+
+/// Relays on addresses of their own, so that trials beside one another never meet.
+pub struct Tier {
+    dir: TempDir,
+    block: [u8; 2],
+    voters: u32,
+    many: u32,
+    keys: String,
+    /// Between this one and that one, where a link is held.
+    links: BTreeMap<(u32, u32), SocketAddr>,
+    children: BTreeMap<u32, Child>,
+}
+
+impl Tier {
+    /// `trial`: another at each.
+    pub fn new(trial: u8, voters: u32, plain: u32, keys: &str) -> Tier {
+        let block = [100 + trial, (std::process::id() % 251) as u8];
+        let dir = TempDir::new().expect("a folder");
+        let (links, children) = (BTreeMap::new(), BTreeMap::new());
+        Tier { dir, block, voters, many: voters + plain, keys: keys.into(), links, children }
+    }
+
+    pub fn start(trial: u8, voters: u32, plain: u32, keys: &str) -> Tier {
+        let mut tier = Tier::new(trial, voters, plain, keys);
+        (0..tier.many).for_each(|n| tier.begin(n));
+        tier
+    }
+
+    pub fn ip(&self, last: u8) -> IpAddr {
+        Ipv4Addr::new(127, self.block[0], self.block[1], last).into()
+    }
+
+    pub fn at(&self, relay: u32) -> SocketAddr {
+        (self.ip(200 + relay as u8), 7_070).into()
+    }
+
+    pub fn all(&self) -> Vec<SocketAddr> {
+        (0..self.many).map(|n| self.at(n)).collect()
+    }
+
+    /// What one sends another goes by a link that can be held; to be set before it begins.
+    pub fn link(&mut self, from: u32, to: u32) -> Holds {
+        let at = (self.ip(220 + from as u8), 8_000 + to as u16).into();
+        self.links.insert((from, to), at);
+        proxy(at, self.at(to))
+    }
+
+    pub fn begin(&mut self, relay: u32) {
+        let mut text = format!(
+            "(relay (number . {relay}) (listen . \"{}\") (batch-ms . 20) (ack-ms . 400) (missed-ms . 2000)
+             (lease-ms . 600) (round-ms . 150) (apart-ms . 30) (stale-ms . 1000) (anew-ms . 3000)
+             (connections . 1000) {})\n",
+            self.at(relay),
+            self.keys
+        );
+        for m in 0..self.many {
+            let at = self.links.get(&(relay, m)).copied().unwrap_or(self.at(m));
+            let votes = if m < self.voters { "#t" } else { "#f" };
+            text += &format!("(member (number . {m}) (address . \"{at}\") (votes . {votes}))\n");
+        }
+        let file = self.dir.path().join(format!("{relay}.scm"));
+        std::fs::write(&file, text).expect("a settings file");
+        let log = std::fs::File::options().create(true).append(true).open(self.log_file(relay));
+        let child = Command::new(env!("CARGO_BIN_EXE_tier-relay"))
+            .arg(&file)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::null())
+            .stderr(log.expect("a log"))
+            .spawn();
+        self.children.insert(relay, child.expect("a relay"));
+        let up = until(PATIENCE, || TcpStream::connect(self.at(relay)).is_ok());
+        assert!(up, "relay {relay} does not serve: {}", self.log(relay));
+    }
+
+    fn log_file(&self, relay: u32) -> std::path::PathBuf {
+        self.dir.path().join(format!("{relay}.log"))
+    }
+
+    pub fn log(&self, relay: u32) -> String {
+        std::fs::read_to_string(self.log_file(relay)).unwrap_or_default()
+    }
+
+    pub fn logs(&self) -> String {
+        (0..self.many).map(|n| format!("--- relay {n}\n{}", self.log(n))).collect()
+    }
+
+    pub fn pid(&self, relay: u32) -> u32 {
+        self.children[&relay].id()
+    }
+
+    fn signal(&self, relay: u32, signal: Signal) {
+        let pid = Pid::from_child(&self.children[&relay]);
+        kill_process(pid, signal).expect("a signal");
+    }
+
+    pub fn kill(&mut self, relay: u32) {
+        let mut child = self.children.remove(&relay).expect("it runs");
+        child.kill().and_then(|()| child.wait()).expect("it ends");
+    }
+
+    pub fn stop(&self, relay: u32) {
+        self.signal(relay, Signal::STOP);
+    }
+
+    pub fn go_on(&self, relay: u32) {
+        self.signal(relay, Signal::CONT);
+    }
+
+    /// SIGTERM, and how it ended.
+    pub fn end(&mut self, relay: u32) -> Option<i32> {
+        self.signal(relay, Signal::TERM);
+        let mut child = self.children.remove(&relay).expect("it runs");
+        child.wait().expect("it ends").code()
+    }
+
+    pub fn status(&self, relay: u32) -> Option<Status> {
+        let (code, body) =
+            Line::new(self.at(relay), ms(1_000), 1 << 24).call("GET", "/v1/status", "", b"").ok()?;
+        assert_eq!(code, 200);
+        Some(serde_json::from_slice(&body).expect("a status"))
+    }
+
+    /// The owner, once there is one beside those that are left out.
+    pub fn owner_but(&self, out: &[u32]) -> u32 {
+        let mut owner = None;
+        let found = until(PATIENCE, || {
+            let owns = |n: &u32| self.status(*n).is_some_and(|s| s.role == "owner");
+            owner = (0..self.voters).filter(|n| !out.contains(n) && self.children.contains_key(n)).find(owns);
+            owner.is_some()
+        });
+        assert!(found, "nobody owns the feed: {}", self.logs());
+        owner.expect("found")
+    }
+
+    pub fn owner(&self) -> u32 {
+        self.owner_but(&[])
+    }
+
+    pub fn publisher(&self) -> Publisher {
+        let voter = |n| Member { number: n, address: self.at(n), votes: true };
+        Publisher::new(&(0..self.voters).map(voter).collect::<Vec<_>>())
+    }
+
+    /// The list, as the first event of all.
+    pub fn listed(&self) -> Published {
+        let mut published = Published::default();
+        published.tell(&mut self.publisher(), "list", LIST);
+        published
+    }
+
+    pub fn reader(&self, name: u8, home: u32) -> Reader {
+        Reader::start(self.ip(name), self.at(home), &self.all())
+    }
+
+    /// So many readers, spread over all relays.
+    pub fn readers(&self, many: u8) -> Vec<Reader> {
+        (0..many).map(|i| self.reader(i + 1, u32::from(i) % self.many)).collect()
+    }
+}
+
+impl Drop for Tier {
+    fn drop(&mut self) {
+        for child in self.children.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// What was answered with a number.
+#[derive(Default)]
+pub struct Published(pub BTreeMap<u64, String>);
+
+impl Published {
+    pub fn tell(&mut self, publisher: &mut Publisher, mark: &str, event: &str) -> u64 {
+        let n = publisher.publish(mark, event.as_bytes(), PATIENCE).unwrap_or_else(|e| panic!("{mark}: {e}"));
+        let before = self.0.insert(n, event.into());
+        assert_eq!(before, None, "number {n} was given twice");
+        n
+    }
+}
+
+/// Publishes purges one after another until it is told to stop.
+pub struct Load {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<Published>,
+}
+
+impl Load {
+    pub fn start(mut publisher: Publisher, name: u64, pause: Duration) -> Load {
+        let stop = Arc::new(AtomicBool::new(false));
+        let over = stop.clone();
+        let thread = spawn(move || {
+            let mut published = Published::default();
+            for i in 0.. {
+                if over.load(Ordering::Relaxed) {
+                    break;
+                }
+                published.tell(&mut publisher, &format!("{name}-{i}"), &purge(name << 32 | i));
+                sleep(pause);
+            }
+            published
+        });
+        Load { stop, thread }
+    }
+
+    pub fn over(self) -> Published {
+        self.stop.store(true, Ordering::Relaxed);
+        self.thread.join().expect("all is published")
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Got {
+    /// In the order in which they were taken.
+    pub events: Vec<(u64, String)>,
+    pub calls: u64,
+    pub failed: u64,
+    pub again: u64,
+    pub skipped: u64,
+}
+
+impl Got {
+    pub fn last(&self) -> u64 {
+        self.events.last().map_or(0, |(n, _)| *n)
+    }
+}
+
+/// Follows feeds, as a director does: by `sablecross_feed`.
+pub struct Reader {
+    pub got: Arc<Mutex<Got>>,
+    stop: Arc<AtomicBool>,
+    /// It is away: it calls nobody.
+    pub away: Arc<AtomicBool>,
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+pub fn dial(from: IpAddr, at: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.bind(&SocketAddr::new(from, 0).into())?;
+    socket.connect_timeout(&at.into(), ms(1_000))?;
+    Ok(socket.into())
+}
+
+impl Reader {
+    pub fn start(name: IpAddr, home: SocketAddr, all: &[SocketAddr]) -> Reader {
+        let reader = Reader { got: Arc::default(), stop: Arc::default(), away: Arc::default() };
+        let (got, stop, away) = (reader.got.clone(), reader.stop.clone(), reader.away.clone());
+        let (mut feeds, mut cursor) = (Feeds::new(&name.to_string(), home, all), Cursor::after(0));
+        spawn(move || {
+            let begun = Instant::now();
+            while !stop.load(Ordering::Relaxed) {
+                if away.load(Ordering::Relaxed) {
+                    sleep(ms(10));
+                    continue;
+                }
+                let (since, before) = (Instant::now(), cursor.last());
+                match follow(name, &mut feeds, &mut cursor, &got, &away, &stop) {
+                    Ok(()) => feeds.ended(begun.elapsed()),
+                    Err(_) => {
+                        got.lock().expect("a lock").failed += 1;
+                        feeds.failed(begun.elapsed());
+                    }
+                }
+                if cursor.last() == before && since.elapsed() < ms(100) {
+                    sleep(ms(100));
+                }
+            }
+        });
+        reader
+    }
+
+    pub fn last(&self) -> u64 {
+        self.got.lock().expect("a lock").last()
+    }
+
+    pub fn got(&self) -> Got {
+        self.got.lock().expect("a lock").clone()
+    }
+
+    pub fn goes(&self, away: bool) {
+        self.away.store(away, Ordering::Relaxed);
+    }
+}
+
+fn number(data: &str) -> Result<(u64, String), String> {
+    let value: serde_json::Value = serde_json::from_str(data).map_err(|e| e.to_string())?;
+    Ok((value["n"].as_u64().ok_or("no number")?, data.to_owned()))
+}
+
+fn follow(
+    name: IpAddr,
+    feeds: &mut Feeds,
+    cursor: &mut Cursor,
+    got: &Mutex<Got>,
+    away: &AtomicBool,
+    stop: &AtomicBool,
+) -> Result<(), String> {
+    let at = feeds.at();
+    let stream = dial(name, at).map_err(|e| e.to_string())?;
+    stream.set_read_timeout(Some(ms(20))).map_err(|e| e.to_string())?;
+    (&stream).write_all(sablecross_feed::request(at, cursor.last()).as_bytes()).map_err(|e| e.to_string())?;
+    got.lock().expect("a lock").calls += 1;
+    let (mut answer, mut bytes, mut heard) = (Stream::new(1 << 22), [0; 8_192], Instant::now());
+    while !away.load(Ordering::Relaxed) && !stop.load(Ordering::Relaxed) {
+        match (&stream).read(&mut bytes) {
+            Ok(0) => return answer.end().map_err(|e| e.to_string()),
+            Ok(n) => {
+                heard = Instant::now();
+                answer.take(&bytes[..n]);
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                if heard.elapsed() > ms(2_000) {
+                    return Err("silent".into());
+                }
+            }
+            Err(e) => return Err(e.to_string()),
+        }
+        while let Some(said) = answer.said().map_err(|e| e.to_string())? {
+            match said {
+                Said::Up => feeds.answered(),
+                Said::Comment(_) => {}
+                Said::Event { id, data } => {
+                    let mut got = got.lock().expect("a lock");
+                    match cursor.event(id, number(&data)) {
+                        Verdict::Take(_) => got.events.push((cursor.last(), data)),
+                        Verdict::Repeat => {}
+                        Verdict::Again(why) => {
+                            got.again += 1;
+                            return Err(why);
+                        }
+                        Verdict::Skip { .. } => got.skipped += 1,
+                    }
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// All readers come to this number, then each has every published event from the list on, in order, once and as it was published,
+/// and nobody has under a number what another does not.
+pub fn complete(readers: &[Reader], published: &Published, tier: &Tier) {
+    let last = *published.0.keys().last().expect("something was published");
+    let come = until(PATIENCE, || readers.iter().all(|r| r.last() >= last));
+    let at: Vec<u64> = readers.iter().map(Reader::last).collect();
+    assert!(come, "of {last} readers have {at:?}\n{}", tier.logs());
+    let mut known: BTreeMap<u64, String> = BTreeMap::new();
+    for (i, reader) in readers.iter().enumerate() {
+        let got = reader.got();
+        assert_eq!(got.skipped, 0, "reader {i} skipped events");
+        let numbers: Vec<u64> = got.events.iter().map(|(n, _)| *n).collect();
+        assert!(
+            numbers.windows(2).all(|w| w[1] == w[0] + 1),
+            "reader {i}: {:?}\n{}",
+            numbers.windows(2).find(|w| w[1] != w[0] + 1),
+            tier.logs()
+        );
+        let of: BTreeMap<u64, &String> = got.events.iter().map(|(n, e)| (*n, e)).collect();
+        for (n, event) in &published.0 {
+            let told = of.get(n).unwrap_or_else(|| panic!("reader {i} misses {n}\n{}", tier.logs()));
+            assert_eq!(**told, format!("{{\"n\":{n},{}", &event[1..]), "reader {i}");
+        }
+        for (n, event) in got.events {
+            let first = known.entry(n).or_insert_with(|| event.clone());
+            assert_eq!(*first, event, "reader {i} has another event under {n}");
+        }
+    }
+}
+
+/// Whether a voter refuses an event as one that is not the source, or not any more.
+pub fn refuses(tier: &Tier, relay: u32, event: &str) -> bool {
+    let member = Member { number: relay, address: tier.at(relay), votes: true };
+    let said = Publisher::new(&[member]).publish("once", event.as_bytes(), Duration::ZERO);
+    matches!(said, Err(No::Late(..)))
+}
