--- a/crates/tier/tests/common/mod.rs
+++ b/crates/tier/tests/common/mod.rs
@@ -126,6 +126,11 @@
         (0..self.many).map(|n| self.at(n)).collect()
     }
 
+    /// An outside control feed for all; to be set before they begin.
+    pub fn upstream(&mut self, at: SocketAddr) {
+        self.keys += &format!(") (upstream (address . \"{at}\")");
+    }
+
     /// What one sends another goes by a link that can be held; to be set before it begins.
     pub fn link(&mut self, from: u32, to: u32) -> Holds {
         let at = (self.ip(220 + from as u8), 8_000 + to as u16).into();
--- /dev/null
+++ b/crates/tier/tests/settings.rs
@@ -0,0 +1,71 @@
+//! Settings files: the sample, and what is wrong with others, where.
+
+use sablecross_tier::Setting;
+
+fn fault(text: &str) -> String {
+    let faults = Setting::parse("r.scm", text).expect_err("a fault");
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+}
+
+const MEMBER: &str = "(member (number . 0) (address . \"127.0.0.1:7070\") (votes . #t))\n";
+
+#[test]
+fn the_sample_is_read() {
+    let text = include_str!("../../../deploy/relay.scm");
+    let setting = Setting::parse("relay.scm", text).expect("the sample");
+    assert_eq!(setting.voters().count(), 3);
+    assert_eq!(setting.listen, "127.0.0.1:7070".parse().expect("an address"));
+    assert!(setting.votes() && setting.upstreams.is_empty());
+    assert_eq!(setting.readers[0].name, "n5");
+    // What the sample says is what is taken by itself.
+    let short = format!("(relay (number . 0))\n{MEMBER}");
+    assert_eq!(Setting::parse("short", &short).expect("short").head, setting.head);
+}
+
+#[test]
+fn faults_name_file_line_and_key() {
+    for (text, what) in [
+        (MEMBER.to_owned(), "r.scm:1:1: relay: no (relay ...) form"),
+        (format!("{MEMBER}(relay (number . 0)\n"), "r.scm:2:1: "),
+        (
+            format!("{MEMBER}(relay (number . 0) (batch-ms . 1))\n"),
+            "r.scm:2:22: relay.batch-ms: lower than 5",
+        ),
+        (format!("{MEMBER}(relay (number . 0) (batches . 1))\n"), "r.scm:2:22: relay.batches: unknown field"),
+        (format!("{MEMBER}(relay (number . 0))\n(relay (number . 0))\n"), "r.scm:3:1: relay: a second one"),
+        (format!("{MEMBER}(relay (number . 4))\n"), "relay.number: no (member ...) form"),
+        (format!("{MEMBER}{MEMBER}(relay (number . 0))\n"), "r.scm:2:1: member: its number or address"),
+        (format!("{MEMBER}(relay (number . 0) (lease-ms . 300))\n"), "relay.round-ms: longer than half"),
+        (format!("{MEMBER}(relay (number . 0) (ack-ms . 6000))\n"), "relay.ack-ms: longer than half"),
+        (
+            format!("{MEMBER}(relay (number . 0))\n(upstream (address . \"127.0.0.1:1\"))\n"),
+            "follows no upstream",
+        ),
+        (
+            "(relay (number . 0))\n(member (number . 0) (address . \"127.0.0.1:1\"))\n".into(),
+            "nothing to follow",
+        ),
+        (
+            format!("{MEMBER}(relay (number . 0))\n(reader (name . \"a\") (address . \"127.0.0.1:7070\"))"),
+            "relay.listen",
+        ),
+        (format!("{MEMBER}(relay (number . 0) {})\n", "(x . 1)".repeat(3_000)), "r.scm:2:1: "),
+        (format!("{MEMBER}(relay (number . 0) (listen . \"localhost\"))\n"), "r.scm:2:22: relay.listen: "),
+    ] {
+        let said = fault(&text);
+        assert!(said.contains(what), "{said}, where {what} was due");
+    }
+}
+
+#[test]
+fn what_does_not_fit_the_limit_is_said() {
+    let text = format!("(relay (number . 0) (connections . 100000))\n{MEMBER}");
+    let setting = Setting::parse("r.scm", &text).expect("settings");
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    if limit.is_some_and(|l| l < setting.descriptors() as u64) {
+        let why = setting.fits().expect_err("it does not fit");
+        assert!(why.contains("relay.connections") && why.contains("descriptors"), "{why}");
+    } else {
+        assert_eq!(setting.fits(), Ok(()));
+    }
+}
