--- /dev/null
+++ b/crates/cli/tests/relay.rs
@@ -0,0 +1,91 @@
+//! `sablecross relay`: exit codes and words, of a relay that runs and of one that does not.
+
+use std::net::TcpStream;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const LIST: &str = r#"{"members":{"index":1,"snapshot":true,"endpoints":[]}}"#;
+const PURGE: &str = r#"{"purge":{"key":"00000000000000aa","at":1764576000123}}"#;
+
+/// Ends with the test, however that ends.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn sablecross(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sablecross"));
+    command.arg("relay").args(args);
+    command
+}
+
+/// The exit code and all that was said.
+fn said(args: &[&str]) -> (i32, String) {
+    let out = sablecross(args).output().unwrap();
+    let text = [out.stdout, out.stderr].map(|b| String::from_utf8(b).unwrap()).concat();
+    (out.status.code().unwrap(), text)
+}
+
+#[test]
+fn run_publish_and_show() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = |name: &str, text: &str| {
+        let file = folder.path().join(name);
+        std::fs::write(&file, text).unwrap();
+        file.to_str().unwrap().to_owned()
+    };
+    let at = format!("127.99.{}.1:7070", std::process::id() % 251);
+    let member = format!("(member (number . 0) (address . \"{at}\") (votes . #t))");
+    let settings = file("relay.scm", &format!("(relay (number . 0) (batch-ms . 20))\n{member}\n"));
+    let s = settings.as_str();
+    let typo = file("typo.scm", &format!("(relay (number . 0) (batch-mss . 20))\n{member}\n"));
+    let cut = format!("@{}", file("cut.json", "{\"purge\":\n {\"key\":\"00"));
+    let good = format!("@{}", file("good.json", PURGE));
+    for (args, code, words) in [
+        (vec!["run", "nowhere.scm"], 2, "nowhere.scm: No such file"),
+        (vec!["run", &typo], 2, "typo.scm:1:22: relay.batch-mss: unknown field"),
+        (vec!["show", "--settings", s, "--time", "0.2"], 1, "relay-0    no answer"),
+        (vec!["publish", "--settings", s, "--time", "0.2", PURGE], 1, "publish it again with --mark"),
+        (vec!["publish", "--settings", s, PURGE, &cut], 2, "cut.json: "),
+        (vec!["publish", "--settings", s, "{}"], 2, "event 1: the event has no members, purge or hierarchy"),
+    ] {
+        let (ended, text) = said(&args);
+        assert!(ended == code && text.contains(words), "{args:?}: {ended}\n{text}");
+    }
+    let mut run = sablecross(&["run", s, "--with-parent"]);
+    let child = run.stdin(Stdio::piped()).stderr(Stdio::null()).spawn().unwrap();
+    let mut running = Running(child);
+    let begun = Instant::now();
+    while TcpStream::connect(&at).is_err() {
+        assert!(begun.elapsed() < Duration::from_secs(10), "it does not serve");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let (ended, text) = said(&["publish", "--settings", s, PURGE]);
+    assert!(ended == 1 && text.contains("whole list"), "{ended} {text}");
+    let (ended, text) = said(&["publish", "--settings", s, "--mark", "m", LIST, &good]);
+    assert_eq!(ended, 0, "{text}");
+    let numbers: Vec<u64> = text.lines().map(|l| l.parse().unwrap()).collect();
+    assert_eq!(numbers[1], numbers[0] + 1);
+    assert_eq!(said(&["publish", "--settings", s, "--mark", "m", LIST, &good]), (0, text));
+    let (n, later) = (numbers[1].to_string(), (numbers[1] + 1).to_string());
+    // It is noted by the next batch.
+    let begun = Instant::now();
+    let (ended, text) = loop {
+        let shown = said(&["show", "--settings", s, "--number", &n]);
+        if shown.0 == 0 || begun.elapsed() > Duration::from_secs(5) {
+            break shown;
+        }
+    };
+    assert!(ended == 0 && text.contains("in force everywhere that counts since"), "{ended} {text}");
+    let (ended, text) = said(&["show", "--settings", s, "--number", &later]);
+    assert!(ended == 1 && text.contains("not told yet"), "{ended} {text}");
+    let (ended, text) = said(&["show", "--settings", s, "--json"]);
+    assert!(ended == 0 && text.starts_with("{") && text.contains("\"role\":\"owner\""), "{ended} {text}");
+    let term = Command::new("kill").arg(running.0.id().to_string()).status().unwrap();
+    assert!(term.success());
+    assert_eq!(running.0.wait().unwrap().code(), Some(0));
+}
