--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -1,6 +1,6 @@
 //! The loop: listeners, connections, and the deciding relay between them. It waits for nobody.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::hash::{BuildHasher, RandomState};
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, SocketAddr};
@@ -35,8 +35,9 @@
 /// A connection without a request may rest for so long; one that drains is over after this.
 const IDLE: Ns = 30_000 * MS;
 const DRAINED: Ns = 2_000 * MS;
-/// After the word to stop.
-const LEAVING: Ns = 500 * MS;
+/// After the word to stop: while the duty is handed over, and while streams are read off.
+const HANDS: Ns = 200 * MS;
+const LEAVING: Ns = 700 * MS;
 /// The owner speaks to a voter at most so often, so that what is published at once goes together.
 const GATHER: Ns = 5 * MS;
 /// Most bytes of entries in a call between voters, and what a call may have beside the largest event and the base.
@@ -111,6 +112,9 @@
     /// The call of an upstream that is open.
     call: Option<Order>,
     calls: u64,
+    /// Those that could not be called last time, and the one that was followed last.
+    lost: BTreeSet<SocketAddr>,
+    up: Option<SocketAddr>,
     words: Sender<Word>,
     shared: Vec<Batch>,
     scratch: Vec<u8>,
@@ -233,6 +237,8 @@
             orders,
             call: None,
             calls: 0,
+            lost: BTreeSet::new(),
+            up: None,
             words,
             shared: Vec::new(),
             scratch: Vec::new(),
@@ -261,7 +267,8 @@
                 self.tick(now);
                 tick = if now < tick + self.batch { tick + self.batch } else { now + self.batch };
             }
-            if self.stopping.is_some_and(|at| now >= at + LEAVING || self.conns.is_empty()) {
+            let over = |at: Ns| now >= at + LEAVING || now >= at + HANDS && self.conns.is_empty();
+            if self.stopping.is_some_and(over) {
                 return Ok(());
             }
             let next = if self.more.is_empty() { tick.min(step) } else { now };
@@ -293,9 +300,6 @@
         loop {
             match listener.socket.accept() {
                 Ok((mut stream, from)) => {
-                    if self.stopping.is_some() {
-                        continue;
-                    }
                     if self.conns.len() >= self.set.head.connections {
                         if let Some(left_out) = self.lines.next(now) {
                             let most = self.set.head.connections;
@@ -330,21 +334,33 @@
     /// Something can be done on a connection.
     fn moves(&mut self, at: usize, now: Ns, readable: bool, writable: bool) {
         let Some(mut conn) = self.conns.remove(&at) else { return };
-        let streamed = matches!(conn.state, State::Streams(_));
-        let name = self.streaming(&conn);
+        let before = self.streaming(&conn);
         let kept = self.moved(at, &mut conn, now, readable, writable);
-        if let Err(why) = &kept {
-            tracing::debug!("relay connection from={} over: {why}", conn.from);
-        }
-        // What a stream was is over, also where it only begins to end.
-        if streamed
-            && (kept.is_err() || !matches!(conn.state, State::Streams(_)))
-            && let Some(name) = name
-        {
-            self.relay.went(&name);
-        }
-        if kept.is_ok() {
-            self.conns.insert(at, conn);
+        self.settled(at, conn, before, kept);
+    }
+
+    /// A connection is kept, or over; a stream that is over, or begins to end, was one.
+    fn settled(
+        &mut self,
+        at: usize,
+        conn: Conn,
+        before: Option<Arc<str>>,
+        kept: Result<(), ErrorKind>,
+    ) {
+        let after = self.streaming(&conn);
+        match kept {
+            Ok(()) => {
+                if let (Some(name), None) = (&before, &after) {
+                    self.relay.went(name);
+                }
+                self.conns.insert(at, conn);
+            }
+            Err(why) => {
+                tracing::debug!("relay connection from={} over: {why}", conn.from);
+                if let Some(name) = before.or(after) {
+                    self.relay.went(&name);
+                }
+            }
         }
     }
 
@@ -415,6 +431,7 @@
             conn.used(whole);
             conn.state = State::Owed { closes: request.closes };
             match request.want {
+                Want::Events(_) if self.stopping.is_some() => return self.refuse(conn, now, 503, "it stops"),
                 Want::Events(last) => self.begins(conn, now, last, relay)?,
                 Want::Status => {
                     let status = self.relay.status(now, unix());
@@ -595,10 +612,9 @@
                     }
                 }
                 In::Over(call, why) if self.call.is_some_and(|c| c.number == call) => {
-                    if let Err(why) = why {
-                        let at = self.call.map(|c| c.at);
-                        if let Some(left_out) = self.lines.next(now) {
-                            tracing::warn!("relay upstream lost at={at:?} left_out={left_out}: {why}");
+                    if let (Err(why), Some(open)) = (why, self.call) {
+                        if self.lost.insert(open.at) {
+                            tracing::warn!("relay upstream lost at={}: {why}", open.at);
                         }
                         self.relay.failed(now);
                     }
@@ -613,6 +629,8 @@
                         tracing::info!("relay stops");
                         self.stopping = Some(now);
                         self.relay.hand_over(now);
+                        // Who calls from here on goes elsewhere at once.
+                        self.listeners.clear();
                     }
                 }
                 In::Report => {
@@ -627,7 +645,13 @@
     /// What the upstream says.
     fn fed(&mut self, now: Ns, said: Said) {
         match said {
-            Said::Up => tracing::debug!("relay upstream up"),
+            Said::Up => {
+                let open = self.call.filter(|c| self.lost.remove(&c.at) || self.up != Some(c.at));
+                if let Some(open) = open {
+                    self.up = Some(open.at);
+                    tracing::info!("relay upstream up at={} after={}", open.at, open.after);
+                }
+            }
             Said::Comment(comment) => self.relay.commented(now, &comment),
             Said::Event { id, data } => {
                 if let Took::Again(why) = self.relay.told(now, unix(), id, data.as_bytes()) {
@@ -711,8 +735,7 @@
         let Some(mut conn) = self.conns.remove(&at) else { return };
         let done = self.answer(&mut conn, now, code, "application/json", body);
         // What came behind it meanwhile.
-        if done.and_then(|()| self.asked(at, &mut conn, now)).is_ok() {
-            self.conns.insert(at, conn);
-        }
+        let kept = done.and_then(|()| self.asked(at, &mut conn, now));
+        self.settled(at, conn, None, kept);
     }
 }
