--- a/crates/cli/src/relay.rs
+++ b/crates/cli/src/relay.rs
@@ -174,7 +174,12 @@
     }
     for Merged { name, number, heard_unix_ms, connected, relay } in &f.missing {
         let how = if *connected { "connected" } else { "gone" };
-        println!("  missing at {name}: has {number}, {how}, heard {} by {relay}", ago(*heard_unix_ms));
+        match heard_unix_ms {
+            Some(heard) => {
+                println!("  missing at {name}: has {number}, {how}, heard {} by {relay}", ago(*heard))
+            }
+            None => println!("  missing at {name}: never heard, expected by {relay}"),
+        }
     }
 }
 
--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -193,7 +193,7 @@
         let most = h.log_bytes.max(CALL);
         let (mut voters, mut upstreams) = (Vec::new(), set.upstreams.clone());
         let spread = RandomState::new();
-        let relay = if set.votes() {
+        let mut relay = if set.votes() {
             let time = Duration::from_millis(h.lease_ms);
             for (place, m) in (0u32..).zip(set.voters()) {
                 let own = m.number == h.number;
@@ -213,6 +213,7 @@
             let stale = h.stale_ms * MS;
             Relay::plain(settings(&set), Upstream::new(upstreams.len(), stale, 2 * stale, HOME, now))
         };
+        set.readers.iter().for_each(|r| relay.expects(now, &r.name));
         let (orders, taken) = bounded(4);
         let follower = Follower { relay: h.number, silence, most, orders: taken, inbox: to.clone() };
         if !upstreams.is_empty() {
@@ -340,13 +341,7 @@
     }
 
     /// A connection is kept, or over; a stream that is over, or begins to end, was one.
-    fn settled(
-        &mut self,
-        at: usize,
-        conn: Conn,
-        before: Option<Arc<str>>,
-        kept: Result<(), ErrorKind>,
-    ) {
+    fn settled(&mut self, at: usize, conn: Conn, before: Option<Arc<str>>, kept: Result<(), ErrorKind>) {
         let after = self.streaming(&conn);
         match kept {
             Ok(()) => {
