--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -141,7 +141,7 @@
     let h = &set.head;
     Settings {
         name: set.name(),
-        horizon: Horizon { cleared: h.cleared_ms * MS, slack: h.slack_ms * MS },
+        horizon: Horizon { cleared: h.cleared_ms * MS, held: h.held_ms * MS, slack: h.slack_ms * MS },
         most_event: h.event_bytes,
         most_log: h.log_bytes,
         missed: h.missed_ms * MS,
@@ -222,6 +222,12 @@
         let words = peers::passer(silence, to.clone()).map_err(failed("a thread"))?;
         let role = if set.votes() { "voter" } else { "plain" };
         tracing::info!(number = h.number, listen = %set.listen, role, readers = set.readers.len(), "relay serves");
+        if h.held_ms * MS < sablecross_relay::horizon::HELD {
+            tracing::warn!(
+                "relay held-ms={} forgets purges that directors are bound by: for trials alone",
+                h.held_ms
+            );
+        }
         let batch = h.batch_ms * MS;
         let server = Server {
             set,
--- a/crates/tier/src/settings.rs
+++ b/crates/tier/src/settings.rs
@@ -48,11 +48,14 @@
     #[garde(range(min = 200, max = 600_000))]
     #[serde(default = "stuck_ms")]
     pub stuck_ms: u64,
-    /// By when a purge is to be done everywhere: the largest of all directors' settings. It binds for so long, and as long as the
-    /// module holds to it after that.
+    /// By when a purge is to be done everywhere: the largest of all directors' settings.
     #[garde(range(min = 1, max = 3_600_000))]
     #[serde(default = "cleared_ms")]
     pub cleared_ms: u64,
+    /// For how long the module holds to a purge after that. Less than its own constant is for trials alone.
+    #[garde(range(min = 100, max = 86_400_000))]
+    #[serde(default = "held_ms")]
+    pub held_ms: u64,
     /// How far apart clocks may be and a purge may be on its way, together.
     #[garde(range(max = 600_000))]
     #[serde(default = "slack_ms")]
@@ -153,6 +156,10 @@
     6_000
 }
 
+fn held_ms() -> u64 {
+    sablecross_relay::horizon::HELD / 1_000_000
+}
+
 fn slack_ms() -> u64 {
     10_000
 }
