--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -8,12 +8,16 @@
 
 use crate::relay::Status;
 
+/// How often the floor is worked out.
+const EVERY: Ns = 50_000_000;
+
 #[derive(Clone, Copy, Debug)]
 struct Reader {
     /// In force there, by its last word.
     number: u64,
-    /// Its last word, or the end of its last stream.
+    /// Its last word, or since when it is expected.
     heard: Ns,
+    came: bool,
     streams: u32,
 }
 
@@ -23,9 +27,10 @@
     pub name: String,
     /// In force there.
     pub number: u64,
-    pub heard_ms_ago: u64,
+    /// Since its last word; none: it never came.
+    pub heard_ms_ago: Option<u64>,
     pub connected: bool,
-    /// It was away for so long that the floor does not wait for it any more.
+    /// It said no word for so long that the floor does not wait for it any more.
     pub missing: bool,
 }
 
@@ -35,45 +40,57 @@
     missed: Ns,
     forgotten: Ns,
     floor: u64,
+    /// When the floor is worked out next: all readers are gone through.
+    due: Ns,
     /// When the floor came to which number, Unix ms: the newest last.
     passed: VecDeque<(u64, u64)>,
     most_passed: usize,
 }
 
 impl Readers {
-    /// `missed`: one that is away for longer holds the floor no more. `forgotten`: nor is it known any more.
+    /// `missed`: one that said no word for longer holds the floor no more, also if its stream is open still. `forgotten`: nor
+    /// is one that is away known any more.
     pub fn new(missed: Ns, forgotten: Ns, most_passed: usize) -> Readers {
         let passed = VecDeque::new();
-        Readers { all: BTreeMap::new(), missed, forgotten, floor: 0, passed, most_passed }
+        Readers { all: BTreeMap::new(), missed, forgotten, floor: 0, due: 0, passed, most_passed }
     }
 
     /// A call with this number: what is in force there. The stream that begins counts until `went`.
     pub fn comes(&mut self, now: Ns, name: &str, number: u64) {
         let streams = self.all.get(name).map_or(0, |r| r.streams) + 1;
-        self.all.insert(name.to_owned(), Reader { number, heard: now, streams });
+        self.all.insert(name.to_owned(), Reader { number, heard: now, came: true, streams });
+    }
+
+    /// One that is to come counts with nothing, unless it is known.
+    pub fn expects(&mut self, now: Ns, name: &str) {
+        let none = Reader { number: 0, heard: now, came: false, streams: 0 };
+        self.all.entry(name.to_owned()).or_insert(none);
     }
 
     /// A word without a stream: a voter's answer.
     pub fn says(&mut self, now: Ns, name: &str, number: u64) {
         let streams = self.all.get(name).map_or(0, |r| r.streams);
-        self.all.insert(name.to_owned(), Reader { number, heard: now, streams });
+        self.all.insert(name.to_owned(), Reader { number, heard: now, came: true, streams });
     }
 
     /// A stream of it is over.
-    pub fn went(&mut self, now: Ns, name: &str) {
+    pub fn went(&mut self, name: &str) {
         if let Some(r) = self.all.get_mut(name) {
             r.streams = r.streams.saturating_sub(1);
-            r.heard = r.heard.max(now);
         }
     }
 
     fn missing(&self, now: Ns, r: &Reader) -> bool {
-        r.streams == 0 && now.saturating_sub(r.heard) > self.missed
+        now.saturating_sub(r.heard) > self.missed
     }
 
-    /// What all have that count, and this program itself up to `own`. It never falls: one that begins behind it is waited for
-    /// before it rises again.
+    /// What all have that count, and this program itself up to `own`, as of up to 50 ms ago. It never falls: one that begins
+    /// behind it is waited for before it rises again.
     pub fn floor(&mut self, now: Ns, own: u64) -> u64 {
+        if now < self.due {
+            return self.floor;
+        }
+        self.due = now + EVERY;
         let forgotten = self.forgotten;
         self.all.retain(|_, r| r.streams > 0 || now.saturating_sub(r.heard) <= forgotten);
         let counted = self.all.values().filter(|r| !self.missing(now, r)).map(|r| r.number);
@@ -101,7 +118,7 @@
         let view = |(name, r): (&String, &Reader)| View {
             name: name.clone(),
             number: r.number,
-            heard_ms_ago: now.saturating_sub(r.heard) / 1_000_000,
+            heard_ms_ago: r.came.then(|| now.saturating_sub(r.heard) / 1_000_000),
             connected: r.streams > 0,
             missing: self.missing(now, r),
         };
@@ -119,7 +136,8 @@
 pub struct Merged {
     pub name: String,
     pub number: u64,
-    pub heard_unix_ms: u64,
+    /// Its last word; none: it never came.
+    pub heard_unix_ms: Option<u64>,
     pub connected: bool,
     pub relay: String,
 }
@@ -151,7 +169,7 @@
     let mut readers: BTreeMap<String, Merged> = BTreeMap::new();
     for s in all {
         let (name, relay) = (s.name.clone(), s.name.clone());
-        let own = Merged { name, number: s.last, heard_unix_ms: s.unix_ms, connected: true, relay };
+        let own = Merged { name, number: s.last, heard_unix_ms: Some(s.unix_ms), connected: true, relay };
         readers.insert(s.name.clone(), own);
     }
     for s in all {
@@ -159,7 +177,7 @@
             let one = Merged {
                 name: v.name.clone(),
                 number: v.number,
-                heard_unix_ms: s.unix_ms.saturating_sub(v.heard_ms_ago),
+                heard_unix_ms: v.heard_ms_ago.map(|ago| s.unix_ms.saturating_sub(ago)),
                 connected: v.connected,
                 relay: s.name.clone(),
             };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -21,7 +21,7 @@
     pub most_event: usize,
     /// Past so many bytes of log nothing more is taken from publishers.
     pub most_log: usize,
-    /// A reader that is away for longer holds no number back.
+    /// A reader that said no word (called) for longer holds no number back.
     pub missed: Ns,
     /// And after so long it is not known any more.
     pub forgotten: Ns,
@@ -166,7 +166,14 @@
         std::mem::take(&mut self.acts)
     }
 
-    fn log(&self) -> &Log {
+    /// A reader that is to come, as the settings name it: it counts as one with nothing until it does, and is missing after a
+    /// while. Without that a relay that begins anew knows of no readers until they call.
+    pub fn expects(&mut self, now: Ns, name: &str) {
+        self.readers.expects(now, name);
+    }
+
+    /// What may be told.
+    pub fn log(&self) -> &Log {
         match &self.part {
             Part::Voter(g) => g.log(),
             Part::Plain(p) => &p.log,
@@ -190,7 +197,10 @@
     /// What time brings. `unix` in milliseconds.
     pub fn step(&mut self, now: Ns, unix: u64) {
         match &mut self.part {
-            Part::Voter(g) => self.acts.extend(g.step(now, unix)),
+            Part::Voter(g) => {
+                let acts = g.step(now, unix);
+                self.done(now, acts);
+            }
             Part::Plain(p) => {
                 let age = p.fresh.age(now);
                 if p.upstream.step(now, age) {
@@ -213,6 +223,18 @@
         }
     }
 
+    /// What the group did. A new owner waits for the word of all voters.
+    fn done(&mut self, now: Ns, acts: Vec<Do>) {
+        if let Part::Voter(g) = &self.part
+            && acts.iter().any(|a| matches!(a, Do::Begins(_)))
+        {
+            for name in g.names().iter().filter(|n| **n != self.set.name) {
+                self.readers.expects(now, name);
+            }
+        }
+        self.acts.extend(acts);
+    }
+
     // Voters.
 
     /// A call of another voter, and what it is to be answered.
@@ -232,7 +254,7 @@
     pub fn answered(&mut self, now: Ns, unix: u64, voter: u32, number: u64, reply: Reply) {
         let Part::Voter(g) = &mut self.part else { return };
         let (floor, acts) = g.answered(now, unix, voter, number, reply);
-        self.acts.extend(acts);
+        self.done(now, acts);
         if let Some((name, floor)) = floor {
             self.readers.says(now, &name, floor);
             self.count(now, unix);
@@ -246,17 +268,19 @@
             self.acts.push(refused(Refusal::NotOwner(None)));
             return;
         };
-        if g.token(now).is_none() {
-            self.acts.push(refused(Refusal::NotOwner(g.owner(now))));
-            return;
-        }
-        let read = Event::read(text, self.set.most_event).map_err(Refusal::from);
+        let most = self.set.most_event;
+        let read = g.sources(now).and_then(|_| Ok(Event::read(text, most)?));
         match read.and_then(|(_, event)| g.publish(now, unix, ticket, mark, event, self.set.most_log)) {
             Ok(acts) => self.acts.extend(acts),
             Err(e) => self.acts.push(refused(e)),
         }
     }
 
+    /// The token under which it is the source now.
+    pub fn source(&self, now: Ns) -> Option<Token> {
+        if let Part::Voter(g) = &self.part { g.token(now) } else { None }
+    }
+
     /// Gives the source up, as at a planned stop.
     pub fn hand_over(&mut self, now: Ns) {
         if let Part::Voter(g) = &mut self.part {
@@ -309,18 +333,21 @@
     /// A reader calls with this number: its stream begins with what `after` gives for it.
     pub fn comes(&mut self, now: Ns, unix: u64, name: &str, number: u64) {
         self.readers.comes(now, name, number);
+        if let Part::Voter(g) = &mut self.part {
+            g.heard_of(number);
+        }
         self.count(now, unix);
     }
 
     /// A stream of a reader is over.
-    pub fn went(&mut self, now: Ns, name: &str) {
-        self.readers.went(now, name);
+    pub fn went(&mut self, name: &str) {
+        self.readers.went(name);
     }
 
     /// As `Log::after`: what follows the cursor, appended to `out`; returns the new cursor.
     pub fn after(&mut self, cursor: u64, most: usize, out: &mut Vec<u8>) -> u64 {
         match &mut self.part {
-            Part::Voter(g) => g.log_mut().after(cursor, most, out),
+            Part::Voter(g) => g.after(cursor, most, out),
             Part::Plain(p) => p.log.after(cursor, most, out),
         }
     }
@@ -341,6 +368,10 @@
         let floor = self.readers.floor(now, self.last());
         let fresh = self.fresh(now);
         let age = fresh.age(now);
+        let endpoints = match &mut self.part {
+            Part::Voter(g) => g.endpoints(),
+            Part::Plain(p) => p.log.endpoints(),
+        };
         let base = self.log().base();
         let mut status = Status {
             name: self.set.name.clone(),
@@ -353,7 +384,7 @@
             last: self.last(),
             kept: self.last(),
             log_bytes: self.log().bytes(),
-            endpoints: self.log().listed().then_some(base.members.len()),
+            endpoints,
             floor,
             passed: self.readers.passed(),
             readers: self.readers.views(now),
--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -1,6 +1,6 @@
 //! The loop: listeners, connections, and the deciding relay between them. It waits for nobody.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::hash::{BuildHasher, RandomState};
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, SocketAddr};
@@ -35,8 +35,11 @@
 /// A connection without a request may rest for so long; one that drains is over after this.
 const IDLE: Ns = 30_000 * MS;
 const DRAINED: Ns = 2_000 * MS;
-/// After the word to stop.
-const LEAVING: Ns = 500 * MS;
+/// After the word to stop: while the duty is handed over, and while streams are read off.
+const HANDS: Ns = 200 * MS;
+const LEAVING: Ns = 700 * MS;
+/// The owner speaks to a voter at most so often, so that what is published at once goes together.
+const GATHER: Ns = 5 * MS;
 /// Most bytes of entries in a call between voters, and what a call may have beside the largest event and the base.
 const CALL: usize = 1 << 20;
 /// Moments of numbers in force everywhere that are kept.
@@ -109,6 +112,9 @@
     /// The call of an upstream that is open.
     call: Option<Order>,
     calls: u64,
+    /// Those that could not be called last time, and the one that was followed last.
+    lost: BTreeSet<SocketAddr>,
+    up: Option<SocketAddr>,
     words: Sender<Word>,
     shared: Vec<Batch>,
     scratch: Vec<u8>,
@@ -135,7 +141,7 @@
     let h = &set.head;
     Settings {
         name: set.name(),
-        horizon: Horizon { cleared: h.cleared_ms * MS, slack: h.slack_ms * MS },
+        horizon: Horizon { cleared: h.cleared_ms * MS, held: h.held_ms * MS, slack: h.slack_ms * MS },
         most_event: h.event_bytes,
         most_log: h.log_bytes,
         missed: h.missed_ms * MS,
@@ -157,6 +163,7 @@
         names,
         patience: 2 * h.round_ms * MS,
         beat: (h.lease_ms / 4).min(500) * MS,
+        gather: GATHER,
         most_call: CALL,
         anew_after: h.anew_ms * MS,
         ahead: h.slack_ms / 2 * MS,
@@ -186,7 +193,7 @@
         let most = h.log_bytes.max(CALL);
         let (mut voters, mut upstreams) = (Vec::new(), set.upstreams.clone());
         let spread = RandomState::new();
-        let relay = if set.votes() {
+        let mut relay = if set.votes() {
             let time = Duration::from_millis(h.lease_ms);
             for (place, m) in (0u32..).zip(set.voters()) {
                 let own = m.number == h.number;
@@ -206,6 +213,7 @@
             let stale = h.stale_ms * MS;
             Relay::plain(settings(&set), Upstream::new(upstreams.len(), stale, 2 * stale, HOME, now))
         };
+        set.readers.iter().for_each(|r| relay.expects(now, &r.name));
         let (orders, taken) = bounded(4);
         let follower = Follower { relay: h.number, silence, most, orders: taken, inbox: to.clone() };
         if !upstreams.is_empty() {
@@ -214,6 +222,12 @@
         let words = peers::passer(silence, to.clone()).map_err(failed("a thread"))?;
         let role = if set.votes() { "voter" } else { "plain" };
         tracing::info!(number = h.number, listen = %set.listen, role, readers = set.readers.len(), "relay serves");
+        if h.held_ms * MS < sablecross_relay::horizon::HELD {
+            tracing::warn!(
+                "relay held-ms={} forgets purges that directors are bound by: for trials alone",
+                h.held_ms
+            );
+        }
         let batch = h.batch_ms * MS;
         let server = Server {
             set,
@@ -230,6 +244,8 @@
             orders,
             call: None,
             calls: 0,
+            lost: BTreeSet::new(),
+            up: None,
             words,
             shared: Vec::new(),
             scratch: Vec::new(),
@@ -258,7 +274,8 @@
                 self.tick(now);
                 tick = if now < tick + self.batch { tick + self.batch } else { now + self.batch };
             }
-            if self.stopping.is_some_and(|at| now >= at + LEAVING || self.conns.is_empty()) {
+            let over = |at: Ns| now >= at + LEAVING || now >= at + HANDS && self.conns.is_empty();
+            if self.stopping.is_some_and(over) {
                 return Ok(());
             }
             let next = if self.more.is_empty() { tick.min(step) } else { now };
@@ -290,9 +307,6 @@
         loop {
             match listener.socket.accept() {
                 Ok((mut stream, from)) => {
-                    if self.stopping.is_some() {
-                        continue;
-                    }
                     if self.conns.len() >= self.set.head.connections {
                         if let Some(left_out) = self.lines.next(now) {
                             let most = self.set.head.connections;
@@ -327,21 +341,27 @@
     /// Something can be done on a connection.
     fn moves(&mut self, at: usize, now: Ns, readable: bool, writable: bool) {
         let Some(mut conn) = self.conns.remove(&at) else { return };
-        let streamed = matches!(conn.state, State::Streams(_));
-        let name = self.streaming(&conn);
+        let before = self.streaming(&conn);
         let kept = self.moved(at, &mut conn, now, readable, writable);
-        if let Err(why) = &kept {
-            tracing::debug!("relay connection from={} over: {why}", conn.from);
-        }
-        // What a stream was is over, also where it only begins to end.
-        if streamed
-            && (kept.is_err() || !matches!(conn.state, State::Streams(_)))
-            && let Some(name) = name
-        {
-            self.relay.went(now, &name);
-        }
-        if kept.is_ok() {
-            self.conns.insert(at, conn);
+        self.settled(at, conn, before, kept);
+    }
+
+    /// A connection is kept, or over; a stream that is over, or begins to end, was one.
+    fn settled(&mut self, at: usize, conn: Conn, before: Option<Arc<str>>, kept: Result<(), ErrorKind>) {
+        let after = self.streaming(&conn);
+        match kept {
+            Ok(()) => {
+                if let (Some(name), None) = (&before, &after) {
+                    self.relay.went(name);
+                }
+                self.conns.insert(at, conn);
+            }
+            Err(why) => {
+                tracing::debug!("relay connection from={} over: {why}", conn.from);
+                if let Some(name) = before.or(after) {
+                    self.relay.went(&name);
+                }
+            }
         }
     }
 
@@ -412,6 +432,7 @@
             conn.used(whole);
             conn.state = State::Owed { closes: request.closes };
             match request.want {
+                Want::Events(_) if self.stopping.is_some() => return self.refuse(conn, now, 503, "it stops"),
                 Want::Events(last) => self.begins(conn, now, last, relay)?,
                 Want::Status => {
                     let status = self.relay.status(now, unix());
@@ -527,7 +548,7 @@
             if let Some(name) = name
                 && (kept.is_err() || !matches!(conn.state, State::Streams(_)))
             {
-                self.relay.went(now, &name);
+                self.relay.went(&name);
             }
             kept.is_ok()
         });
@@ -592,10 +613,9 @@
                     }
                 }
                 In::Over(call, why) if self.call.is_some_and(|c| c.number == call) => {
-                    if let Err(why) = why {
-                        let at = self.call.map(|c| c.at);
-                        if let Some(left_out) = self.lines.next(now) {
-                            tracing::warn!("relay upstream lost at={at:?} left_out={left_out}: {why}");
+                    if let (Err(why), Some(open)) = (why, self.call) {
+                        if self.lost.insert(open.at) {
+                            tracing::warn!("relay upstream lost at={}: {why}", open.at);
                         }
                         self.relay.failed(now);
                     }
@@ -610,6 +630,8 @@
                         tracing::info!("relay stops");
                         self.stopping = Some(now);
                         self.relay.hand_over(now);
+                        // Who calls from here on goes elsewhere at once.
+                        self.listeners.clear();
                     }
                 }
                 In::Report => {
@@ -624,7 +646,13 @@
     /// What the upstream says.
     fn fed(&mut self, now: Ns, said: Said) {
         match said {
-            Said::Up => tracing::debug!("relay upstream up"),
+            Said::Up => {
+                let open = self.call.filter(|c| self.lost.remove(&c.at) || self.up != Some(c.at));
+                if let Some(open) = open {
+                    self.up = Some(open.at);
+                    tracing::info!("relay upstream up at={} after={}", open.at, open.after);
+                }
+            }
             Said::Comment(comment) => self.relay.commented(now, &comment),
             Said::Event { id, data } => {
                 if let Took::Again(why) = self.relay.told(now, unix(), id, data.as_bytes()) {
@@ -708,8 +736,7 @@
         let Some(mut conn) = self.conns.remove(&at) else { return };
         let done = self.answer(&mut conn, now, code, "application/json", body);
         // What came behind it meanwhile.
-        if done.and_then(|()| self.asked(at, &mut conn, now)).is_ok() {
-            self.conns.insert(at, conn);
-        }
+        let kept = done.and_then(|()| self.asked(at, &mut conn, now));
+        self.settled(at, conn, None, kept);
     }
 }
--- a/crates/tier/src/settings.rs
+++ b/crates/tier/src/settings.rs
@@ -4,7 +4,7 @@
 
 use garde::Validate;
 use sablecross_forms::{Fault, Placed};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize, Validate, PartialEq)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -24,7 +24,7 @@
     pub number: u32,
     /// Where it listens, if not at its member's address.
     #[garde(skip)]
-    #[serde(default)]
+    #[serde(default, deserialize_with = "some")]
     pub listen: Option<SocketAddr>,
     /// New events are told to readers at most so often, and a stream is handed so many bytes at a time.
     #[garde(range(min = 5, max = 10_000))]
@@ -48,11 +48,14 @@
     #[garde(range(min = 200, max = 600_000))]
     #[serde(default = "stuck_ms")]
     pub stuck_ms: u64,
-    /// By when a purge is to be done everywhere: the largest of all directors' settings. It binds for so long, and as long as the
-    /// module holds to it after that.
+    /// By when a purge is to be done everywhere: the largest of all directors' settings.
     #[garde(range(min = 1, max = 3_600_000))]
     #[serde(default = "cleared_ms")]
     pub cleared_ms: u64,
+    /// For how long the module holds to a purge after that. Less than its own constant is for trials alone.
+    #[garde(range(min = 100, max = 86_400_000))]
+    #[serde(default = "held_ms")]
+    pub held_ms: u64,
     /// How far apart clocks may be and a purge may be on its way, together.
     #[garde(range(max = 600_000))]
     #[serde(default = "slack_ms")]
@@ -120,6 +123,11 @@
     pub address: SocketAddr,
 }
 
+/// A value that may be absent; the file has no mark for one that is there.
+fn some<'de, D: Deserializer<'de>>(from: D) -> Result<Option<SocketAddr>, D::Error> {
+    SocketAddr::deserialize(from).map(Some)
+}
+
 fn batch_ms() -> u64 {
     100
 }
@@ -148,6 +156,10 @@
     6_000
 }
 
+fn held_ms() -> u64 {
+    sablecross_relay::horizon::HELD / 1_000_000
+}
+
 fn slack_ms() -> u64 {
     10_000
 }
