--- a/crates/lab/src/scale/words.rs
+++ b/crates/lab/src/scale/words.rs
@@ -75,7 +75,8 @@
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Came {
     pub number: u64,
-    pub content: u32,
+    /// None: here it only came as a whole list, which says nothing of the event under this number.
+    pub content: Option<u32>,
     pub by: u32,
     /// At the last of those that lived when it was told.
     pub last: u64,
