--- a/crates/cli/tests/relay.rs
+++ b/crates/cli/tests/relay.rs
@@ -57,7 +57,8 @@
         assert!(ended == code && text.contains(words), "{args:?}: {ended}\n{text}");
     }
     let mut run = sablecross(&["run", s, "--with-parent"]);
-    let child = run.stdin(Stdio::piped()).stderr(Stdio::null()).spawn().unwrap();
+    let log = folder.path().join("log");
+    let child = run.stdin(Stdio::piped()).stderr(std::fs::File::create(&log).unwrap()).spawn().unwrap();
     let mut running = Running(child);
     let begun = Instant::now();
     while TcpStream::connect(&at).is_err() {
@@ -85,7 +86,16 @@
     assert!(ended == 1 && text.contains("not told yet"), "{ended} {text}");
     let (ended, text) = said(&["show", "--settings", s, "--json"]);
     assert!(ended == 0 && text.starts_with("{") && text.contains("\"role\":\"owner\""), "{ended} {text}");
-    let term = Command::new("kill").arg(running.0.id().to_string()).status().unwrap();
-    assert!(term.success());
+    let kill = |signal: &str| {
+        let sent = Command::new("kill").args([signal, &running.0.id().to_string()]).status();
+        assert!(sent.unwrap().success());
+    };
+    kill("-USR1");
+    let begun = Instant::now();
+    while !std::fs::read_to_string(&log).unwrap().contains("relay status {\"name\":\"relay-0\"") {
+        assert!(begun.elapsed() < Duration::from_secs(5), "no status in the log");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    kill("-TERM");
     assert_eq!(running.0.wait().unwrap().code(), Some(0));
 }
--- a/crates/tier/tests/readers.rs
+++ b/crates/tier/tests/readers.rs
@@ -205,6 +205,10 @@
             let mut head = [0; 1_024];
             let n = stream.read(&mut head).unwrap_or(0);
             let head = String::from_utf8_lossy(&head[..n]).into_owned();
+            if head.starts_with("POST /v1/hierarchy/in-force") {
+                let _ = stream.write_all(b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n");
+                continue;
+            }
             let last = head.lines().find_map(|l| l.strip_prefix("Last-Event-ID: ")?.trim().parse().ok());
             let mut text = String::from("HTTP/1.1 200 OK\r\n\r\n: tick\n\n");
             (last.unwrap_or(0) + 1..=9).for_each(|n| text += &event(n));
@@ -221,4 +225,8 @@
     assert_eq!(got.events.iter().map(|(n, _)| *n).collect::<Vec<_>>(), (1..=9).collect::<Vec<_>>());
     assert!(got.events[4].1.contains("\"endpoints\":[]"), "{}", got.events[4].1);
     assert!(tier.logs().contains("event 5"), "{}", tier.logs());
+    // A word on the hierarchy is passed on to whom the feed is.
+    let word = br#"{"party":"n","number":1,"digest":"00"}"#;
+    let said = Line::new(tier.at(0), PATIENCE, 1 << 10).call("POST", "/v1/hierarchy/in-force", "", word);
+    assert_eq!(said.expect("an answer").0, 204);
 }
