Streams that are read off make room where connections are at their bound

Cause: 3,600 readers at one relay, slow to close, filled 4,000 connections with streams that were over; new calls were refused for a moment (trial by hand). Change: at the bound those that are written whole are let go first. Result: crates/tier process tests passed three times over, all sets at once.

--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -309,9 +309,13 @@
         loop {
             match listener.socket.accept() {
                 Ok((mut stream, from)) => {
-                    if self.conns.len() >= self.set.head.connections {
+                    let most = self.set.head.connections;
+                    if self.conns.len() >= most {
+                        // Those that are written whole and only wait for their reader's end make room first.
+                        self.conns.retain(|_, conn| !matches!(conn.state, State::Drains));
+                    }
+                    if self.conns.len() >= most {
                         if let Some(left_out) = self.lines.next(now) {
-                            let most = self.set.head.connections;
                             tracing::warn!(
                                 "relay connection refused from={from} most={most} left_out={left_out}"
                             );
