Readers by their own listening addresses, and one that never came, in a trial

Cause: names by listening address were set by settings but tried by nobody. Change: two readers of one IP address come in by addresses of their own and are known by these; a third that is expected is named as never heard.

--- a/crates/tier/tests/common/mod.rs
+++ b/crates/tier/tests/common/mod.rs
@@ -144,6 +144,11 @@
         self.keys += &format!(") (upstream (address . \"{at}\")");
     }
 
+    /// A further listening address of the only relay, that of the reader of this name.
+    pub fn listens(&mut self, name: &str, at: SocketAddr) {
+        self.keys += &format!(") (reader (name . \"{name}\") (address . \"{at}\")");
+    }
+
     /// What one sends another goes by a link that can be held; to be set before it begins.
     pub fn link(&mut self, from: u32, to: u32) -> Holds {
         let at = (self.ip(220 + from as u8), 8_000 + to as u16).into();
--- a/crates/tier/tests/readers.rs
+++ b/crates/tier/tests/readers.rs
@@ -230,3 +230,22 @@
     let said = Line::new(tier.at(0), PATIENCE, 1 << 10).call("POST", "/v1/hierarchy/in-force", "", word);
     assert_eq!(said.expect("an answer").0, 204);
 }
+
+/// Readers are known by the addresses they come in by, and waited for: one that never came is named.
+#[test]
+fn named_readers() {
+    let mut tier = Tier::new(27, 1, 0, "");
+    let at: Vec<SocketAddr> = (0..3).map(|i| (tier.ip(240), 7_100 + i).into()).collect();
+    at.iter().zip(["n5", "n6", "n7"]).for_each(|(at, name)| tier.listens(name, *at));
+    tier.begin(0);
+    let mut published = tier.listed();
+    // Both from one IP address.
+    let readers = [0, 1].map(|i| common::Reader::start(tier.ip(1), at[i], &[]));
+    let n = published.tell(&mut tier.publisher(), "p", &purge(1));
+    let in_force = || merge(&[tier.status(0).expect("a status")]).in_force(n);
+    assert!(until(PATIENCE, || in_force().since_unix_ms.is_some()), "{}", tier.logs());
+    let missing = in_force().missing;
+    assert_eq!(missing.iter().map(|m| m.name.as_str()).collect::<Vec<_>>(), ["n7"]);
+    assert_eq!(missing[0].heard_unix_ms, None);
+    complete(&readers, &published, &tier);
+}
