--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod hierarchy;
 mod lab;
+mod slopes;
 
 use std::process::ExitCode;
 
@@ -30,6 +31,8 @@
     /// A small installation on loopback: real directors, stand-in nodes, load, a report.
     #[command(subcommand)]
     Lab(lab::Command),
+    /// What the parts cost as they grow: measured again, each with its line and where that bends.
+    Slopes(slopes::Arguments),
 }
 
 /// How a command ended that could be carried out.
@@ -48,6 +51,7 @@
         }
         Command::FleetTrial(arguments) => fleet::run(&arguments),
         Command::Lab(command) => lab::run(&command),
+        Command::Slopes(arguments) => slopes::run(&arguments),
     };
     match done {
         Ok(Verdict::Well) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/cli/src/slopes.rs
@@ -0,0 +1,61 @@
+//! `sablecross slopes ...`
+
+use clap::Args;
+use sablecross_slopes::survey;
+use serde_json::json;
+
+use crate::Verdict;
+
+#[derive(Args)]
+pub struct Arguments {
+    /// Only costs whose names begin so.
+    #[arg(long, default_value = "")]
+    only: String,
+    /// One line of JSON for each cost.
+    #[arg(long)]
+    json: bool,
+    /// Names alone, nothing is measured.
+    #[arg(long)]
+    names: bool,
+    /// One size of a cost of memory in this process: what the command asks of itself.
+    #[arg(long, hide = true, num_args = 2, value_names = ["NAME", "SIZE"])]
+    bare: Vec<String>,
+}
+
+pub fn run(a: &Arguments) -> Result<Verdict, Vec<String>> {
+    if let [name, size] = &a.bare[..] {
+        let size = size.parse().ok().filter(|s| *s > 0);
+        let size = size.ok_or_else(|| vec![format!("--bare {name}: the size is no count")])?;
+        let value = survey::bare(name, size).ok_or_else(|| vec![format!("--bare {name}: no such cost")])?;
+        println!("{value}");
+        return Ok(Verdict::Well);
+    }
+    let known = survey::names().filter(|n| n.starts_with(&a.only)).collect::<Vec<_>>();
+    if known.is_empty() {
+        let all: Vec<&str> = survey::names().collect();
+        return Err(vec![format!("--only {}: no cost begins so; there are {}", a.only, all.join(", "))]);
+    }
+    if a.names {
+        known.iter().for_each(|n| println!("{n}"));
+        return Ok(Verdict::Well);
+    }
+    let own = std::env::current_exe().map_err(|e| vec![format!("this program: {e}")])?;
+    let ask = |name: &str, size: usize| {
+        let bare = ["slopes", "--bare", name, &size.to_string()];
+        let out = std::process::Command::new(&own).args(bare).output().ok()?;
+        std::str::from_utf8(&out.stdout).ok()?.trim().parse().ok()
+    };
+    let mut unfit = Vec::new();
+    survey::take(&a.only, &ask, |cost| {
+        if cost.line().is_none() {
+            unfit.push(format!("{}: no line through {} points", cost.name, cost.points.len()));
+        }
+        if a.json {
+            println!("{}", json!({"cost": cost, "line": cost.line()}));
+        } else {
+            println!("{cost}");
+        }
+    });
+    unfit.iter().for_each(|u| eprintln!("NOT WELL {u}"));
+    Ok(if unfit.is_empty() { Verdict::Well } else { Verdict::Refused })
+}
--- /dev/null
+++ b/crates/slopes/src/cost.rs
@@ -0,0 +1,102 @@
+//! One cost over its sizes, and how it is taken.
+
+use std::fmt;
+use std::time::Instant;
+
+use serde::Serialize;
+
+use crate::fit::{Line, Point};
+
+/// How the values came about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum How {
+    /// The same in each run.
+    Counted,
+    /// The median of rounds in which all sizes take turns.
+    Timed,
+    /// Resident memory of a process that holds many of the thing, divided by how many.
+    Resident,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Cost {
+    pub name: &'static str,
+    pub what: &'static str,
+    pub over: &'static str,
+    pub unit: &'static str,
+    pub how: How,
+    pub points: Vec<Point>,
+}
+
+impl Cost {
+    pub fn line(&self) -> Option<Line> {
+        Line::through(&self.points)
+    }
+}
+
+impl fmt::Display for Cost {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let how = format!("{:?}", self.how).to_lowercase();
+        writeln!(f, "{}: {} ({how}, {} over {})", self.name, self.what, self.unit, self.over)?;
+        for p in &self.points {
+            writeln!(f, "  {:>9} {:>14}", p.size, short(p.value))?;
+        }
+        let Some(line) = self.line() else { return writeln!(f, "  no line") };
+        write!(f, "  slope {} intercept {}", short(line.slope), short(line.intercept))?;
+        write!(f, " worst residual {:.0}% last slope {:.2} of the first", 100.0 * line.worst, line.turn)?;
+        match line.bend {
+            Some(size) => writeln!(f, " bends at {size}"),
+            None => writeln!(f, " no bend"),
+        }
+    }
+}
+
+/// Four digits that count.
+pub fn short(value: f64) -> String {
+    if value == 0.0 || !value.is_finite() {
+        return format!("{value}");
+    }
+    let digits = (3 - value.abs().log10().floor() as i32).clamp(0, 9) as usize;
+    format!("{value:.digits$}")
+}
+
+/// Takes all sizes in turn, round after round, so that what slows the machine for a while slows all alike: the median of each.
+pub fn in_turns<T>(sizes: &mut [(f64, T)], rounds: usize, mut take: impl FnMut(&mut T) -> f64) -> Vec<Point> {
+    let mut seen = vec![Vec::with_capacity(rounds); sizes.len()];
+    for _ in 0..rounds {
+        for ((_, at), seen) in sizes.iter_mut().zip(&mut seen) {
+            seen.push(take(at));
+        }
+    }
+    sizes.iter().zip(seen).map(|((size, _), seen)| Point { size: *size, value: median(seen) }).collect()
+}
+
+pub fn median(mut seen: Vec<f64>) -> f64 {
+    seen.sort_by(f64::total_cmp);
+    seen.get(seen.len() / 2).copied().unwrap_or(f64::NAN)
+}
+
+/// Microseconds that it took, and what it gave.
+pub fn micros<T>(done: impl FnOnce() -> T) -> (f64, T) {
+    let begun = Instant::now();
+    let gave = done();
+    (begun.elapsed().as_nanos() as f64 / 1e3, gave)
+}
+
+/// Bytes of this process that lie in memory, as Linux says.
+pub fn resident() -> Option<f64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    let kilobytes: f64 = line.trim().trim_end_matches("kB").trim().parse().ok()?;
+    Some(kilobytes * 1024.0)
+}
+
+/// What one of them takes: the growth of this process while so many are made.
+pub fn grown<T>(many: usize, make: impl Fn(usize) -> T) -> f64 {
+    let before = resident().unwrap_or(f64::NAN);
+    let all: Vec<T> = (0..many).map(make).collect();
+    let after = resident().unwrap_or(f64::NAN);
+    std::hint::black_box(&all);
+    (after - before) / many as f64
+}
--- /dev/null
+++ b/crates/slopes/src/fit.rs
@@ -0,0 +1,73 @@
+//! A straight line through measured points, and where they leave it.
+
+use serde::Serialize;
+
+/// Past the line by more than this part, a cost has bent.
+const BENT: f64 = 0.25;
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Point {
+    pub size: f64,
+    pub value: f64,
+}
+
+/// The line of least squares of the relative residuals: sizes lie decades apart, and each counts alike.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Line {
+    pub slope: f64,
+    pub intercept: f64,
+    /// The worst residual, as a part of what was measured there.
+    pub worst: f64,
+    /// The slope between the last two sizes, of that between the first two.
+    pub turn: f64,
+    /// The first size at which the cost lies over a quarter above the line through the smaller half of the sizes.
+    pub bend: Option<f64>,
+}
+
+impl Line {
+    pub fn at(&self, size: f64) -> f64 {
+        self.intercept + self.slope * size
+    }
+
+    /// None with fewer than three different sizes, or with a value that is none.
+    pub fn through(points: &[Point]) -> Option<Line> {
+        let (slope, intercept) = squares(points)?;
+        let off =
+            |p: &Point| (intercept + slope * p.size - p.value).abs() / p.value.abs().max(f64::MIN_POSITIVE);
+        let worst = points.iter().map(off).fold(0.0, f64::max);
+        let half = &points[..points.len().div_ceil(2).max(3)];
+        let (s, i) = squares(half)?;
+        let rest = &points[half.len()..];
+        let bend = rest.iter().find(|p| p.value > (1.0 + BENT) * (i + s * p.size)).map(|p| p.size);
+        let local = |a: &Point, b: &Point| (b.value - a.value) / (b.size - a.size);
+        let turn = match points {
+            [a, b, .., c, d] => local(c, d) / local(a, b),
+            _ => 1.0,
+        };
+        Some(Line { slope, intercept, worst, turn, bend })
+    }
+}
+
+/// Weighted by one over the square of the value. A value of zero counts as the smallest that is none.
+fn squares(points: &[Point]) -> Option<(f64, f64)> {
+    if points.len() < 3 || points.iter().any(|p| !p.value.is_finite() || !p.size.is_finite()) {
+        return None;
+    }
+    let least = points.iter().map(|p| p.value.abs()).filter(|v| *v > 0.0).fold(f64::INFINITY, f64::min);
+    let floor = if least.is_finite() { least } else { 1.0 };
+    let (mut w, mut x, mut y, mut xx, mut xy) = (0.0, 0.0, 0.0, 0.0, 0.0);
+    for p in points {
+        let weight = p.value.abs().max(floor).powi(-2);
+        w += weight;
+        x += weight * p.size;
+        y += weight * p.value;
+        xx += weight * p.size * p.size;
+        xy += weight * p.size * p.value;
+    }
+    let apart = w * xx - x * x;
+    if apart <= f64::EPSILON * w * xx {
+        return None;
+    }
+    let slope = (w * xy - x * y) / apart;
+    Some((slope, (y - slope * x) / w))
+}
--- /dev/null
+++ b/crates/slopes/src/module.rs
@@ -0,0 +1,291 @@
+//! What the decision module costs: its purges, its list, its calls, its memory.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use sablecross::{
+    Choice, Effect, Listed, Lookup, Ns, ObjectKind, Outcome, Route, Sent, Settings, State, mix, rank,
+};
+
+use crate::cost::{Cost, How, grown, in_turns, median, micros};
+use crate::fit::Point;
+
+const MS: Ns = 1_000_000;
+const SEC: Ns = 1_000 * MS;
+const START: Ns = 10_000 * SEC;
+/// Nodes clear a purge within this; the module holds it two minutes longer.
+const CLEARED: Ns = 6 * SEC;
+const BINDS: u64 = 126;
+
+/// Seven or eight nodes a zone, a quarter of them parents, as at the target size; directors alike.
+const NODES: [usize; 7] = [10, 20, 50, 100, 200, 350, 490];
+const KNOWN: [usize; 6] = [100, 1_000, 4_400, 20_000, 44_100, 126_000];
+const RATES: [u64; 7] = [5, 10, 20, 35, 70, 140, 350];
+const DIRECTORS_A_ZONE: usize = 59;
+const ROUNDS: usize = 11;
+
+fn zones(nodes: usize) -> usize {
+    (nodes * 64 / 490).max(1)
+}
+
+pub fn settings(nodes: usize) -> Settings {
+    let kind = ObjectKind {
+        latency_budget: 400 * MS,
+        budget_stretch: Some(1.5),
+        utility: 1.0,
+        effect: Effect::Idempotent,
+        fresh: 0,
+        grace: 0,
+        parts: false,
+        written: false,
+    };
+    Settings {
+        zone: zones(nodes) / 2,
+        number: 0,
+        directors: vec![DIRECTORS_A_ZONE; zones(nodes)],
+        object_kinds: vec![kind],
+        parent_kind: Some(1),
+        origin_kind: 2,
+        follow_list: false,
+        cancels: true,
+        second_copies: true,
+        pauses: true,
+        longest_pause: 2 * SEC,
+        most_sends: 6,
+        cold_from: 0.2,
+        warm_after: 20 * SEC,
+        fall_multiple: 3.0,
+        parent_cold_from: 0.1,
+        parent_warm_after: 20 * SEC,
+        parent_fall_multiple: 2.0,
+        stream_kb_per_s: 1_000.0,
+        direct: true,
+        joins: true,
+        purge_cleared: CLEARED,
+        tick: 2 * MS,
+    }
+}
+
+/// Zone by zone; every fourth node is a parent, the last one the origin.
+pub fn list(nodes: usize) -> Vec<Listed> {
+    let machine = |n| if n + 1 == nodes { 2 } else { usize::from(n % 4 == 1) };
+    let line = |n: usize| Listed {
+        node: n,
+        rank: rank(&format!("s-{:08x}", mix(n as u64) as u32)),
+        zone: n * zones(nodes) / nodes,
+        machine: machine(n),
+        cell: n / 2,
+        started: 0,
+        state: State::Ready,
+        withheld: 0,
+    };
+    (0..nodes).map(line).collect()
+}
+
+pub fn choice(nodes: usize) -> Choice {
+    let mut choice = Choice::new(settings(nodes), 7, START);
+    choice.listed(START, &list(nodes), true);
+    choice
+}
+
+fn with_purges(known: usize) -> Choice {
+    let mut choice = Choice::new(settings(10), 7, START);
+    (0..known as u64).for_each(|n| choice.purged(START, Some(mix(n)), 0, 0));
+    choice
+}
+
+/// One more purge, of an object of which one is known, so that their number stays.
+pub fn purge_known() -> Cost {
+    let mut sizes: Vec<(f64, (Choice, usize))> =
+        KNOWN.iter().map(|&k| (k as f64, (with_purges(k), k))).collect();
+    let points = in_turns(&mut sizes, ROUNDS, |(choice, known)| {
+        let many = (2_000_000 / *known).clamp(30, 2_000) as u64;
+        let (took, ()) = micros(|| (0..many).for_each(|n| choice.purged(START, Some(mix(n % *known as u64)), 0, 0)));
+        took / many as f64
+    });
+    Cost {
+        name: "module-purge-known",
+        what: "one more purge while so many are known",
+        over: "known purges",
+        unit: "us",
+        how: How::Timed,
+        points,
+    }
+}
+
+/// Purges at a steady rate, once as many are known as bind.
+pub fn purge_rate() -> Cost {
+    struct At {
+        choice: Choice,
+        rate: u64,
+        next: u64,
+    }
+    impl At {
+        fn purge(&mut self) {
+            let now = START + self.next * SEC / self.rate;
+            self.choice.purged(now, Some(mix(self.next)), 0, 0);
+            self.next += 1;
+        }
+    }
+    let begin = |rate| {
+        let mut at = At { choice: Choice::new(settings(10), 7, START), rate, next: 0 };
+        (0..rate * (BINDS + 4)).for_each(|_| at.purge());
+        (rate as f64, at)
+    };
+    let mut sizes: Vec<(f64, At)> = RATES.iter().map(|r| begin(*r)).collect();
+    let points = in_turns(&mut sizes, ROUNDS, |at| {
+        let many = 200;
+        let (took, ()) = micros(|| (0..many).for_each(|_| at.purge()));
+        took / many as f64 * at.rate as f64 / 1e4
+    });
+    Cost {
+        name: "module-purge-rate",
+        what: "the module's part of a core for purges, with as many known as bind",
+        over: "purges a second",
+        unit: "% of a core",
+        how: How::Timed,
+        points,
+    }
+}
+
+/// One line of the list changes: a node goes, and comes back.
+fn changes(
+    name: &'static str,
+    what: &'static str,
+    which: impl Fn(usize) -> Vec<usize>,
+    at_once: bool,
+) -> Cost {
+    let begin = |&nodes: &usize| {
+        let lines = list(nodes);
+        let moved: Vec<Listed> = which(nodes).into_iter().map(|n| lines[n]).collect();
+        (nodes as f64, (choice(nodes), moved, false))
+    };
+    let mut sizes: Vec<(f64, (Choice, Vec<Listed>, bool))> = NODES[1..].iter().map(begin).collect();
+    let points = in_turns(&mut sizes, 4 * ROUNDS, |(choice, moved, gone)| {
+        *gone = !*gone;
+        moved.iter_mut().for_each(|l| l.state = if *gone { State::Gone } else { State::Ready });
+        let (took, ()) = micros(|| {
+            if at_once {
+                choice.listed(START, moved, false);
+            } else {
+                moved.iter().for_each(|l| choice.listed(START, std::slice::from_ref(l), false));
+            }
+        });
+        choice.notes();
+        took
+    });
+    Cost { name, what, over: "nodes", unit: "us", how: How::Timed, points }
+}
+
+/// A parent in the middle of the list.
+fn a_parent(nodes: usize) -> Vec<usize> {
+    vec![nodes / 2 / 4 * 4 + 1]
+}
+
+/// Eight nodes that stand beside one another, the own zone's among them.
+fn a_zone(nodes: usize) -> Vec<usize> {
+    let from = (nodes / 2).saturating_sub(4);
+    (from..from + 8).collect()
+}
+
+pub fn list_changes() -> Vec<Cost> {
+    vec![
+        changes("module-change-parent", "one parent goes or comes", a_parent, false),
+        changes("module-change-cache", "one cache of another zone goes or comes", |_| vec![0], false),
+        changes("module-zone-loss", "eight nodes go or come by eight events", a_zone, false),
+        changes("module-zone-loss-at-once", "eight nodes go or come by one event", a_zone, true),
+    ]
+}
+
+/// The ordinary path of lookups: each routed, asked for its patience, ended as satisfied.
+struct Path {
+    choice: Choice,
+    now: Ns,
+    next: u64,
+    /// Nanoseconds of the three calls over the last round, and how many were sent.
+    took: [f64; 3],
+    sent: u64,
+}
+
+const LOOKUPS: u64 = 1_000;
+
+impl Path {
+    fn round(&mut self, clock: f64) {
+        (self.took, self.sent) = ([0.0; 3], 0);
+        for _ in 0..LOOKUPS {
+            self.now += 2 * MS;
+            self.next = mix(self.next);
+            let mut lookup = Lookup {
+                object: self.next % 20_000,
+                part: 0,
+                group: 3,
+                kind: 0,
+                size_kb: 100.0,
+                arrived: self.now,
+                deadline: self.now + 4 * SEC,
+                repeat: false,
+                write: false,
+                sends: Vec::with_capacity(1),
+            };
+            let begun = Instant::now();
+            let route = self.choice.route(self.now, &lookup);
+            self.took[0] += begun.elapsed().as_nanos() as f64 - clock;
+            let Route::Send(send) = route else { continue };
+            self.sent += 1;
+            lookup.sends.push(Sent { node: send.node, source: send.source, at: self.now, result: None });
+            let begun = Instant::now();
+            black_box(self.choice.patience(self.now, &lookup));
+            self.took[2] += begun.elapsed().as_nanos() as f64 - clock;
+            lookup.sends[0].result = Some(Outcome::Satisfied);
+            let begun = Instant::now();
+            black_box(self.choice.after(self.now + 30 * MS, &lookup, 0, 30 * MS, None));
+            self.took[1] += begun.elapsed().as_nanos() as f64 - clock;
+        }
+        self.choice.notes();
+    }
+}
+
+pub fn calls() -> Vec<Cost> {
+    let clock = median((0..2_001).map(|_| Instant::now().elapsed().as_nanos() as f64).collect());
+    let begin = |&nodes: &usize| {
+        let mut path = Path { choice: choice(nodes), now: START, next: 1, took: [0.0; 3], sent: 0 };
+        (0..20).for_each(|_| path.round(clock));
+        path
+    };
+    let mut paths: Vec<Path> = NODES.iter().map(begin).collect();
+    let mut seen = vec![[const { Vec::new() }; 3]; NODES.len()];
+    for _ in 0..4 * ROUNDS {
+        for (path, seen) in paths.iter_mut().zip(&mut seen) {
+            path.round(clock);
+            let many = [LOOKUPS, path.sent.max(1), path.sent.max(1)];
+            for call in 0..3 {
+                seen[call].push(path.took[call] / many[call] as f64);
+            }
+        }
+    }
+    let whats = [
+        ("module-route", "where to send a lookup"),
+        ("module-after", "what next, after its outcome"),
+        ("module-patience", "how long until it is asked again"),
+    ];
+    let point = |call: usize| {
+        NODES.iter().zip(&seen).map(move |(n, s)| Point { size: *n as f64, value: median(s[call].clone()) })
+    };
+    let cost = |(call, (name, what))| {
+        let points = point(call).collect();
+        Cost { name, what, over: "nodes", unit: "ns", how: How::Timed, points }
+    };
+    whats.into_iter().enumerate().map(cost).collect()
+}
+
+/// Bytes of one module, taken in a process of its own.
+pub fn memory(nodes: usize) -> f64 {
+    grown(20_000 / nodes, |_| choice(nodes))
+}
+
+pub fn purge_memory(known: usize) -> f64 {
+    grown((200_000 / known).max(1), |_| with_purges(known))
+}
+
+pub const MEMORY: [usize; 7] = NODES;
+pub const PURGE_MEMORY: [usize; 6] = KNOWN;
