--- a/crates/slopes/src/duties.rs
+++ b/crates/slopes/src/duties.rs
@@ -1,1 +1,262 @@
-//! x
+//! What duties cost their members and voters, without sockets: offices in one simulated time, each word encoded and decoded as
+//! between processes, the time of each party's own code taken apart.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Instant;
+
+use sablecross::mix;
+use sablecross_duty::word::{Answer, DEALING, Request, Roster, State};
+use sablecross_duty::{Do, Member, Ns, Office, Shares, Terms};
+
+use crate::cost::{Cost, How, in_turns, micros};
+use crate::fit::Point;
+
+const MS: Ns = 1_000_000;
+const SEC: Ns = 1_000 * MS;
+/// Thirteen: the relays alone as members.
+pub const MEMBERS: [u32; 7] = [13, 50, 100, 200, 500, 1_000, 3_800];
+const BOXES: [u64; 6] = [0, 20, 50, 100, 200, 490];
+/// Members of the trials over boxes.
+const FEW: u32 = 100;
+const VOTERS: u32 = 5;
+const ROUNDS: usize = 5;
+
+fn terms() -> Terms {
+    Terms {
+        voters: (0..VOTERS).collect(),
+        duties: vec![DEALING, 1],
+        lease: SEC,
+        round: 200 * MS,
+        apart: 50 * MS,
+        beat: 500 * MS,
+        probe: SEC,
+        patience: 400 * MS,
+    }
+}
+
+/// Of one party: calls that it made or was made, bytes both ways, nanoseconds of its own code.
+#[derive(Clone, Copy, Default)]
+struct Used {
+    calls: u64,
+    bytes: u64,
+    took: u64,
+}
+
+struct Letter {
+    from: Member,
+    voter: u32,
+    number: u64,
+    body: Vec<u8>,
+}
+
+struct Fleet {
+    now: Ns,
+    offices: Vec<Office>,
+    used: Vec<Used>,
+    way: VecDeque<Letter>,
+}
+
+fn timed<T>(used: &mut Used, done: impl FnOnce() -> T) -> T {
+    let begun = Instant::now();
+    let gave = done();
+    used.took += begun.elapsed().as_nanos() as u64;
+    gave
+}
+
+impl Fleet {
+    fn new(members: u32, boxes: u64) -> Fleet {
+        let boxes: BTreeSet<u64> = (0..boxes).collect();
+        let office = |number: u32| {
+            let mut office = Office::new(Member { number, life: 1 }, terms(), mix(number.into()), 0);
+            office.listed(0, &boxes);
+            office
+        };
+        let offices: Vec<Office> = (0..members).map(office).collect();
+        Fleet { now: 0, used: vec![Used::default(); offices.len()], offices, way: VecDeque::new() }
+    }
+
+    /// What an office wants done: its calls are encoded, its probes answered at once.
+    fn carry(&mut self, number: usize) {
+        loop {
+            let (office, used) = (&mut self.offices[number], &mut self.used[number]);
+            let me = office.me();
+            let acts = timed(used, || office.acts());
+            let mut probes = Vec::new();
+            for act in acts {
+                match act {
+                    Do::Call { voter, number, words } => {
+                        let request = Request { from: me, words };
+                        let body = timed(used, || rmp_serde::to_vec(&request)).unwrap_or_default();
+                        self.way.push_back(Letter { from: me, voter, number, body });
+                    }
+                    Do::Probe { chore, token } => probes.push((chore, token)),
+                    _ => {}
+                }
+            }
+            if probes.is_empty() {
+                return;
+            }
+            for (chore, token) in probes {
+                timed(used, || office.probed(self.now, chore, token, Ok(State::Well(Some(0.5)))));
+            }
+        }
+    }
+
+    fn deliver(&mut self, letter: Letter) {
+        let Letter { from, voter, number, body } = letter;
+        let (at, by) = (voter as usize, from.number as usize);
+        let (office, used) = (&mut self.offices[at], &mut self.used[at]);
+        let answer = timed(used, || {
+            let words = rmp_serde::from_slice::<Request>(&body).map(|r| r.words).unwrap_or_default();
+            rmp_serde::to_vec(&office.called(self.now, from, &words)).unwrap_or_default()
+        });
+        for party in [at, by] {
+            self.used[party].calls += 1;
+            self.used[party].bytes += (body.len() + answer.len()) as u64;
+        }
+        self.carry(at);
+        let (office, used) = (&mut self.offices[by], &mut self.used[by]);
+        timed(used, || {
+            let said: Vec<Answer> = rmp_serde::from_slice(&answer).unwrap_or_default();
+            office.answered(self.now, voter, number, said);
+        });
+        self.carry(by);
+    }
+
+    fn run(&mut self, until: Ns) {
+        while self.now < until {
+            self.now += 5 * MS;
+            for number in 0..self.offices.len() {
+                // Members begin spread over a beat.
+                let begins = mix(number as u64) % (500 * MS);
+                if self.now < begins || self.offices[number].next() > self.now {
+                    continue;
+                }
+                let (office, used) = (&mut self.offices[number], &mut self.used[number]);
+                timed(used, || office.step(self.now));
+                self.carry(number);
+                while let Some(letter) = self.way.pop_front() {
+                    self.deliver(letter);
+                }
+            }
+        }
+    }
+
+    fn dealer(&self) -> Option<usize> {
+        self.offices.iter().take(VOTERS as usize).position(|o| o.token(self.now, DEALING).is_some())
+    }
+}
+
+/// A second of a member, of a voter and of the one that deals.
+#[derive(Clone, Copy)]
+struct Second {
+    member: Used,
+    voter: Used,
+    dealer: Used,
+}
+
+const MEASURED: u64 = 6;
+
+fn seconds(members: u32, boxes: u64) -> Option<Second> {
+    let mut fleet = Fleet::new(members, boxes);
+    // Twice the silence that is a death: all are known, and the deal is at rest.
+    fleet.run(12 * SEC);
+    let before = fleet.dealer()?;
+    fleet.used.iter_mut().for_each(|u| *u = Used::default());
+    fleet.run((12 + MEASURED) * SEC);
+    let dealer = fleet.dealer().filter(|d| *d == before)?;
+    let mean = |which: &dyn Fn(usize) -> bool| {
+        let all: Vec<Used> = (0..fleet.used.len()).filter(|n| which(*n)).map(|n| fleet.used[n]).collect();
+        let many = MEASURED * all.len().max(1) as u64;
+        let of = |what: fn(&Used) -> u64| all.iter().map(what).sum::<u64>() / many;
+        Used { calls: of(|u| u.calls), bytes: of(|u| u.bytes), took: of(|u| u.took) }
+    };
+    let voters = VOTERS as usize;
+    Some(Second {
+        member: mean(&|n| n >= voters),
+        voter: mean(&|n| n < voters && n != dealer),
+        dealer: mean(&|n| n == dealer),
+    })
+}
+
+type Row = (f64, Vec<Second>);
+
+fn cost(
+    name: &'static str,
+    what: &'static str,
+    over: &'static str,
+    how: How,
+    rows: &[Row],
+    of: fn(&Second) -> f64,
+) -> Cost {
+    let value = |seen: &[Second]| crate::cost::median(seen.iter().map(of).collect());
+    let points = rows.iter().map(|(size, seen)| Point { size: *size, value: value(seen) }).collect();
+    let unit = if how == How::Timed { "% of a core" } else { "a second" };
+    Cost { name, what, over, unit, how, points }
+}
+
+fn core(used: Used) -> f64 {
+    used.took as f64 / 1e7
+}
+
+pub fn by_members() -> Vec<Cost> {
+    let mut rows: Vec<Row> = MEMBERS.iter().map(|m| (f64::from(*m), Vec::new())).collect();
+    for _ in 0..ROUNDS {
+        for (members, (_, seen)) in MEMBERS.iter().zip(&mut rows) {
+            seen.extend(seconds(*members, 0));
+        }
+    }
+    let cost = |name, what, how, of| cost(name, what, "members", how, &rows, of);
+    vec![
+        cost("duties-member-bytes", "bytes of a member, both ways", How::Counted, |s| s.member.bytes as f64),
+        cost("duties-member-time", "a member's own code", How::Timed, |s| core(s.member)),
+        cost("duties-voter-calls", "calls at a voter", How::Counted, |s| s.voter.calls as f64),
+        cost("duties-voter-bytes", "bytes of a voter, both ways", How::Counted, |s| s.voter.bytes as f64),
+        cost("duties-voter-time", "a voter's own code", How::Timed, |s| core(s.voter)),
+        cost("duties-dealer-bytes", "bytes of the voter that deals", How::Counted, |s| s.dealer.bytes as f64),
+        cost("duties-dealer-time", "own code of the voter that deals", How::Timed, |s| core(s.dealer)),
+    ]
+}
+
+pub fn by_boxes() -> Vec<Cost> {
+    let mut rows: Vec<Row> = BOXES.iter().map(|b| (*b as f64, Vec::new())).collect();
+    for _ in 0..ROUNDS {
+        for (boxes, (_, seen)) in BOXES.iter().zip(&mut rows) {
+            seen.extend(seconds(FEW, *boxes));
+        }
+    }
+    let cost = |name, what, how, of| cost(name, what, "boxes probed", how, &rows, of);
+    vec![
+        cost("duties-facts-bytes", "bytes of a member of 100, both ways", How::Counted, |s| {
+            s.member.bytes as f64
+        }),
+        cost("duties-facts-voter-bytes", "bytes of a voter of 100 members", How::Counted, |s| {
+            s.voter.bytes as f64
+        }),
+        cost("duties-facts-voter-time", "own code of a voter of 100 members", How::Timed, |s| core(s.voter)),
+    ]
+}
+
+/// The longest that one change of the deal takes a member: whose are the 490 boxes now?
+pub fn share() -> Cost {
+    let shares = |many: u32| Shares::of((0..many).map(|number| (Member { number, life: 1 }, 1.0)));
+    let mut sizes: Vec<(f64, Shares)> = MEMBERS.iter().map(|m| (f64::from(*m), shares(*m))).collect();
+    let points = in_turns(&mut sizes, ROUNDS, |shares| {
+        micros(|| (0..490).filter(|chore| shares.owner(*chore).is_some()).count()).0
+    });
+    let what = "whose 490 boxes are after one change of the deal, at each member";
+    Cost { name: "duties-share-time", what, over: "members", unit: "us", how: How::Timed, points }
+}
+
+/// A deal told whole, as to a member that has just begun.
+pub fn roster() -> Cost {
+    let point = |&many: &u32| {
+        let members = (0..many).map(|number| Member { number, life: 1_764_576_000_123_000 }).collect();
+        let roster = Roster { members, ..Default::default() };
+        let bytes = rmp_serde::to_vec(&vec![Answer::Dealt(roster)]).map_or(f64::NAN, |b| b.len() as f64);
+        Point { size: f64::from(many), value: bytes }
+    };
+    let points = MEMBERS.iter().map(point).collect();
+    let what = "the deal told whole by one voter";
+    Cost { name: "duties-roster-bytes", what, over: "members", unit: "bytes", how: How::Counted, points }
+}
--- a/crates/slopes/src/module.rs
+++ b/crates/slopes/src/module.rs
@@ -100,7 +100,8 @@
         KNOWN.iter().map(|&k| (k as f64, (with_purges(k), k))).collect();
     let points = in_turns(&mut sizes, ROUNDS, |(choice, known)| {
         let many = (2_000_000 / *known).clamp(30, 2_000) as u64;
-        let (took, ()) = micros(|| (0..many).for_each(|n| choice.purged(START, Some(mix(n % *known as u64)), 0, 0)));
+        let (took, ()) =
+            micros(|| (0..many).for_each(|n| choice.purged(START, Some(mix(n % *known as u64)), 0, 0)));
         took / many as f64
     });
     Cost {
--- a/crates/slopes/src/survey.rs
+++ b/crates/slopes/src/survey.rs
@@ -2,7 +2,7 @@
 
 use crate::cost::{Cost, How};
 use crate::fit::Point;
-use crate::module;
+use crate::{duties, feed, module};
 
 /// Costs that are taken together.
 pub struct Family {
@@ -28,6 +28,27 @@
     Family { names: &["module-route", "module-after", "module-patience"], take: |_| module::calls() },
     Family { names: &["module-memory"], take: module_memory },
     Family { names: &["module-purge-memory"], take: purge_memory },
+    Family { names: &["feed-purge-bytes", "feed-purge-time"], take: |_| feed::purges() },
+    Family { names: &["feed-change-bytes", "feed-change-time"], take: |_| feed::changes() },
+    Family { names: &["feed-list-bytes", "feed-list-time"], take: |_| feed::lists() },
+    Family {
+        names: &[
+            "duties-member-bytes",
+            "duties-member-time",
+            "duties-voter-calls",
+            "duties-voter-bytes",
+            "duties-voter-time",
+            "duties-dealer-bytes",
+            "duties-dealer-time",
+        ],
+        take: |_| duties::by_members(),
+    },
+    Family {
+        names: &["duties-facts-bytes", "duties-facts-voter-bytes", "duties-facts-voter-time"],
+        take: |_| duties::by_boxes(),
+    },
+    Family { names: &["duties-share-time"], take: |_| vec![duties::share()] },
+    Family { names: &["duties-roster-bytes"], take: |_| vec![duties::roster()] },
 ];
 
 fn resident(
