--- a/crates/cli/src/slopes.rs
+++ b/crates/cli/src/slopes.rs
@@ -45,8 +45,14 @@
         let out = std::process::Command::new(&own).args(bare).output().ok()?;
         std::str::from_utf8(&out.stdout).ok()?.trim().parse().ok()
     };
+    let director = || {
+        let mut command = std::process::Command::new(&own);
+        command.args(["lab", "director"]);
+        command
+    };
     let mut unfit = Vec::new();
-    survey::take(&a.only, &ask, |cost| {
+    let ways = survey::Ways { bare: &ask, director: &director };
+    let taken = survey::take(&a.only, &ways, |cost| {
         if cost.line().is_none() {
             unfit.push(format!("{}: no line through {} points", cost.name, cost.points.len()));
         }
@@ -56,6 +62,7 @@
             println!("{cost}");
         }
     });
+    taken.map_err(|e| vec![format!("slopes: {e}")])?;
     unfit.iter().for_each(|u| eprintln!("NOT WELL {u}"));
     Ok(if unfit.is_empty() { Verdict::Well } else { Verdict::Refused })
 }
--- a/crates/slopes/src/cost.rs
+++ b/crates/slopes/src/cost.rs
@@ -86,7 +86,12 @@
 
 /// Bytes of this process that lie in memory, as Linux says.
 pub fn resident() -> Option<f64> {
-    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    resident_of("self")
+}
+
+/// The same of another one, by its number.
+pub fn resident_of(process: &str) -> Option<f64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
     let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
     let kilobytes: f64 = line.trim().trim_end_matches("kB").trim().parse().ok()?;
     Some(kilobytes * 1024.0)
--- a/crates/slopes/src/feed.rs
+++ b/crates/slopes/src/feed.rs
@@ -23,7 +23,12 @@
 }
 
 pub fn purge(n: u64) -> String {
-    block(n, &format!("\"purge\":{{\"key\":\"{:016x}\",\"at\":{}}}", mix(n), AT_MS + n))
+    purge_at(n, AT_MS + n)
+}
+
+/// Made at this millisecond of the Unix clock.
+pub fn purge_at(n: u64, at: u64) -> String {
+    block(n, &format!("\"purge\":{{\"key\":\"{:016x}\",\"at\":{at}}}", mix(n)))
 }
 
 pub fn endpoint(node: usize, status: &str) -> Value {
--- a/crates/slopes/src/lib.rs
+++ b/crates/slopes/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod feed;
 pub mod fit;
 pub mod module;
+pub mod real;
 pub mod survey;
 
 pub use cost::{Cost, How};
--- a/crates/slopes/src/module.rs
+++ b/crates/slopes/src/module.rs
@@ -94,19 +94,32 @@
     choice
 }
 
-/// One more purge, of an object of which one is known, so that their number stays.
+/// Purges of objects of which one is known, so that their number stays, 35 a second: over a second, so that what is done once
+/// a second is in it.
 pub fn purge_known() -> Cost {
-    let mut sizes: Vec<(f64, (Choice, usize))> =
-        KNOWN.iter().map(|&k| (k as f64, (with_purges(k), k))).collect();
-    let points = in_turns(&mut sizes, ROUNDS, |(choice, known)| {
-        let many = (2_000_000 / *known).clamp(30, 2_000) as u64;
-        let (took, ()) =
-            micros(|| (0..many).for_each(|n| choice.purged(START, Some(mix(n % *known as u64)), 0, 0)));
-        took / many as f64
+    struct At {
+        choice: Choice,
+        known: u64,
+        next: u64,
+    }
+    let begin = |&known: &usize| {
+        let at = At { choice: with_purges(known), known: known as u64, next: 0 };
+        (known as f64, at)
+    };
+    let mut sizes: Vec<(f64, At)> = KNOWN.iter().map(begin).collect();
+    let points = in_turns(&mut sizes, ROUNDS, |at| {
+        let (took, ()) = micros(|| {
+            for _ in 0..35 {
+                let now = START + SEC + at.next * SEC / 35;
+                at.choice.purged(now, Some(mix(at.next % at.known)), 0, 0);
+                at.next += 1;
+            }
+        });
+        took / 35.0
     });
     Cost {
         name: "module-purge-known",
-        what: "one more purge while so many are known",
+        what: "one more purge of 35 a second while so many are known",
         over: "known purges",
         unit: "us",
         how: How::Timed,
@@ -135,9 +148,10 @@
     };
     let mut sizes: Vec<(f64, At)> = RATES.iter().map(|r| begin(*r)).collect();
     let points = in_turns(&mut sizes, ROUNDS, |at| {
-        let many = 200;
+        // Whole seconds, so that what is done once a second is in it.
+        let many = 2 * at.rate;
         let (took, ()) = micros(|| (0..many).for_each(|_| at.purge()));
-        took / many as f64 * at.rate as f64 / 1e4
+        took / 2.0 / 1e4
     });
     Cost {
         name: "module-purge-rate",
--- /dev/null
+++ b/crates/slopes/src/real.rs
@@ -0,0 +1,441 @@
+//! What a real director takes as a process: its processor time, memory and descriptors, with a stand-in for the feed, nodes and
+//! clients on loopback. Time is what the system counted for its threads, so that others on the machine matter little.
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use sablecross::mix;
+use sablecross_lab::load::{Answer, any_answer, lookup};
+use serde_json::{Value, json};
+
+use crate::cost::{Cost, How, median, resident_of};
+use crate::feed;
+use crate::fit::Point;
+
+/// Makes the command that starts a director: what `sablecross lab director` is.
+pub type Program<'a> = &'a dyn Fn() -> Command;
+
+const NODES: usize = 490;
+const SETTLED: Duration = Duration::from_secs(3);
+const SPAN: Duration = Duration::from_secs(8);
+const ROUNDS: usize = 3;
+/// Seconds for which a purge binds.
+const BINDS: f64 = 126.0;
+const SAMPLE: &str = include_str!("../../../deploy/sample.json");
+
+struct Director {
+    child: Child,
+    at: SocketAddr,
+    config: std::path::PathBuf,
+}
+
+impl Drop for Director {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+impl Director {
+    fn start(program: Program, feed: SocketAddr, endpoints: &[Value]) -> io::Result<Director> {
+        let at = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let mut all: Value = serde_json::from_str(SAMPLE)?;
+        all["listen"] = json!(at);
+        all["feed"] = json!(feed);
+        let list = json!({"index": 0, "snapshot": true, "endpoints": endpoints});
+        all["known"] = json!({"n": 1, "events": [{"n": 1, "members": list}]});
+        all["settings"]["zones"] = (0..64).map(|z| format!("zone-{z:02}")).collect();
+        all["settings"]["az"] = json!(32);
+        all["settings"]["extra"]["multiPart"] = json!([false, false]);
+        all["settings"]["extra"]["zoneBalancers"] = json!(vec![59; 64]);
+        let config = std::env::temp_dir().join(format!("slopes-{}-{}.json", std::process::id(), at.port()));
+        std::fs::write(&config, all.to_string())?;
+        let mut command = program();
+        command.env("NODE_CONFIG", &config).env_remove("SABLECROSS_DUTY");
+        let child = command.stdin(Stdio::piped()).stdout(Stdio::null()).stderr(Stdio::null()).spawn()?;
+        let director = Director { child, at, config };
+        let begun = Instant::now();
+        while TcpStream::connect(at).is_err() {
+            if begun.elapsed() > Duration::from_secs(10) {
+                return Err(io::Error::other("a director does not serve"));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        Ok(director)
+    }
+
+    /// Microseconds of processor time that its threads have had.
+    fn used(&self) -> io::Result<f64> {
+        let mut sum = 0.0;
+        for task in std::fs::read_dir(format!("/proc/{}/task", self.child.id()))? {
+            let text = std::fs::read_to_string(task?.path().join("schedstat"))?;
+            sum += text.split(' ').next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(0.0);
+        }
+        Ok(sum / 1e3)
+    }
+
+    /// Parts of a core, in percent, over a while.
+    fn core(&self, span: Duration) -> io::Result<f64> {
+        let (before, begun) = (self.used()?, Instant::now());
+        thread::sleep(span);
+        Ok((self.used()? - before) / begun.elapsed().as_secs_f64() / 1e4)
+    }
+
+    fn descriptors(&self) -> io::Result<usize> {
+        Ok(std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))?.count())
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+/// What a feed tells: so many at once when it is called, spread over the time before; then at a rate, in batches.
+#[derive(Clone, Copy)]
+struct Told {
+    first: u64,
+    over: f64,
+    rate: f64,
+    batch: Duration,
+    changes: bool,
+}
+
+struct Stand {
+    at: SocketAddr,
+    over: Arc<AtomicBool>,
+}
+
+impl Drop for Stand {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        // Wakes the listener.
+        let _ = TcpStream::connect(self.at);
+    }
+}
+
+/// Serves each connection by a thread of its own until it is dropped.
+fn stand(
+    serve: impl Fn(TcpStream, &AtomicBool) -> io::Result<()> + Send + Sync + 'static,
+) -> io::Result<Stand> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let (at, over) = (listener.local_addr()?, Arc::new(AtomicBool::new(false)));
+    let (serve, ends) = (Arc::new(serve), Arc::clone(&over));
+    thread::spawn(move || {
+        for link in listener.incoming().flatten() {
+            if ends.load(Ordering::Relaxed) {
+                return;
+            }
+            let (serve, ends) = (Arc::clone(&serve), Arc::clone(&ends));
+            // A connection that breaks off is made again by its director.
+            thread::spawn(move || serve(link, &ends));
+        }
+    });
+    Ok(Stand { at, over })
+}
+
+fn told(mut link: TcpStream, over: &AtomicBool, told: Told) -> io::Result<()> {
+    link.set_nodelay(true)?;
+    let mut asked = BufReader::new(link.try_clone()?);
+    let mut line = String::new();
+    while asked.read_line(&mut line)? > 2 {
+        line.clear();
+    }
+    link.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
+    let (now, mut n) = (unix_ms(), 2);
+    let mut text = String::new();
+    for at in 0..told.first {
+        text += &feed::purge_at(n, now - ((told.first - at) as f64 / told.first as f64 * told.over) as u64);
+        n += 1;
+    }
+    link.write_all(text.as_bytes())?;
+    let (begun, mut said, mut alive) = (Instant::now(), 0u64, 0u64);
+    while !over.load(Ordering::Relaxed) {
+        let passed = begun.elapsed();
+        text.clear();
+        while (said as f64) < passed.as_secs_f64() * told.rate {
+            text += &if told.changes { feed::change(n) } else { feed::purge_at(n, unix_ms()) };
+            (n, said) = (n + 1, said + 1);
+            if told.batch.is_zero() {
+                link.write_all(text.as_bytes())?;
+                text.clear();
+            }
+        }
+        if passed.as_secs() > alive {
+            alive = passed.as_secs();
+            text += ": .\n\n";
+        }
+        link.write_all(text.as_bytes())?;
+        thread::sleep(told.batch.max(Duration::from_millis(1)));
+    }
+    Ok(())
+}
+
+/// One director for each size, all at once, each with a feed of its own.
+fn at_feeds(
+    program: Program,
+    sizes: &[f64],
+    tells: impl Fn(f64) -> Told,
+) -> io::Result<Vec<(Director, Stand)>> {
+    let endpoints: Vec<Value> = (0..NODES).map(|n| feed::endpoint(n, "ready")).collect();
+    let begin = |size: &f64| {
+        let what = tells(*size);
+        let feed = stand(move |link, over| told(link, over, what))?;
+        Ok((Director::start(program, feed.at, &endpoints)?, feed))
+    };
+    sizes.iter().map(begin).collect()
+}
+
+fn points(sizes: &[f64], values: impl IntoIterator<Item = f64>) -> Vec<Point> {
+    sizes.iter().zip(values).map(|(size, value)| Point { size: *size, value }).collect()
+}
+
+/// Processor time at each size, the median of some rounds.
+fn core_at(program: Program, sizes: &[f64], tells: impl Fn(f64) -> Told) -> io::Result<Vec<Point>> {
+    let all = at_feeds(program, sizes, tells)?;
+    thread::sleep(SETTLED);
+    let mut seen = vec![Vec::new(); sizes.len()];
+    for _ in 0..ROUNDS {
+        let before = all.iter().map(|(d, _)| d.used()).collect::<io::Result<Vec<f64>>>()?;
+        let begun = Instant::now();
+        thread::sleep(SPAN);
+        for ((seen, before), (director, _)) in seen.iter_mut().zip(before).zip(&all) {
+            seen.push((director.used()? - before) / begun.elapsed().as_secs_f64() / 1e4);
+        }
+    }
+    Ok(points(sizes, seen.into_iter().map(median)))
+}
+
+fn cost(
+    name: &'static str,
+    what: &'static str,
+    over: &'static str,
+    unit: &'static str,
+    p: Vec<Point>,
+) -> Cost {
+    let how = if unit == "bytes" { How::Resident } else { How::Timed };
+    Cost { name, what, over, unit, how, points: p }
+}
+
+const CORE: &str = "% of a core";
+
+pub fn purge_rate(program: Program) -> io::Result<Vec<Cost>> {
+    let sizes = [5.0, 20.0, 35.0, 100.0, 200.0, 350.0];
+    let tells = |rate: f64| {
+        let first = (rate * BINDS) as u64;
+        Told { first, over: BINDS * 1e3, rate, batch: Duration::ZERO, changes: false }
+    };
+    let what = "a real director, 490 nodes listed, each purge told by itself, as many known as bind";
+    Ok(vec![cost("real-purge-time", what, "purges a second", CORE, core_at(program, &sizes, tells)?)])
+}
+
+pub fn batch(program: Program) -> io::Result<Vec<Cost>> {
+    let sizes = [0.0, 30.0, 100.0, 300.0, 1_000.0];
+    let tells = |ms: f64| {
+        let batch = Duration::from_millis(ms as u64);
+        Told { first: 4_400, over: BINDS * 1e3, rate: 35.0, batch, changes: false }
+    };
+    let what = "a real director told 35 purges a second in batches";
+    Ok(vec![cost("real-batch-time", what, "ms a batch", CORE, core_at(program, &sizes, tells)?)])
+}
+
+pub fn change_rate(program: Program) -> io::Result<Vec<Cost>> {
+    let sizes = [0.25, 1.0, 5.0, 10.0, 25.0];
+    let tells = |rate| Told { first: 0, over: 0.0, rate, batch: Duration::ZERO, changes: true };
+    let what = "a real director, 490 nodes listed, one-line changes of which a quarter are parents";
+    Ok(vec![cost("real-change-time", what, "changes a second", CORE, core_at(program, &sizes, tells)?)])
+}
+
+/// Purges of the last hour, told at once to a director that has begun: the processor time until it rests, and its memory.
+pub fn at_once(program: Program) -> io::Result<Vec<Cost>> {
+    let sizes = [1_000.0, 4_400.0, 20_000.0, 60_000.0, 126_000.0];
+    let tells = |first: f64| Told {
+        first: first as u64,
+        over: first / 35.0 * 1e3,
+        rate: 0.0,
+        batch: Duration::from_millis(100),
+        changes: false,
+    };
+    let idle = |_| Told { first: 0, over: 1.0, rate: 0.0, batch: Duration::from_millis(100), changes: false };
+    let (mut times, mut memories) = (Vec::new(), Vec::new());
+    for size in sizes {
+        // What a director takes that is told nothing is not the purges'.
+        let plain = at_feeds(program, &[0.0], idle)?;
+        let all = at_feeds(program, &[size], tells)?;
+        let mut last = (0.0, 0.0);
+        for _ in 0..60 {
+            thread::sleep(Duration::from_secs(1));
+            let now = (all[0].0.used()?, plain[0].0.used()?);
+            if now.0 - last.0 < now.1 - last.1 + 2_000.0 {
+                break;
+            }
+            last = now;
+        }
+        times.push((all[0].0.used()? - plain[0].0.used()?) / 1e3);
+        memories.push(resident_of(&all[0].0.child.id().to_string()).unwrap_or(f64::NAN));
+    }
+    let what = "a real director, 490 nodes listed, so many purges told at once";
+    Ok(vec![
+        cost("real-told-time", what, "purges", "ms of a core", points(&sizes, times)),
+        cost("real-told-memory", what, "purges", "bytes", points(&sizes, memories)),
+    ])
+}
+
+// ---- lookups ----
+
+/// A node that has all there is, and answers at once with a body of this length.
+fn node(mut link: TcpStream, over: &AtomicBool, length: usize) -> io::Result<()> {
+    link.set_nodelay(true)?;
+    let mut reader = BufReader::new(link.try_clone()?);
+    let body = vec![b'x'; length];
+    let mut line = String::new();
+    while !over.load(Ordering::Relaxed) {
+        line.clear();
+        if reader.read_line(&mut line)? == 0 {
+            return Ok(());
+        }
+        let mut words = line.split_whitespace();
+        let (Some("PULL"), Some(id), Some(_), Some(asked)) =
+            (words.next(), words.next(), words.next(), words.next())
+        else {
+            continue;
+        };
+        let asked: u64 = asked.parse().map_err(|_| io::ErrorKind::InvalidData)?;
+        io::copy(&mut (&mut reader).take(asked + 2), &mut io::sink())?;
+        let issued = unix_ms();
+        let mut out =
+            format!("{id} ACK how=HIT,entity=00000000000000a1,issued={issued} {length}\r\n").into_bytes();
+        out.extend_from_slice(&body);
+        out.extend_from_slice(b"\r\n");
+        link.write_all(&out)?;
+    }
+    Ok(())
+}
+
+const CLIENTS: usize = 8;
+
+/// Clients that ask by the clock, whatever is answered; how many were satisfied, and how many were not.
+struct Clients {
+    over: Arc<AtomicBool>,
+    satisfied: Arc<AtomicU64>,
+    others: Arc<AtomicU64>,
+}
+
+impl Drop for Clients {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Clients {
+    fn start(at: SocketAddr, rate: f64) -> io::Result<Clients> {
+        let clients = Clients { over: Arc::default(), satisfied: Arc::default(), others: Arc::default() };
+        for client in 0..CLIENTS as u64 {
+            let mut link = TcpStream::connect(at)?;
+            link.set_nodelay(true)?;
+            let mut answers = BufReader::new(link.try_clone()?);
+            let (satisfied, others) = (Arc::clone(&clients.satisfied), Arc::clone(&clients.others));
+            thread::spawn(move || {
+                while let Ok((_, answer)) = any_answer(&mut answers) {
+                    let which = if matches!(answer, Answer::Satisfied(_)) { &satisfied } else { &others };
+                    which.fetch_add(1, Ordering::Relaxed);
+                }
+            });
+            let over = Arc::clone(&clients.over);
+            thread::spawn(move || {
+                let (begun, mut asked) = (Instant::now(), 0u64);
+                while !over.load(Ordering::Relaxed) {
+                    while (asked as f64) < begun.elapsed().as_secs_f64() * rate / CLIENTS as f64 {
+                        asked += 1;
+                        let drawn = mix(client << 40 | asked);
+                        link.write_all(&lookup(drawn, asked as u32, drawn % 20_000)?)?;
+                    }
+                    thread::sleep(Duration::from_millis(1));
+                }
+                link.shutdown(std::net::Shutdown::Both)
+            });
+        }
+        Ok(clients)
+    }
+}
+
+/// One director under lookups at a rate with bodies of a length: its part of a core for each lookup in microseconds, the
+/// lookups satisfied a second, its memory, its descriptors.
+struct Served {
+    core: f64,
+    satisfied: f64,
+    others: f64,
+    memory: f64,
+    descriptors: f64,
+}
+
+fn served(program: Program, rate: f64, length: usize) -> io::Result<Served> {
+    let node = stand(move |link, over| node(link, over, length))?;
+    let quiet = Told { first: 0, over: 0.0, rate: 0.0, batch: Duration::from_millis(100), changes: false };
+    let feed = stand(move |link, over| told(link, over, quiet))?;
+    // The own zone's caches, some parents, the origin: all of them the one stand-in.
+    let mut endpoints: Vec<Value> = (245..253).map(|n| feed::endpoint(n, "ready")).collect();
+    endpoints.push(feed::endpoint(254, "ready"));
+    for (n, e) in endpoints.iter_mut().enumerate() {
+        let kind = match n {
+            8 => "origin",
+            0 | 4 => "parent",
+            _ => "small",
+        };
+        (e["address"], e["zone"], e["type"]) = (json!(node.at), json!("zone-32"), json!(kind));
+    }
+    let director = Director::start(program, feed.at, &endpoints)?;
+    let clients = Clients::start(director.at, rate)?;
+    thread::sleep(SETTLED);
+    let count = || [&clients.satisfied, &clients.others].map(|n| n.load(Ordering::Relaxed) as f64);
+    let (before, begun) = (count(), Instant::now());
+    let core = director.core(SPAN)?;
+    let (after, passed) = (count(), begun.elapsed().as_secs_f64());
+    Ok(Served {
+        core,
+        satisfied: (after[0] - before[0]) / passed,
+        others: (after[1] - before[1]) / passed,
+        memory: resident_of(&director.child.id().to_string()).unwrap_or(f64::NAN),
+        descriptors: director.descriptors()? as f64,
+    })
+}
+
+pub fn lookups(program: Program) -> io::Result<Vec<Cost>> {
+    let sizes = [100.0, 300.0, 526.0, 1_000.0, 1_800.0, 2_630.0];
+    let all = sizes.iter().map(|rate| served(program, *rate, 256)).collect::<io::Result<Vec<_>>>()?;
+    let over = "lookups a second";
+    let of = |value: fn(&Served) -> f64| points(&sizes, all.iter().map(value));
+    Ok(vec![
+        cost("real-lookup-time", "a real director, bodies of 256 bytes", over, CORE, of(|s| s.core)),
+        cost("real-lookup-satisfied", "of them satisfied", over, "a second", of(|s| s.satisfied)),
+        cost("real-lookup-others", "of them nacked or failed", over, "a second", of(|s| s.others)),
+        cost("real-lookup-memory", "a real director", over, "bytes", of(|s| s.memory)),
+        cost(
+            "real-lookup-descriptors",
+            "descriptors of a real director",
+            over,
+            "open",
+            of(|s| s.descriptors),
+        ),
+    ])
+}
+
+const FEW: f64 = 100.0;
+
+pub fn bodies(program: Program) -> io::Result<Vec<Cost>> {
+    let sizes = [1.0, 16.0, 64.0, 128.0, 234.0];
+    let all = sizes.iter().map(|kb| served(program, FEW, (kb * 1024.0) as usize));
+    let all = all.collect::<io::Result<Vec<_>>>()?;
+    let value = all.iter().map(|s| s.core * 1e4 / s.satisfied);
+    let what = "a real director's time for one lookup, at 100 a second";
+    let mut costs = vec![cost("real-body-time", what, "KB a body", "us", points(&sizes, value))];
+    let satisfied = points(&sizes, all.iter().map(|s| s.satisfied));
+    costs.push(cost("real-body-satisfied", "of 100 a second satisfied", "KB a body", "a second", satisfied));
+    Ok(costs)
+}
--- a/crates/slopes/src/survey.rs
+++ b/crates/slopes/src/survey.rs
@@ -1,21 +1,28 @@
 //! All costs by name, in the order of the page.
 
+use std::io;
+
 use crate::cost::{Cost, How};
 use crate::fit::Point;
-use crate::{duties, feed, module};
+use crate::real::Program;
+use crate::{duties, feed, module, real};
 
 /// Costs that are taken together.
 pub struct Family {
     pub names: &'static [&'static str],
-    take: fn(Bare) -> Vec<Cost>,
+    take: fn(&Ways) -> io::Result<Vec<Cost>>,
 }
 
-/// Asks for one size of one cost in a process of its own, for memory that nothing else has touched.
-pub type Bare<'a> = &'a dyn Fn(&str, usize) -> Option<f64>;
+/// How processes are made that a cost is taken in.
+pub struct Ways<'a> {
+    /// Asks for one size of one cost in a process of its own, for memory that nothing else has touched.
+    pub bare: &'a dyn Fn(&str, usize) -> Option<f64>,
+    pub director: Program<'a>,
+}
 
 const FAMILIES: &[Family] = &[
-    Family { names: &["module-purge-known"], take: |_| vec![module::purge_known()] },
-    Family { names: &["module-purge-rate"], take: |_| vec![module::purge_rate()] },
+    Family { names: &["module-purge-known"], take: |_| Ok(vec![module::purge_known()]) },
+    Family { names: &["module-purge-rate"], take: |_| Ok(vec![module::purge_rate()]) },
     Family {
         names: &[
             "module-change-parent",
@@ -23,14 +30,14 @@
             "module-zone-loss",
             "module-zone-loss-at-once",
         ],
-        take: |_| module::list_changes(),
+        take: |_| Ok(module::list_changes()),
     },
-    Family { names: &["module-route", "module-after", "module-patience"], take: |_| module::calls() },
+    Family { names: &["module-route", "module-after", "module-patience"], take: |_| Ok(module::calls()) },
     Family { names: &["module-memory"], take: module_memory },
     Family { names: &["module-purge-memory"], take: purge_memory },
-    Family { names: &["feed-purge-bytes", "feed-purge-time"], take: |_| feed::purges() },
-    Family { names: &["feed-change-bytes", "feed-change-time"], take: |_| feed::changes() },
-    Family { names: &["feed-list-bytes", "feed-list-time"], take: |_| feed::lists() },
+    Family { names: &["feed-purge-bytes", "feed-purge-time"], take: |_| Ok(feed::purges()) },
+    Family { names: &["feed-change-bytes", "feed-change-time"], take: |_| Ok(feed::changes()) },
+    Family { names: &["feed-list-bytes", "feed-list-time"], take: |_| Ok(feed::lists()) },
     Family {
         names: &[
             "duties-member-bytes",
@@ -41,14 +48,29 @@
             "duties-dealer-bytes",
             "duties-dealer-time",
         ],
-        take: |_| duties::by_members(),
+        take: |_| Ok(duties::by_members()),
     },
     Family {
         names: &["duties-facts-bytes", "duties-facts-voter-bytes", "duties-facts-voter-time"],
-        take: |_| duties::by_boxes(),
+        take: |_| Ok(duties::by_boxes()),
+    },
+    Family { names: &["duties-share-time"], take: |_| Ok(vec![duties::share()]) },
+    Family { names: &["real-purge-time"], take: |w| real::purge_rate(w.director) },
+    Family { names: &["real-batch-time"], take: |w| real::batch(w.director) },
+    Family { names: &["real-change-time"], take: |w| real::change_rate(w.director) },
+    Family { names: &["real-told-time", "real-told-memory"], take: |w| real::at_once(w.director) },
+    Family {
+        names: &[
+            "real-lookup-time",
+            "real-lookup-satisfied",
+            "real-lookup-others",
+            "real-lookup-memory",
+            "real-lookup-descriptors",
+        ],
+        take: |w| real::lookups(w.director),
     },
-    Family { names: &["duties-share-time"], take: |_| vec![duties::share()] },
-    Family { names: &["duties-roster-bytes"], take: |_| vec![duties::roster()] },
+    Family { names: &["real-body-time", "real-body-satisfied"], take: |w| real::bodies(w.director) },
+    Family { names: &["duties-roster-bytes"], take: |_| Ok(vec![duties::roster()]) },
 ];
 
 fn resident(
@@ -56,20 +78,20 @@
     what: &'static str,
     over: &'static str,
     sizes: &[usize],
-    bare: Bare,
-) -> Vec<Cost> {
-    let point = |&size: &usize| Some(Point { size: size as f64, value: bare(name, size)? });
+    ways: &Ways,
+) -> io::Result<Vec<Cost>> {
+    let point = |&size: &usize| Some(Point { size: size as f64, value: (ways.bare)(name, size)? });
     let points = sizes.iter().filter_map(point).collect();
-    vec![Cost { name, what, over, unit: "bytes", how: How::Resident, points }]
+    Ok(vec![Cost { name, what, over, unit: "bytes", how: How::Resident, points }])
 }
 
-fn module_memory(bare: Bare) -> Vec<Cost> {
-    resident("module-memory", "a module with its list and pies", "nodes", &module::MEMORY, bare)
+fn module_memory(ways: &Ways) -> io::Result<Vec<Cost>> {
+    resident("module-memory", "a module with its list and pies", "nodes", &module::MEMORY, ways)
 }
 
-fn purge_memory(bare: Bare) -> Vec<Cost> {
+fn purge_memory(ways: &Ways) -> io::Result<Vec<Cost>> {
     let what = "a module with ten nodes and so many purges";
-    resident("module-purge-memory", what, "known purges", &module::PURGE_MEMORY, bare)
+    resident("module-purge-memory", what, "known purges", &module::PURGE_MEMORY, ways)
 }
 
 /// One size of a cost of memory, taken in this process.
@@ -87,8 +109,9 @@
 }
 
 /// Takes those whose names begin so, each family as a whole, and hands each on as it is done.
-pub fn take(only: &str, ask: Bare, mut done: impl FnMut(Cost)) {
+pub fn take(only: &str, ways: &Ways, mut done: impl FnMut(Cost)) -> io::Result<()> {
     for family in FAMILIES.iter().filter(|f| f.names.iter().any(|n| n.starts_with(only))) {
-        (family.take)(ask).into_iter().filter(|c| c.name.starts_with(only)).for_each(&mut done);
+        (family.take)(ways)?.into_iter().filter(|c| c.name.starts_with(only)).for_each(&mut done);
     }
+    Ok(())
 }
