--- /dev/null
+++ b/crates/cli/src/capacity.rs
@@ -0,0 +1,38 @@
+//! `sablecross capacity ...`
+
+use std::path::PathBuf;
+
+use clap::Args;
+use sablecross_slopes::{page, sheet};
+
+use crate::Verdict;
+
+#[derive(Args)]
+pub struct Arguments {
+    /// The slopes, the target size and the budgets, as S-expressions.
+    #[arg(default_value = "docs/capacity.scm")]
+    file: PathBuf,
+    /// Puts the tables between the marks of this page, instead of printing them.
+    #[arg(long, value_name = "PAGE")]
+    write: Option<PathBuf>,
+}
+
+pub fn run(a: &Arguments) -> Result<Verdict, Vec<String>> {
+    let name = a.file.display().to_string();
+    let text = std::fs::read_to_string(&a.file).map_err(|e| vec![format!("{name}: {e}")])?;
+    let sheet = sheet::read(&name, &text)
+        .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>())?;
+    let tables = sheet.tables();
+    let Some(path) = &a.write else {
+        print!("{tables}");
+        return Ok(Verdict::Well);
+    };
+    let name = path.display().to_string();
+    let old = std::fs::read_to_string(path).map_err(|e| vec![format!("{name}: {e}")])?;
+    let new = page::between(&old, &tables)
+        .ok_or_else(|| vec![format!("{name}: no {} and {} in this order", page::BEGIN, page::END)])?;
+    std::fs::write(path, new).map_err(|e| vec![format!("{name}: {e}")])?;
+    let (past, open) = sheet.verdicts();
+    println!("{name}: {} past their budget, {} not measured yet", past.len(), open.len());
+    Ok(Verdict::Well)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of sablecross. Exit codes: 0 all is well, 1 what was asked about is refused or differs,
 //! 2 the command line or a file can't be used.
 
+mod capacity;
 mod duty;
 mod fleet;
 mod hierarchy;
@@ -31,6 +32,8 @@
     /// A small installation on loopback: real directors, stand-in nodes, load, a report.
     #[command(subcommand)]
     Lab(lab::Command),
+    /// The tables of docs/CAPACITY.md, worked out from what was measured.
+    Capacity(capacity::Arguments),
     /// What the parts cost as they grow: measured again, each with its line and where that bends.
     Slopes(slopes::Arguments),
 }
@@ -43,6 +46,7 @@
 
 fn main() -> ExitCode {
     let done = match Line::parse().command {
+        Command::Capacity(arguments) => capacity::run(&arguments),
         Command::Duty(command) => duty::run(&command),
         Command::Hierarchy(command) => hierarchy::run(&command),
         Command::Lab(lab::Command::Director) => {
--- a/crates/cli/src/slopes.rs
+++ b/crates/cli/src/slopes.rs
@@ -14,6 +14,9 @@
     /// One line of JSON for each cost.
     #[arg(long)]
     json: bool,
+    /// As forms for docs/capacity.scm, with this as their run: date and time.
+    #[arg(long, value_name = "RUN")]
+    forms: Option<String>,
     /// Names alone, nothing is measured.
     #[arg(long)]
     names: bool,
@@ -56,7 +59,9 @@
         if cost.line().is_none() {
             unfit.push(format!("{}: no line through {} points", cost.name, cost.points.len()));
         }
-        if a.json {
+        if let (Some(run), Some(form)) = (&a.forms, cost.line().map(|l| cost.form(&l))) {
+            println!("{form} (run . {run:?}))");
+        } else if a.json {
             println!("{}", json!({"cost": cost, "line": cost.line()}));
         } else {
             println!("{cost}");
--- a/crates/slopes/src/cost.rs
+++ b/crates/slopes/src/cost.rs
@@ -33,6 +33,24 @@
     pub fn line(&self) -> Option<Line> {
         Line::through(&self.points)
     }
+
+    /// The form of the sheet, but for its run and its end.
+    pub fn form(&self, line: &Line) -> String {
+        let points: Vec<String> =
+            self.points.iter().map(|p| format!("({} {})", p.size, short(p.value))).collect();
+        let bend = line.bend.map_or(String::new(), |size| format!(" (bend . {size})"));
+        format!(
+            "(slope (name . {:?}) (unit . {:?}) (over . {:?})\n  (slope . {}) (intercept . {}) (worst . {:.1}){bend}\n  \
+             (points {})\n ",
+            self.name,
+            self.unit,
+            self.over,
+            short(line.slope),
+            short(line.intercept),
+            100.0 * line.worst,
+            points.join(" ")
+        )
+    }
 }
 
 impl fmt::Display for Cost {
--- a/crates/slopes/src/lib.rs
+++ b/crates/slopes/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod feed;
 pub mod fit;
 pub mod module;
+pub mod page;
 pub mod real;
+pub mod sheet;
 pub mod survey;
 
 pub use cost::{Cost, How};
--- /dev/null
+++ b/crates/slopes/src/sheet.rs
@@ -0,0 +1,312 @@
+//! What the target size comes to, worked out from measured slopes: the settings file that holds them, and the page's tables.
+
+use std::collections::BTreeMap;
+
+use garde::Validate;
+use sablecross_forms::Fault;
+use serde::Deserialize;
+
+#[derive(Clone, Debug, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+enum Form {
+    Target(#[garde(dive)] Target),
+    Budget(#[garde(dive)] Budget),
+    Assumed(#[garde(dive)] Assumed),
+    Slope(#[garde(dive)] Slope),
+    Figure(#[garde(dive)] Figure),
+}
+
+/// The size that is to be carried.
+#[derive(Clone, Debug, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Target {
+    #[garde(range(min = 1.0, max = 1e6))]
+    pub directors: f64,
+    #[garde(range(min = 1.0, max = 1e6))]
+    pub nodes: f64,
+    #[garde(range(min = 1.0, max = 1e4))]
+    pub regions: f64,
+    #[garde(range(min = 1.0, max = 1e4))]
+    pub zones: f64,
+    #[garde(range(min = 1.0, max = 1e4))]
+    pub machines: f64,
+    #[garde(range(min = 1.0, max = 1e9))]
+    pub lookups: f64,
+    /// How many times the mean the busiest director has.
+    #[garde(range(min = 1.0, max = 100.0))]
+    pub busiest: f64,
+    #[garde(range(min = 1.0, max = 1e15))]
+    pub bits: f64,
+    #[garde(range(min = 0.01, max = 1e6))]
+    pub purges: f64,
+    #[garde(range(min = 0.01, max = 1e9))]
+    pub changes_a_day: f64,
+    #[garde(range(min = 0.01, max = 1e6))]
+    pub restarts_a_day: f64,
+    /// How long regions lose each other.
+    #[garde(range(min = 1.0, max = 1e6))]
+    pub cut_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Budget {
+    /// Of control, a director: percent of a core, megabytes, bytes a second.
+    #[garde(range(min = 0.01, max = 1e4))]
+    pub core: f64,
+    #[garde(range(min = 1.0, max = 1e6))]
+    pub memory_mb: f64,
+    #[garde(range(min = 1.0, max = 1e9))]
+    pub bytes: f64,
+    /// Of a machine set aside, for its one control process: percent of a core.
+    #[garde(range(min = 1.0, max = 1e4))]
+    pub machine_core: f64,
+    /// How long a purge and a change may take until they are in force everywhere.
+    #[garde(range(min = 0.1, max = 1e4))]
+    pub purge_s: f64,
+    #[garde(range(min = 0.1, max = 1e4))]
+    pub change_s: f64,
+}
+
+/// What is taken for granted, and what limits and designs say.
+#[derive(Clone, Debug, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Assumed {
+    /// IPv4 and TCP with time stamps, in each packet; each packet of events is acknowledged by one without any.
+    #[garde(range(min = 20.0, max = 200.0))]
+    pub head: f64,
+    /// Bytes of a comment, and of the head of a call and of its answer.
+    #[garde(range(min = 2.0, max = 1e3))]
+    pub comment: f64,
+    #[garde(range(min = 20.0, max = 1e4))]
+    pub call: f64,
+    /// Packets of a connection's begin and end.
+    #[garde(range(min = 6.0, max = 20.0))]
+    pub connection: f64,
+    #[garde(range(min = 1.0, max = 1e5))]
+    pub batch_ms: f64,
+    #[garde(range(min = 1.0, max = 1e6))]
+    pub ack_ms: f64,
+    /// Seconds for which a purge binds.
+    #[garde(range(min = 1.0, max = 1e5))]
+    pub binds_s: f64,
+    #[garde(range(min = 1.0, max = 15.0))]
+    pub voters: f64,
+    #[garde(range(min = 1e6, max = 1e12))]
+    pub machine_link: f64,
+    #[garde(range(min = 16.0, max = 1e6))]
+    pub descriptors: f64,
+    #[garde(range(min = 1.0, max = 1e9))]
+    pub body: f64,
+}
+
+/// A cost that was measured over sizes: `sablecross slopes --only NAME` measures it again, if the run does not say otherwise.
+#[derive(Clone, Debug, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Slope {
+    #[garde(length(min = 1, max = 60))]
+    pub name: String,
+    #[garde(skip)]
+    pub slope: f64,
+    #[garde(skip)]
+    pub intercept: f64,
+    /// Percent, of what was measured there.
+    #[garde(skip)]
+    pub worst: f64,
+    /// 0: nowhere.
+    #[garde(skip)]
+    #[serde(default)]
+    pub bend: f64,
+    #[garde(length(min = 1))]
+    pub unit: String,
+    #[garde(length(min = 1))]
+    pub over: String,
+    /// Sizes and what was measured there.
+    #[garde(length(min = 5))]
+    pub points: Vec<(f64, f64)>,
+    #[garde(length(min = 1))]
+    pub run: String,
+    #[garde(skip)]
+    #[serde(default)]
+    pub command: Option<String>,
+}
+
+/// A figure of one run, or one that is not measured yet: then it has no value.
+#[derive(Clone, Debug, Deserialize, Validate, PartialEq)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Figure {
+    #[garde(length(min = 1, max = 60))]
+    pub name: String,
+    #[garde(length(min = 1))]
+    pub what: String,
+    #[garde(length(min = 1))]
+    pub unit: String,
+    #[garde(skip)]
+    #[serde(default)]
+    pub value: Option<f64>,
+    #[garde(skip)]
+    #[serde(default)]
+    pub run: Option<String>,
+    #[garde(length(min = 1))]
+    pub command: String,
+}
+
+#[derive(Clone, Debug)]
+pub struct Sheet {
+    pub target: Target,
+    pub budget: Budget,
+    pub assumed: Assumed,
+    pub slopes: BTreeMap<String, Slope>,
+    pub figures: BTreeMap<String, Figure>,
+    /// Names of slopes in the order of the file.
+    pub order: Vec<String>,
+}
+
+pub fn read(file: &str, text: &str) -> Result<Sheet, Vec<Fault>> {
+    let forms = sablecross_forms::read::<Form>(file, text)?;
+    let (mut target, mut budget, mut assumed) = (None, None, None);
+    let (mut slopes, mut figures, mut order) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+    let mut faults = Vec::new();
+    for form in forms {
+        let twice = match &form.value {
+            Form::Target(t) => target.replace(t.clone()).is_some(),
+            Form::Budget(b) => budget.replace(b.clone()).is_some(),
+            Form::Assumed(a) => assumed.replace(a.clone()).is_some(),
+            Form::Slope(s) => {
+                order.push(s.name.clone());
+                slopes.insert(s.name.clone(), s.clone()).is_some()
+            }
+            Form::Figure(f) => figures.insert(f.name.clone(), f.clone()).is_some(),
+        };
+        if twice {
+            faults.push(form.fault(file, "name", "stands twice", "leave one of the two out"));
+        }
+    }
+    let missing = |what: &str| {
+        let (key, what) = (what.to_owned(), format!("no ({what} ...) form"));
+        Fault { file: file.into(), line: 1, column: 1, key, what, todo: "add it".into() }
+    };
+    for name in NEEDED.iter().filter(|n| !slopes.contains_key(**n) && !figures.contains_key(**n)) {
+        let what = format!("no slope or figure of the name {name}");
+        let todo = "measure it, or leave a figure without a value".into();
+        faults.push(Fault { file: file.into(), line: 1, column: 1, key: "name".into(), what, todo });
+    }
+    match (target, budget, assumed) {
+        (Some(target), Some(budget), Some(assumed)) if faults.is_empty() => {
+            Ok(Sheet { target, budget, assumed, slopes, figures, order })
+        }
+        (t, b, a) => {
+            let there = [("target", t.is_some()), ("budget", b.is_some()), ("assumed", a.is_some())];
+            faults.extend(there.iter().filter(|(_, is)| !is).map(|(what, _)| missing(what)));
+            Err(faults)
+        }
+    }
+}
+
+const NEEDED: &[&str] = &[
+    "module-purge-known",
+    "module-purge-rate",
+    "module-change-parent",
+    "module-change-cache",
+    "module-zone-loss",
+    "module-zone-loss-at-once",
+    "module-route",
+    "module-after",
+    "module-patience",
+    "module-memory",
+    "module-purge-memory",
+    "feed-purge-bytes",
+    "feed-purge-time",
+    "feed-change-bytes",
+    "feed-change-time",
+    "feed-list-bytes",
+    "feed-list-time",
+    "duties-member-bytes",
+    "duties-voter-calls",
+    "duties-voter-bytes",
+    "duties-voter-time",
+    "duties-dealer-time",
+    "duties-facts-bytes",
+    "duties-share-time",
+    "duties-roster-bytes",
+    "lab-voter-time",
+    "lab-dealer-time",
+    "real-purge-time",
+    "real-batch-time",
+    "real-change-time",
+    "real-start-time",
+    "real-told-time",
+    "real-told-memory",
+    "real-lookup-time",
+    "real-lookup-memory",
+    "real-lookup-descriptors",
+    "real-body-time",
+    "scale-director-core",
+    "scale-director-bytes",
+    "scale-director-memory",
+    "scale-relay-core",
+    "scale-relay-bytes",
+    "scale-relay-memory",
+    "scale-owner-core",
+    "scale-owner-bytes",
+    "scale-owner-memory",
+    "scale-purge-most",
+    "scale-change-most",
+    "scale-star-purge-most",
+    "scale-star-source-core",
+];
+
+impl Sheet {
+    /// A measured cost at a size, by its line: NaN if it is only a figure.
+    pub fn at(&self, name: &str, size: f64) -> f64 {
+        self.slopes.get(name).map_or(f64::NAN, |s| s.intercept + s.slope * size)
+    }
+
+    /// What was measured at that size itself, else by the line.
+    pub fn measured(&self, name: &str, size: f64) -> f64 {
+        let points = self.slopes.get(name).map(|s| &s.points[..]).unwrap_or_default();
+        points.iter().find(|p| p.0 == size).map_or_else(|| self.at(name, size), |p| p.1)
+    }
+
+    pub fn slope(&self, name: &str) -> f64 {
+        self.slopes.get(name).map_or(f64::NAN, |s| s.slope)
+    }
+
+    pub fn figure(&self, name: &str) -> Option<f64> {
+        self.figures.get(name).and_then(|f| f.value)
+    }
+
+    pub fn changes(&self) -> f64 {
+        self.target.changes_a_day / 86_400.0
+    }
+
+    /// Purges that bind at any time.
+    pub fn binding(&self) -> f64 {
+        self.target.purges * self.assumed.binds_s
+    }
+
+    /// Bytes of events a second, without heads.
+    pub fn events(&self) -> f64 {
+        self.target.purges * self.slope("feed-purge-bytes") + self.changes() * self.slope("feed-change-bytes")
+    }
+
+    /// Bytes a second at a reader that is told by so many packets, each with its acknowledgement.
+    pub fn told(&self, packets: f64, comment: f64) -> f64 {
+        self.events() + comment + packets * 2.0 * self.assumed.head
+    }
+
+    /// Bytes a second of calling again, which says what is in force.
+    pub fn words(&self) -> f64 {
+        let a = &self.assumed;
+        (2.0 * a.call + a.connection * a.head) * 1e3 / a.ack_ms
+    }
+
+    /// What a reader is told that has nothing: the list and the purges that bind.
+    pub fn base(&self) -> f64 {
+        self.at("feed-list-bytes", self.target.nodes) + self.binding() * self.slope("feed-purge-bytes")
+    }
+
+    pub fn batches(&self) -> f64 {
+        (1e3 / self.assumed.batch_ms).min(self.target.purges + self.changes())
+    }
+}
