--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod hierarchy;
 mod lab;
+mod relay;
 mod slopes;
 
 use std::process::ExitCode;
@@ -29,6 +30,9 @@
     Duty(duty::Command),
     /// A trial of a fleet on loopback: hundreds of directors, faults between them, how even the load stays.
     FleetTrial(fleet::Arguments),
+    /// Relays between one source of events and the directors: run, show, publish.
+    #[command(subcommand)]
+    Relay(relay::Command),
     /// A small installation on loopback: real directors, stand-in nodes, load, a report.
     #[command(subcommand)]
     Lab(lab::Command),
@@ -55,6 +59,7 @@
         }
         Command::FleetTrial(arguments) => fleet::run(&arguments),
         Command::Lab(command) => lab::run(&command),
+        Command::Relay(command) => relay::run(&command),
         Command::Slopes(arguments) => slopes::run(&arguments),
     };
     match done {
