--- a/crates/relay/src/group.rs
+++ b/crates/relay/src/group.rs
@@ -271,10 +271,6 @@
         if self.log.last() <= self.began { cursor } else { self.log.after(cursor, most, out) }
     }
 
-    pub fn endpoints(&mut self) -> Option<usize> {
-        self.log.endpoints()
-    }
-
     /// A reader called with this number.
     pub fn heard_of(&mut self, number: u64) {
         // Past this no JSON number is exact: it is none of ours.
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -1,6 +1,6 @@
 //! The numbered log: the list as it stands up to a number, and every event after that which may bind still.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use sablecross_duty::Token;
 use serde::{Deserialize, Serialize};
@@ -122,8 +122,8 @@
     bytes: usize,
     base_bytes: usize,
     listed: bool,
-    /// How many endpoints the list has, once that was asked for.
-    endpoints: Option<usize>,
+    /// The endpoints of the list as it stands at the last number.
+    names: BTreeSet<String>,
     /// The base as it is told, with and without its hierarchy, for the number that it was made for.
     told: Option<(u64, [Box<[u8]>; 2])>,
 }
@@ -136,7 +136,8 @@
     pub fn with(horizon: Horizon, base: Base) -> Log {
         let (base_bytes, listed) = (base.bytes(), base.listed);
         let (events, marks) = (VecDeque::new(), BTreeMap::new());
-        Log { base, events, marks, horizon, bytes: 0, base_bytes, listed, endpoints: None, told: None }
+        let names = base.members.keys().cloned().collect();
+        Log { base, events, marks, horizon, bytes: 0, base_bytes, listed, names, told: None }
     }
 
     pub fn horizon(&self) -> Horizon {
@@ -171,11 +172,8 @@
     }
 
     /// How many endpoints the list has; none: no whole list was told.
-    pub fn endpoints(&mut self) -> Option<usize> {
-        if self.listed && self.endpoints.is_none() {
-            self.endpoints = Some(self.folded(self.last()).members.len());
-        }
-        self.endpoints
+    pub fn endpoints(&self) -> Option<usize> {
+        self.listed.then_some(self.names.len())
     }
 
     /// Bytes of the base and all events.
@@ -199,9 +197,19 @@
         let number = self.last() + 1;
         let frame = event.frame(number).into_boxed_slice();
         self.bytes += frame.len();
-        self.listed |= event.kind() == Kind::Members { whole: true };
         if matches!(event.kind(), Kind::Members { .. }) {
-            self.endpoints = None;
+            let (whole, endpoints) = event.endpoints().unwrap_or_default();
+            if whole {
+                self.names.clear();
+                self.listed = true;
+            }
+            for e in endpoints {
+                if e.gone {
+                    self.names.remove(&e.name)
+                } else {
+                    self.names.insert(e.name)
+                };
+            }
         }
         if let Some(mark) = mark {
             self.marks.insert(mark.to_owned(), number);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -368,10 +368,6 @@
         let floor = self.readers.floor(now, self.last());
         let fresh = self.fresh(now);
         let age = fresh.age(now);
-        let endpoints = match &mut self.part {
-            Part::Voter(g) => g.endpoints(),
-            Part::Plain(p) => p.log.endpoints(),
-        };
         let base = self.log().base();
         let mut status = Status {
             name: self.set.name.clone(),
@@ -384,7 +380,7 @@
             last: self.last(),
             kept: self.last(),
             log_bytes: self.log().bytes(),
-            endpoints,
+            endpoints: self.log().endpoints(),
             floor,
             passed: self.readers.passed(),
             readers: self.readers.views(now),
--- a/crates/relay/tests/cases.rs
+++ b/crates/relay/tests/cases.rs
@@ -84,7 +84,7 @@
 fn the_base_moves_past_what_is_over_and_to_no_hierarchy() {
     let mut log = aged();
     log.trim(UNIX + OVER - 1);
-    assert_eq!(log.base().number, 0, "all binds still");
+    assert_eq!((log.base().number, log.endpoints()), (0, Some(2)), "all binds still");
     log.trim(UNIX + OVER);
     // 5 is the hierarchy, 6 binds for 50 s more.
     assert_eq!((log.base().number, log.last()), (4, 7));
