Relay: a new owner's floor begins at nothing; late calls of an earlier era change nothing

Cause: a voter that became the owner called in force everywhere what its own readers had; one that learned took a late base of an earlier era of the same owner; a publisher's event that an earlier owner had kept was never answered; in quiet times a voter that had caught up told nothing. Change: the floor rises from nothing at an owner's beginning, the base knows where its era began, publishers wait by number.

--- a/crates/relay/src/group.rs
+++ b/crates/relay/src/group.rs
@@ -213,8 +213,6 @@
     tail: VecDeque<Uncommitted>,
     tail_bytes: usize,
     era: u64,
-    /// The number that this era began with: nothing of it is told before a majority keeps what follows.
-    began: u64,
     /// By whom this era was confirmed last.
     era_by: Token,
     sure: bool,
@@ -248,7 +246,6 @@
             tail: VecDeque::new(),
             tail_bytes: 0,
             era: 0,
-            began: 0,
             era_by: Token::default(),
             sure: !alone && !rules.defences.learning,
             learning,
@@ -268,7 +265,7 @@
 
     /// As `Log::after`, of what may be told.
     pub fn after(&mut self, cursor: u64, most: usize, out: &mut Vec<u8>) -> u64 {
-        if self.log.last() <= self.began { cursor } else { self.log.after(cursor, most, out) }
+        if self.log.last() <= self.log.base().began { cursor } else { self.log.after(cursor, most, out) }
     }
 
     /// A reader called with this number.
@@ -502,12 +499,12 @@
         let committed = all.iter().filter(|h| h.era == era).map(|h| h.committed).max().unwrap_or(0);
         if let Some(held) = best {
             if let Some(base) = held.base.filter(|b| held.era != self.era || b.number > self.log.last()) {
-                if held.era != self.era {
-                    self.began = base.number;
-                }
                 self.log = Log::with(self.log.horizon(), base);
             }
-            self.era = held.era;
+            if held.era != self.era {
+                // Calls of the same owner from before that are late.
+                (self.era, self.era_by) = (held.era, self.era_by.max(self.gate.highest()));
+            }
             self.cut(0);
             let told = self.log.last();
             for entry in held.entries.iter().filter(|e| e.number > told) {
@@ -542,8 +539,8 @@
             let Some(u) = self.tail.pop_front() else { break };
             self.tail_bytes -= u.event.body().len();
             let number = self.log.push(&u.event, u.by, u.mark.as_deref(), unix);
-            let own = self.post.as_mut().filter(|p| p.token == u.by);
-            for ticket in own.and_then(|p| p.tickets.remove(&number)).unwrap_or_default() {
+            let waiting = self.post.as_mut().and_then(|p| p.tickets.remove(&number));
+            for ticket in waiting.unwrap_or_default() {
                 self.acts.push(Do::Published { ticket, result: Ok(number) });
             }
         }
@@ -644,7 +641,6 @@
             let later = (by, era) > (self.era_by, self.era);
             let Some(base) = base.filter(|_| later) else { return false };
             self.cut(0);
-            self.began = base.number;
             self.log = Log::with(self.log.horizon(), base);
             (self.sure, self.learning) = (true, None);
             self.note(format!("the log begins anew, era {era}: {} is the first number", self.log.last()));
@@ -824,6 +820,8 @@
         if !sure {
             self.anew(unix, token);
         } else {
+            // It knows by now what it may have forgotten.
+            (self.sure, self.learning) = (true, None);
             let event = Event::nothing();
             self.tail_bytes += event.body().len();
             self.tail.push_back(Uncommitted { by: token, event, mark: None });
@@ -852,10 +850,9 @@
         self.commit(unix, last);
         let purges = self.log.binding(unix);
         let number = (last + 1).max(unix).max(self.highest + 1).max(2);
-        let base = Base { by, ..self.log.folded(number) };
+        let base = Base { by, began: number, ..self.log.folded(number) };
         let listed = base.listed;
         self.log = Log::with(self.log.horizon(), base);
-        self.began = number;
         self.era = unix.max(self.era + 1);
         (self.sure, self.learning) = (true, None);
         self.cut(0);
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Base {
     pub number: u64,
+    /// The number that its era began with: nothing of that is told before a majority keeps what follows (`Group`).
+    pub began: u64,
     /// The token of the entry with this number.
     pub by: Token,
     /// A whole list is known. Until then nothing can be told to those who are behind.
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -99,6 +99,11 @@
         self.floor
     }
 
+    /// From here on the floor is everybody's, not that of its own readers alone: it rises from nothing.
+    pub fn begins(&mut self) {
+        (self.floor, self.due) = (0, 0);
+    }
+
     /// Notes that the floor stands for all there are, at this Unix ms: the owner's is.
     pub fn everywhere(&mut self, unix: u64) {
         if self.floor > 0 && self.passed.back().is_none_or(|(n, _)| *n < self.floor) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -228,6 +228,7 @@
         if let Part::Voter(g) = &self.part
             && acts.iter().any(|a| matches!(a, Do::Begins(_)))
         {
+            self.readers.begins();
             for name in g.names().iter().filter(|n| **n != self.set.name) {
                 self.readers.expects(now, name);
             }
--- a/crates/relay/tests/group.rs
+++ b/crates/relay/tests/group.rs
@@ -245,6 +245,33 @@
     assert!(matches!(net.published.last(), Some((60, Ok(_)))), "{:?}", net.published.last());
 }
 
+#[test]
+fn a_new_owner_calls_nothing_in_force_everywhere_before_it_heard_all_voters() {
+    // One reader has the last event and one has not, at either of the two that are left.
+    for behind in [0, 1] {
+        let (mut net, all, old) = up(3, Defences::default());
+        let others: Vec<usize> = all.iter().copied().filter(|v| *v != old).collect();
+        let first = net.relays[old].last();
+        let calls = |net: &mut Net, last: u64| {
+            for (i, v) in others.iter().enumerate() {
+                let (now, number) = (net.now, if i == behind { first } else { last });
+                net.relays[*v].comes(now, UNIX, &format!("d{i}"), number);
+            }
+        };
+        calls(&mut net, first);
+        net.publish(old, 1, "x", &purge(1, UNIX));
+        net.run(300, &all, |_, _, _| true);
+        let last = net.relays[old].last();
+        for _ in 0..4 {
+            calls(&mut net, last);
+            net.run(500, &others, |_, to, _| to != old);
+        }
+        let source = net.source().filter(|s| *s != old).expect("another source");
+        let passed = net.relays[source].status(net.now, UNIX).passed;
+        assert!(passed.last().is_some_and(|(n, _)| *n == first), "{behind}: {first} {last} {passed:?}");
+    }
+}
+
 #[test]
 fn when_all_begin_anew_numbers_go_past_all_that_were_told() {
     let (mut net, all, old) = up(3, Defences::default());
