--- a/crates/relay/src/group.rs
+++ b/crates/relay/src/group.rs
@@ -849,8 +849,10 @@
         let last = self.last().0;
         self.commit(unix, last);
         let purges = self.log.binding(unix);
-        let number = (last + 1).max(unix).max(self.highest + 1).max(2);
-        let base = Base { by, began: number, ..self.log.folded(number) };
+        // Its hierarchy gets this number, and the number before is free for the list (`Base`).
+        let number = (last + 2).max(unix).max(self.highest + 2);
+        let mut base = Base { by, began: number, ..self.log.folded(number) };
+        base.hierarchy = base.hierarchy.map(|(_, body)| (number, body));
         let listed = base.listed;
         self.log = Log::with(self.log.horizon(), base);
         self.era = unix.max(self.era + 1);
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -36,8 +36,8 @@
     pub index: u64,
     /// The endpoints' JSON by their names.
     pub members: BTreeMap<String, String>,
-    /// The latest hierarchy, as the body of its event.
-    pub hierarchy: Option<String>,
+    /// The latest hierarchy: the number of its event, and its body.
+    pub hierarchy: Option<(u64, String)>,
 }
 
 impl Base {
@@ -45,7 +45,7 @@
         (self.number, self.by) = (number, by);
         match event.kind() {
             Kind::Purge { .. } => {}
-            Kind::Hierarchy => self.hierarchy = Some(event.body().to_owned()),
+            Kind::Hierarchy => self.hierarchy = Some((number, event.body().to_owned())),
             Kind::Members { .. } => {
                 let Some((whole, endpoints)) = event.endpoints() else { return };
                 if whole {
@@ -66,18 +66,32 @@
 
     fn bytes(&self) -> usize {
         let members: usize = self.members.iter().map(|(name, raw)| name.len() + raw.len()).sum();
-        members + self.hierarchy.as_ref().map_or(0, String::len)
+        members + self.hierarchy.as_ref().map_or(0, |(_, body)| body.len())
     }
 
-    /// The hierarchy under the number before its own, and the whole list under its own.
-    fn frames(&self, hierarchy: bool) -> Vec<u8> {
-        let mut out = Vec::new();
-        if let Some(body) = self.hierarchy.as_ref().filter(|_| hierarchy) {
-            let n = self.number - 1;
-            out.extend_from_slice(format!("id: {n}\ndata: {{\"n\":{n},{}\n\n", &body[1..]).as_bytes());
+    fn list(&self) -> Event {
+        Event::whole(self.index, self.members.values().map(String::as_str))
+    }
+
+    /// What one is told that has this number, which is lower. A stream may break after each event and the reader go on at another
+    /// relay, whose base is lower: so it must miss nothing there, whichever of these it had. The whole list goes under the base's
+    /// number. A hierarchy that it has not goes under its own before that, and before it the list once more, as it stands now:
+    /// whoever has that is told of the changes since then again, which changes nothing in the end.
+    fn frames(&self, cursor: u64) -> Vec<u8> {
+        let list = self.list();
+        let (mut out, mut cursor) = (Vec::new(), cursor);
+        if let Some((number, body)) = self.hierarchy.as_ref().filter(|(number, _)| *number > cursor) {
+            if cursor + 1 < *number {
+                out.extend_from_slice(&list.frame(number - 1));
+            }
+            out.extend_from_slice(
+                format!("id: {number}\ndata: {{\"n\":{number},{}\n\n", &body[1..]).as_bytes(),
+            );
+            cursor = *number;
+        }
+        if cursor < self.number {
+            out.extend_from_slice(&list.frame(self.number));
         }
-        let list = Event::whole(self.index, self.members.values().map(String::as_str));
-        out.extend_from_slice(&list.frame(self.number));
         out
     }
 }
@@ -126,8 +140,8 @@
     listed: bool,
     /// The endpoints of the list as it stands at the last number.
     names: BTreeSet<String>,
-    /// The base as it is told, with and without its hierarchy, for the number that it was made for.
-    told: Option<(u64, [Box<[u8]>; 2])>,
+    /// The list of the base as it is told, for the number that it was made for.
+    told: Option<(u64, Vec<u8>)>,
 }
 
 impl Log {
@@ -221,8 +235,7 @@
         number
     }
 
-    /// Folds what binds nobody any more into the base, at this Unix ms: as far as it is all over, and never to a hierarchy, as
-    /// the number before the base's has to be free for that.
+    /// Folds what binds nobody any more into the base, at this Unix ms: as far as it is all over.
     pub fn trim(&mut self, unix: u64) {
         let over = |log: &Log, e: &Kept| match e.kind {
             // Nobody has the list, so nobody follows from here yet.
@@ -230,27 +243,20 @@
             Kind::Purge { at } => log.horizon.over(at.max(e.taken), unix),
             _ => log.horizon.over(e.taken, unix),
         };
-        loop {
-            let done = self.events.iter().take_while(|e| over(self, e));
-            let ends = done.enumerate().find(|(i, e)| {
-                let number = self.base.number + 1 + *i as u64;
-                e.kind != Kind::Hierarchy && number >= 2
-            });
-            let Some((i, _)) = ends else { return };
-            for _ in 0..=i {
-                let Some(e) = self.events.pop_front() else { return };
-                let number = self.base.number + 1;
-                self.bytes -= e.frame.len();
-                if let Some(mark) = e.mark.as_ref().filter(|m| self.marks.get(*m) == Some(&number)) {
-                    self.marks.remove(mark);
-                }
-                if matches!(e.kind, Kind::Purge { .. }) {
-                    (self.base.number, self.base.by) = (number, e.by);
-                } else if let Ok((_, event)) = Event::read(e.body(number).as_bytes(), usize::MAX) {
-                    self.base.fold(number, e.by, &event);
-                    self.base_bytes = self.base.bytes();
-                }
+        while let Some(e) = self.events.front().filter(|e| over(self, e)) {
+            let number = self.base.number + 1;
+            self.bytes -= e.frame.len();
+            if let Some(mark) = e.mark.as_ref().filter(|m| self.marks.get(*m) == Some(&number)) {
+                self.marks.remove(mark);
             }
+            (self.base.number, self.base.by) = (number, e.by);
+            if !matches!(e.kind, Kind::Purge { .. })
+                && let Ok((_, event)) = Event::read(e.body(number).as_bytes(), usize::MAX)
+            {
+                self.base.fold(number, e.by, &event);
+                self.base_bytes = self.base.bytes();
+            }
+            self.events.pop_front();
         }
     }
 
@@ -270,12 +276,13 @@
         }
         if cursor < self.base.number {
             let number = self.base.number;
-            if self.told.as_ref().is_none_or(|(n, _)| *n != number) {
-                let made = [self.base.frames(false), self.base.frames(true)];
-                self.told = Some((number, made.map(Vec::into_boxed_slice)));
-            }
-            if let Some((_, told)) = &self.told {
-                out.extend_from_slice(&told[usize::from(cursor + 1 < number)]);
+            if self.base.hierarchy.as_ref().is_some_and(|(h, _)| *h > cursor) {
+                out.extend_from_slice(&self.base.frames(cursor));
+            } else {
+                let told = self.told.take().filter(|(n, _)| *n == number);
+                let told = told.unwrap_or_else(|| (number, self.base.frames(cursor)));
+                out.extend_from_slice(&told.1);
+                self.told = Some(told);
             }
             cursor = number;
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,5 +1,7 @@
 //! One process of the tier: a voter, or a plain relay that follows another one. Both tell the same events on.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -75,7 +77,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Took {
     New,
-    /// It was told before, or belongs to what comes next.
+    /// It was told before.
     Passed,
     /// Events are missing or can't be read: the call is to be ended and made anew with the number of `follows`.
     Again(String),
@@ -125,8 +127,6 @@
     fresh: Freshness,
     /// The number after which events were missing or unreadable once already.
     gap: Option<u64>,
-    /// The hierarchy that was told with the number before a base's.
-    before: Option<(u64, Event)>,
 }
 
 #[derive(Debug)]
@@ -149,7 +149,7 @@
     /// A plain relay that follows one of so many upstreams, beginning without memory.
     pub fn plain(set: Settings, upstream: Upstream) -> Relay {
         let (log, fresh) = (Log::new(set.horizon), Freshness::never());
-        Relay::with(set, Part::Plain(Box::new(Plain { log, upstream, fresh, gap: None, before: None })))
+        Relay::with(set, Part::Plain(Box::new(Plain { log, upstream, fresh, gap: None })))
     }
 
     fn with(set: Settings, part: Part) -> Relay {
@@ -411,10 +411,10 @@
             if let Ok((_, event)) = read {
                 self.log.push(&event, Token::default(), None, unix);
             }
-            (self.gap, self.before) = (None, None);
+            self.gap = None;
             return Took::New;
         }
-        if self.before.is_none() && self.gap != Some(last) {
+        if self.gap != Some(last) {
             // Lost or cut on the way, most likely: it is asked for once more.
             self.gap = Some(last);
             let why = fault.unwrap_or_else(|| format!("event {n} follows {last}"));
@@ -429,33 +429,18 @@
                 Took::New
             }
             Err(e) => Took::Again(e.to_string()),
-            Ok((_, event)) => match event.kind() {
-                Kind::Hierarchy if self.before.is_none() => {
-                    self.before = Some((n, event));
-                    Took::Passed
-                }
-                Kind::Members { whole: true } => {
-                    let hierarchy = self.before.take().filter(|(before, _)| before + 1 == n);
-                    let hierarchy = hierarchy.map(|(_, e)| e.body().to_owned());
-                    let hierarchy = hierarchy.or_else(|| self.log.folded(n).hierarchy);
-                    let mut base = Base { number: n, listed: true, hierarchy, ..Base::default() };
-                    base.index = event.index().unwrap_or(0);
-                    let endpoints = event.endpoints().map(|(_, all)| all).unwrap_or_default();
-                    let here = endpoints.into_iter().filter(|e| !e.gone);
-                    base.members = here.map(|e| (e.name, e.raw)).collect();
-                    acts.push(Do::Note(format!(
-                        "events {} to {n} are over: the whole list is taken",
-                        last + 1
-                    )));
-                    self.log = Log::with(self.log.horizon(), base);
-                    self.gap = None;
-                    Took::New
-                }
-                _ => {
-                    self.before = None;
-                    Took::Again(format!("event {n} follows {last}, and is no whole list"))
-                }
-            },
+            Ok((_, event)) if event.kind() == (Kind::Members { whole: true }) => {
+                let mut base = Base { members: BTreeMap::new(), ..self.log.folded(n) };
+                (base.listed, base.index) = (true, event.index().unwrap_or(0));
+                let endpoints = event.endpoints().map(|(_, all)| all).unwrap_or_default();
+                let here = endpoints.into_iter().filter(|e| !e.gone);
+                base.members = here.map(|e| (e.name, e.raw)).collect();
+                acts.push(Do::Note(format!("events {} to {n} are over: the whole list is taken", last + 1)));
+                self.log = Log::with(self.log.horizon(), base);
+                self.gap = None;
+                Took::New
+            }
+            Ok(_) => Took::Again(format!("event {n} follows {last}, and is no whole list")),
         }
     }
 }
--- /dev/null
+++ b/crates/relay/tests/help/mod.rs
@@ -0,0 +1,71 @@
+//! Builders shared by the tests.
+#![allow(dead_code)]
+
+use sablecross_relay::*;
+
+pub const MS: Ns = 1_000_000;
+pub const SEC: Ns = 1_000 * MS;
+pub const UNIX: u64 = 1_700_000_000_000;
+
+pub fn settings(name: &str, horizon: Horizon, most_log: usize) -> Settings {
+    let (missed, forgotten) = (SEC, 3_600 * SEC);
+    Settings {
+        name: name.into(),
+        horizon,
+        most_event: 1 << 16,
+        most_log,
+        missed,
+        forgotten,
+        most_passed: 4_096,
+    }
+}
+
+pub fn rules(voters: usize, defences: Defences) -> Rules {
+    let seat =
+        sablecross_duty::Rules { voters: voters as u32, lease: 400 * MS, round: 100 * MS, apart: 40 * MS };
+    Rules {
+        names: (0..voters).map(|v| format!("r{v}")).collect(),
+        seat,
+        patience: 120 * MS,
+        beat: 150 * MS,
+        gather: 0,
+        most_call: 1 << 16,
+        anew_after: Ns::MAX,
+        ahead: 60 * SEC,
+        defences,
+    }
+}
+
+pub fn event(body: &str) -> Event {
+    Event::read(body.as_bytes(), 1 << 20).expect(body).1
+}
+
+pub fn purge(key: u64, at: u64) -> Event {
+    event(&format!(r#"{{"purge":{{"key":"{key:016x}","at":{at}}}}}"#))
+}
+
+pub fn line(name: &str, status: &str) -> String {
+    let rest = r#""address":"10.0.0.1:1","zone":"z","type":"std","group":0,"weight":4,"since_ms":0"#;
+    format!(r#"{{"name":"{name}","status":"{status}",{rest}}}"#)
+}
+
+pub fn list(index: u64, whole: bool, lines: &[String]) -> Event {
+    let lines = lines.join(",");
+    event(&format!(r#"{{"members":{{"index":{index},"snapshot":{whole},"endpoints":[{lines}]}}}}"#))
+}
+
+pub fn hierarchy(version: u64) -> Event {
+    let nodes =
+        r#"[{"name":"o","tier":0,"capacity":9.0},{"name":"p","tier":1,"sources":["o"],"capacity":9.0}]"#;
+    event(&format!(r#"{{"hierarchy":{{"head":{{"version":{version},"ceiling":9.0}},"nodes":{nodes}}}}}"#))
+}
+
+/// The numbers and events of bytes on the wire.
+pub fn blocks(out: Vec<u8>) -> Vec<(u64, String)> {
+    let text = String::from_utf8(out).expect("text");
+    let block = |b: &str| {
+        let (id, data) = b.split_once("\ndata: ").expect("two lines");
+        (id.strip_prefix("id: ").and_then(|n| n.parse().ok()).expect("a number"), data.to_owned())
+    };
+    text.split_terminator("\n\n").map(block).collect()
+}
