--- a/crates/lab/src/directors.rs
+++ b/crates/lab/src/directors.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -11,9 +11,8 @@
 use rand_pcg::Pcg32;
 use serde_json::{Value, json};
 
-use crate::feed::Feed;
 use crate::load::BUDGET_MS;
-use crate::run::{Failed, io_error};
+use crate::process::{Failed, Process};
 
 /// Ports that are free, below those that connections are given by themselves: a director that was killed finds its own
 /// again, and installations beside one another seldom meet.
@@ -47,28 +46,20 @@
     config: &Path,
     log: &Path,
     duty: Option<&Path>,
-) -> Result<Child, Failed> {
-    let out = std::fs::File::options().create(true).append(true).open(log);
-    let out = out.map_err(io_error(log.display().to_string()))?;
+) -> Result<Process, Failed> {
     let mut command = program();
     command.env_remove("SABLECROSS_DUTY");
     command.envs(duty.map(|file| ("SABLECROSS_DUTY", file)));
-    command.env("NODE_CONFIG", config).stderr(out).stdout(Stdio::null()).stdin(Stdio::piped());
-    command.spawn().map_err(io_error("a director"))
+    command.env("NODE_CONFIG", config).stdout(Stdio::null());
+    Process::start(&mut command, log, "a director")
 }
 
 /// Waits until it takes connections, so long after `since` at most.
-pub fn serving(
-    number: usize,
-    at: SocketAddr,
-    log: &Path,
-    since: Instant,
-    most: Duration,
-) -> Result<(), Failed> {
+pub fn serving(name: &str, at: SocketAddr, log: &Path, since: Instant, most: Duration) -> Result<(), Failed> {
     while TcpStream::connect(at).is_err() {
         if since.elapsed() > most {
             return Err(Failed::NotServing {
-                name: format!("director-{number}"),
+                name: name.into(),
                 within: most.as_secs(),
                 log: log.display().to_string(),
             });
@@ -103,14 +94,13 @@
     directors: usize,
     seed: u64,
     listen: SocketAddr,
-    feed: &Feed,
+    (feed, known): (SocketAddr, &[String]),
     like: &Like,
 ) -> Value {
-    let known: Vec<Value> =
-        feed.known().iter().filter_map(|event| serde_json::from_str(event).ok()).collect();
+    let known: Vec<Value> = known.iter().filter_map(|event| serde_json::from_str(event).ok()).collect();
     json!({
         "name": format!("director-{number}"), "listen": listen, "seed": format!("{:x}", seed + number as u64),
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "feed": feed.address,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "feed": feed,
         "flow_bytes_per_s": 1e6, "link_bytes_per_s": 1e7, "known": {"n": known.len(), "events": known},
         "settings": {
             "az": 1, "index": number, "discovery": "pushed", "periodUs": 1000, "zones": ["hub", "edge"],
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,15 +2,21 @@
 //! and feed in this one, load, changes of the hierarchy, faults; a report. Stand-ins follow the operators' published
 //! protocol. Nothing here decides for directors: the driver and its plans are those of `sablecross-hierarchy`.
 
+mod acts;
 mod directors;
 pub mod feed;
 pub mod fleet;
 pub mod load;
 pub mod node;
+mod outcome;
+mod process;
 pub mod report;
 pub mod run;
+pub mod scale;
 pub mod settings;
 
+pub use outcome::Outcome;
+pub use process::{Failed, end_with_parent};
 pub use report::Report;
-pub use run::{end_with_parent, run};
+pub use run::run;
 pub use settings::Experiment;
