Relay: the base moves in steps and its bytes count in no batch

Cause: scale trials: a reader that came back was told the base, a batch later one that had moved on by three events, and so for ever. Change: the base moves once its first event has been over for 10 s (a quarter of a shorter horizon); events follow it in the same batch.

--- a/crates/relay/src/horizon.rs
+++ b/crates/relay/src/horizon.rs
@@ -8,6 +8,7 @@
 pub const HELD: Ns = 120_000_000_000;
 
 const MS: Ns = 1_000_000;
+const LONGEST_STEP: u64 = 10_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Horizon {
@@ -30,6 +31,11 @@
         self.binds() + self.slack
     }
 
+    /// Bases move in steps of this many milliseconds: a reader that was told one has so long to go on from it before the next.
+    pub fn step(&self) -> u64 {
+        (self.keeps() / MS / 4).min(LONGEST_STEP)
+    }
+
     /// Whether what was made (Unix ms) so long ago binds nobody any more.
     pub fn over(&self, made: u64, unix: u64) -> bool {
         unix >= made.saturating_add(self.keeps().div_ceil(MS))
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -235,15 +235,21 @@
         number
     }
 
-    /// Folds what binds nobody any more into the base, at this Unix ms: as far as it is all over.
+    /// Folds what binds nobody any more into the base, at this Unix ms: all of it, once the first has been over for a step.
     pub fn trim(&mut self, unix: u64) {
-        let over = |log: &Log, e: &Kept| match e.kind {
+        let over = |log: &Log, e: &Kept, unix: u64| match e.kind {
             // Nobody has the list, so nobody follows from here yet.
             Kind::Members { whole: false } if !log.base.listed && log.base.number > 0 => true,
             Kind::Purge { at } => log.horizon.over(at.max(e.taken), unix),
             _ => log.horizon.over(e.taken, unix),
         };
-        while let Some(e) = self.events.front().filter(|e| over(self, e)) {
+        // A base that moves with each event would be told over and over to one that is behind it.
+        let step = self.horizon.step();
+        let first = self.events.front();
+        if first.is_none_or(|e| !over(self, e, unix.saturating_sub(step))) {
+            return;
+        }
+        while let Some(e) = self.events.front().filter(|e| over(self, e, unix)) {
             let number = self.base.number + 1;
             self.bytes -= e.frame.len();
             if let Some(mark) = e.mark.as_ref().filter(|m| self.marks.get(*m) == Some(&number)) {
@@ -263,7 +269,7 @@
     /// Appends to `out` what follows `cursor`, as it is on the wire: at least one event, and no further one past `most` bytes
     /// of `out`. Returns the number up to which it was told; the same as `cursor` if there is nothing to tell.
     ///
-    /// One that is behind the base gets that, as one whole.
+    /// One that is behind the base gets that, as one whole whose bytes do not count, and at least one event more.
     pub fn after(&mut self, cursor: u64, most: usize, out: &mut Vec<u8>) -> u64 {
         let mut cursor = cursor;
         let start = out.len();
@@ -286,6 +292,7 @@
             }
             cursor = number;
         }
+        let (start, most) = (out.len(), most.saturating_add(out.len() - start));
         let first = usize::try_from(cursor - self.base.number).unwrap_or(usize::MAX);
         for e in self.events.iter().skip(first) {
             if out.len() > start && out.len() + e.frame.len() > most {
