A list larger than a batch is told once to readers that were away, in a trial

Cause: scale trials found readers that were told the whole list again and again, as the base had moved on by the next batch. Change: a trial with a list of 300 caches, batches of 2 KB and a purge each 10 ms: two readers, one at a plain relay, come back after the horizon.

--- a/crates/tier/tests/horizon.rs
+++ b/crates/tier/tests/horizon.rs
@@ -126,3 +126,31 @@
     assert_eq!(names(&inside[0].got()), BTreeSet::from(["m1".into(), "n".into()]));
     assert!(tier.log(3).contains("the whole list is taken"), "{}", tier.log(3));
 }
+
+/// The whole list is larger than a batch by far, and more is published all the time: it is told once, then what follows it.
+#[test]
+fn large_list_once() {
+    let tier = Tier::start(43, 3, 1, &format!("{SHORT} (batch-bytes . 2048)"));
+    let mut published = tier.listed();
+    let mut publisher = tier.publisher();
+    for i in 0..300 {
+        published.tell(&mut publisher, &format!("l{i}"), &change(&format!("cache-{i}"), "ready"));
+    }
+    let readers = tier.readers(4);
+    let late = [tier.reader(11, 0), tier.reader(12, 3)];
+    let load = Load::start(tier.publisher(), 1, ms(10));
+    assert!(until(PATIENCE, || late.iter().chain(&readers).all(|r| r.last() > 0)), "{}", tier.logs());
+    late.iter().for_each(|r| r.goes(true));
+    sleep(ms(300));
+    let before: Vec<u64> = late.iter().map(Reader::last).collect();
+    sleep(ms(3_500));
+    let bound = published.tell(&mut publisher, "p", &purge(9));
+    late.iter().for_each(|r| r.goes(false));
+    // For longer than purges bind.
+    sleep(ms(2_500));
+    published.0.extend(load.over().0);
+    for (reader, before) in late.iter().zip(before) {
+        jumped(reader, &published, before, bound, &tier);
+        assert_eq!(names(&reader.got()).len(), 301);
+    }
+}
