--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -1,6 +1,6 @@
 //! The numbered log: the list as it stands up to a number, and every event after that which may bind still.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use sablecross_duty::Token;
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Base {
     pub number: u64,
+    /// The number that its era began with: nothing of that is told before a majority keeps what follows (`Group`).
+    pub began: u64,
     /// The token of the entry with this number.
     pub by: Token,
     /// A whole list is known. Until then nothing can be told to those who are behind.
@@ -34,8 +36,8 @@
     pub index: u64,
     /// The endpoints' JSON by their names.
     pub members: BTreeMap<String, String>,
-    /// The latest hierarchy, as the body of its event.
-    pub hierarchy: Option<String>,
+    /// The latest hierarchy: the number of its event, and its body.
+    pub hierarchy: Option<(u64, String)>,
 }
 
 impl Base {
@@ -43,7 +45,7 @@
         (self.number, self.by) = (number, by);
         match event.kind() {
             Kind::Purge { .. } => {}
-            Kind::Hierarchy => self.hierarchy = Some(event.body().to_owned()),
+            Kind::Hierarchy => self.hierarchy = Some((number, event.body().to_owned())),
             Kind::Members { .. } => {
                 let Some((whole, endpoints)) = event.endpoints() else { return };
                 if whole {
@@ -64,18 +66,32 @@
 
     fn bytes(&self) -> usize {
         let members: usize = self.members.iter().map(|(name, raw)| name.len() + raw.len()).sum();
-        members + self.hierarchy.as_ref().map_or(0, String::len)
+        members + self.hierarchy.as_ref().map_or(0, |(_, body)| body.len())
     }
 
-    /// The hierarchy under the number before its own, and the whole list under its own.
-    fn frames(&self, hierarchy: bool) -> Vec<u8> {
-        let mut out = Vec::new();
-        if let Some(body) = self.hierarchy.as_ref().filter(|_| hierarchy) {
-            let n = self.number - 1;
-            out.extend_from_slice(format!("id: {n}\ndata: {{\"n\":{n},{}\n\n", &body[1..]).as_bytes());
+    fn list(&self) -> Event {
+        Event::whole(self.index, self.members.values().map(String::as_str))
+    }
+
+    /// What one is told that has this number, which is lower. A stream may break after each event and the reader go on at another
+    /// relay, whose base is lower: so it must miss nothing there, whichever of these it had. The whole list goes under the base's
+    /// number. A hierarchy that it has not goes under its own before that, and before it the list once more, as it stands now:
+    /// whoever has that is told of the changes since then again, which changes nothing in the end.
+    fn frames(&self, cursor: u64) -> Vec<u8> {
+        let list = self.list();
+        let (mut out, mut cursor) = (Vec::new(), cursor);
+        if let Some((number, body)) = self.hierarchy.as_ref().filter(|(number, _)| *number > cursor) {
+            if cursor + 1 < *number {
+                out.extend_from_slice(&list.frame(number - 1));
+            }
+            out.extend_from_slice(
+                format!("id: {number}\ndata: {{\"n\":{number},{}\n\n", &body[1..]).as_bytes(),
+            );
+            cursor = *number;
+        }
+        if cursor < self.number {
+            out.extend_from_slice(&list.frame(self.number));
         }
-        let list = Event::whole(self.index, self.members.values().map(String::as_str));
-        out.extend_from_slice(&list.frame(self.number));
         out
     }
 }
@@ -122,10 +138,10 @@
     bytes: usize,
     base_bytes: usize,
     listed: bool,
-    /// How many endpoints the list has, once that was asked for.
-    endpoints: Option<usize>,
-    /// The base as it is told, with and without its hierarchy, for the number that it was made for.
-    told: Option<(u64, [Box<[u8]>; 2])>,
+    /// The endpoints of the list as it stands at the last number.
+    names: BTreeSet<String>,
+    /// The list of the base as it is told, for the number that it was made for.
+    told: Option<(u64, Vec<u8>)>,
 }
 
 impl Log {
@@ -136,7 +152,8 @@
     pub fn with(horizon: Horizon, base: Base) -> Log {
         let (base_bytes, listed) = (base.bytes(), base.listed);
         let (events, marks) = (VecDeque::new(), BTreeMap::new());
-        Log { base, events, marks, horizon, bytes: 0, base_bytes, listed, endpoints: None, told: None }
+        let names = base.members.keys().cloned().collect();
+        Log { base, events, marks, horizon, bytes: 0, base_bytes, listed, names, told: None }
     }
 
     pub fn horizon(&self) -> Horizon {
@@ -171,11 +188,8 @@
     }
 
     /// How many endpoints the list has; none: no whole list was told.
-    pub fn endpoints(&mut self) -> Option<usize> {
-        if self.listed && self.endpoints.is_none() {
-            self.endpoints = Some(self.folded(self.last()).members.len());
-        }
-        self.endpoints
+    pub fn endpoints(&self) -> Option<usize> {
+        self.listed.then_some(self.names.len())
     }
 
     /// Bytes of the base and all events.
@@ -199,9 +213,19 @@
         let number = self.last() + 1;
         let frame = event.frame(number).into_boxed_slice();
         self.bytes += frame.len();
-        self.listed |= event.kind() == Kind::Members { whole: true };
         if matches!(event.kind(), Kind::Members { .. }) {
-            self.endpoints = None;
+            let (whole, endpoints) = event.endpoints().unwrap_or_default();
+            if whole {
+                self.names.clear();
+                self.listed = true;
+            }
+            for e in endpoints {
+                if e.gone {
+                    self.names.remove(&e.name)
+                } else {
+                    self.names.insert(e.name)
+                };
+            }
         }
         if let Some(mark) = mark {
             self.marks.insert(mark.to_owned(), number);
@@ -211,43 +235,41 @@
         number
     }
 
-    /// Folds what binds nobody any more into the base, at this Unix ms: as far as it is all over, and never to a hierarchy, as
-    /// the number before the base's has to be free for that.
+    /// Folds what binds nobody any more into the base, at this Unix ms: all of it, once the first has been over for a step.
     pub fn trim(&mut self, unix: u64) {
-        let over = |log: &Log, e: &Kept| match e.kind {
+        let over = |log: &Log, e: &Kept, unix: u64| match e.kind {
             // Nobody has the list, so nobody follows from here yet.
             Kind::Members { whole: false } if !log.base.listed && log.base.number > 0 => true,
             Kind::Purge { at } => log.horizon.over(at.max(e.taken), unix),
             _ => log.horizon.over(e.taken, unix),
         };
-        loop {
-            let done = self.events.iter().take_while(|e| over(self, e));
-            let ends = done.enumerate().find(|(i, e)| {
-                let number = self.base.number + 1 + *i as u64;
-                e.kind != Kind::Hierarchy && number >= 2
-            });
-            let Some((i, _)) = ends else { return };
-            for _ in 0..=i {
-                let Some(e) = self.events.pop_front() else { return };
-                let number = self.base.number + 1;
-                self.bytes -= e.frame.len();
-                if let Some(mark) = e.mark.as_ref().filter(|m| self.marks.get(*m) == Some(&number)) {
-                    self.marks.remove(mark);
-                }
-                if matches!(e.kind, Kind::Purge { .. }) {
-                    (self.base.number, self.base.by) = (number, e.by);
-                } else if let Ok((_, event)) = Event::read(e.body(number).as_bytes(), usize::MAX) {
-                    self.base.fold(number, e.by, &event);
-                    self.base_bytes = self.base.bytes();
-                }
+        // A base that moves with each event would be told over and over to one that is behind it.
+        let step = self.horizon.step();
+        let first = self.events.front();
+        if first.is_none_or(|e| !over(self, e, unix.saturating_sub(step))) {
+            return;
+        }
+        while let Some(e) = self.events.front().filter(|e| over(self, e, unix)) {
+            let number = self.base.number + 1;
+            self.bytes -= e.frame.len();
+            if let Some(mark) = e.mark.as_ref().filter(|m| self.marks.get(*m) == Some(&number)) {
+                self.marks.remove(mark);
+            }
+            (self.base.number, self.base.by) = (number, e.by);
+            if !matches!(e.kind, Kind::Purge { .. })
+                && let Ok((_, event)) = Event::read(e.body(number).as_bytes(), usize::MAX)
+            {
+                self.base.fold(number, e.by, &event);
+                self.base_bytes = self.base.bytes();
             }
+            self.events.pop_front();
         }
     }
 
     /// Appends to `out` what follows `cursor`, as it is on the wire: at least one event, and no further one past `most` bytes
     /// of `out`. Returns the number up to which it was told; the same as `cursor` if there is nothing to tell.
     ///
-    /// One that is behind the base gets that, as one whole.
+    /// One that is behind the base gets that, as one whole whose bytes do not count, and at least one event more.
     pub fn after(&mut self, cursor: u64, most: usize, out: &mut Vec<u8>) -> u64 {
         let mut cursor = cursor;
         let start = out.len();
@@ -260,15 +282,17 @@
         }
         if cursor < self.base.number {
             let number = self.base.number;
-            if self.told.as_ref().is_none_or(|(n, _)| *n != number) {
-                let made = [self.base.frames(false), self.base.frames(true)];
-                self.told = Some((number, made.map(Vec::into_boxed_slice)));
-            }
-            if let Some((_, told)) = &self.told {
-                out.extend_from_slice(&told[usize::from(cursor + 1 < number)]);
+            if self.base.hierarchy.as_ref().is_some_and(|(h, _)| *h > cursor) {
+                out.extend_from_slice(&self.base.frames(cursor));
+            } else {
+                let told = self.told.take().filter(|(n, _)| *n == number);
+                let told = told.unwrap_or_else(|| (number, self.base.frames(cursor)));
+                out.extend_from_slice(&told.1);
+                self.told = Some(told);
             }
             cursor = number;
         }
+        let (start, most) = (out.len(), most.saturating_add(out.len() - start));
         let first = usize::try_from(cursor - self.base.number).unwrap_or(usize::MAX);
         for e in self.events.iter().skip(first) {
             if out.len() > start && out.len() + e.frame.len() > most {
