Relay: purges are kept by when they were made

Cause: an hour's purges told again at once were kept for a whole horizon from when they came, though they bind nobody.

--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -240,7 +240,8 @@
         let over = |log: &Log, e: &Kept, unix: u64| match e.kind {
             // Nobody has the list, so nobody follows from here yet.
             Kind::Members { whole: false } if !log.base.listed && log.base.number > 0 => true,
-            Kind::Purge { at } => log.horizon.over(at.max(e.taken), unix),
+            // One that was old as it came stays a little, for readers in step.
+            Kind::Purge { at } => log.horizon.over(at, unix) && unix >= e.taken + log.horizon.step(),
             _ => log.horizon.over(e.taken, unix),
         };
         // A base that moves with each event would be told over and over to one that is behind it.
@@ -335,8 +336,7 @@
 
     /// Purges that may bind still at this Unix ms, as bodies with their marks, in their order.
     pub fn binding(&self, unix: u64) -> Vec<(String, Option<String>)> {
-        let binds =
-            |e: &Kept| matches!(e.kind, Kind::Purge { at } if !self.horizon.over(at.max(e.taken), unix));
+        let binds = |e: &Kept| matches!(e.kind, Kind::Purge { at } if !self.horizon.over(at, unix));
         let numbered = (self.base.number + 1..).zip(&self.events);
         numbered.filter(|(_, e)| binds(e)).map(|(n, e)| (e.body(n), e.mark.clone())).collect()
     }
--- a/crates/relay/tests/cases.rs
+++ b/crates/relay/tests/cases.rs
@@ -100,6 +100,19 @@
     assert_eq!(told(&mut log, 0, 10).0, 8);
 }
 
+#[test]
+fn what_was_old_as_it_came_goes_after_two_steps() {
+    // An hour that a region was cut off: told again at once, most of it binds nobody.
+    let mut log = Log::new(HORIZON);
+    push(&mut log, &list(1, true, &[]), UNIX - 3_600_000);
+    (0..3_600).for_each(|i| assert!(push(&mut log, &purge(i, UNIX - 3_600_000 + i * 1_000), UNIX) > 1));
+    log.trim(UNIX);
+    log.trim(UNIX + 2 * STEP - 1);
+    assert_eq!(log.base().number, 1, "readers in step are told");
+    log.trim(UNIX + 2 * STEP);
+    assert_eq!(log.last() - log.base().number, 109, "what binds");
+}
+
 #[test]
 fn one_that_is_behind_the_base_catches_up_while_purges_go_on() {
     let mut log = Log::new(HORIZON);
