Scale trials: what the relays say of in force everywhere is held against what is so

The owner's history of numbers is compared with when the last director had each event: too early is NOT WELL, and how much later it is known is printed.

--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -20,6 +20,8 @@
 const USE_APART: f64 = 0.25;
 /// Nanoseconds: an event that takes longer to be in force everywhere is behind.
 const BEHIND: u64 = 1_000_000_000;
+/// Nanoseconds that the clock of Unix time, in whole milliseconds, and the other one may be apart.
+const CLOCKS: u64 = 5_000_000;
 /// A program that was woken so late ran on a machine too busy to judge by.
 const TOO_LATE: f64 = 0.5;
 
@@ -66,6 +68,8 @@
     pub reals_gaps: u64,
     pub ended: usize,
     pub late: f64,
+    /// What the relays say of numbers, rising: since when they are in force everywhere.
+    pub passed: Vec<(u64, u64)>,
 }
 
 /// Milliseconds.
@@ -140,6 +144,10 @@
     pub changes: Latency,
     pub struck_purges: Latency,
     pub struck_changes: Latency,
+    /// With no fault in the way: from the publisher until the relays say that it is in force everywhere, and how often they
+    /// say so before it is.
+    pub known: Latency,
+    pub early: usize,
     pub missed: u64,
     pub disorder: u64,
     pub twice: u64,
@@ -220,10 +228,12 @@
             .collect();
         let mut found: [[Vec<f64>; 2]; 2] = Default::default();
         let mut late = [[0usize; 2]; 2];
+        let (mut known, mut early) = (Vec::new(), 0);
         let mut seconds = vec![0; s.seconds as usize];
         for p in &c.published {
             let Some(at) = everywhere(p) else { continue };
-            let in_way = struck.iter().zip(&over).filter(|(f, over)| p.at <= **over && at >= f.from);
+            let excused = struck.iter().zip(&over).filter(|(f, _)| s.faults[f.n].kind.excuses());
+            let in_way = excused.filter(|(f, over)| p.at <= **over && at >= f.from);
             let ends: Vec<u64> = in_way.map(|(f, _)| f.to).collect();
             let took = at.saturating_sub(p.at) as f64 / MS;
             let within = 1e3 * if p.change { s.change_within } else { s.purge_within };
@@ -231,6 +241,13 @@
             let (hit, change) = (usize::from(!ends.is_empty()), usize::from(p.change));
             found[hit][change].push(took);
             late[hit][change] += usize::from(at.saturating_sub(owed) as f64 / MS > within);
+            let passed = c.passed.partition_point(|(n, _)| Some(*n) < p.number);
+            // An owner knows only what came after it began.
+            let owned = c.passed.first().is_some_and(|(_, since)| *since <= p.at);
+            if let Some((_, said)) = c.passed.get(passed).filter(|_| hit == 0 && owned) {
+                known.push(said.saturating_sub(p.at) as f64 / MS);
+                early += usize::from(said + CLOCKS < at);
+            }
             let second = (p.at.saturating_sub(c.zero) as f64 / SEC) as usize;
             if let Some(most) = seconds.get_mut(second) {
                 *most = took.max(*most as f64) as u64;
@@ -307,6 +324,8 @@
             changes: latency(0, 1),
             struck_purges: latency(1, 0),
             struck_changes: latency(1, 1),
+            known: Latency::of(&known),
+            early,
             missed: sum(|f| f.missed),
             disorder: sum(|f| f.disorder),
             twice: sum(|f| f.twice) + twice as u64,
@@ -367,6 +386,7 @@
         none("lists that are not as they were told", self.wrong_lists);
         none("events passed over as unreadable", self.skipped + self.reals_gaps);
         none("events that the source never confirmed", self.unconfirmed as u64);
+        none("events that the relays said to be in force everywhere too early", self.early as u64);
         none("processes whose directors had not come to the last number", self.behind as u64);
         none("real directors that had not come to the last number", self.reals_behind as u64);
         none("processes that did not say what they came to", self.silent as u64);
@@ -448,6 +468,7 @@
             ("changes", &self.changes),
             ("purges, fault", &self.struck_purges),
             ("changes, fault", &self.struck_changes),
+            ("known by relays", &self.known),
             ("restart", &self.catch_up),
         ] {
             if latency.events > 0 {
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -24,7 +24,7 @@
 use crate::directors::{Like, Ports, configuration, serving, spawn_director};
 use crate::feed::Feed;
 use crate::fleet::ways::{Held, Planned, Ways};
-use crate::node::{Common, spawn};
+use crate::node::{Common, spawn, unix_ms};
 use crate::process::{Failed, Process, io_error, machine_memory};
 
 /// MB that a hollow director and a known purge of it, a real one and a relay are taken to need before a start, by
@@ -230,6 +230,7 @@
     let settled = trial.wait_for(last, settle);
     let reals = trial.reals_at(last, settle);
     let ended = trial.ended();
+    let passed = trial.passed();
     for pool in &mut trial.pools {
         pool.order(&Order::Finish { told: told.clone(), list: source.list() })?;
     }
@@ -251,6 +252,7 @@
         settled,
         reals_behind: reals,
         reals_gaps: trial.reals_gaps(),
+        passed,
         ended,
         late,
     };
@@ -422,6 +424,16 @@
         }
     }
 
+    /// Numbers, and since when the relays say that they are in force everywhere, by the clock that all processes share.
+    fn passed(&self) -> Vec<(u64, u64)> {
+        let Some(said) = self.tier.owner().and_then(|n| status(self.tier.feeds[n])) else {
+            return Vec::new();
+        };
+        let passed: Vec<(u64, u64)> = serde_json::from_value(said["passed"].clone()).unwrap_or_default();
+        let (now, unix) = (shared_ns(), unix_ms());
+        passed.into_iter().map(|(n, at)| (n, now - 1_000_000 * unix.saturating_sub(at))).collect()
+    }
+
     /// Events that real directors passed over as unreadable, by what they say of themselves; one that says nothing in
     /// time has a fault of its own.
     fn reals_gaps(&self) -> u64 {
--- a/crates/lab/src/scale/settings.rs
+++ b/crates/lab/src/scale/settings.rs
@@ -40,6 +40,11 @@
 }
 
 impl Kind {
+    /// Whether what it strikes may be late for it: directors that begin anew, and many purges at once, excuse nothing.
+    pub fn excuses(self) -> bool {
+        self.of_relays() || self == Kind::SlowDirectors
+    }
+
     fn of_relays(self) -> bool {
         use Kind::{CutFrom, CutRegion, CutTo, KillOwner, KillRelay, StopOwner, StopRelay};
         matches!(self, KillRelay | StopRelay | KillOwner | StopOwner | CutTo | CutFrom | CutRegion)
