A source that is cut off from the other voters tells nothing, in a trial

Cause: two sources at once were tried by a process that stands still, not by a cut. Change: all links between voters go through proxies; those of the owner are held both ways while its publishers and readers stay. What it takes from then on is refused or not answered, and no reader ever has it.

--- a/crates/tier/tests/faults.rs
+++ b/crates/tier/tests/faults.rs
@@ -126,6 +126,38 @@
     complete(&readers, &published, &tier);
 }
 
+/// The source is cut off from the other voters, but not from its publishers and readers: what it takes from then on is told by nobody.
+#[test]
+fn source_cut_off() {
+    let mut tier = Tier::new(9, 3, 0, "");
+    let pairs = [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)];
+    let links = pairs.map(|(from, to)| ((from, to), tier.link(from, to)));
+    (0..3).for_each(|n| tier.begin(n));
+    let mut published = tier.listed();
+    let readers = tier.readers(6);
+    let old = tier.owner();
+    let load = Load::start(tier.publisher(), 1, ms(5));
+    std::thread::sleep(ms(300));
+    let cut = |on: bool| {
+        for (_, holds) in links.iter().filter(|((from, to), _)| *from == old || *to == old) {
+            holds.to.store(on, std::sync::atomic::Ordering::Relaxed);
+            holds.from.store(on, std::sync::atomic::Ordering::Relaxed);
+        }
+    };
+    cut(true);
+    // It owns the feed still for a moment, and takes this; no majority keeps it.
+    assert!(refuses(&tier, old, &purge(0xdead)), "told without a majority");
+    let new = tier.owner_but(&[old]);
+    assert_ne!(old, new);
+    std::thread::sleep(ms(500));
+    cut(false);
+    std::thread::sleep(ms(1_000));
+    published.0.extend(load.over().0);
+    complete(&readers, &published, &tier);
+    let dead = |r: &common::Reader| r.got().events.iter().any(|(_, e)| e.contains("dead"));
+    assert!(!readers.iter().any(dead), "what the old source took was told");
+}
+
 /// The same event twice under one mark is told once, also where its first answer was lost with the owner.
 #[test]
 fn published_again_under_its_mark() {
