--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -8,6 +8,9 @@
 use serde_json::value::RawValue;
 use thiserror::Error;
 
+/// Numbers stay below this: past it no JSON number is exact.
+pub const MOST_NUMBER: u64 = 1 << 53;
+
 /// An event that is refused: what is wrong with it, and where.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum Fault {
@@ -15,6 +18,8 @@
     TooLarge { bytes: usize, most: usize },
     #[error("the event is no JSON as the feed has it: {0}")]
     Json(String),
+    #[error("the event's number {0} is past what JSON holds exactly")]
+    Number(u64),
     #[error("the event has no members, purge or hierarchy")]
     Empty,
     #[error("the event has more than one of members, purge and hierarchy")]
@@ -156,6 +161,9 @@
         }
         let text = std::str::from_utf8(text).map_err(|e| Fault::Json(e.to_string()))?;
         let raw: Raw = serde_json::from_str(text).map_err(|e| Fault::Json(why(e)))?;
+        if let Some(n) = raw.n.filter(|n| *n >= MOST_NUMBER) {
+            return Err(Fault::Number(n));
+        }
         let (name, value, kind) = match (raw.members, raw.purge, raw.hierarchy) {
             (Some(m), None, None) => {
                 ("members", m, endpoints(m.get()).map(|(whole, _)| Kind::Members { whole })?)
--- a/crates/relay/src/group.rs
+++ b/crates/relay/src/group.rs
@@ -15,7 +15,7 @@
 use sablecross_duty::{Act, Ask, Gate, Member, Ns, Reply as Said, Rules as SeatRules, Seat, Token, Voter};
 use serde::{Deserialize, Serialize};
 
-use crate::event::{Event, Fault, Kind};
+use crate::event::{Event, Fault, Kind, MOST_NUMBER};
 use crate::log::{Base, Entry, LONGEST_MARK, Log};
 use crate::relay::{Do, Refusal, Status};
 use crate::upstream::Freshness;
@@ -270,8 +270,7 @@
 
     /// A reader called with this number.
     pub fn heard_of(&mut self, number: u64) {
-        // Past this no JSON number is exact: it is none of ours.
-        if number < 1 << 53 {
+        if number < MOST_NUMBER {
             self.highest = self.highest.max(number);
         }
     }
@@ -358,7 +357,7 @@
             if voter != me {
                 self.lives[voter] = self.lives[voter].max(*life);
             } else if *life > self.lives[me] {
-                self.lives[me] = life + 1;
+                self.lives[me] = life.saturating_add(1);
                 if let Some(l) = &mut self.learning {
                     (l.next, l.heard) = (now, Heard::new());
                 }
@@ -636,6 +635,7 @@
 
     /// Whether its log is of the owner's era, after it took the base if that is one or further on.
     fn install(&mut self, by: Token, era: u64, base: Option<Base>) -> bool {
+        let base = base.filter(|b| b.number < MOST_NUMBER);
         if era != self.era {
             // A late call of the same owner from before it began anew changes nothing.
             let later = (by, era) > (self.era_by, self.era);
@@ -672,7 +672,7 @@
         }
         let mut upto = previous.0;
         for entry in entries {
-            if entry.number != upto + 1 {
+            if entry.number.checked_sub(1) != Some(upto) || entry.number >= MOST_NUMBER {
                 break;
             }
             upto = entry.number;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::event::{Event, Fault, Kind};
+use crate::event::{Event, Fault, Kind, MOST_NUMBER};
 use crate::group::{Group, Reply, Request, Rules};
 use crate::horizon::Horizon;
 use crate::log::{Base, Full, LONGEST_MARK, Log};
@@ -406,6 +406,9 @@
         if n <= last {
             return Took::Passed;
         }
+        if n >= MOST_NUMBER {
+            return Took::Again(Fault::Number(n).to_string());
+        }
         let fault = read.as_ref().err().map(ToString::to_string);
         if n == last + 1 && fault.is_none() {
             if let Ok((_, event)) = read {
--- a/crates/relay/tests/cases.rs
+++ b/crates/relay/tests/cases.rs
@@ -2,6 +2,8 @@
 
 mod help;
 
+use std::collections::BTreeMap;
+
 use help::*;
 use sablecross_relay::log::Full;
 use sablecross_relay::*;
@@ -100,6 +102,48 @@
     assert_eq!(told(&mut log, 0, 10).0, 8);
 }
 
+/// List and hierarchy of a reader that took these.
+fn state<'a>(events: impl Iterator<Item = &'a (u64, String)>) -> (BTreeMap<String, String>, Option<String>) {
+    let (mut members, mut hierarchy) = (BTreeMap::new(), None);
+    for (_, body) in events {
+        let Some((whole, all)) = event(body).endpoints() else {
+            hierarchy = if body.starts_with("{\"hier") { Some(body.clone()) } else { hierarchy };
+            continue;
+        };
+        members.retain(|_, _| !whole);
+        for e in all {
+            if e.gone {
+                members.remove(&e.name)
+            } else {
+                members.insert(e.name, e.raw)
+            };
+        }
+    }
+    (members, hierarchy)
+}
+
+#[test]
+fn wherever_a_base_breaks_off_a_relay_with_a_lower_one_tells_the_rest() {
+    let mut behind = aged();
+    push(&mut behind, &list(4, false, &[line("d", "ready"), line("a", "gone")]), UNIX);
+    let mut ahead = behind.clone();
+    ahead.trim(UNIX + OVER + 50_000 + STEP);
+    assert_eq!((behind.base().number, ahead.base().number), (0, 8));
+    let all = told(&mut behind, 0, 1 << 20).1;
+    for has in 0..all.len() {
+        let base = told(&mut ahead, has as u64, 1 << 20).1;
+        for breaks in 0..=base.len() {
+            let some = || all[..has].iter().chain(&base[..breaks]);
+            let rest = told(&mut behind, some().last().map_or(0, |e| e.0), 1 << 20).1;
+            assert_eq!(
+                state(some().chain(&rest)),
+                state(all.iter()),
+                "{has} events, base breaks at {breaks}"
+            );
+        }
+    }
+}
+
 #[test]
 fn what_was_old_as_it_came_goes_after_two_steps() {
     // An hour that a region was cut off: told again at once, most of it binds nobody.
@@ -189,6 +233,7 @@
     let cases = [
         (r#"{"purge":{"key":"12","at":5}"#.to_owned(), "EOF while parsing an object at line 1 column 28"),
         ("{\"n\":1}".to_owned(), "no members, purge or hierarchy"),
+        ("{\"n\":9007199254740992,\"purge\":{}}".to_owned(), "number 9007199254740992 is past"),
         ("[1]".to_owned(), "no JSON as the feed has it"),
         (r#"{"purge":{"at":5}}"#.to_owned(), "purge: it names neither a key nor a group"),
         (r#"{"purge":{"key":"xyz","at":5}}"#.to_owned(), "purge: key \"xyz\" is no object"),
