--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -1,4 +1,5 @@
-//! An event of the control feed: checked once when it is taken in, then kept and told as the bytes it came as.
+//! An event of the control feed: checked once when it is taken in, then kept and told as the bytes it came
+//! as.
 
 use std::net::SocketAddr;
 
@@ -178,7 +179,8 @@
         Ok((raw.n, Event { kind, body }))
     }
 
-    /// A list event that changes nothing: the first of an owner, and what stands for one that nobody can read.
+    /// A list event that changes nothing: the first of an owner, and what stands for one that nobody can
+    /// read.
     pub fn nothing() -> Event {
         let body = r#"{"members":{"index":0,"snapshot":false,"endpoints":[]}}"#.to_owned();
         Event { kind: Kind::Members { whole: false }, body }
--- a/crates/relay/src/group.rs
+++ b/crates/relay/src/group.rs
@@ -1,14 +1,15 @@
-//! The group of voters: one of them at a time takes events in and numbers them; what a majority keeps is told.
+//! The group of voters: one of them at a time takes events in and numbers them; what a majority keeps is
+//! told.
 //!
-//! Owners come and go by `sablecross_duty`; the log is kept as Raft keeps its own (Ongaro, Ousterhout 2014), with tokens for
-//! terms: a new owner shuts out older ones at a majority, goes on from the furthest log there, and tells nothing before an
-//! entry of its own is kept by a majority.
+//! Owners come and go by `sablecross_duty`; the log is kept as Raft keeps its own (Ongaro, Ousterhout 2014),
+//! with tokens for terms: a new owner shuts out older ones at a majority, goes on from the furthest log
+//! there, and tells nothing before an entry of its own is kept by a majority.
 //!
-//! Voters have no disk. One that begins anew has forgotten what it promised and kept: it answers neither reads nor keeps until a
-//! majority of others have said what they hold. What it said in its earlier life must not be counted beside what others say
-//! after they told it: all answers carry the latest lives that the speaker knows, and one of an earlier life drops out (crash
-//! vectors: Michael, Ports, Sharma, Szekeres 2017). When no majority remembers, the log begins anew past every number that may
-//! have been told (`era`).
+//! Voters have no disk. One that begins anew has forgotten what it promised and kept: it answers neither
+//! reads nor keeps until a majority of others have said what they hold. What it said in its earlier life must
+//! not be counted beside what others say after they told it: all answers carry the latest lives that the
+//! speaker knows, and one of an earlier life drops out (crash vectors: Michael, Ports, Sharma, Szekeres
+//! 2017). When no majority remembers, the log begins anew past every number that may have been told (`era`).
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -34,7 +35,8 @@
     pub gather: Ns,
     /// Most bytes of entries in one call.
     pub most_call: usize,
-    /// Voters that all, or most, began anew go on with what is left once all have spoken, or a majority after this time.
+    /// Voters that all, or most, began anew go on with what is left once all have spoken, or a majority after
+    /// this time.
     pub anew_after: Ns,
     /// A purge may be made so far ahead of the owner's clock.
     pub ahead: Ns,
@@ -148,7 +150,8 @@
     Old(Token),
 }
 
-/// What a voter that begins anew has heard: of which life, the newest token, whether that one is sure, what it holds.
+/// What a voter that begins anew has heard: of which life, the newest token, whether that one is sure, what
+/// it holds.
 type Heard = BTreeMap<u32, (u64, Token, bool, Held)>;
 
 /// One that is unsure asks so much more seldom: answers are whole logs.
@@ -350,7 +353,8 @@
         self.next_call
     }
 
-    /// Lives that another knows of. Its own must be the latest: one whose clock was set back counts on past what is known.
+    /// Lives that another knows of. Its own must be the latest: one whose clock was set back counts on past
+    /// what is known.
     fn lives(&mut self, now: Ns, lives: &[u64]) {
         let me = self.place as usize;
         for (voter, life) in lives.iter().enumerate().take(self.lives.len()) {
@@ -663,7 +667,8 @@
         true
     }
 
-    /// Keeps entries behind the previous one. Up to which number its log is now the owner's; none: the previous is another.
+    /// Keeps entries behind the previous one. Up to which number its log is now the owner's; none: the
+    /// previous is another.
     fn keep(&mut self, by: Token, previous: (u64, Token), entries: &[Entry]) -> Option<u64> {
         let told = self.log.last();
         let matches = previous.0 <= told || self.by(previous.0) == Some(previous.1);
@@ -765,7 +770,8 @@
         None
     }
 
-    /// A voter keeps nothing but a log that begins anew. If no majority is left without such voters, the owner reads again.
+    /// A voter keeps nothing but a log that begins anew. If no majority is left without such voters, the
+    /// owner reads again.
     fn unsure(&mut self, now: Ns, voter: u32) {
         let Some(post) = self.post.as_mut() else { return };
         if let Some(p) = post.progress.get_mut(voter as usize) {
@@ -798,7 +804,8 @@
         self.enough(now, unix);
     }
 
-    /// Goes on once a majority that forgot nothing has spoken; else with what is left, once all have, or most for long.
+    /// Goes on once a majority that forgot nothing has spoken; else with what is left, once all have, or most
+    /// for long.
     fn enough(&mut self, now: Ns, unix: u64) {
         let Some(Post { phase: Phase::Reads { since, heard, .. }, token, .. }) = &self.post else { return };
         if self.silent() {
@@ -840,7 +847,8 @@
         self.feed(now);
     }
 
-    /// The log begins anew: the list and the purges that bind as far as they are left, under numbers that nobody was told yet.
+    /// The log begins anew: the list and the purges that bind as far as they are left, under numbers that
+    /// nobody was told yet.
     fn anew(&mut self, unix: u64, by: Token) {
         let waiting = self.post.as_mut().map(|p| std::mem::take(&mut p.tickets)).unwrap_or_default();
         for ticket in waiting.into_values().flatten() {
@@ -926,7 +934,8 @@
         }
     }
 
-    /// Takes an event in. The verdict comes as `Do::Published` once most keep it; at once if its mark was published before.
+    /// Takes an event in. The verdict comes as `Do::Published` once most keep it; at once if its mark was
+    /// published before.
     pub fn publish(
         &mut self,
         now: Ns,
--- a/crates/relay/src/horizon.rs
+++ b/crates/relay/src/horizon.rs
@@ -1,6 +1,6 @@
-//! How long a purge binds: the module bounds the age of copies by it for the time that nodes take to clear, and for `HELD`
-//! more. After that no decision differs by whether it was told (shown against the module in `tests/horizon.rs`), so that a log
-//! need not keep it.
+//! How long a purge binds: the module bounds the age of copies by it for the time that nodes take to clear,
+//! and for `HELD` more. After that no decision differs by whether it was told (shown against the module in
+//! `tests/horizon.rs`), so that a log need not keep it.
 
 use sablecross_duty::Ns;
 
@@ -14,7 +14,8 @@
 pub struct Horizon {
     /// The largest `purge_cleared` of all directors' settings.
     pub cleared: Ns,
-    /// `HELD` in service. Trials that have to see the end of a horizon take less: no module may rely on such a log.
+    /// `HELD` in service. Trials that have to see the end of a horizon take less: no module may rely on such
+    /// a log.
     pub held: Ns,
     /// How far apart clocks may be, and a purge may be on its way.
     pub slack: Ns,
@@ -31,7 +32,8 @@
         self.binds() + self.slack
     }
 
-    /// Bases move in steps of this many milliseconds: a reader that was told one has so long to go on from it before the next.
+    /// Bases move in steps of this many milliseconds: a reader that was told one has so long to go on from it
+    /// before the next.
     pub fn step(&self) -> u64 {
         (self.keeps() / MS / 4).min(LONGEST_STEP)
     }
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -26,7 +26,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Base {
     pub number: u64,
-    /// The number that its era began with: nothing of that is told before a majority keeps what follows (`Group`).
+    /// The number that its era began with: nothing of that is told before a majority keeps what follows
+    /// (`Group`).
     pub began: u64,
     /// The token of the entry with this number.
     pub by: Token,
@@ -73,10 +74,11 @@
         Event::whole(self.index, self.members.values().map(String::as_str))
     }
 
-    /// What one is told that has this number, which is lower. A stream may break after each event and the reader go on at another
-    /// relay, whose base is lower: so it must miss nothing there, whichever of these it had. The whole list goes under the base's
-    /// number. A hierarchy that it has not goes under its own before that, and before it the list once more, as it stands now:
-    /// whoever has that is told of the changes since then again, which changes nothing in the end.
+    /// What one is told that has this number, which is lower. A stream may break after each event and the
+    /// reader go on at another relay, whose base is lower: so it must miss nothing there, whichever of these
+    /// it had. The whole list goes under the base's number. A hierarchy that it has not goes under its own
+    /// before that, and before it the list once more, as it stands now: whoever has that is told of the
+    /// changes since then again, which changes nothing in the end.
     fn frames(&self, cursor: u64) -> Vec<u8> {
         let list = self.list();
         let (mut out, mut cursor) = (Vec::new(), cursor);
@@ -120,9 +122,7 @@
 
 /// Why the log takes no more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error(
-    "the log holds {bytes} bytes of {most}: what it holds binds still, so nothing more is taken until it is over"
-)]
+#[error("the log holds {bytes} bytes of {most}: it binds still, so no more is taken until that is over")]
 pub struct Full {
     pub bytes: usize,
     pub most: usize,
@@ -235,7 +235,8 @@
         number
     }
 
-    /// Folds what binds nobody any more into the base, at this Unix ms: all of it, once the first has been over for a step.
+    /// Folds what binds nobody any more into the base, at this Unix ms: all of it, once the first has been
+    /// over for a step.
     pub fn trim(&mut self, unix: u64) {
         let over = |log: &Log, e: &Kept, unix: u64| match e.kind {
             // Nobody has the list, so nobody follows from here yet.
@@ -267,10 +268,12 @@
         }
     }
 
-    /// Appends to `out` what follows `cursor`, as it is on the wire: at least one event, and no further one past `most` bytes
-    /// of `out`. Returns the number up to which it was told; the same as `cursor` if there is nothing to tell.
+    /// Appends to `out` what follows `cursor`, as it is on the wire: at least one event, and no further one
+    /// past `most` bytes of `out`. Returns the number up to which it was told; the same as `cursor` if there
+    /// is nothing to tell.
     ///
-    /// One that is behind the base gets that, as one whole whose bytes do not count, and at least one event more.
+    /// One that is behind the base gets that, as one whole whose bytes do not count, and at least one event
+    /// more.
     pub fn after(&mut self, cursor: u64, most: usize, out: &mut Vec<u8>) -> u64 {
         let mut cursor = cursor;
         let start = out.len();
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -1,5 +1,5 @@
-//! Who reads here, what each has in force, and the number that all have: a call with `Last-Event-ID: n` says that n is in
-//! force there, so no word is needed for it.
+//! Who reads here, what each has in force, and the number that all have: a call with `Last-Event-ID: n` says
+//! that n is in force there, so no word is needed for it.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -48,8 +48,8 @@
 }
 
 impl Readers {
-    /// `missed`: one that said no word for longer holds the floor no more, also if its stream is open still. `forgotten`: nor
-    /// is one that is away known any more.
+    /// `missed`: one that said no word for longer holds the floor no more, also if its stream is open still.
+    /// `forgotten`: nor is one that is away known any more.
     pub fn new(missed: Ns, forgotten: Ns, most_passed: usize) -> Readers {
         let passed = VecDeque::new();
         Readers { all: BTreeMap::new(), missed, forgotten, floor: 0, due: 0, passed, most_passed }
@@ -84,8 +84,8 @@
         now.saturating_sub(r.heard) > self.missed
     }
 
-    /// What all have that count, and this program itself up to `own`, as of up to 50 ms ago. It never falls: one that begins
-    /// behind it is waited for before it rises again.
+    /// What all have that count, and this program itself up to `own`, as of up to 50 ms ago. It never falls:
+    /// one that begins behind it is waited for before it rises again.
     pub fn floor(&mut self, now: Ns, own: u64) -> u64 {
         if now < self.due {
             return self.floor;
@@ -162,14 +162,15 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InForce {
     pub number: u64,
-    /// Since this Unix ms, at the latest, at all that counted then; none: not yet, or too long ago to be known.
+    /// Since this Unix ms, at the latest, at all that counted then; none: not yet, or too long ago to be
+    /// known.
     pub since_unix_ms: Option<u64>,
     /// Who has a lower number, each with when it was heard last: those that did not count among them.
     pub missing: Vec<Merged>,
 }
 
-/// Each reader by its name, as the relay knows it that heard it last. What a relay says of itself counts, not what others heard
-/// of it.
+/// Each reader by its name, as the relay knows it that heard it last. What a relay says of itself counts, not
+/// what others heard of it.
 pub fn merge(all: &[Status]) -> Whole {
     let mut readers: BTreeMap<String, Merged> = BTreeMap::new();
     for s in all {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -34,7 +34,7 @@
 /// Why an event is not taken from its publisher. It was not told to anybody, but for `Ended`.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum Refusal {
-    #[error("not the source: {}", match .0 { Some(m) => format!("member {} is", m.number), None => "nobody is for now".into() })]
+    #[error("not the source: {}", whose(.0))]
     NotOwner(Option<Member>),
     #[error(
         "no longer the source: whether it will be told is not known; publish it again with the same mark"
@@ -52,6 +52,10 @@
     Mark(usize),
 }
 
+fn whose(owner: &Option<Member>) -> String {
+    owner.map_or("nobody is for now".into(), |m| format!("member {} is", m.number))
+}
+
 /// What the process is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Do {
@@ -79,7 +83,8 @@
     New,
     /// It was told before.
     Passed,
-    /// Events are missing or can't be read: the call is to be ended and made anew with the number of `follows`.
+    /// Events are missing or can't be read: the call is to be ended and made anew with the number of
+    /// `follows`.
     Again(String),
 }
 
@@ -108,7 +113,8 @@
     pub readers: Vec<View>,
     /// A voter that has not learned yet what it kept before its start, and how long it waits.
     pub learning_ms: Option<u64>,
-    /// When the log began anew with what was left, Unix ms; 0: never. Publish the list and the purges that bind once more.
+    /// When the log began anew with what was left, Unix ms; 0: never. Publish the list and the purges that
+    /// bind once more.
     pub anew_unix_ms: u64,
     /// Words of old owners that were refused here.
     pub refused: u64,
@@ -138,8 +144,8 @@
 }
 
 impl Relay {
-    /// A voter at this place among all of them, beginning without memory. `life`: a number of this start, later than of any
-    /// start before (Unix ms will do). `chance`: any number, another at each.
+    /// A voter at this place among all of them, beginning without memory. `life`: a number of this start,
+    /// later than of any start before (Unix ms will do). `chance`: any number, another at each.
     pub fn voter(set: Settings, me: Member, place: u32, rules: Rules, chance: u64, now: Ns) -> Relay {
         let log = Log::new(set.horizon);
         let group = Group::new(me, place, rules, log, chance, now);
@@ -166,8 +172,8 @@
         std::mem::take(&mut self.acts)
     }
 
-    /// A reader that is to come, as the settings name it: it counts as one with nothing until it does, and is missing after a
-    /// while. Without that a relay that begins anew knows of no readers until they call.
+    /// A reader that is to come, as the settings name it: it counts as one with nothing until it does, and is
+    /// missing after a while. Without that a relay that begins anew knows of no readers until they call.
     pub fn expects(&mut self, now: Ns, name: &str) {
         self.readers.expects(now, name);
     }
@@ -262,7 +268,8 @@
         }
     }
 
-    /// An event's JSON to be told, at best with a mark by which it is known again. The verdict comes as `Do::Published`.
+    /// An event's JSON to be told, at best with a mark by which it is known again. The verdict comes as
+    /// `Do::Published`.
     pub fn publish(&mut self, now: Ns, unix: u64, ticket: u64, mark: Option<&str>, text: &[u8]) {
         let refused = |result| Do::Published { ticket, result: Err(result) };
         let Part::Voter(g) = &mut self.part else {
@@ -291,8 +298,9 @@
 
     // Plain relays.
 
-    /// The upstream to follow now by its place, and the number to call it with: what is in force here and at all that count
-    /// here. To be asked before each call, and whether it is still the same one while a stream is open.
+    /// The upstream to follow now by its place, and the number to call it with: what is in force here and at
+    /// all that count here. To be asked before each call, and whether it is still the same one while a stream
+    /// is open.
     pub fn follows(&mut self, now: Ns) -> Option<(usize, u64)> {
         let floor = self.readers.floor(now, self.last());
         let Part::Plain(p) = &self.part else { return None };
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -1,10 +1,10 @@
-//! Whom a plain relay follows: the next of those named once the one it follows is silent, or has itself heard nothing of the
-//! owner for too long.
+//! Whom a plain relay follows: the next of those named once the one it follows is silent, or has itself heard
+//! nothing of the owner for too long.
 
 use sablecross_duty::{Ns, Token};
 
-/// How old what a relay knows of the owner is. It adds up along the chain, and nobody sets it back but the owner: relays
-/// that follow one another in a circle grow old together.
+/// How old what a relay knows of the owner is. It adds up along the chain, and nobody sets it back but the
+/// owner: relays that follow one another in a circle grow old together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Freshness {
     /// When the owner said it, by this program's clock; none: never heard of.
@@ -43,7 +43,8 @@
         format!(": fresh {age} owner {owner} term {term}\n\n")
     }
 
-    /// What such a comment says: the age in nanoseconds, and the owner. None if it is another comment, as an outside feed's.
+    /// What such a comment says: the age in nanoseconds, and the owner. None if it is another comment, as an
+    /// outside feed's.
     pub fn read(comment: &str) -> Option<(Ns, Option<Token>)> {
         let mut words = comment.trim().trim_start_matches(':').split_whitespace();
         if words.next() != Some("fresh") {
--- a/crates/relay/tests/cases.rs
+++ b/crates/relay/tests/cases.rs
@@ -84,7 +84,8 @@
         8 => (8, purge(4, UNIX + OVER).body().to_owned()),
         n => (n, whole.clone()),
     };
-    // (it has, it is told): the list once more under 4, so that who has no more of it misses nothing at a relay that is behind.
+    // (it has, it is told): the list once more under 4, so that who has no more of it misses nothing at a
+    // relay that is behind.
     let cases: [(u64, &[u64]); 7] = [
         (0, &[4, 5, 7, 8]),
         (3, &[4, 5, 7, 8]),
--- a/crates/relay/tests/group.rs
+++ b/crates/relay/tests/group.rs
@@ -112,8 +112,9 @@
     (net, all, owner)
 }
 
-/// An owner reads from three of five, one of which forgets between its answer and the last of the three. What the old owner gets
-/// kept meanwhile with the help of the forgetful one must not be overlooked. Returns whether all tell the same.
+/// An owner reads from three of five, one of which forgets between its answer and the last of the three. What
+/// the old owner gets kept meanwhile with the help of the forgetful one must not be overlooked. Returns
+/// whether all tell the same.
 fn forgets_in_between(defences: Defences) -> bool {
     let (mut net, all, old) = up(5, defences);
     let others: Vec<usize> = all.iter().copied().filter(|v| *v != old).collect();
--- a/crates/relay/tests/horizon.rs
+++ b/crates/relay/tests/horizon.rs
@@ -1,4 +1,5 @@
-//! The horizon against the real decision module: an older purge changes nothing that it decides, a younger one does.
+//! The horizon against the real decision module: an older purge changes nothing that it decides, a younger
+//! one does.
 
 #[allow(dead_code)]
 #[path = "../../../tests/help/mod.rs"]
@@ -16,7 +17,8 @@
     Settings { purge_cleared: cleared, object_kinds: kinds, ..settings() }
 }
 
-/// What a director decides from `from` on for a few objects of two groups, as it was told or not told of a purge.
+/// What a director decides from `from` on for a few objects of two groups, as it was told or not told of a
+/// purge.
 fn decides(set: &Settings, told: Option<(Option<u64>, Ns)>, from: Ns, seed: u64) -> Vec<Route> {
     let mut c = Choice::new(set.clone(), seed, START);
     c.listed(START, &list(4, 2), true);
@@ -43,7 +45,8 @@
     routes
 }
 
-/// For purges of an object and of a group, kinds that are good until purged, that age, and that age with a grace.
+/// For purges of an object and of a group, kinds that are good until purged, that age, and that age with a
+/// grace.
 fn differ(before: Ns, of: impl Fn(&Horizon) -> Ns) -> (usize, usize) {
     let at = START + SEC;
     let (mut same, mut other) = (0, 0);
--- a/crates/relay/tests/schedules.rs
+++ b/crates/relay/tests/schedules.rs
@@ -1,5 +1,5 @@
-//! Schedules by chance: voters, plain relays, publishers and directors, with messages late, lost, doubled and out of order,
-//! links cut one way, processes stopped that wake late, and restarts without memory.
+//! Schedules by chance: voters, plain relays, publishers and directors, with messages late, lost, doubled and
+//! out of order, links cut one way, processes stopped that wake late, and restarts without memory.
 //!
 //! `SABLECROSS_RELAY_SCHEDULES=N` plays so many.
 
