--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -1,4 +1,5 @@
-//! An event of the control feed: checked once when it is taken in, then kept and told as the bytes it came as.
+//! An event of the control feed: checked once when it is taken in, then kept and told as the bytes it came
+//! as.
 
 use std::net::SocketAddr;
 
@@ -8,6 +9,9 @@
 use serde_json::value::RawValue;
 use thiserror::Error;
 
+/// Numbers stay below this: past it no JSON number is exact.
+pub const MOST_NUMBER: u64 = 1 << 53;
+
 /// An event that is refused: what is wrong with it, and where.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum Fault {
@@ -15,6 +19,8 @@
     TooLarge { bytes: usize, most: usize },
     #[error("the event is no JSON as the feed has it: {0}")]
     Json(String),
+    #[error("the event's number {0} is past what JSON holds exactly")]
+    Number(u64),
     #[error("the event has no members, purge or hierarchy")]
     Empty,
     #[error("the event has more than one of members, purge and hierarchy")]
@@ -156,6 +162,9 @@
         }
         let text = std::str::from_utf8(text).map_err(|e| Fault::Json(e.to_string()))?;
         let raw: Raw = serde_json::from_str(text).map_err(|e| Fault::Json(why(e)))?;
+        if let Some(n) = raw.n.filter(|n| *n >= MOST_NUMBER) {
+            return Err(Fault::Number(n));
+        }
         let (name, value, kind) = match (raw.members, raw.purge, raw.hierarchy) {
             (Some(m), None, None) => {
                 ("members", m, endpoints(m.get()).map(|(whole, _)| Kind::Members { whole })?)
@@ -170,7 +179,8 @@
         Ok((raw.n, Event { kind, body }))
     }
 
-    /// A list event that changes nothing: the first of an owner, and what stands for one that nobody can read.
+    /// A list event that changes nothing: the first of an owner, and what stands for one that nobody can
+    /// read.
     pub fn nothing() -> Event {
         let body = r#"{"members":{"index":0,"snapshot":false,"endpoints":[]}}"#.to_owned();
         Event { kind: Kind::Members { whole: false }, body }
