--- a/crates/slopes/src/module.rs
+++ b/crates/slopes/src/module.rs
@@ -175,7 +175,7 @@
         let moved: Vec<Listed> = which(nodes).into_iter().map(|n| lines[n]).collect();
         (nodes as f64, (choice(nodes), moved, false))
     };
-    let mut sizes: Vec<(f64, (Choice, Vec<Listed>, bool))> = NODES[1..].iter().map(begin).collect();
+    let mut sizes: Vec<_> = NODES[1..].iter().map(begin).collect();
     let points = in_turns(&mut sizes, 4 * ROUNDS, |(choice, moved, gone)| {
         *gone = !*gone;
         moved.iter_mut().for_each(|l| l.state = if *gone { State::Gone } else { State::Ready });
--- a/crates/slopes/src/page.rs
+++ b/crates/slopes/src/page.rs
@@ -32,7 +32,7 @@
             (Some(v), Some(b)) if v > b => {
                 format!("**not carried**: {} of {}", amount(v, self.unit), amount(b, self.unit))
             }
-            (Some(v), Some(b)) => format!("{} times, of {}", short(b / v), amount(b, self.unit)),
+            (Some(v), Some(b)) => format!("{} times, of {}", three(b / v), amount(b, self.unit)),
         }
     }
 }
@@ -151,6 +151,23 @@
                 Some(1e6 * b.memory_mb),
             ),
             scale("memory, measured", "scale-director-memory", "B", 1e6 * b.memory_mb),
+            row(
+                "ten times the purges and changes: bytes, in batches",
+                10.0 * self.events() + self.told(batched, self.assumed.comment) - self.events()
+                    + self.words(),
+                "B/s",
+                By::Sums("feed-purge-bytes, feed-change-bytes, heads"),
+                FEED,
+                Some(b.bytes),
+            ),
+            row(
+                "ten times the purges and changes: processor, one event a packet",
+                self.measured("real-purge-time", 10.0 * t.purges) + 10.0 * change,
+                "% of a core",
+                By::Sums("real-purge-time, real-change-time"),
+                STAR,
+                Some(b.core),
+            ),
             row(
                 "bytes as a member of duties, words alone",
                 self.at("duties-member-bytes", t.directors),
@@ -169,7 +186,7 @@
             ),
             row(
                 "time of a change of the deal, at each member",
-                self.at("duties-share-time", t.directors),
+                self.measured("duties-share-time", t.directors),
                 "us",
                 By::Sums("duties-share-time"),
                 ALL_MEMBERS,
@@ -187,7 +204,7 @@
             };
             let core = Some(if members == t.directors { b.core } else { b.machine_core });
             let machine = Some(b.machine_core);
-            let of = |what: &str| format!("{members:.0} members: {what}");
+            let of = |what: &str| format!("{} members: {what}", three(members));
             row(
                 of("calls"),
                 self.at("duties-voter-calls", members),
@@ -255,7 +272,7 @@
         let sums = By::Sums;
         let log = self.base();
         let (s, o, r) = ("source, star", "owner relay", "plain relay");
-        let d = Some(a.descriptors);
+        let d = Some(a.connections);
         vec![
             row(s, "connections", Some(t.directors), "", sums("target"), STAR, d),
             row(s, "messages told", Some(t.directors * own), "a second", sums("target"), STAR, None),
@@ -269,7 +286,15 @@
                 STAR,
                 core,
             ),
-            row(o, "state: log and base", Some(log), "B", sums("feed-*-bytes, binds-s"), FEED, None),
+            row(
+                o,
+                "state: log and base",
+                Some(log),
+                "B",
+                sums("feed-list-bytes, feed-purge-bytes, binds-s, slack-s"),
+                FEED,
+                None,
+            ),
             row(
                 o,
                 "readers, if it has its part of the directors",
@@ -323,7 +348,7 @@
                 "bytes to directors, both ways",
                 Some(below * told),
                 "B/s",
-                sums("feed-*-bytes, heads"),
+                sums("feed-purge-bytes, feed-change-bytes, heads"),
                 FEED,
                 link,
             ),
@@ -465,11 +490,18 @@
             ));
         }
         rows.push(row(
-            "bodies a director, out".into(),
+            "connections, one to each parent and to the zone's caches".into(),
+            0.25 * t.nodes + 0.75 * t.nodes / t.zones,
+            "",
+            By::Sums("target, `links`"),
+            Some(a.descriptors / 2.0 - 16.0),
+        ));
+        rows.push(row(
+            "bodies a director, out, and as many in".into(),
             bits,
             "bit/s",
             By::Sums("target"),
-            Some(a.machine_link),
+            None,
         ));
         rows.push(row(
             "bytes of a lookup in the mean".into(),
@@ -547,6 +579,15 @@
             "% of a core",
             "module-purge-rate",
         ));
+        rows.push(Row {
+            role: "module",
+            what: "places in the pie of parents, a quarter of the nodes".into(),
+            value: Some(256.0 * 0.25 * t.nodes),
+            unit: "",
+            by: By::Sums("target, `SLICES`"),
+            mechanism: "`src/choice.rs`",
+            budget: None,
+        });
         rows.push(row(
             "memory, list and pies",
             self.measured("module-memory", t.nodes),
@@ -578,7 +619,7 @@
             mechanism,
             budget,
         };
-        let bytes = "feed-list-bytes, feed-purge-bytes, binds-s";
+        let bytes = "feed-list-bytes, feed-purge-bytes, binds-s, slack-s";
         let wire = "the bytes over machine-link";
         let purge = Some(1e6 * b.purge_s);
         let one = "one director begins";
@@ -589,7 +630,7 @@
             row(
                 one,
                 "processor",
-                1e3 * self.at("real-told-time", self.binding()),
+                1e3 * self.at("real-told-time", self.kept()),
                 "us",
                 "real-told-time",
                 "",
@@ -632,14 +673,14 @@
                 STAR,
                 purge,
             ),
-            row(relay, "purges told", self.binding(), "", "target x binds-s", FEED, None),
+            row(relay, "purges told", self.kept(), "", "target x (binds-s + slack-s)", FEED, None),
             row(relay, "told, a director", base, "B", bytes, FEED, None),
             row(relay, "told, a region", region * base, "B", bytes, FEED, None),
             row(relay, "time, a region from one relay", link(region * base), "us", wire, FEED, purge),
             row(
                 relay,
                 "processor, a director",
-                1e3 * self.at("real-told-time", self.binding()),
+                1e3 * self.at("real-told-time", self.kept()),
                 "us",
                 "real-told-time",
                 FEED,
@@ -710,8 +751,9 @@
             for row in rows {
                 let value = row.value.map_or("-".into(), |v| amount(v, row.unit));
                 let from = match row.by {
-                    By::Run(name) => format!("run of `{name}`"),
-                    By::Sums(names) => format!("sums: {names}"),
+                    By::Run(name) if row.value.is_none() => format!("waits for `{name}`"),
+                    By::Run(name) => format!("measured: `{name}`"),
+                    By::Sums(names) => format!("arithmetic: {names}"),
                 };
                 line(format_args!(
                     "| {} | {} | {value} | {from} | {} | {} |",
--- a/crates/slopes/src/sheet.rs
+++ b/crates/slopes/src/sheet.rs
@@ -90,12 +90,17 @@
     /// Seconds for which a purge binds.
     #[garde(range(min = 1.0, max = 1e5))]
     pub binds_s: f64,
-    #[garde(range(min = 1.0, max = 15.0))]
-    pub voters: f64,
+    /// Seconds more for which a relay keeps one, for clocks that are apart.
+    #[garde(range(min = 0.0, max = 1e4))]
+    pub slack_s: f64,
     #[garde(range(min = 1e6, max = 1e12))]
     pub machine_link: f64,
+    /// Of a director, and as many of a node.
     #[garde(range(min = 16.0, max = 1e6))]
     pub descriptors: f64,
+    /// Of a relay.
+    #[garde(range(min = 16.0, max = 1e6))]
+    pub connections: f64,
     #[garde(range(min = 1.0, max = 1e9))]
     pub body: f64,
 }
@@ -122,7 +127,7 @@
     #[garde(length(min = 1))]
     pub over: String,
     /// Sizes and what was measured there.
-    #[garde(length(min = 5))]
+    #[garde(length(min = 3))]
     pub points: Vec<(f64, f64)>,
     #[garde(length(min = 1))]
     pub run: String,
@@ -285,6 +290,11 @@
         self.target.purges * self.assumed.binds_s
     }
 
+    /// Purges that a relay keeps, and tells to whoever has none.
+    pub fn kept(&self) -> f64 {
+        self.target.purges * (self.assumed.binds_s + self.assumed.slack_s)
+    }
+
     /// Bytes of events a second, without heads.
     pub fn events(&self) -> f64 {
         self.target.purges * self.slope("feed-purge-bytes") + self.changes() * self.slope("feed-change-bytes")
@@ -303,7 +313,7 @@
 
     /// What a reader is told that has nothing: the list and the purges that bind.
     pub fn base(&self) -> f64 {
-        self.at("feed-list-bytes", self.target.nodes) + self.binding() * self.slope("feed-purge-bytes")
+        self.at("feed-list-bytes", self.target.nodes) + self.kept() * self.slope("feed-purge-bytes")
     }
 
     pub fn batches(&self) -> f64 {
