--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,7 +7,9 @@
 mod hierarchy;
 mod lab;
 mod relay;
+mod scale;
 mod slopes;
+mod trial;
 
 use std::process::ExitCode;
 
@@ -30,6 +32,8 @@
     Duty(duty::Command),
     /// A trial of a fleet on loopback: hundreds of directors, faults between them, how even the load stays.
     FleetTrial(fleet::Arguments),
+    /// A trial of control at full size: thousands of hollow directors, real ones beside them, relays, faults.
+    Scale(scale::Arguments),
     /// Relays between one source of events and the directors: run, show, publish.
     #[command(subcommand)]
     Relay(relay::Command),
@@ -57,6 +61,16 @@
             sablecross_lab::end_with_parent();
             return sablecross_director::life::start();
         }
+        Command::Lab(lab::Command::Hollow) => {
+            return match sablecross_lab::scale::hollow() {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(e) => {
+                    eprintln!("{e}");
+                    ExitCode::FAILURE
+                }
+            };
+        }
+        Command::Scale(arguments) => scale::run(&arguments),
         Command::FleetTrial(arguments) => fleet::run(&arguments),
         Command::Lab(command) => lab::run(&command),
         Command::Relay(command) => relay::run(&command),
