--- a/crates/slopes/src/duties.rs
+++ b/crates/slopes/src/duties.rs
@@ -191,7 +191,11 @@
 ) -> Cost {
     let value = |seen: &[Second]| crate::cost::median(seen.iter().map(of).collect());
     let points = rows.iter().map(|(size, seen)| Point { size: *size, value: value(seen) }).collect();
-    let unit = if how == How::Timed { "% of a core" } else { "a second" };
+    let unit = match how {
+        How::Timed => "% of a core",
+        _ if name.ends_with("calls") => "calls a second",
+        _ => "bytes a second",
+    };
     Cost { name, what, over, unit, how, points }
 }
 
@@ -208,12 +212,14 @@
     }
     let cost = |name, what, how, of| cost(name, what, "members", how, &rows, of);
     vec![
-        cost("duties-member-bytes", "bytes of a member, both ways", How::Counted, |s| s.member.bytes as f64),
+        cost("duties-member-bytes", "a member, both ways", How::Counted, |s| s.member.bytes as f64),
         cost("duties-member-time", "a member's own code", How::Timed, |s| core(s.member)),
-        cost("duties-voter-calls", "calls at a voter", How::Counted, |s| s.voter.calls as f64),
-        cost("duties-voter-bytes", "bytes of a voter, both ways", How::Counted, |s| s.voter.bytes as f64),
+        cost("duties-voter-calls", "at a voter", How::Counted, |s| s.voter.calls as f64),
+        cost("duties-voter-bytes", "a voter, both ways", How::Counted, |s| s.voter.bytes as f64),
         cost("duties-voter-time", "a voter's own code", How::Timed, |s| core(s.voter)),
-        cost("duties-dealer-bytes", "bytes of the voter that deals", How::Counted, |s| s.dealer.bytes as f64),
+        cost("duties-dealer-bytes", "the voter that deals, both ways", How::Counted, |s| {
+            s.dealer.bytes as f64
+        }),
         cost("duties-dealer-time", "own code of the voter that deals", How::Timed, |s| core(s.dealer)),
     ]
 }
@@ -227,10 +233,8 @@
     }
     let cost = |name, what, how, of| cost(name, what, "boxes probed", how, &rows, of);
     vec![
-        cost("duties-facts-bytes", "bytes of a member of 100, both ways", How::Counted, |s| {
-            s.member.bytes as f64
-        }),
-        cost("duties-facts-voter-bytes", "bytes of a voter of 100 members", How::Counted, |s| {
+        cost("duties-facts-bytes", "a member of 100, both ways", How::Counted, |s| s.member.bytes as f64),
+        cost("duties-facts-voter-bytes", "a voter of 100 members, both ways", How::Counted, |s| {
             s.voter.bytes as f64
         }),
         cost("duties-facts-voter-time", "own code of a voter of 100 members", How::Timed, |s| core(s.voter)),
--- a/crates/slopes/src/page.rs
+++ b/crates/slopes/src/page.rs
@@ -56,7 +56,8 @@
 /// Three digits that count, thousands apart.
 fn three(value: f64) -> String {
     if value.abs() < 1_000.0 {
-        let digits = if value == 0.0 { 0 } else { (2 - value.abs().log10().floor() as i32).clamp(0, 6) };
+        let whole = value.fract() == 0.0;
+        let digits = if whole { 0 } else { (2 - value.abs().log10().floor() as i32).clamp(0, 6) };
         return format!("{value:.*}", digits as usize);
     }
     let whole = format!("{:.0}", value.abs());
@@ -124,7 +125,8 @@
                 FEED,
                 Some(b.bytes),
             ),
-            scale("bytes, measured", "scale-director-bytes", "B/s", b.bytes),
+            scale("bytes, measured, without packet heads", "scale-director-bytes", "B/s", b.bytes),
+            scale("bytes, measured, heads by arithmetic", "scale-director-heads", "B/s", b.bytes),
             row(
                 "processor, one event a packet",
                 star,
@@ -315,7 +317,7 @@
             ),
             row(
                 o,
-                "bytes, measured",
+                "bytes with other relays",
                 self.figure("scale-owner-bytes"),
                 "B/s",
                 By::Run("scale-owner-bytes"),
@@ -354,7 +356,7 @@
             ),
             row(
                 r,
-                "bytes, measured",
+                "bytes with other relays",
                 self.figure("scale-relay-bytes"),
                 "B/s",
                 By::Run("scale-relay-bytes"),
--- a/crates/slopes/src/sheet.rs
+++ b/crates/slopes/src/sheet.rs
@@ -248,6 +248,7 @@
     "real-body-time",
     "scale-director-core",
     "scale-director-bytes",
+    "scale-director-heads",
     "scale-director-memory",
     "scale-relay-core",
     "scale-relay-bytes",
