Relays are sent much at a time: a large log is learnt, a relay catches up

Cause: the small send buffer that bounds slow readers also held answers between relays; on loopback, where a segment is larger than it, each 16 KB waited for a late acknowledgement. A voter that began anew beside a log of 28 MB never learnt it: its calls were over after a second (trial by hand). Plain relays caught up at a batch a turn. Change: connections of relays get a send buffer of 1 MiB, plain relays are told as much at a time; calls between voters wait for two leases.

--- a/crates/tier/src/conn.rs
+++ b/crates/tier/src/conn.rs
@@ -20,6 +20,8 @@
     pub reader: Arc<str>,
     /// Up to which number it was told.
     pub cursor: u64,
+    /// The most bytes that it is handed at a time.
+    pub batch: usize,
     /// When it ends, so that its reader calls again.
     pub ends: Ns,
     pub comment: Ns,
@@ -63,23 +65,22 @@
     chatter: usize,
     out: Vec<u8>,
     sent: usize,
+    wide: bool,
     /// When a byte last went either way, or the state changed.
     pub moved: Ns,
 }
 
 impl Conn {
     pub fn new(stream: TcpStream, listener: usize, from: IpAddr, now: Ns) -> Conn {
-        let state = State::Calls;
-        Conn {
-            stream,
-            listener,
-            from,
-            state,
-            came: Vec::new(),
-            chatter: 0,
-            out: Vec::new(),
-            sent: 0,
-            moved: now,
+        let (state, came, out) = (State::Calls, Vec::new(), Vec::new());
+        Conn { stream, listener, from, state, came, chatter: 0, out, sent: 0, wide: false, moved: now }
+    }
+
+    /// It belongs to another relay, which is sent much at a time.
+    pub fn widen(&mut self, bytes: usize) {
+        if !std::mem::replace(&mut self.wide, true) {
+            // With a small buffer it is slower, nothing more.
+            let _ = socket2::SockRef::from(&self.stream).set_send_buffer_size(bytes);
         }
     }
 
--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -30,6 +30,8 @@
 const BACKLOG: i32 = 1_024;
 /// What the kernel keeps for one reader (it takes twice as much): a slow one holds little memory.
 const SEND_BUFFER: usize = 16 << 10;
+/// The same for another relay, and what it is told at a time.
+const WIDE: usize = 1 << 20;
 const INBOX_LENGTH: usize = 1_024;
 const COMMENT: Ns = 1_000 * MS;
 /// A connection without a request may rest for so long; one that drains is over after this.
@@ -163,7 +165,7 @@
             apart: h.apart_ms * MS,
         },
         names,
-        patience: 2 * h.round_ms * MS,
+        patience: 2 * h.lease_ms * MS,
         beat: (h.lease_ms / 4).min(500) * MS,
         gather: GATHER,
         most_call: CALL,
@@ -196,7 +198,8 @@
         let (mut voters, mut upstreams) = (Vec::new(), set.upstreams.clone());
         let spread = RandomState::new();
         let mut relay = if set.votes() {
-            let time = Duration::from_millis(h.lease_ms);
+            // Whole logs go in one answer.
+            let time = Duration::from_millis(2 * h.lease_ms);
             for (place, m) in (0u32..).zip(set.voters()) {
                 let own = m.number == h.number;
                 let caller = || peers::caller(place, m.address, time, most, to.clone());
@@ -454,6 +457,7 @@
                 }
                 Want::Relay => match rmp_serde::from_slice::<Request>(&body) {
                     Ok(request) => {
+                        conn.widen(WIDE);
                         let reply = self.relay.called(now, unix(), request);
                         let body = rmp_serde::to_vec(&reply).unwrap_or_default();
                         self.answer(conn, now, 200, "application/msgpack", &body)?;
@@ -511,9 +515,12 @@
         let own = self.listeners.get(conn.listener).and_then(|l| l.reader.clone());
         let member = relay.filter(|(n, _)| self.set.members.iter().any(|m| m.number == *n));
         let ack = self.set.head.ack_ms * MS;
+        let mut batch = self.set.head.batch_bytes;
         let (reader, in_force, ack): (Arc<str>, _, _) = match (member, own) {
-            // One that sums up others says so more often.
+            // One that sums up others says so more often, and is told more at a time.
             (Some((number, floor)), _) => {
+                conn.widen(WIDE);
+                batch = batch.max(WIDE);
                 (Arc::from(Setting::named(number)), floor.unwrap_or(last), ack / RELAYS_SOONER)
             }
             (None, Some(reader)) => (reader, last, ack),
@@ -523,7 +530,7 @@
         // Streams end apart, none later than it should.
         let ends = now + ack - self.spread.hash_one(&reader) % (ack / 4);
         conn.came = Vec::new();
-        conn.state = State::Streams(Streaming { reader, cursor: last, ends, comment: now + COMMENT });
+        conn.state = State::Streams(Streaming { reader, cursor: last, batch, ends, comment: now + COMMENT });
         conn.say(http::STREAM, now)?;
         self.tell(conn, now)
     }
@@ -534,9 +541,9 @@
             return Ok(());
         }
         let State::Streams(s) = &mut conn.state else { return Ok(()) };
-        let most = self.set.head.batch_bytes;
-        let cursor = s.cursor;
-        if let Some(batch) = self.shared.iter().find(|b| b.cursor == cursor) {
+        let (cursor, most) = (s.cursor, s.batch);
+        let own = most == self.set.head.batch_bytes;
+        if let Some(batch) = self.shared.iter().find(|b| own && b.cursor == cursor) {
             s.cursor = batch.next;
             return conn.say(&batch.bytes, now);
         }
@@ -544,7 +551,7 @@
         let next = self.relay.after(cursor, most, &mut self.scratch);
         s.cursor = next;
         let said = conn.say(&self.scratch, now);
-        if self.shared.len() < SHARED {
+        if own && self.shared.len() < SHARED {
             self.shared.push(Batch { cursor, next, bytes: std::mem::take(&mut self.scratch) });
         } else if self.scratch.capacity() > 4 * most {
             self.scratch = Vec::new();
--- a/crates/tier/tests/common/mod.rs
+++ b/crates/tier/tests/common/mod.rs
@@ -48,6 +48,17 @@
     format!(r#"{{"purge":{{"key":"{key:016x}","at":{}}}}}"#, unix())
 }
 
+/// A list event of about so many bytes.
+pub fn large(bytes: usize, index: u64) -> String {
+    let one = |i| {
+        format!(
+            r#"{{"name":"n{index}-{i}","address":"127.0.0.1:9","zone":"e","type":"s","group":0,"status":"gone","weight":1,"since_ms":0}}"#
+        )
+    };
+    let all: Vec<String> = (0..bytes / 110).map(one).collect();
+    format!(r#"{{"members":{{"index":{index},"snapshot":false,"endpoints":[{}]}}}}"#, all.join(","))
+}
+
 /// A connection between two that can be held: what is on it stays on it.
 #[derive(Clone, Default)]
 pub struct Holds {
--- a/crates/tier/tests/faults.rs
+++ b/crates/tier/tests/faults.rs
@@ -4,7 +4,7 @@
 
 use std::time::Instant;
 
-use common::{LIST, Load, PATIENCE, Tier, complete, ms, purge, refuses, until};
+use common::{LIST, Load, PATIENCE, Tier, complete, large, ms, purge, refuses, until};
 
 /// Kills the owner, then another voter, while purges are published and read.
 #[test]
@@ -103,6 +103,26 @@
     complete(&readers, &published, &tier);
 }
 
+/// A log of megabytes is learnt by a voter that begins anew, and by a plain relay, before anybody's patience ends.
+#[test]
+fn large_log_is_learnt() {
+    let mut tier = Tier::new(10, 3, 1, "");
+    (0..3).for_each(|n| tier.begin(n));
+    let mut published = tier.listed();
+    for i in 0..6 {
+        published.tell(&mut tier.publisher(), &format!("l{i}"), &large(600_000, i + 2));
+    }
+    let voter = (tier.owner() + 1) % 3;
+    tier.kill(voter);
+    tier.begin(voter);
+    let last = *published.0.keys().last().expect("events");
+    let learnt = |n| tier.status(n).is_some_and(|s| s.learning_ms.is_none() && s.last >= last);
+    assert!(until(ms(5_000), || learnt(voter)), "{}", tier.logs());
+    tier.begin(3);
+    assert!(until(ms(5_000), || tier.status(3).is_some_and(|s| s.last >= last)), "{}", tier.logs());
+    complete(&[tier.reader(1, 3)], &published, &tier);
+}
+
 /// The owner stands still in the middle of what is published, another one takes over; the old one wakes and is refused.
 #[test]
 fn old_source_wakes() {
--- a/crates/tier/tests/readers.rs
+++ b/crates/tier/tests/readers.rs
@@ -7,21 +7,10 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use common::{LIST, Load, PATIENCE, Published, Tier, complete, dial, ms, purge, until};
+use common::{LIST, Load, PATIENCE, Published, Tier, complete, dial, large, ms, purge, until};
 use sablecross_relay::{Status, merge};
 use sablecross_tier::call::Line;
 
-/// A list event of about so many bytes.
-fn large(bytes: usize, index: u64) -> String {
-    let one = |i| {
-        format!(
-            r#"{{"name":"n{index}-{i}","address":"127.0.0.1:9","zone":"e","type":"s","group":0,"status":"gone","weight":1,"since_ms":0}}"#
-        )
-    };
-    let all: Vec<String> = (0..bytes / 110).map(one).collect();
-    format!(r#"{{"members":{{"index":{index},"snapshot":false,"endpoints":[{}]}}}}"#, all.join(","))
-}
-
 /// The most memory that a process held, in KB.
 fn most_memory(pid: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("its status");
