--- a/crates/tier/tests/common/mod.rs
+++ b/crates/tier/tests/processes/common.rs
@@ -1,7 +1,5 @@
 //! Relays as processes, readers that follow them by the product's own code, faults between them.
 
-#![allow(dead_code)]
-
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
--- a/crates/tier/tests/faults.rs
+++ b/crates/tier/tests/processes/faults.rs
@@ -1,10 +1,8 @@
 //! Faults between processes, under load: nobody misses, repeats or reorders an event, and no old source changes anything.
 
-mod common;
-
 use std::time::Instant;
 
-use common::{LIST, Load, PATIENCE, Tier, complete, large, ms, purge, refuses, until};
+use crate::common::{LIST, Load, PATIENCE, Reader, Tier, complete, large, ms, purge, refuses, until};
 
 /// Kills the owner, then another voter, while purges are published and read.
 #[test]
@@ -174,7 +172,7 @@
     std::thread::sleep(ms(1_000));
     published.0.extend(load.over().0);
     complete(&readers, &published, &tier);
-    let dead = |r: &common::Reader| r.got().events.iter().any(|(_, e)| e.contains("dead"));
+    let dead = |r: &Reader| r.got().events.iter().any(|(_, e)| e.contains("dead"));
     assert!(!readers.iter().any(dead), "what the old source took was told");
 }
 
--- a/crates/tier/tests/horizon.rs
+++ b/crates/tier/tests/processes/horizon.rs
@@ -1,12 +1,10 @@
 //! Readers and relays that are away for longer than a purge binds, and for less.
 
-mod common;
-
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
 
-use common::{Got, Load, PATIENCE, Published, Reader, Tier, complete, ms, purge, until};
+use crate::common::{Got, Load, PATIENCE, Published, Reader, Tier, complete, ms, purge, until};
 use serde_json::Value;
 
 /// Purges bind for a second, and are kept for half of one more.
--- a/crates/tier/tests/readers.rs
+++ b/crates/tier/tests/processes/readers.rs
@@ -1,13 +1,11 @@
 //! Readers that are slow, gone or many, and what can't be used of what is sent.
 
-mod common;
-
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use common::{LIST, Load, PATIENCE, Published, Tier, complete, dial, large, ms, purge, until};
+use crate::common::{LIST, Load, PATIENCE, Published, Reader, Tier, complete, dial, large, ms, purge, until};
 use sablecross_relay::{Status, merge};
 use sablecross_tier::call::Line;
 
@@ -229,7 +227,7 @@
     tier.begin(0);
     let mut published = tier.listed();
     // Both from one IP address.
-    let readers = [0, 1].map(|i| common::Reader::start(tier.ip(1), at[i], &[]));
+    let readers = [0, 1].map(|i| Reader::start(tier.ip(1), at[i], &[]));
     let n = published.tell(&mut tier.publisher(), "p", &purge(1));
     let in_force = || merge(&[tier.status(0).expect("a status")]).in_force(n);
     assert!(until(PATIENCE, || in_force().since_unix_ms.is_some()), "{}", tier.logs());
