Relays hear how fresh their upstream is at the beginning of each stream

Change: such a stream begins with the comment, and one that could not be said as bytes waited is said as soon as they are gone, not a second later.

--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -516,6 +516,8 @@
         let member = relay.filter(|(n, _)| self.set.members.iter().any(|m| m.number == *n));
         let ack = self.set.head.ack_ms * MS;
         let mut batch = self.set.head.batch_bytes;
+        // A relay hears at the beginning of each stream how old it is what this one knows.
+        let comment = if member.is_some() { now } else { now + COMMENT };
         let (reader, in_force, ack): (Arc<str>, _, _) = match (member, own) {
             // One that sums up others says so more often, and is told more at a time.
             (Some((number, floor)), _) => {
@@ -530,7 +532,7 @@
         // Streams end apart, none later than it should.
         let ends = now + ack - self.spread.hash_one(&reader) % (ack / 4);
         conn.came = Vec::new();
-        conn.state = State::Streams(Streaming { reader, cursor: last, batch, ends, comment: now + COMMENT });
+        conn.state = State::Streams(Streaming { reader, cursor: last, batch, ends, comment });
         conn.say(http::STREAM, now)?;
         self.tell(conn, now)
     }
@@ -607,13 +609,14 @@
                 if over {
                     return conn.end(now);
                 }
+                // One that is behind hears it once it has taken what waits.
+                let free = !conn.out_waits();
                 if let State::Streams(s) = &mut conn.state
                     && due
+                    && free
                 {
                     s.comment = now + COMMENT;
-                    if !conn.out_waits() {
-                        return conn.say(comment.as_bytes(), now);
-                    }
+                    return conn.say(comment.as_bytes(), now);
                 }
                 Ok(())
             }
--- a/crates/tier/tests/processes/faults.rs
+++ b/crates/tier/tests/processes/faults.rs
@@ -48,6 +48,19 @@
     assert!(readers.iter().skip(3).step_by(4).all(|r| r.got().failed > 0));
 }
 
+/// Under load and without a fault a plain relay stays with the upstream that it follows, and knows how fresh it is.
+#[test]
+fn calm_upstream_is_kept() {
+    let tier = Tier::start(11, 3, 1, "");
+    tier.listed();
+    let load = Load::start(tier.publisher(), 1, ms(10));
+    std::thread::sleep(ms(4_000));
+    let fresh = tier.status(3).and_then(|s| s.fresh_ms);
+    load.over();
+    assert!(!tier.log(3).contains("stale"), "{}", tier.log(3));
+    assert!(fresh.is_some_and(|ms| ms < 1_000), "{fresh:?}");
+}
+
 /// What a plain relay is told by its upstream does not arrive any more, on connections that stay: it follows another.
 #[test]
 fn cut_one_way() {
