--- a/crates/tier/tests/faults.rs
+++ b/crates/tier/tests/processes/faults.rs
@@ -1,10 +1,8 @@
 //! Faults between processes, under load: nobody misses, repeats or reorders an event, and no old source changes anything.
 
-mod common;
-
 use std::time::Instant;
 
-use common::{LIST, Load, PATIENCE, Tier, complete, ms, purge, refuses, until};
+use crate::common::{LIST, Load, PATIENCE, Reader, Tier, complete, large, ms, purge, refuses, until};
 
 /// Kills the owner, then another voter, while purges are published and read.
 #[test]
@@ -50,6 +48,19 @@
     assert!(readers.iter().skip(3).step_by(4).all(|r| r.got().failed > 0));
 }
 
+/// Under load and without a fault a plain relay stays with the upstream that it follows, and knows how fresh it is.
+#[test]
+fn calm_upstream_is_kept() {
+    let tier = Tier::start(11, 3, 1, "");
+    tier.listed();
+    let load = Load::start(tier.publisher(), 1, ms(10));
+    std::thread::sleep(ms(4_000));
+    let fresh = tier.status(3).and_then(|s| s.fresh_ms);
+    load.over();
+    assert!(!tier.log(3).contains("stale"), "{}", tier.log(3));
+    assert!(fresh.is_some_and(|ms| ms < 1_000), "{fresh:?}");
+}
+
 /// What a plain relay is told by its upstream does not arrive any more, on connections that stay: it follows another.
 #[test]
 fn cut_one_way() {
@@ -103,6 +114,26 @@
     complete(&readers, &published, &tier);
 }
 
+/// A log of megabytes is learnt by a voter that begins anew, and by a plain relay, before anybody's patience ends.
+#[test]
+fn large_log_is_learnt() {
+    let mut tier = Tier::new(10, 3, 1, "");
+    (0..3).for_each(|n| tier.begin(n));
+    let mut published = tier.listed();
+    for i in 0..6 {
+        published.tell(&mut tier.publisher(), &format!("l{i}"), &large(600_000, i + 2));
+    }
+    let voter = (tier.owner() + 1) % 3;
+    tier.kill(voter);
+    tier.begin(voter);
+    let last = *published.0.keys().last().expect("events");
+    let learnt = |n| tier.status(n).is_some_and(|s| s.learning_ms.is_none() && s.last >= last);
+    assert!(until(ms(5_000), || learnt(voter)), "{}", tier.logs());
+    tier.begin(3);
+    assert!(until(ms(5_000), || tier.status(3).is_some_and(|s| s.last >= last)), "{}", tier.logs());
+    complete(&[tier.reader(1, 3)], &published, &tier);
+}
+
 /// The owner stands still in the middle of what is published, another one takes over; the old one wakes and is refused.
 #[test]
 fn old_source_wakes() {
@@ -154,7 +185,7 @@
     std::thread::sleep(ms(1_000));
     published.0.extend(load.over().0);
     complete(&readers, &published, &tier);
-    let dead = |r: &common::Reader| r.got().events.iter().any(|(_, e)| e.contains("dead"));
+    let dead = |r: &Reader| r.got().events.iter().any(|(_, e)| e.contains("dead"));
     assert!(!readers.iter().any(dead), "what the old source took was told");
 }
 
--- a/crates/tier/tests/readers.rs
+++ b/crates/tier/tests/processes/readers.rs
@@ -1,27 +1,14 @@
 //! Readers that are slow, gone or many, and what can't be used of what is sent.
 
-mod common;
-
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use common::{LIST, Load, PATIENCE, Published, Tier, complete, dial, ms, purge, until};
+use crate::common::{LIST, Load, PATIENCE, Published, Reader, Tier, complete, dial, large, ms, purge, until};
 use sablecross_relay::{Status, merge};
 use sablecross_tier::call::Line;
 
-/// A list event of about so many bytes.
-fn large(bytes: usize, index: u64) -> String {
-    let one = |i| {
-        format!(
-            r#"{{"name":"n{index}-{i}","address":"127.0.0.1:9","zone":"e","type":"s","group":0,"status":"gone","weight":1,"since_ms":0}}"#
-        )
-    };
-    let all: Vec<String> = (0..bytes / 110).map(one).collect();
-    format!(r#"{{"members":{{"index":{index},"snapshot":false,"endpoints":[{}]}}}}"#, all.join(","))
-}
-
 /// The most memory that a process held, in KB.
 fn most_memory(pid: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("its status");
@@ -240,7 +227,7 @@
     tier.begin(0);
     let mut published = tier.listed();
     // Both from one IP address.
-    let readers = [0, 1].map(|i| common::Reader::start(tier.ip(1), at[i], &[]));
+    let readers = [0, 1].map(|i| Reader::start(tier.ip(1), at[i], &[]));
     let n = published.tell(&mut tier.publisher(), "p", &purge(1));
     let in_force = || merge(&[tier.status(0).expect("a status")]).in_force(n);
     assert!(until(PATIENCE, || in_force().since_unix_ms.is_some()), "{}", tier.logs());
