Capacity: rows of the page in a third less text, the same page

Cause: each row spelled out all of its fields. Change: rows are made by two functions and grouped by who they are of.

--- a/crates/slopes/src/page.rs
+++ b/crates/slopes/src/page.rs
@@ -5,26 +5,40 @@
 use crate::cost::short;
 use crate::sheet::Sheet;
 
-/// Where a figure of the page comes from.
-enum By {
-    /// Measured by the run of that name.
-    Run(&'static str),
-    /// Worked out: from these slopes and limits.
-    Sums(&'static str),
-}
-
+/// One figure of the page.
+#[derive(Default)]
 struct Row {
-    role: &'static str,
     what: String,
     value: Option<f64>,
     unit: &'static str,
-    by: By,
+    /// The slopes, the figure of a run, or the limits that it comes from.
+    from: &'static str,
+    /// By the run of that name, not by arithmetic.
+    measured: bool,
     /// What carries it.
     mechanism: &'static str,
     budget: Option<f64>,
 }
 
+/// By arithmetic from what is named.
+fn sums(what: impl Into<String>, value: f64, unit: &'static str, from: &'static str) -> Row {
+    Row { what: what.into(), value: Some(value), unit, from, ..Row::default() }
+}
+
+/// By the run of that name; without a value it waits for it.
+fn run(what: impl Into<String>, value: Option<f64>, unit: &'static str, from: &'static str) -> Row {
+    Row { what: what.into(), value, unit, from, measured: true, ..Row::default() }
+}
+
 impl Row {
+    fn on(self, mechanism: &'static str) -> Row {
+        Row { mechanism, ..self }
+    }
+
+    fn within(self, budget: f64) -> Row {
+        Row { budget: Some(budget), ..self }
+    }
+
     fn state(&self) -> String {
         match (self.value, self.budget) {
             (None, _) => "not measured yet".into(),
@@ -76,645 +90,324 @@
 
 const FEED: &str = "relays (`crates/relay`)";
 const STAR: &str = "none: one source, a star";
+const POOLS: &str = "pools of connections (`wire/nodes.rs`)";
 const DUTY: &str = "duties (`crates/duty`) among the 13";
 const ALL_MEMBERS: &str = "none: all directors as members";
 
+/// Rows of one who or when.
+type Part = (&'static str, Vec<Row>);
+
+const CORE: &str = "% of a core";
+const SECOND: &str = "a second";
+const FEED_BYTES: &str = "feed-purge-bytes, feed-change-bytes, heads";
+const BASE_BYTES: &str = "feed-list-bytes, feed-purge-bytes, binds-s, slack-s";
+const WIRE: &str = "the bytes over machine-link";
+
 impl Sheet {
-    fn director(&self) -> Vec<Row> {
-        let (t, b) = (&self.target, &self.budget);
-        let row = |what: &str, value, unit, by, mechanism, budget| Row {
-            role: "director",
-            what: what.into(),
-            value: Some(value),
-            unit,
-            by,
-            mechanism,
-            budget,
-        };
-        let scale = |what: &str, name: &'static str, unit, budget| Row {
-            role: "director",
-            what: what.into(),
-            value: self.figure(name),
-            unit,
-            by: By::Run(name),
-            mechanism: FEED,
-            budget: Some(budget),
-        };
-        let own = t.purges + self.changes() + 1.0;
-        let batched = self.batches() + 1.0;
+    fn figured(&self, what: &str, unit: &'static str, name: &'static str) -> Row {
+        run(what, self.figure(name), unit, name)
+    }
+
+    fn director(&self) -> Vec<Part> {
+        let (t, b, comment) = (&self.target, &self.budget, self.assumed.comment);
+        let (own, batched) = (t.purges + self.changes() + 1.0, self.batches() + 1.0);
         let change = self.changes() * self.slope("real-change-time");
         let star = self.measured("real-purge-time", t.purges) + change;
-        vec![
-            row("state: nodes listed", t.nodes, "", By::Sums("target"), "", None),
-            row("state: purges that bind", self.binding(), "", By::Sums("target x binds-s"), "", None),
-            row("messages heard, one each", own, "a second", By::Sums("target"), STAR, None),
-            row("messages heard, in batches", batched, "a second", By::Sums("batch-ms"), FEED, None),
-            row(
-                "bytes, one event a packet",
-                self.told(own, self.assumed.comment),
-                "B/s",
-                By::Sums("feed-purge-bytes, feed-change-bytes, heads"),
-                STAR,
-                Some(b.bytes),
-            ),
-            row(
-                "bytes, in batches, in force told",
-                self.told(batched, self.assumed.comment) + self.words(),
-                "B/s",
-                By::Sums("feed-purge-bytes, feed-change-bytes, heads"),
-                FEED,
-                Some(b.bytes),
-            ),
-            scale("bytes, measured, without packet heads", "scale-director-bytes", "B/s", b.bytes),
-            scale("bytes, measured, heads by arithmetic", "scale-director-heads", "B/s", b.bytes),
-            row(
-                "processor, one event a packet",
-                star,
-                "% of a core",
-                By::Sums("real-purge-time, real-change-time"),
-                STAR,
-                Some(b.core),
-            ),
-            row(
-                "processor, in batches",
-                self.at("real-batch-time", self.batches()) + change,
-                "% of a core",
-                By::Sums("real-batch-time, real-change-time"),
-                FEED,
-                Some(b.core),
-            ),
-            scale("processor, measured", "scale-director-core", "% of a core", b.core),
-            row(
+        let relays = self.at("real-batch-time", self.batches()) + change;
+        let told = self.told(batched, comment) + self.words();
+        let memory = 1e6 * b.memory_mb;
+        let cpu = "real-purge-time, real-change-time";
+        let ten = "ten times the purges and changes";
+        let tenfold = self.measured("real-purge-time", 10.0 * t.purges) + 10.0 * change;
+        let probed = self.at("duties-facts-bytes", t.nodes);
+        let facts = "duties-facts-bytes, with the feed's beside it";
+        let share = self.measured("duties-share-time", t.directors);
+        let rows = vec![
+            sums("state: nodes listed", t.nodes, "", "target"),
+            sums("state: purges that bind", self.binding(), "", "target x binds-s"),
+            sums("messages heard, one each", own, SECOND, "target").on(STAR),
+            sums("messages heard, in batches", batched, SECOND, "batch-ms").on(FEED),
+            sums("bytes, one event a packet", self.told(own, comment), "B/s", FEED_BYTES)
+                .on(STAR)
+                .within(b.bytes),
+            sums("bytes, in batches, in force told", told, "B/s", FEED_BYTES).on(FEED).within(b.bytes),
+            self.figured("bytes, measured, without packet heads", "B/s", "scale-director-bytes")
+                .on(FEED)
+                .within(b.bytes),
+            self.figured("bytes, measured, heads by arithmetic", "B/s", "scale-director-heads")
+                .on(FEED)
+                .within(b.bytes),
+            sums("processor, one event a packet", star, CORE, cpu).on(STAR).within(b.core),
+            sums("processor, in batches", relays, CORE, "real-batch-time, real-change-time")
+                .on(FEED)
+                .within(b.core),
+            self.figured("processor, measured", CORE, "scale-director-core").on(FEED).within(b.core),
+            sums(
                 "memory of a director at rest",
                 self.at("real-told-memory", self.binding()),
                 "B",
-                By::Sums("real-told-memory"),
-                "",
-                Some(1e6 * b.memory_mb),
-            ),
-            scale("memory, measured", "scale-director-memory", "B", 1e6 * b.memory_mb),
-            row(
-                "ten times the purges and changes: bytes, in batches",
-                10.0 * self.events() + self.told(batched, self.assumed.comment) - self.events()
-                    + self.words(),
-                "B/s",
-                By::Sums("feed-purge-bytes, feed-change-bytes, heads"),
-                FEED,
-                Some(b.bytes),
-            ),
-            row(
-                "ten times the purges and changes: processor, one event a packet",
-                self.measured("real-purge-time", 10.0 * t.purges) + 10.0 * change,
-                "% of a core",
-                By::Sums("real-purge-time, real-change-time"),
-                STAR,
-                Some(b.core),
-            ),
-            row(
+                "real-told-memory",
+            )
+            .within(memory),
+            self.figured("memory, measured", "B", "scale-director-memory").on(FEED).within(memory),
+            sums(format!("{ten}: bytes, in batches"), told + 9.0 * self.events(), "B/s", FEED_BYTES)
+                .on(FEED)
+                .within(b.bytes),
+            sums(format!("{ten}: processor, one event a packet"), tenfold, CORE, cpu).on(STAR).within(b.core),
+            sums(
                 "bytes as a member of duties, words alone",
                 self.at("duties-member-bytes", t.directors),
                 "B/s",
-                By::Sums("duties-member-bytes"),
-                ALL_MEMBERS,
-                Some(b.bytes),
-            ),
-            row(
-                "the same with all nodes probed once a second",
-                self.at("duties-facts-bytes", t.nodes),
-                "B/s",
-                By::Sums("duties-facts-bytes, with the feed's beside it"),
-                ALL_MEMBERS,
-                Some(b.bytes - self.told(batched, self.assumed.comment)),
-            ),
-            row(
-                "time of a change of the deal, at each member",
-                self.measured("duties-share-time", t.directors),
-                "us",
-                By::Sums("duties-share-time"),
-                ALL_MEMBERS,
-                None,
-            ),
-        ]
+                "duties-member-bytes",
+            )
+            .on(ALL_MEMBERS)
+            .within(b.bytes),
+            sums("the same with all nodes probed once a second", probed, "B/s", facts)
+                .on(ALL_MEMBERS)
+                .within(b.bytes - self.told(batched, comment)),
+            sums("time of a change of the deal, at each member", share, "us", "duties-share-time")
+                .on(ALL_MEMBERS),
+        ];
+        vec![("director", rows)]
     }
 
-    fn voter(&self) -> Vec<Row> {
-        let (t, b) = (&self.target, &self.budget);
-        let mut rows = Vec::new();
-        for (members, mechanism) in [(t.directors, ALL_MEMBERS), (t.machines, DUTY)] {
-            let mut row = |what: String, value, unit, by, budget| {
-                rows.push(Row { role: "voter", what, value: Some(value), unit, by, mechanism, budget });
-            };
-            let core = Some(if members == t.directors { b.core } else { b.machine_core });
-            let machine = Some(b.machine_core);
-            let of = |what: &str| format!("{} members: {what}", three(members));
-            row(
-                of("calls"),
-                self.at("duties-voter-calls", members),
-                "a second",
-                By::Sums("duties-voter-calls"),
-                None,
-            );
-            row(
-                of("bytes, words alone"),
-                self.measured("duties-voter-bytes", members),
-                "B/s",
-                By::Sums("duties-voter-bytes"),
-                None,
-            );
-            row(
-                of("own code"),
-                self.measured("duties-voter-time", members),
-                "% of a core",
-                By::Sums("duties-voter-time"),
-                machine,
-            );
-            row(
-                of("processor with sockets, a voter that is a director or relay"),
-                self.at("lab-voter-time", members),
-                "% of a core",
-                By::Sums("lab-voter-time"),
-                core,
-            );
-            row(
-                of("processor with sockets, the owner that deals, on a machine of its own"),
-                self.at("lab-dealer-time", members),
-                "% of a core",
-                By::Sums("lab-dealer-time"),
-                machine,
-            );
-            row(
-                of("the deal told whole"),
-                self.at("duties-roster-bytes", members),
-                "B",
-                By::Sums("duties-roster-bytes"),
-                None,
-            );
-        }
-        rows
+    fn voter(&self) -> Vec<Part> {
+        let (t, machine) = (&self.target, self.budget.machine_core);
+        let of = |members: f64, mechanism: &'static str, core: f64| {
+            let name = |what: &str| format!("{} members: {what}", three(members));
+            let at = |what, unit, cost| sums(name(what), self.at(cost, members), unit, cost).on(mechanism);
+            let seen =
+                |what, unit, cost| sums(name(what), self.measured(cost, members), unit, cost).on(mechanism);
+            let voter = "processor with sockets, a voter that is a director or relay";
+            let dealer = "processor with sockets, the owner that deals, on a machine of its own";
+            [
+                at("calls", SECOND, "duties-voter-calls"),
+                seen("bytes, words alone", "B/s", "duties-voter-bytes"),
+                seen("own code", CORE, "duties-voter-time").within(machine),
+                at(voter, CORE, "lab-voter-time").within(core),
+                at(dealer, CORE, "lab-dealer-time").within(machine),
+                at("the deal told whole", "B", "duties-roster-bytes"),
+            ]
+        };
+        let all = of(t.directors, ALL_MEMBERS, self.budget.core);
+        vec![("voter", all.into_iter().chain(of(t.machines, DUTY, machine)).collect())]
     }
 
-    fn source(&self) -> Vec<Row> {
-        let (t, a) = (&self.target, &self.assumed);
-        let own = t.purges + self.changes() + 1.0;
-        let batched = self.batches() + 1.0;
-        let star = t.directors * self.told(own, a.comment);
+    fn source(&self) -> Vec<Part> {
+        let (t, a, core) = (&self.target, &self.assumed, self.budget.machine_core);
+        let (own, batched) = (t.purges + self.changes() + 1.0, self.batches() + 1.0);
         let below = t.directors / t.machines;
         let told = self.told(batched, a.comment) + self.words();
-        let link = Some(a.machine_link / 8.0);
-        let core = Some(self.budget.machine_core);
-        let row = |role, what: &str, value, unit, by, mechanism, budget| Row {
-            role,
-            what: what.into(),
-            value,
-            unit,
-            by,
-            mechanism,
-            budget,
-        };
-        let sums = By::Sums;
-        let log = self.base();
-        let (s, o, r) = ("source, star", "owner relay", "plain relay");
-        let d = Some(a.connections);
-        vec![
-            row(s, "connections", Some(t.directors), "", sums("target"), STAR, d),
-            row(s, "messages told", Some(t.directors * own), "a second", sums("target"), STAR, None),
-            row(s, "bytes, both ways", Some(star), "B/s", sums("feed-purge-bytes, heads"), STAR, link),
-            row(
-                s,
-                "processor",
-                self.figure("scale-star-source-core"),
-                "% of a core",
-                By::Run("scale-star-source-core"),
-                STAR,
-                core,
-            ),
-            row(
-                o,
-                "state: log and base",
-                Some(log),
-                "B",
-                sums("feed-list-bytes, feed-purge-bytes, binds-s, slack-s"),
-                FEED,
-                None,
-            ),
-            row(
-                o,
-                "readers, if it has its part of the directors",
-                Some(below + t.machines - 1.0),
-                "",
-                sums("target"),
-                FEED,
-                d,
-            ),
-            row(
-                o,
-                "entries kept at a majority",
-                Some(self.batches()),
-                "a second",
-                sums("batch-ms"),
-                FEED,
-                None,
-            ),
-            row(
-                o,
-                "bytes with other relays",
-                self.figure("scale-owner-bytes"),
-                "B/s",
-                By::Run("scale-owner-bytes"),
-                FEED,
-                link,
-            ),
-            row(
-                o,
-                "processor",
-                self.figure("scale-owner-core"),
-                "% of a core",
-                By::Run("scale-owner-core"),
-                FEED,
-                core,
-            ),
-            row(
-                o,
-                "memory",
-                self.figure("scale-owner-memory"),
-                "B",
-                By::Run("scale-owner-memory"),
-                FEED,
-                None,
-            ),
-            row(r, "readers", Some(below), "", sums("target"), FEED, d),
-            row(r, "messages told", Some(below * batched), "a second", sums("batch-ms"), FEED, None),
-            row(r, "calls answered", Some(below * 1e3 / a.ack_ms), "a second", sums("ack-ms"), FEED, None),
-            row(
-                r,
-                "bytes to directors, both ways",
-                Some(below * told),
-                "B/s",
-                sums("feed-purge-bytes, feed-change-bytes, heads"),
-                FEED,
-                link,
-            ),
-            row(
-                r,
-                "bytes with other relays",
-                self.figure("scale-relay-bytes"),
-                "B/s",
-                By::Run("scale-relay-bytes"),
-                FEED,
-                link,
-            ),
-            row(
-                r,
-                "processor",
-                self.figure("scale-relay-core"),
-                "% of a core",
-                By::Run("scale-relay-core"),
-                FEED,
-                core,
-            ),
-            row(
-                r,
-                "memory",
-                self.figure("scale-relay-memory"),
-                "B",
-                By::Run("scale-relay-memory"),
-                FEED,
-                None,
-            ),
-            row(
-                r,
-                "readers while five of the machines are lost",
-                Some(t.directors / (t.machines - 5.0)),
-                "",
-                sums("target"),
-                FEED,
-                d,
-            ),
-        ]
+        let star = t.directors * self.told(own, a.comment);
+        let (link, most) = (a.machine_link / 8.0, a.connections);
+        let source = vec![
+            sums("connections", t.directors, "", "target").on(STAR).within(most),
+            sums("messages told", t.directors * own, SECOND, "target").on(STAR),
+            sums("bytes, both ways", star, "B/s", "feed-purge-bytes, heads").on(STAR).within(link),
+            self.figured("processor", CORE, "scale-star-source-core").on(STAR).within(core),
+        ];
+        let readers = "readers, if it has its part of the directors";
+        let owner = vec![
+            sums("state: log and base", self.base(), "B", BASE_BYTES).on(FEED),
+            sums(readers, below + t.machines - 1.0, "", "target").on(FEED).within(most),
+            sums("entries kept at a majority", self.batches(), SECOND, "batch-ms").on(FEED),
+            self.figured("bytes with other relays", "B/s", "scale-owner-bytes").on(FEED).within(link),
+            self.figured("processor", CORE, "scale-owner-core").on(FEED).within(core),
+            self.figured("memory", "B", "scale-owner-memory").on(FEED),
+        ];
+        let lost = t.directors / (t.machines - 5.0);
+        let plain = vec![
+            sums("readers", below, "", "target").on(FEED).within(most),
+            sums("messages told", below * batched, SECOND, "batch-ms").on(FEED),
+            sums("calls answered", below * 1e3 / a.ack_ms, SECOND, "ack-ms").on(FEED),
+            sums("bytes to directors, both ways", below * told, "B/s", FEED_BYTES).on(FEED).within(link),
+            self.figured("bytes with other relays", "B/s", "scale-relay-bytes").on(FEED).within(link),
+            self.figured("processor", CORE, "scale-relay-core").on(FEED).within(core),
+            self.figured("memory", "B", "scale-relay-memory").on(FEED),
+            sums("readers while five of the machines are lost", lost, "", "target").on(FEED).within(most),
+        ];
+        vec![("source, star", source), ("owner relay", owner), ("plain relay", plain)]
     }
 
-    fn nodes(&self) -> Vec<Row> {
-        let (t, a) = (&self.target, &self.assumed);
-        let zone = t.directors / t.zones;
-        let caches = 0.75 * t.nodes / t.zones;
-        let most = (a.descriptors / 16.0).max(4.0);
-        let row = |role, what: &str, value, unit, by, mechanism, budget| Row {
-            role,
-            what: what.into(),
-            value: Some(value),
-            unit,
-            by,
-            mechanism,
-            budget,
+    fn in_force(&self) -> Vec<Part> {
+        let b = &self.budget;
+        let rows = vec![
+            self.figured("a purge, the most", "s", "scale-purge-most").on(FEED).within(b.purge_s),
+            self.figured("a change, the most", "s", "scale-change-most").on(FEED).within(b.change_s),
+            self.figured("a purge on the star, the most", "s", "scale-star-purge-most")
+                .on(STAR)
+                .within(b.purge_s),
+        ];
+        vec![("in force everywhere", rows)]
+    }
+
+    fn nodes(&self) -> Vec<Part> {
+        let (t, most) = (&self.target, self.assumed.descriptors);
+        let (zone, links) = (t.directors / t.zones, (most / 16.0).max(4.0));
+        let lookups = t.lookups / (0.75 * t.nodes);
+        let quarters = "target, three quarters of the nodes caches";
+        let connections = |directors: f64| {
+            [
+                sums("connections, one of each director", directors, "", "target").on(POOLS).within(most),
+                sums("connections at most", directors * links, "", "`links_a_node`").on(POOLS).within(most),
+            ]
         };
-        let d = Some(a.descriptors);
-        let links = By::Sums;
-        let pools = "pools of connections (`wire/nodes.rs`)";
-        vec![
-            row("cache", "directors that send to it", zone, "", links("target"), "pies by zone", None),
-            row(
-                "cache",
-                "lookups",
-                t.lookups / t.zones / caches,
-                "a second",
-                links("target, three quarters of the nodes caches"),
-                "pies by zone",
-                None,
-            ),
-            row("cache", "connections, one of each director", zone, "", links("target"), pools, d),
-            row("cache", "connections at most", zone * most, "", links("`links_a_node`"), pools, d),
-            row(
-                "parent",
-                "directors that may send to it",
-                t.directors,
-                "",
-                links("target"),
-                "one pie of all",
-                None,
-            ),
-            row("parent", "connections, one of each director", t.directors, "", links("target"), pools, d),
-            row("parent", "connections at most", t.directors * most, "", links("`links_a_node`"), pools, d),
-            row("command line", "relays asked by `relay show`", t.machines, "", links("target"), FEED, None),
-            row(
-                "command line",
-                "readers merged, 100 bytes each",
-                100.0 * t.directors,
-                "B",
-                links("target"),
-                FEED,
-                None,
-            ),
-        ]
+        let mut cache = vec![
+            sums("directors that send to it", zone, "", "target").on("pies by zone"),
+            sums("lookups", lookups, SECOND, quarters).on("pies by zone"),
+        ];
+        cache.extend(connections(zone));
+        let mut parent =
+            vec![sums("directors that may send to it", t.directors, "", "target").on("one pie of all")];
+        parent.extend(connections(t.directors));
+        let line = vec![
+            sums("relays asked by `relay show`", t.machines, "", "target").on(FEED),
+            sums("readers merged, 100 bytes each", 100.0 * t.directors, "B", "target").on(FEED),
+        ];
+        vec![("cache", cache), ("parent", parent), ("command line", line)]
     }
 
-    fn path(&self) -> Vec<Row> {
+    fn path(&self) -> Vec<Part> {
         let (t, a) = (&self.target, &self.assumed);
         let mean = t.lookups / t.directors;
-        let busiest = mean * t.busiest;
-        let bits = t.bits / t.directors;
-        let bytes = bits / 8.0;
+        let bytes = t.bits / t.directors / 8.0;
         let full = bytes / a.body;
-        let of_body = self.slope("real-body-time") / 1024.0;
-        let row = |what: String, value, unit, by, budget| Row {
-            role: "ordinary path",
-            what,
-            value: Some(value),
-            unit,
-            by,
-            mechanism: "",
-            budget,
-        };
-        let core = Some(100.0);
+        let bodies = self.slope("real-body-time") / 1024.0 / 1e4;
         let mut rows = Vec::new();
-        for (name, rate) in [("mean", mean), ("busiest", busiest)] {
-            let at = |what: &str| format!("{name}, {} lookups a second: {what}", three(rate));
-            let by = By::Sums;
-            rows.push(row(
-                at("processor"),
-                self.at("real-lookup-time", rate),
-                "% of a core",
-                by("real-lookup-time"),
-                core,
-            ));
-            rows.push(row(
-                at("memory"),
-                self.at("real-lookup-memory", rate),
-                "B",
-                by("real-lookup-memory"),
-                None,
-            ));
-            rows.push(row(
-                at("descriptors, 8 clients and 9 nodes"),
-                self.at("real-lookup-descriptors", rate),
-                "",
-                by("real-lookup-descriptors"),
-                Some(a.descriptors),
-            ));
+        for (name, rate) in [("mean", mean), ("busiest", mean * t.busiest)] {
+            let row = |what: &str, unit, cost| {
+                let what = format!("{name}, {} lookups a second: {what}", three(rate));
+                sums(what, self.at(cost, rate), unit, cost)
+            };
+            rows.push(row("processor", CORE, "real-lookup-time").within(100.0));
+            rows.push(row("memory", "B", "real-lookup-memory"));
+            let open = row("descriptors, 8 clients and 9 nodes", "", "real-lookup-descriptors");
+            rows.push(open.within(a.descriptors));
         }
-        rows.push(row(
-            "connections, one to each parent and to the zone's caches".into(),
-            0.25 * t.nodes + 0.75 * t.nodes / t.zones,
-            "",
-            By::Sums("target, `links`"),
-            Some(a.descriptors / 2.0 - 16.0),
-        ));
-        rows.push(row(
-            "bodies a director, out, and as many in".into(),
-            bits,
-            "bit/s",
-            By::Sums("target"),
-            None,
-        ));
-        rows.push(row(
-            "bytes of a lookup in the mean".into(),
-            bytes / mean,
-            "B",
-            By::Sums("target, `body`"),
-            Some(a.body),
-        ));
-        rows.push(row(
-            "what bodies of the largest size come to at the mean rate".into(),
-            8.0 * mean * a.body,
-            "bit/s",
-            By::Sums("target, `body`"),
-            None,
-        ));
-        rows.push(row(
-            "lookups of the largest body that the bytes would take".into(),
-            full,
-            "a second",
-            By::Sums("target, `body`"),
-            None,
-        ));
-        rows.push(row(
-            "processor for those, on loopback".into(),
-            self.at("real-lookup-time", full) + bytes * of_body / 1e4,
-            "% of a core",
-            By::Sums("real-lookup-time, real-body-time"),
-            core,
-        ));
-        rows
+        let ways = 0.25 * t.nodes + 0.75 * t.nodes / t.zones;
+        let limits = "target, `body`";
+        let passing = self.at("real-lookup-time", full) + bytes * bodies;
+        rows.extend([
+            sums("connections, one to each parent and to the zone's caches", ways, "", "target, `links`")
+                .within(a.descriptors / 2.0 - 16.0),
+            sums("bodies a director, out, and as many in", 8.0 * bytes, "bit/s", "target"),
+            sums("bytes of a lookup in the mean", bytes / mean, "B", limits).within(a.body),
+            sums(
+                "what bodies of the largest size come to at the mean rate",
+                8.0 * mean * a.body,
+                "bit/s",
+                limits,
+            ),
+            sums("lookups of the largest body that the bytes would take", full, SECOND, limits),
+            sums("processor for those, on loopback", passing, CORE, "real-lookup-time, real-body-time")
+                .within(100.0),
+        ]);
+        vec![("ordinary path", rows)]
     }
 
-    fn module(&self) -> Vec<Row> {
+    fn module(&self) -> Vec<Part> {
         let t = &self.target;
-        let row = |what: &str, value, unit, by| Row {
-            role: "module",
-            what: what.into(),
-            value: Some(value),
-            unit,
-            by: By::Run(by),
-            mechanism: "`src/choice.rs`",
-            budget: None,
-        };
+        let seen = |what: &str, size, unit, name| run(what, Some(self.measured(name, size)), unit, name);
         let mut rows = Vec::new();
-        for (what, name) in
+        for (call, name) in
             [("route", "module-route"), ("after", "module-after"), ("patience", "module-patience")]
         {
             for nodes in [10.0, 100.0, t.nodes] {
-                let text = format!("{what} with {nodes:.0} nodes");
-                rows.push(row(&text, self.measured(name, nodes) / 1e3, "us", name));
+                let took = self.measured(name, nodes) / 1e3;
+                rows.push(run(format!("{call} with {nodes:.0} nodes"), Some(took), "us", name));
             }
         }
-        let changes = [
-            ("a change of a parent: its pie dealt anew", "module-change-parent"),
-            ("a change of a cache of another zone", "module-change-cache"),
-            ("a zone's loss, 8 changes by 8 events", "module-zone-loss"),
-            ("a zone's loss, 8 changes by one event", "module-zone-loss-at-once"),
-        ];
-        rows.extend(changes.map(|(what, name)| row(what, self.measured(name, t.nodes), "us", name)));
-        rows.push(row(
-            "a purge, with as many known as bind",
-            self.at("module-purge-known", self.binding()),
-            "us",
-            "module-purge-known",
-        ));
-        rows.push(row(
-            "all purges",
-            self.measured("module-purge-rate", t.purges),
-            "% of a core",
-            "module-purge-rate",
-        ));
-        rows.push(row(
-            "ten times the purges",
-            self.measured("module-purge-rate", 10.0 * t.purges),
-            "% of a core",
-            "module-purge-rate",
-        ));
-        rows.push(Row {
-            role: "module",
-            what: "places in the pie of parents, a quarter of the nodes".into(),
-            value: Some(256.0 * 0.25 * t.nodes),
-            unit: "",
-            by: By::Sums("target, `SLICES`"),
-            mechanism: "`src/choice.rs`",
-            budget: None,
-        });
-        rows.push(row(
-            "memory, list and pies",
-            self.measured("module-memory", t.nodes),
-            "B",
-            "module-memory",
-        ));
-        rows.push(row(
-            "memory of the purges that bind",
-            self.slope("module-purge-memory") * self.binding(),
-            "B",
-            "module-purge-memory",
-        ));
-        rows
+        let purge = self.at("module-purge-known", self.binding());
+        let memory = self.slope("module-purge-memory") * self.binding();
+        let places = "places in the pie of parents, a quarter of the nodes";
+        rows.extend([
+            seen("a change of a parent: its pie dealt anew", t.nodes, "us", "module-change-parent"),
+            seen("a change of a cache of another zone", t.nodes, "us", "module-change-cache"),
+            seen("a zone's loss, 8 changes by 8 events", t.nodes, "us", "module-zone-loss"),
+            seen("a zone's loss, 8 changes by one event", t.nodes, "us", "module-zone-loss-at-once"),
+            run("a purge, with as many known as bind", Some(purge), "us", "module-purge-known"),
+            seen("all purges", t.purges, CORE, "module-purge-rate"),
+            seen("ten times the purges", 10.0 * t.purges, CORE, "module-purge-rate"),
+            sums(places, 256.0 * 0.25 * t.nodes, "", "target, `SLICES`"),
+            seen("memory, list and pies", t.nodes, "B", "module-memory"),
+            run("memory of the purges that bind", Some(memory), "B", "module-purge-memory"),
+        ]);
+        vec![("module", rows.into_iter().map(|row| row.on("`src/choice.rs`")).collect())]
     }
 
-    fn starts(&self) -> Vec<Row> {
-        let (t, a, b) = (&self.target, &self.assumed, &self.budget);
-        let base = self.base();
-        let region = t.directors / t.regions;
+    fn starts(&self) -> Vec<Part> {
+        let (t, a, purge) = (&self.target, &self.assumed, 1e6 * self.budget.purge_s);
+        let (base, region) = (self.base(), t.directors / t.regions);
         let untold = t.purges * t.cut_s;
         let hour = untold * self.slope("feed-purge-bytes") + self.at("feed-list-bytes", t.nodes);
         let link = |bytes: f64| 8.0 * bytes / a.machine_link * 1e6;
-        let row = |role, what: &str, value, unit, by, mechanism, budget| Row {
-            role,
-            what: what.into(),
-            value: Some(value),
-            unit,
-            by: By::Sums(by),
-            mechanism,
-            budget,
+        let took = |purges: f64| {
+            let us = 1e3 * self.at("real-told-time", purges);
+            sums("processor, a director", us, "us", "real-told-time").within(purge)
         };
-        let bytes = "feed-list-bytes, feed-purge-bytes, binds-s, slack-s";
-        let wire = "the bytes over machine-link";
-        let purge = Some(1e6 * b.purge_s);
-        let one = "one director begins";
-        let (reg, all) = ("a region's begin", "all begin at once");
-        let (star, relay) = ("after the hour, star", "after the hour, relays");
+        let told = |what: &str, bytes: f64| sums(what, bytes, "B", BASE_BYTES).on(FEED);
+        let time = |what: &str, bytes: f64| sums(what, link(bytes), "us", WIRE).within(purge);
+        let all = t.directors * base;
+        let eight = 8.0 * self.slope("feed-change-bytes");
+        let taken = 8.0 * self.slope("feed-change-time") + self.measured("module-zone-loss", t.nodes);
+        let star = "feed-purge-bytes, feed-list-bytes";
         vec![
-            row(one, "told", base, "B", bytes, FEED, None),
-            row(
-                one,
-                "processor",
-                1e3 * self.at("real-told-time", self.kept()),
-                "us",
-                "real-told-time",
-                "",
-                purge,
+            ("one director begins", vec![told("told", base), took(self.kept())]),
+            (
+                "a region's begin",
+                vec![told("told", region * base), time("time, all at one relay", region * base).on(FEED)],
             ),
-            row(reg, "told", region * base, "B", bytes, FEED, None),
-            row(reg, "time, all at one relay", link(region * base), "us", wire, FEED, purge),
-            row(all, "told", t.directors * base, "B", bytes, FEED, None),
-            row(all, "time, from one source", link(t.directors * base), "us", wire, STAR, purge),
-            row(all, "time, from 13 relays", link(t.directors * base / t.machines), "us", wire, FEED, purge),
-            row("restarts of a day", "told", t.restarts_a_day * base, "B", bytes, FEED, None),
-            row(
-                "a zone lost",
-                "told: 8 changes, a director",
-                8.0 * self.slope("feed-change-bytes"),
-                "B",
-                "feed-change-bytes",
-                FEED,
-                None,
+            (
+                "all begin at once",
+                vec![
+                    told("told", all),
+                    time("time, from one source", all).on(STAR),
+                    time("time, from 13 relays", all / t.machines).on(FEED),
+                ],
             ),
-            row(
+            ("restarts of a day", vec![told("told", t.restarts_a_day * base)]),
+            (
                 "a zone lost",
-                "read and taken in by the module",
-                8.0 * self.slope("feed-change-time") + self.measured("module-zone-loss", t.nodes),
-                "us",
-                "feed-change-time, module-zone-loss",
-                "",
-                None,
+                vec![
+                    sums("told: 8 changes, a director", eight, "B", "feed-change-bytes").on(FEED),
+                    sums(
+                        "read and taken in by the module",
+                        taken,
+                        "us",
+                        "feed-change-time, module-zone-loss",
+                    ),
+                ],
             ),
-            row(star, "purges untold", untold, "", "target", STAR, None),
-            row(star, "told, a director", hour, "B", "feed-purge-bytes, feed-list-bytes", STAR, None),
-            row(star, "told, a region", region * hour, "B", "feed-purge-bytes, feed-list-bytes", STAR, None),
-            row(star, "time, a region from one source", link(region * hour), "us", wire, STAR, purge),
-            row(
-                star,
-                "processor, a director",
-                1e3 * self.at("real-told-time", untold),
-                "us",
-                "real-told-time",
-                STAR,
-                purge,
+            (
+                "after the hour, star",
+                vec![
+                    sums("purges untold", untold, "", "target").on(STAR),
+                    sums("told, a director", hour, "B", star).on(STAR),
+                    sums("told, a region", region * hour, "B", star).on(STAR),
+                    time("time, a region from one source", region * hour).on(STAR),
+                    took(untold).on(STAR),
+                ],
             ),
-            row(relay, "purges told", self.kept(), "", "target x (binds-s + slack-s)", FEED, None),
-            row(relay, "told, a director", base, "B", bytes, FEED, None),
-            row(relay, "told, a region", region * base, "B", bytes, FEED, None),
-            row(relay, "time, a region from one relay", link(region * base), "us", wire, FEED, purge),
-            row(
-                relay,
-                "processor, a director",
-                1e3 * self.at("real-told-time", self.kept()),
-                "us",
-                "real-told-time",
-                FEED,
-                purge,
+            (
+                "after the hour, relays",
+                vec![
+                    sums("purges told", self.kept(), "", "target x (binds-s + slack-s)").on(FEED),
+                    told("told, a director", base),
+                    told("told, a region", region * base),
+                    time("time, a region from one relay", region * base).on(FEED),
+                    took(self.kept()).on(FEED),
+                ],
             ),
         ]
     }
 
-    fn in_force(&self) -> Vec<Row> {
-        let b = &self.budget;
-        let row = |what: &str, name, mechanism, budget: f64| Row {
-            role: "in force everywhere",
-            what: what.into(),
-            value: self.figure(name),
-            unit: "s",
-            by: By::Run(name),
-            mechanism,
-            budget: Some(budget),
-        };
-        vec![
-            row("a purge, the most", "scale-purge-most", FEED, b.purge_s),
-            row("a change, the most", "scale-change-most", FEED, b.change_s),
-            row("a purge on the star, the most", "scale-star-purge-most", STAR, b.purge_s),
-        ]
-    }
-
     /// The rows that are past their budget, and those that wait for a run.
     pub fn verdicts(&self) -> (Vec<String>, Vec<String>) {
-        let all = self.sections().into_iter().flat_map(|(_, rows)| rows);
+        let parts = self.sections().into_iter().flat_map(|(_, parts)| parts);
+        let all = parts.flat_map(|(who, rows)| rows.into_iter().map(move |row| (who, row)));
         let (mut past, mut open) = (Vec::new(), Vec::new());
-        for row in all {
-            let line = format!("{}: {}", row.role, row.what);
+        for (who, row) in all {
+            let line = format!("{who}: {}", row.what);
             match (row.value, row.budget) {
                 (None, _) => open.push(line),
                 (Some(v), Some(b)) if v > b => past.push(line),
@@ -724,7 +417,7 @@
         (past, open)
     }
 
-    fn sections(&self) -> Vec<(&'static str, Vec<Row>)> {
+    fn sections(&self) -> Vec<(&'static str, Vec<Part>)> {
         vec![
             ("A director's control", self.director()),
             ("Voters and owners of duties", self.voter()),
@@ -746,24 +439,20 @@
             // Writing to memory does not fail.
             let _ = writeln!(out, "{text}");
         };
-        for (title, rows) in self.sections() {
+        for (title, parts) in self.sections() {
             line(format_args!("\n### {title}\n"));
             line(format_args!("| who, when | what | figure | from | carried by | margin to budget |"));
             line(format_args!("| --- | --- | --- | --- | --- | --- |"));
-            for row in rows {
+            let rows = parts.into_iter().flat_map(|(who, rows)| rows.into_iter().map(move |row| (who, row)));
+            for (who, row) in rows {
                 let value = row.value.map_or("-".into(), |v| amount(v, row.unit));
-                let from = match row.by {
-                    By::Run(name) if row.value.is_none() => format!("waits for `{name}`"),
-                    By::Run(name) => format!("measured: `{name}`"),
-                    By::Sums(names) => format!("arithmetic: {names}"),
+                let from = match (row.measured, row.value) {
+                    (true, None) => format!("waits for `{}`", row.from),
+                    (true, Some(_)) => format!("measured: `{}`", row.from),
+                    (false, _) => format!("arithmetic: {}", row.from),
                 };
-                line(format_args!(
-                    "| {} | {} | {value} | {from} | {} | {} |",
-                    row.role,
-                    row.what,
-                    row.mechanism,
-                    row.state()
-                ));
+                let (what, by, state) = (&row.what, row.mechanism, row.state());
+                line(format_args!("| {who} | {what} | {value} | {from} | {by} | {state} |"));
             }
         }
         line(format_args!("\n### Slopes\n"));
