--- a/crates/slopes/src/cost.rs
+++ b/crates/slopes/src/cost.rs
@@ -40,8 +40,8 @@
             self.points.iter().map(|p| format!("({} {})", p.size, short(p.value))).collect();
         let bend = line.bend.map_or(String::new(), |size| format!(" (bend . {size})"));
         format!(
-            "(slope (name . {:?}) (unit . {:?}) (over . {:?})\n  (slope . {}) (intercept . {}) (worst . {:.1}){bend}\n  \
-             (points {})\n ",
+            "(slope (name . {:?}) (unit . {:?}) (over . {:?})\n  (slope . {}) (intercept . {}) \
+             (worst . {:.1}){bend}\n  (points {})\n ",
             self.name,
             self.unit,
             self.over,
@@ -79,7 +79,8 @@
     format!("{value:.digits$}")
 }
 
-/// Takes all sizes in turn, round after round, so that what slows the machine for a while slows all alike: the median of each.
+/// Takes all sizes in turn, round after round, so that what slows the machine for a while slows all alike:
+/// the median of each.
 pub fn in_turns<T>(sizes: &mut [(f64, T)], rounds: usize, mut take: impl FnMut(&mut T) -> f64) -> Vec<Point> {
     let mut seen = vec![Vec::with_capacity(rounds); sizes.len()];
     for _ in 0..rounds {
--- a/crates/slopes/src/duties.rs
+++ b/crates/slopes/src/duties.rs
@@ -1,5 +1,5 @@
-//! What duties cost their members and voters, without sockets: offices in one simulated time, each word encoded and decoded as
-//! between processes, the time of each party's own code taken apart.
+//! What duties cost their members and voters, without sockets: offices in one simulated time, each word
+//! encoded and decoded as between processes, the time of each party's own code taken apart.
 
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Instant;
--- a/crates/slopes/src/feed.rs
+++ b/crates/slopes/src/feed.rs
@@ -1,4 +1,5 @@
-//! What events of the control feed cost a director that reads them: bytes, and the time of its own reading code.
+//! What events of the control feed cost a director that reads them: bytes, and the time of its own reading
+//! code.
 
 use std::hint::black_box;
 
@@ -33,8 +34,9 @@
 
 pub fn endpoint(node: usize, status: &str) -> Value {
     let kind = if node % 4 == 1 { "parent" } else { "small" };
-    json!({"name": format!("s-{:08x}", mix(node as u64) as u32), "zone": format!("zone-{:02}", node * 64 / 490),
-        "address": format!("10.{}.{}.9:10080", node / 64, node % 64), "type": kind, "group": node / 2,
+    let (name, zone) = (format!("s-{:08x}", mix(node as u64) as u32), format!("zone-{:02}", node * 64 / 490));
+    let address = format!("10.{}.{}.9:10080", node / 64, node % 64);
+    json!({"name": name, "zone": zone, "address": address, "type": kind, "group": node / 2,
         "status": status, "weight": 4, "since_ms": 0})
 }
 
@@ -53,7 +55,8 @@
     members(n, &all, true)
 }
 
-/// Reads it all as a director does: the stream's blocks, JSON, the fact, the rule on numbers. How many were taken.
+/// Reads it all as a director does: the stream's blocks, JSON, the fact, the rule on numbers. How many were
+/// taken.
 fn read(text: &[u8]) -> usize {
     let mut stream = Stream::new(MOST);
     stream.take(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
--- a/crates/slopes/src/fit.rs
+++ b/crates/slopes/src/fit.rs
@@ -20,7 +20,8 @@
     pub worst: f64,
     /// The slope between the last two sizes, of that between the first two.
     pub turn: f64,
-    /// The first size at which the cost lies over a quarter above the line through the smaller half of the sizes.
+    /// The first size at which the cost lies over a quarter above the line through the smaller half of the
+    /// sizes.
     pub bend: Option<f64>,
 }
 
--- a/crates/slopes/src/lib.rs
+++ b/crates/slopes/src/lib.rs
@@ -1,5 +1,5 @@
-//! What the parts of sablecross cost as they grow: each cost measured at five sizes or more and fitted with a line, and the
-//! page of the target size that is worked out from those lines.
+//! What the parts of sablecross cost as they grow: each cost measured at five sizes or more and fitted with a
+//! line, and the page of the target size that is worked out from those lines.
 
 pub mod cost;
 pub mod duties;
--- a/crates/slopes/src/module.rs
+++ b/crates/slopes/src/module.rs
@@ -94,8 +94,8 @@
     choice
 }
 
-/// Purges of objects of which one is known, so that their number stays, 35 a second: over a second, so that what is done once
-/// a second is in it.
+/// Purges of objects of which one is known, so that their number stays, 35 a second: over a second, so that
+/// what is done once a second is in it.
 pub fn purge_known() -> Cost {
     struct At {
         choice: Choice,
--- a/crates/slopes/src/page.rs
+++ b/crates/slopes/src/page.rs
@@ -108,6 +108,13 @@
         run(what, self.figure(name), unit, name)
     }
 
+    /// Measured at that size, or worked out by the line.
+    fn seen(&self, what: impl Into<String>, size: f64, unit: &'static str, name: &'static str) -> Row {
+        let points = self.slopes.get(name).map(|s| &s.points[..]).unwrap_or_default();
+        let measured = points.iter().any(|p| p.0 == size);
+        Row { measured, ..sums(what, self.measured(name, size), unit, name) }
+    }
+
     fn director(&self) -> Vec<Part> {
         let (t, b, comment) = (&self.target, &self.budget, self.assumed.comment);
         let (own, batched) = (t.purges + self.changes() + 1.0, self.batches() + 1.0);
@@ -121,7 +128,7 @@
         let tenfold = self.measured("real-purge-time", 10.0 * t.purges) + 10.0 * change;
         let probed = self.at("duties-facts-bytes", t.nodes);
         let facts = "duties-facts-bytes, with the feed's beside it";
-        let share = self.measured("duties-share-time", t.directors);
+        let share = "time of a change of the deal, at each member";
         let rows = vec![
             sums("state: nodes listed", t.nodes, "", "target"),
             sums("state: purges that bind", self.binding(), "", "target x binds-s"),
@@ -165,8 +172,7 @@
             sums("the same with all nodes probed once a second", probed, "B/s", facts)
                 .on(ALL_MEMBERS)
                 .within(b.bytes - self.told(batched, comment)),
-            sums("time of a change of the deal, at each member", share, "us", "duties-share-time")
-                .on(ALL_MEMBERS),
+            self.seen(share, t.directors, "us", "duties-share-time").on(ALL_MEMBERS),
         ];
         vec![("director", rows)]
     }
@@ -175,18 +181,24 @@
         let (t, machine) = (&self.target, self.budget.machine_core);
         let of = |members: f64, mechanism: &'static str, core: f64| {
             let name = |what: &str| format!("{} members: {what}", three(members));
-            let at = |what, unit, cost| sums(name(what), self.at(cost, members), unit, cost).on(mechanism);
-            let seen =
-                |what, unit, cost| sums(name(what), self.measured(cost, members), unit, cost).on(mechanism);
+            let seen = |what: &str, unit, cost| self.seen(name(what), members, unit, cost).on(mechanism);
             let voter = "processor with sockets, a voter that is a director or relay";
             let dealer = "processor with sockets, the owner that deals, on a machine of its own";
+            let in_rig = "processor of a voter in the fleet rig, with its boxes and a few lookups";
+            let deals_in_rig = "processor of the owner that deals in the fleet rig";
+            let clients = (self.assumed.descriptors / 3.0).floor() + 8.0;
             [
-                at("calls", SECOND, "duties-voter-calls"),
+                seen("calls", SECOND, "duties-voter-calls"),
                 seen("bytes, words alone", "B/s", "duties-voter-bytes"),
                 seen("own code", CORE, "duties-voter-time").within(machine),
-                at(voter, CORE, "lab-voter-time").within(core),
-                at(dealer, CORE, "lab-dealer-time").within(machine),
-                at("the deal told whole", "B", "duties-roster-bytes"),
+                seen(voter, CORE, "real-voter-time").within(core),
+                seen(in_rig, CORE, "lab-voter-time").within(core),
+                seen(dealer, CORE, "real-dealer-time").within(machine),
+                seen(deals_in_rig, CORE, "lab-dealer-time").within(machine),
+                seen("the deal told whole", "B", "duties-roster-bytes"),
+                sums(name("connections of a director that votes"), members, "", "target, `clients`")
+                    .on(mechanism)
+                    .within(clients),
             ]
         };
         let all = of(t.directors, ALL_MEMBERS, self.budget.core);
@@ -307,7 +319,7 @@
 
     fn module(&self) -> Vec<Part> {
         let t = &self.target;
-        let seen = |what: &str, size, unit, name| run(what, Some(self.measured(name, size)), unit, name);
+        let seen = |what: &str, size, unit, name| self.seen(what, size, unit, name);
         let mut rows = Vec::new();
         for (call, name) in
             [("route", "module-route"), ("after", "module-after"), ("patience", "module-patience")]
@@ -325,12 +337,12 @@
             seen("a change of a cache of another zone", t.nodes, "us", "module-change-cache"),
             seen("a zone's loss, 8 changes by 8 events", t.nodes, "us", "module-zone-loss"),
             seen("a zone's loss, 8 changes by one event", t.nodes, "us", "module-zone-loss-at-once"),
-            run("a purge, with as many known as bind", Some(purge), "us", "module-purge-known"),
+            sums("a purge, with as many known as bind", purge, "us", "module-purge-known"),
             seen("all purges", t.purges, CORE, "module-purge-rate"),
             seen("ten times the purges", 10.0 * t.purges, CORE, "module-purge-rate"),
             sums(places, 256.0 * 0.25 * t.nodes, "", "target, `SLICES`"),
             seen("memory, list and pies", t.nodes, "B", "module-memory"),
-            run("memory of the purges that bind", Some(memory), "B", "module-purge-memory"),
+            sums("memory of the purges that bind", memory, "B", "module-purge-memory"),
         ]);
         vec![("module", rows.into_iter().map(|row| row.on("`src/choice.rs`")).collect())]
     }
--- a/crates/slopes/src/real.rs
+++ b/crates/slopes/src/real.rs
@@ -1,8 +1,10 @@
-//! What a real director takes as a process: its processor time, memory and descriptors, with a stand-in for the feed, nodes and
-//! clients on loopback. Time is what the system counted for its threads, so that others on the machine matter little.
+//! What a real director takes as a process: its processor time, memory and descriptors, with a stand-in for
+//! the feed, nodes and clients on loopback. Time is what the system counted for its threads, so that others
+//! on the machine matter little.
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -10,6 +12,12 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use sablecross::mix;
+use sablecross_director::duty::ask;
+use sablecross_director::plain::limits::Limits;
+use sablecross_director::plain::names::DUTY;
+use sablecross_director::wire::rpc;
+use sablecross_duty::word::{Answer as Said, DEALING, Request, Word};
+use sablecross_duty::{Do, Member, Ns, Office, Terms};
 use sablecross_lab::load::{Answer, any_answer, lookup};
 use serde_json::{Value, json};
 
@@ -28,6 +36,11 @@
 const BINDS: f64 = 126.0;
 const SAMPLE: &str = include_str!("../../../deploy/sample.json");
 
+/// An address that was free a moment ago.
+fn free() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
 struct Director {
     child: Child,
     at: SocketAddr,
@@ -43,9 +56,24 @@
     }
 }
 
+/// A director that votes: its number, its address, and the settings of the duties.
+struct Votes<'a> {
+    number: usize,
+    at: SocketAddr,
+    duty: &'a Path,
+}
+
 impl Director {
-    fn start(program: Program, feed: SocketAddr, endpoints: &[Value]) -> io::Result<Director> {
-        let at = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    fn start(
+        program: Program,
+        feed: SocketAddr,
+        endpoints: &[Value],
+        votes: Option<Votes>,
+    ) -> io::Result<Director> {
+        let at = match &votes {
+            Some(votes) => votes.at,
+            None => free()?,
+        };
         let mut all: Value = serde_json::from_str(SAMPLE)?;
         all["listen"] = json!(at);
         all["feed"] = json!(feed);
@@ -55,10 +83,17 @@
         all["settings"]["az"] = json!(32);
         all["settings"]["extra"]["multiPart"] = json!([false, false]);
         all["settings"]["extra"]["zoneBalancers"] = json!(vec![59; 64]);
+        let mut command = program();
+        command.env_remove("SABLECROSS_DUTY");
+        if let Some(votes) = votes {
+            all["settings"]["index"] = json!(votes.number);
+            // Each member has a connection, and clients may have a third of these.
+            all["limits"]["sockets"] = json!(4_096);
+            command.env("SABLECROSS_DUTY", votes.duty);
+        }
         let config = std::env::temp_dir().join(format!("slopes-{}-{}.json", std::process::id(), at.port()));
         std::fs::write(&config, all.to_string())?;
-        let mut command = program();
-        command.env("NODE_CONFIG", &config).env_remove("SABLECROSS_DUTY");
+        command.env("NODE_CONFIG", &config);
         let child = command.stdin(Stdio::piped()).stdout(Stdio::null()).stderr(Stdio::null()).spawn()?;
         let director = Director { child, at, config };
         let begun = Instant::now();
@@ -97,7 +132,8 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
 
-/// What a feed tells: so many at once when it is called, spread over the time before; then at a rate, in batches.
+/// What a feed tells: so many at once when it is called, spread over the time before; then at a rate, in
+/// batches.
 #[derive(Clone, Copy)]
 struct Told {
     first: u64,
@@ -190,7 +226,7 @@
     let begin = |size: &f64| {
         let what = tells(*size);
         let feed = stand(move |link, over| told(link, over, what))?;
-        Ok((Director::start(program, feed.at, &endpoints)?, feed))
+        Ok((Director::start(program, feed.at, &endpoints, None)?, feed))
     };
     sizes.iter().map(begin).collect()
 }
@@ -259,7 +295,8 @@
     Ok(vec![cost("real-change-time", what, "changes a second", CORE, core_at(program, &sizes, tells)?)])
 }
 
-/// Waits until a director rests: milliseconds of processor time that it has had since its start, and its memory.
+/// Waits until a director rests: milliseconds of processor time that it has had since its start, and its
+/// memory.
 fn at_rest(director: &Director) -> io::Result<(f64, f64)> {
     let mut last = 0.0;
     for _ in 0..60 {
@@ -308,7 +345,7 @@
     let begin = |nodes: f64| {
         let feed = stand(move |link, over| told(link, over, QUIET))?;
         let endpoints: Vec<Value> = (0..nodes as usize).map(|n| feed::endpoint(n, "ready")).collect();
-        Ok((Director::start(program, feed.at, &endpoints)?, feed))
+        Ok((Director::start(program, feed.at, &endpoints, None)?, feed))
     };
     let [time, memory] = rests(&sizes, begin)?;
     let what = "a real director's start, with the whole list in its configuration";
@@ -396,8 +433,8 @@
     }
 }
 
-/// One director under lookups at a rate with bodies of a length: its part of a core, lookups satisfied a second, its memory,
-/// its descriptors.
+/// One director under lookups at a rate with bodies of a length: its part of a core, lookups satisfied a
+/// second, its memory, its descriptors.
 struct Served {
     core: f64,
     satisfied: f64,
@@ -419,7 +456,7 @@
         };
         (e["address"], e["zone"], e["type"]) = (json!(node.at), json!("zone-32"), json!(kind));
     }
-    let director = Director::start(program, feed.at, &endpoints)?;
+    let director = Director::start(program, feed.at, &endpoints, None)?;
     let clients = Clients::start(director.at, rate)?;
     thread::sleep(SETTLED);
     let count = || [&clients.satisfied, &clients.others].map(|n| n.load(Ordering::Relaxed) as f64);
@@ -468,3 +505,135 @@
     let what = "a real director's time for one lookup, at 100 a second";
     Ok(vec![cost("real-body-time", what, "KB a body", "us", points(&sizes, value))])
 }
+
+// ---- voters ----
+
+const VOTERS: u32 = 5;
+const MS: Ns = 1_000_000;
+
+/// As the file of the duties has it.
+fn terms() -> Terms {
+    Terms {
+        voters: (0..VOTERS).collect(),
+        duties: vec![DEALING, 1],
+        lease: 1_000 * MS,
+        round: 200 * MS,
+        apart: 50 * MS,
+        beat: 500 * MS,
+        probe: 1_000 * MS,
+        patience: 400 * MS,
+    }
+}
+
+/// Says one thing to a voter and waits for what it answers.
+fn exchange(link: &mut TcpStream, number: u32, request: &Request, limits: &Limits) -> io::Result<Vec<Said>> {
+    let bad = |_| io::Error::from(io::ErrorKind::InvalidData);
+    let body = rmp_serde::to_vec(request).map_err(|e| io::Error::other(e.to_string()))?;
+    link.write_all(&rpc::call(number, DUTY, &body))?;
+    let (mut bytes, mut more) = (Vec::new(), [0; 4_096]);
+    loop {
+        match rpc::answered(&bytes, limits) {
+            Ok((_, Some(body), _)) => return rmp_serde::from_slice(body).map_err(|e| bad(e.to_string())),
+            Ok((_, None, _)) => return Err(io::ErrorKind::Unsupported.into()),
+            Err(rpc::Flaw::Bad(why)) => return Err(bad(why.into())),
+            Err(rpc::Flaw::Short) => match link.read(&mut more)? {
+                0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+                n => bytes.extend_from_slice(&more[..n]),
+            },
+        }
+    }
+}
+
+/// A member without clients: its office, with a connection to each voter, until it is over.
+fn member(number: u32, voters: &[SocketAddr], begun: Instant, over: &AtomicBool) -> io::Result<()> {
+    let now = || begun.elapsed().as_nanos() as Ns + 1;
+    let limits = Limits::of(64, 64, 0, 0);
+    let links = voters.iter().map(|at| {
+        let link = TcpStream::connect(at)?;
+        link.set_nodelay(true)?;
+        Ok(link)
+    });
+    let mut links = links.collect::<io::Result<Vec<TcpStream>>>()?;
+    let me = Member { number, life: 1 };
+    let mut office = Office::new(me, terms(), mix(number.into()), now());
+    while !over.load(Ordering::Relaxed) {
+        office.step(now());
+        for act in office.acts() {
+            let Do::Call { voter, number, words } = act else { continue };
+            let request = Request { from: me, words };
+            let said = exchange(&mut links[voter as usize], number as u32 + 1, &request, &limits)?;
+            office.answered(now(), voter, number, said);
+        }
+        let next = office.next().saturating_sub(now()).clamp(MS, 100 * MS);
+        thread::sleep(Duration::from_nanos(next));
+    }
+    Ok(())
+}
+
+fn deals(at: SocketAddr) -> io::Result<bool> {
+    let request = Request { from: Member::default(), words: vec![Word::Show] };
+    let said = ask(at, &request, Duration::from_secs(2))?;
+    let shown = said.into_iter().filter_map(|s| if let Said::Shown(shown) = s { Some(shown) } else { None });
+    Ok(shown.flat_map(|s| s.duties).any(|held| held.duty == DEALING && held.own.is_some()))
+}
+
+/// Parts of a core of a voter and of the one that deals, with so many members, the voters among them.
+fn voting(program: Program, members: u32) -> io::Result<[f64; 2]> {
+    let feed = stand(move |link, over| told(link, over, QUIET))?;
+    let voters = (0..VOTERS).map(|_| free()).collect::<io::Result<Vec<SocketAddr>>>()?;
+    let duty = std::env::temp_dir().join(format!("slopes-duty-{}-{members}.scm", std::process::id()));
+    let mut text = String::from("(duty (lease-ms . 1000) (beat-ms . 500) (probing . #f))\n");
+    for (number, at) in voters.iter().enumerate() {
+        text += &format!("(voter (number . {number}) (address . \"{at}\"))\n");
+    }
+    std::fs::write(&duty, text)?;
+    let start = |(number, at): (usize, &SocketAddr)| {
+        Director::start(program, feed.at, &[], Some(Votes { number, at: *at, duty: &duty }))
+    };
+    let all = voters.iter().enumerate().map(start).collect::<io::Result<Vec<Director>>>()?;
+    let (begun, over) = (Instant::now(), Arc::new(AtomicBool::new(false)));
+    let threads: Vec<_> = (VOTERS..members)
+        .map(|number| {
+            let (voters, over) = (voters.clone(), Arc::clone(&over));
+            thread::spawn(move || member(number, &voters, begun, &over))
+        })
+        .collect();
+    // Twice the silence that is a death.
+    thread::sleep(Duration::from_secs(11));
+    let dealer = voters.iter().position(|at| deals(*at).unwrap_or(false));
+    let before = all.iter().map(Director::used).collect::<io::Result<Vec<f64>>>()?;
+    let begun = Instant::now();
+    thread::sleep(SPAN);
+    let after = all.iter().map(Director::used).collect::<io::Result<Vec<f64>>>()?;
+    let span = begun.elapsed().as_secs_f64();
+    over.store(true, Ordering::Relaxed);
+    let lost = threads.into_iter().filter_map(|t| t.join().ok()?.err()).next();
+    // What was written of it is read; a file that stays harms nobody.
+    let _ = std::fs::remove_file(&duty);
+    if let Some(e) = lost {
+        return Err(io::Error::other(format!("a member of {members} lost a voter: {e}")));
+    }
+    let dealer = dealer.filter(|d| deals(voters[*d]).unwrap_or(false));
+    let dealer = dealer.ok_or_else(|| io::Error::other(format!("no steady dealer of {members}")))?;
+    let cores: Vec<f64> = after.iter().zip(before).map(|(a, b)| (a - b) / span / 1e4).collect();
+    let others = cores.iter().enumerate().filter(|(n, _)| *n != dealer).map(|(_, core)| *core);
+    Ok([others.sum::<f64>() / f64::from(VOTERS - 1), cores[dealer]])
+}
+
+pub fn voters(program: Program) -> io::Result<Vec<Cost>> {
+    let sizes = [13.0, 50.0, 100.0, 200.0, 400.0];
+    let mut seen = vec![[const { Vec::new() }; 2]; sizes.len()];
+    for _ in 0..ROUNDS {
+        for (members, seen) in sizes.iter().zip(&mut seen) {
+            let [voter, dealer] = voting(program, *members as u32)?;
+            seen[0].push(voter);
+            seen[1].push(dealer);
+        }
+    }
+    let of = |n: usize| points(&sizes, seen.iter().map(|s| median(s[n].clone())));
+    let what = ["a real director that votes, with sockets", "the one of them that deals, with sockets"];
+    Ok(vec![
+        cost("real-voter-time", what[0], "members", CORE, of(0)),
+        cost("real-dealer-time", what[1], "members", CORE, of(1)),
+    ])
+}
--- a/crates/slopes/src/sheet.rs
+++ b/crates/slopes/src/sheet.rs
@@ -1,4 +1,5 @@
-//! What the target size comes to, worked out from measured slopes: the settings file that holds them, and the page's tables.
+//! What the target size comes to, worked out from measured slopes: the settings file that holds them, and the
+//! page's tables.
 
 use std::collections::BTreeMap;
 
@@ -72,7 +73,8 @@
 #[derive(Clone, Debug, Deserialize, Validate, PartialEq)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Assumed {
-    /// IPv4 and TCP with time stamps, in each packet; each packet of events is acknowledged by one without any.
+    /// IPv4 and TCP with time stamps, in each packet; each packet of events is acknowledged by one without
+    /// any.
     #[garde(range(min = 20.0, max = 200.0))]
     pub head: f64,
     /// Bytes of a comment, and of the head of a call and of its answer.
@@ -105,7 +107,8 @@
     pub body: f64,
 }
 
-/// A cost that was measured over sizes: `sablecross slopes --only NAME` measures it again, if the run does not say otherwise.
+/// A cost that was measured over sizes: `sablecross slopes --only NAME` measures it again, if the run does
+/// not say otherwise.
 #[derive(Clone, Debug, Deserialize, Validate, PartialEq)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Slope {
@@ -234,6 +237,8 @@
     "duties-facts-bytes",
     "duties-share-time",
     "duties-roster-bytes",
+    "real-voter-time",
+    "real-dealer-time",
     "lab-voter-time",
     "lab-dealer-time",
     "real-purge-time",
--- a/crates/slopes/src/survey.rs
+++ b/crates/slopes/src/survey.rs
@@ -65,6 +65,7 @@
         take: |w| real::lookups(w.director),
     },
     Family { names: &["real-body-time"], take: |w| real::bodies(w.director) },
+    Family { names: &["real-voter-time", "real-dealer-time"], take: |w| real::voters(w.director) },
     Family { names: &["duties-roster-bytes"], take: |_| Ok(vec![duties::roster()]) },
 ];
 
--- a/crates/slopes/tests/slopes.rs
+++ b/crates/slopes/tests/slopes.rs
@@ -56,8 +56,8 @@
 
 #[test]
 fn what_waits_for_a_run_is_said_and_what_is_past_its_budget_too() {
-    let filled = "(figure (name . \"scale-relay-core\") (what . \"a\") (unit . \"% of a core\") (value 130.0) (run \"b\") \
-                  (command . \"c\"))";
+    let filled = "(figure (name . \"scale-relay-core\") (what . \"a\") (unit . \"% of a core\") (value 130.0) \
+                  (run \"b\") (command . \"c\"))";
     let lines: Vec<&str> = SHEET.lines().filter(|l| !l.contains("scale-relay-core")).collect();
     let with = |form: &str| sheet::read("a", &format!("{}\n{form}", lines.join("\n")));
     let open =
