--- a/crates/relay/src/group.rs
+++ b/crates/relay/src/group.rs
@@ -1,21 +1,22 @@
-//! The group of voters: one of them at a time takes events in and numbers them; what a majority keeps is told.
+//! The group of voters: one of them at a time takes events in and numbers them; what a majority keeps is
+//! told.
 //!
-//! Owners come and go by `sablecross_duty`; the log is kept as Raft keeps its own (Ongaro, Ousterhout 2014), with tokens for
-//! terms: a new owner shuts out older ones at a majority, goes on from the furthest log there, and tells nothing before an
-//! entry of its own is kept by a majority.
+//! Owners come and go by `sablecross_duty`; the log is kept as Raft keeps its own (Ongaro, Ousterhout 2014),
+//! with tokens for terms: a new owner shuts out older ones at a majority, goes on from the furthest log
+//! there, and tells nothing before an entry of its own is kept by a majority.
 //!
-//! Voters have no disk. One that begins anew has forgotten what it promised and kept: it answers neither reads nor keeps until a
-//! majority of others have said what they hold. What it said in its earlier life must not be counted beside what others say
-//! after they told it: all answers carry the latest lives that the speaker knows, and one of an earlier life drops out (crash
-//! vectors: Michael, Ports, Sharma, Szekeres 2017). When no majority remembers, the log begins anew past every number that may
-//! have been told (`era`).
+//! Voters have no disk. One that begins anew has forgotten what it promised and kept: it answers neither
+//! reads nor keeps until a majority of others have said what they hold. What it said in its earlier life must
+//! not be counted beside what others say after they told it: all answers carry the latest lives that the
+//! speaker knows, and one of an earlier life drops out (crash vectors: Michael, Ports, Sharma, Szekeres
+//! 2017). When no majority remembers, the log begins anew past every number that may have been told (`era`).
 
 use std::collections::{BTreeMap, VecDeque};
 
 use sablecross_duty::{Act, Ask, Gate, Member, Ns, Reply as Said, Rules as SeatRules, Seat, Token, Voter};
 use serde::{Deserialize, Serialize};
 
-use crate::event::{Event, Fault, Kind};
+use crate::event::{Event, Fault, Kind, MOST_NUMBER};
 use crate::log::{Base, Entry, LONGEST_MARK, Log};
 use crate::relay::{Do, Refusal, Status};
 use crate::upstream::Freshness;
@@ -34,7 +35,8 @@
     pub gather: Ns,
     /// Most bytes of entries in one call.
     pub most_call: usize,
-    /// Voters that all, or most, began anew go on with what is left once all have spoken, or a majority after this time.
+    /// Voters that all, or most, began anew go on with what is left once all have spoken, or a majority after
+    /// this time.
     pub anew_after: Ns,
     /// A purge may be made so far ahead of the owner's clock.
     pub ahead: Ns,
@@ -148,7 +150,8 @@
     Old(Token),
 }
 
-/// What a voter that begins anew has heard: of which life, the newest token, whether that one is sure, what it holds.
+/// What a voter that begins anew has heard: of which life, the newest token, whether that one is sure, what
+/// it holds.
 type Heard = BTreeMap<u32, (u64, Token, bool, Held)>;
 
 /// One that is unsure asks so much more seldom: answers are whole logs.
@@ -213,8 +216,6 @@
     tail: VecDeque<Uncommitted>,
     tail_bytes: usize,
     era: u64,
-    /// The number that this era began with: nothing of it is told before a majority keeps what follows.
-    began: u64,
     /// By whom this era was confirmed last.
     era_by: Token,
     sure: bool,
@@ -248,7 +249,6 @@
             tail: VecDeque::new(),
             tail_bytes: 0,
             era: 0,
-            began: 0,
             era_by: Token::default(),
             sure: !alone && !rules.defences.learning,
             learning,
@@ -268,17 +268,12 @@
 
     /// As `Log::after`, of what may be told.
     pub fn after(&mut self, cursor: u64, most: usize, out: &mut Vec<u8>) -> u64 {
-        if self.log.last() <= self.began { cursor } else { self.log.after(cursor, most, out) }
-    }
-
-    pub fn endpoints(&mut self) -> Option<usize> {
-        self.log.endpoints()
+        if self.log.last() <= self.log.base().began { cursor } else { self.log.after(cursor, most, out) }
     }
 
     /// A reader called with this number.
     pub fn heard_of(&mut self, number: u64) {
-        // Past this no JSON number is exact: it is none of ours.
-        if number < 1 << 53 {
+        if number < MOST_NUMBER {
             self.highest = self.highest.max(number);
         }
     }
@@ -358,14 +353,15 @@
         self.next_call
     }
 
-    /// Lives that another knows of. Its own must be the latest: one whose clock was set back counts on past what is known.
+    /// Lives that another knows of. Its own must be the latest: one whose clock was set back counts on past
+    /// what is known.
     fn lives(&mut self, now: Ns, lives: &[u64]) {
         let me = self.place as usize;
         for (voter, life) in lives.iter().enumerate().take(self.lives.len()) {
             if voter != me {
                 self.lives[voter] = self.lives[voter].max(*life);
             } else if *life > self.lives[me] {
-                self.lives[me] = life + 1;
+                self.lives[me] = life.saturating_add(1);
                 if let Some(l) = &mut self.learning {
                     (l.next, l.heard) = (now, Heard::new());
                 }
@@ -506,12 +502,12 @@
         let committed = all.iter().filter(|h| h.era == era).map(|h| h.committed).max().unwrap_or(0);
         if let Some(held) = best {
             if let Some(base) = held.base.filter(|b| held.era != self.era || b.number > self.log.last()) {
-                if held.era != self.era {
-                    self.began = base.number;
-                }
                 self.log = Log::with(self.log.horizon(), base);
             }
-            self.era = held.era;
+            if held.era != self.era {
+                // Calls of the same owner from before that are late.
+                (self.era, self.era_by) = (held.era, self.era_by.max(self.gate.highest()));
+            }
             self.cut(0);
             let told = self.log.last();
             for entry in held.entries.iter().filter(|e| e.number > told) {
@@ -546,8 +542,8 @@
             let Some(u) = self.tail.pop_front() else { break };
             self.tail_bytes -= u.event.body().len();
             let number = self.log.push(&u.event, u.by, u.mark.as_deref(), unix);
-            let own = self.post.as_mut().filter(|p| p.token == u.by);
-            for ticket in own.and_then(|p| p.tickets.remove(&number)).unwrap_or_default() {
+            let waiting = self.post.as_mut().and_then(|p| p.tickets.remove(&number));
+            for ticket in waiting.unwrap_or_default() {
                 self.acts.push(Do::Published { ticket, result: Ok(number) });
             }
         }
@@ -643,12 +639,12 @@
 
     /// Whether its log is of the owner's era, after it took the base if that is one or further on.
     fn install(&mut self, by: Token, era: u64, base: Option<Base>) -> bool {
+        let base = base.filter(|b| b.number < MOST_NUMBER);
         if era != self.era {
             // A late call of the same owner from before it began anew changes nothing.
             let later = (by, era) > (self.era_by, self.era);
             let Some(base) = base.filter(|_| later) else { return false };
             self.cut(0);
-            self.began = base.number;
             self.log = Log::with(self.log.horizon(), base);
             (self.sure, self.learning) = (true, None);
             self.note(format!("the log begins anew, era {era}: {} is the first number", self.log.last()));
@@ -671,7 +667,8 @@
         true
     }
 
-    /// Keeps entries behind the previous one. Up to which number its log is now the owner's; none: the previous is another.
+    /// Keeps entries behind the previous one. Up to which number its log is now the owner's; none: the
+    /// previous is another.
     fn keep(&mut self, by: Token, previous: (u64, Token), entries: &[Entry]) -> Option<u64> {
         let told = self.log.last();
         let matches = previous.0 <= told || self.by(previous.0) == Some(previous.1);
@@ -680,7 +677,7 @@
         }
         let mut upto = previous.0;
         for entry in entries {
-            if entry.number != upto + 1 {
+            if entry.number.checked_sub(1) != Some(upto) || entry.number >= MOST_NUMBER {
                 break;
             }
             upto = entry.number;
@@ -773,7 +770,8 @@
         None
     }
 
-    /// A voter keeps nothing but a log that begins anew. If no majority is left without such voters, the owner reads again.
+    /// A voter keeps nothing but a log that begins anew. If no majority is left without such voters, the
+    /// owner reads again.
     fn unsure(&mut self, now: Ns, voter: u32) {
         let Some(post) = self.post.as_mut() else { return };
         if let Some(p) = post.progress.get_mut(voter as usize) {
@@ -806,7 +804,8 @@
         self.enough(now, unix);
     }
 
-    /// Goes on once a majority that forgot nothing has spoken; else with what is left, once all have, or most for long.
+    /// Goes on once a majority that forgot nothing has spoken; else with what is left, once all have, or most
+    /// for long.
     fn enough(&mut self, now: Ns, unix: u64) {
         let Some(Post { phase: Phase::Reads { since, heard, .. }, token, .. }) = &self.post else { return };
         if self.silent() {
@@ -828,6 +827,8 @@
         if !sure {
             self.anew(unix, token);
         } else {
+            // It knows by now what it may have forgotten.
+            (self.sure, self.learning) = (true, None);
             let event = Event::nothing();
             self.tail_bytes += event.body().len();
             self.tail.push_back(Uncommitted { by: token, event, mark: None });
@@ -846,7 +847,8 @@
         self.feed(now);
     }
 
-    /// The log begins anew: the list and the purges that bind as far as they are left, under numbers that nobody was told yet.
+    /// The log begins anew: the list and the purges that bind as far as they are left, under numbers that
+    /// nobody was told yet.
     fn anew(&mut self, unix: u64, by: Token) {
         let waiting = self.post.as_mut().map(|p| std::mem::take(&mut p.tickets)).unwrap_or_default();
         for ticket in waiting.into_values().flatten() {
@@ -855,11 +857,12 @@
         let last = self.last().0;
         self.commit(unix, last);
         let purges = self.log.binding(unix);
-        let number = (last + 1).max(unix).max(self.highest + 1).max(2);
-        let base = Base { by, ..self.log.folded(number) };
+        // Its hierarchy gets this number, and the number before is free for the list (`Base`).
+        let number = (last + 2).max(unix).max(self.highest + 2);
+        let mut base = Base { by, began: number, ..self.log.folded(number) };
+        base.hierarchy = base.hierarchy.map(|(_, body)| (number, body));
         let listed = base.listed;
         self.log = Log::with(self.log.horizon(), base);
-        self.began = number;
         self.era = unix.max(self.era + 1);
         (self.sure, self.learning) = (true, None);
         self.cut(0);
@@ -931,7 +934,8 @@
         }
     }
 
-    /// Takes an event in. The verdict comes as `Do::Published` once most keep it; at once if its mark was published before.
+    /// Takes an event in. The verdict comes as `Do::Published` once most keep it; at once if its mark was
+    /// published before.
     pub fn publish(
         &mut self,
         now: Ns,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,9 +1,11 @@
 //! One process of the tier: a voter, or a plain relay that follows another one. Both tell the same events on.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::event::{Event, Fault, Kind};
+use crate::event::{Event, Fault, Kind, MOST_NUMBER};
 use crate::group::{Group, Reply, Request, Rules};
 use crate::horizon::Horizon;
 use crate::log::{Base, Full, LONGEST_MARK, Log};
@@ -32,7 +34,7 @@
 /// Why an event is not taken from its publisher. It was not told to anybody, but for `Ended`.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum Refusal {
-    #[error("not the source: {}", match .0 { Some(m) => format!("member {} is", m.number), None => "nobody is for now".into() })]
+    #[error("not the source: {}", whose(.0))]
     NotOwner(Option<Member>),
     #[error(
         "no longer the source: whether it will be told is not known; publish it again with the same mark"
@@ -50,6 +52,10 @@
     Mark(usize),
 }
 
+fn whose(owner: &Option<Member>) -> String {
+    owner.map_or("nobody is for now".into(), |m| format!("member {} is", m.number))
+}
+
 /// What the process is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Do {
@@ -75,9 +81,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Took {
     New,
-    /// It was told before, or belongs to what comes next.
+    /// It was told before.
     Passed,
-    /// Events are missing or can't be read: the call is to be ended and made anew with the number of `follows`.
+    /// Events are missing or can't be read: the call is to be ended and made anew with the number of
+    /// `follows`.
     Again(String),
 }
 
@@ -106,7 +113,8 @@
     pub readers: Vec<View>,
     /// A voter that has not learned yet what it kept before its start, and how long it waits.
     pub learning_ms: Option<u64>,
-    /// When the log began anew with what was left, Unix ms; 0: never. Publish the list and the purges that bind once more.
+    /// When the log began anew with what was left, Unix ms; 0: never. Publish the list and the purges that
+    /// bind once more.
     pub anew_unix_ms: u64,
     /// Words of old owners that were refused here.
     pub refused: u64,
@@ -125,8 +133,6 @@
     fresh: Freshness,
     /// The number after which events were missing or unreadable once already.
     gap: Option<u64>,
-    /// The hierarchy that was told with the number before a base's.
-    before: Option<(u64, Event)>,
 }
 
 #[derive(Debug)]
@@ -138,8 +144,8 @@
 }
 
 impl Relay {
-    /// A voter at this place among all of them, beginning without memory. `life`: a number of this start, later than of any
-    /// start before (Unix ms will do). `chance`: any number, another at each.
+    /// A voter at this place among all of them, beginning without memory. `life`: a number of this start,
+    /// later than of any start before (Unix ms will do). `chance`: any number, another at each.
     pub fn voter(set: Settings, me: Member, place: u32, rules: Rules, chance: u64, now: Ns) -> Relay {
         let log = Log::new(set.horizon);
         let group = Group::new(me, place, rules, log, chance, now);
@@ -149,7 +155,7 @@
     /// A plain relay that follows one of so many upstreams, beginning without memory.
     pub fn plain(set: Settings, upstream: Upstream) -> Relay {
         let (log, fresh) = (Log::new(set.horizon), Freshness::never());
-        Relay::with(set, Part::Plain(Box::new(Plain { log, upstream, fresh, gap: None, before: None })))
+        Relay::with(set, Part::Plain(Box::new(Plain { log, upstream, fresh, gap: None })))
     }
 
     fn with(set: Settings, part: Part) -> Relay {
@@ -166,8 +172,8 @@
         std::mem::take(&mut self.acts)
     }
 
-    /// A reader that is to come, as the settings name it: it counts as one with nothing until it does, and is missing after a
-    /// while. Without that a relay that begins anew knows of no readers until they call.
+    /// A reader that is to come, as the settings name it: it counts as one with nothing until it does, and is
+    /// missing after a while. Without that a relay that begins anew knows of no readers until they call.
     pub fn expects(&mut self, now: Ns, name: &str) {
         self.readers.expects(now, name);
     }
@@ -228,6 +234,7 @@
         if let Part::Voter(g) = &self.part
             && acts.iter().any(|a| matches!(a, Do::Begins(_)))
         {
+            self.readers.begins();
             for name in g.names().iter().filter(|n| **n != self.set.name) {
                 self.readers.expects(now, name);
             }
@@ -261,7 +268,8 @@
         }
     }
 
-    /// An event's JSON to be told, at best with a mark by which it is known again. The verdict comes as `Do::Published`.
+    /// An event's JSON to be told, at best with a mark by which it is known again. The verdict comes as
+    /// `Do::Published`.
     pub fn publish(&mut self, now: Ns, unix: u64, ticket: u64, mark: Option<&str>, text: &[u8]) {
         let refused = |result| Do::Published { ticket, result: Err(result) };
         let Part::Voter(g) = &mut self.part else {
@@ -290,8 +298,9 @@
 
     // Plain relays.
 
-    /// The upstream to follow now by its place, and the number to call it with: what is in force here and at all that count
-    /// here. To be asked before each call, and whether it is still the same one while a stream is open.
+    /// The upstream to follow now by its place, and the number to call it with: what is in force here and at
+    /// all that count here. To be asked before each call, and whether it is still the same one while a stream
+    /// is open.
     pub fn follows(&mut self, now: Ns) -> Option<(usize, u64)> {
         let floor = self.readers.floor(now, self.last());
         let Part::Plain(p) = &self.part else { return None };
@@ -368,10 +377,6 @@
         let floor = self.readers.floor(now, self.last());
         let fresh = self.fresh(now);
         let age = fresh.age(now);
-        let endpoints = match &mut self.part {
-            Part::Voter(g) => g.endpoints(),
-            Part::Plain(p) => p.log.endpoints(),
-        };
         let base = self.log().base();
         let mut status = Status {
             name: self.set.name.clone(),
@@ -384,7 +389,7 @@
             last: self.last(),
             kept: self.last(),
             log_bytes: self.log().bytes(),
-            endpoints,
+            endpoints: self.log().endpoints(),
             floor,
             passed: self.readers.passed(),
             readers: self.readers.views(now),
@@ -409,15 +414,18 @@
         if n <= last {
             return Took::Passed;
         }
+        if n >= MOST_NUMBER {
+            return Took::Again(Fault::Number(n).to_string());
+        }
         let fault = read.as_ref().err().map(ToString::to_string);
         if n == last + 1 && fault.is_none() {
             if let Ok((_, event)) = read {
                 self.log.push(&event, Token::default(), None, unix);
             }
-            (self.gap, self.before) = (None, None);
+            self.gap = None;
             return Took::New;
         }
-        if self.before.is_none() && self.gap != Some(last) {
+        if self.gap != Some(last) {
             // Lost or cut on the way, most likely: it is asked for once more.
             self.gap = Some(last);
             let why = fault.unwrap_or_else(|| format!("event {n} follows {last}"));
@@ -432,33 +440,18 @@
                 Took::New
             }
             Err(e) => Took::Again(e.to_string()),
-            Ok((_, event)) => match event.kind() {
-                Kind::Hierarchy if self.before.is_none() => {
-                    self.before = Some((n, event));
-                    Took::Passed
-                }
-                Kind::Members { whole: true } => {
-                    let hierarchy = self.before.take().filter(|(before, _)| before + 1 == n);
-                    let hierarchy = hierarchy.map(|(_, e)| e.body().to_owned());
-                    let hierarchy = hierarchy.or_else(|| self.log.folded(n).hierarchy);
-                    let mut base = Base { number: n, listed: true, hierarchy, ..Base::default() };
-                    base.index = event.index().unwrap_or(0);
-                    let endpoints = event.endpoints().map(|(_, all)| all).unwrap_or_default();
-                    let here = endpoints.into_iter().filter(|e| !e.gone);
-                    base.members = here.map(|e| (e.name, e.raw)).collect();
-                    acts.push(Do::Note(format!(
-                        "events {} to {n} are over: the whole list is taken",
-                        last + 1
-                    )));
-                    self.log = Log::with(self.log.horizon(), base);
-                    self.gap = None;
-                    Took::New
-                }
-                _ => {
-                    self.before = None;
-                    Took::Again(format!("event {n} follows {last}, and is no whole list"))
-                }
-            },
+            Ok((_, event)) if event.kind() == (Kind::Members { whole: true }) => {
+                let mut base = Base { members: BTreeMap::new(), ..self.log.folded(n) };
+                (base.listed, base.index) = (true, event.index().unwrap_or(0));
+                let endpoints = event.endpoints().map(|(_, all)| all).unwrap_or_default();
+                let here = endpoints.into_iter().filter(|e| !e.gone);
+                base.members = here.map(|e| (e.name, e.raw)).collect();
+                acts.push(Do::Note(format!("events {} to {n} are over: the whole list is taken", last + 1)));
+                self.log = Log::with(self.log.horizon(), base);
+                self.gap = None;
+                Took::New
+            }
+            Ok(_) => Took::Again(format!("event {n} follows {last}, and is no whole list")),
         }
     }
 }
--- a/crates/tier/tests/common/mod.rs
+++ b/crates/tier/tests/processes/common.rs
@@ -1,7 +1,5 @@
 //! Relays as processes, readers that follow them by the product's own code, faults between them.
 
-#![allow(dead_code)]
-
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -48,6 +46,17 @@
     format!(r#"{{"purge":{{"key":"{key:016x}","at":{}}}}}"#, unix())
 }
 
+/// A list event of about so many bytes.
+pub fn large(bytes: usize, index: u64) -> String {
+    let one = |i| {
+        format!(
+            r#"{{"name":"n{index}-{i}","address":"127.0.0.1:9","zone":"e","type":"s","group":0,"status":"gone","weight":1,"since_ms":0}}"#
+        )
+    };
+    let all: Vec<String> = (0..bytes / 110).map(one).collect();
+    format!(r#"{{"members":{{"index":{index},"snapshot":false,"endpoints":[{}]}}}}"#, all.join(","))
+}
+
 /// A connection between two that can be held: what is on it stays on it.
 #[derive(Clone, Default)]
 pub struct Holds {
