Capacity: a relay keeps purges until its base moves, ten seconds more

Cause: the relay's base moves in steps of 10 s since a reader at the base never caught up; the page had the slack for clocks alone.

--- a/crates/slopes/src/sheet.rs
+++ b/crates/slopes/src/sheet.rs
@@ -92,7 +92,7 @@
     /// Seconds for which a purge binds.
     #[garde(range(min = 1.0, max = 1e5))]
     pub binds_s: f64,
-    /// Seconds more for which a relay keeps one, for clocks that are apart.
+    /// Seconds more for which a relay keeps one at most: for clocks that are apart, and until its base moves.
     #[garde(range(min = 0.0, max = 1e4))]
     pub slack_s: f64,
     #[garde(range(min = 1e6, max = 1e12))]
--- a/docs/capacity.scm
+++ b/docs/capacity.scm
@@ -5,9 +5,10 @@
 (budget (core . 2.2) (memory-mb . 64) (bytes . 7000) (machine-core . 100) (purge-s . 8.2) (change-s . 5))
 ; head: IPv4 20 and TCP 32 bytes with time stamps, each packet of events acknowledged by one; call: the head of a call, as that of its answer;
 ; ack-ms: after this in the mean a stream of a relay ends, and its reader calls again; binds-s: 6 s to clear and the module's 120 s;
+; slack-s: a relay keeps a purge 10 s longer for clocks, and until its base moves, each 10 s;
 ; descriptors and the largest body: the director's limits, nodes are taken to have as many; connections: a relay's (deploy/relay.scm);
 ; machine-link: bits a second of one control machine.
-(assumed (head . 52) (comment . 36) (call . 110) (connection . 10) (batch-ms . 100) (ack-ms . 1750) (binds-s . 126) (slack-s . 10)
+(assumed (head . 52) (comment . 36) (call . 110) (connection . 10) (batch-ms . 100) (ack-ms . 1750) (binds-s . 126) (slack-s . 20)
   (machine-link . 1000000000) (descriptors . 1024) (connections . 4000) (body . 240000))
 ; Runs of the whole tier: fill in (value N) and (run "DATE TIME").
 (figure (name . "scale-director-core") (what . "control of a director: a hollow one, or a real one if the two are further apart than a quarter") (unit . "% of a core") (command . "sablecross scale deploy/scale-full.scm"))
