Scale trials publish as the command line does; a publisher waits a second for one voter

Seen: in ten trials with faults a stopped owner (5 s) held events up until 4.4 to 5.2 s after it was stopped, though another owned the feed after a lease. The trial's own publisher waited 2 s for the stopped one, and 2 s more for its status as it looked for the owner (crates/lab/src/scale/source.rs). Change: it goes; the trial uses sablecross_tier's Publisher, which waits 1 s instead of 2 for one voter before it asks another.

--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -154,7 +154,7 @@
         (tier, Outlet::Star(feed))
     } else {
         let tier = Tier::start(s, program, folder, None, &over)?;
-        let outlet = Outlet::Relays(Arc::new(tier.feeds.clone()));
+        let outlet = Outlet::Relays(tier.voting());
         (tier, outlet)
     };
     let Some((mut source, first)) = Source::start(s, outlet) else {
--- a/crates/lab/src/scale/source.rs
+++ b/crates/lab/src/scale/source.rs
@@ -2,14 +2,16 @@
 //! whichever relay owns the feed, or told by the one source of a star.
 
 use std::collections::VecDeque;
-use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
+use sablecross_tier::call::Line;
+use sablecross_tier::publish;
+use sablecross_tier::settings::Member;
 use serde_json::{Value, json};
 
 use super::settings::Scale;
@@ -19,6 +21,8 @@
 use crate::node::{lock, spawn, unix_ms};
 
 const PATIENCE: Duration = Duration::from_secs(2);
+/// The longest status that is read.
+const LONGEST: usize = 16 << 20;
 /// Publishers of purges at most: each waits for the answer to one event.
 const MOST_PUBLISHERS: usize = 64;
 
@@ -26,46 +30,15 @@
 #[derive(Clone)]
 pub enum Outlet {
     Star(Feed),
-    /// All relays, as anyone but the owner refuses and the owner moves.
-    Relays(Arc<Vec<SocketAddr>>),
-}
-
-/// A call over HTTP on a connection that is kept.
-fn call(link: &mut Option<BufReader<TcpStream>>, at: SocketAddr, ask: &str) -> io::Result<(u16, Value)> {
-    let mut kept = match link.take() {
-        Some(kept) => kept,
-        None => {
-            let stream = TcpStream::connect_timeout(&at, PATIENCE)?;
-            stream.set_read_timeout(Some(PATIENCE))?;
-            stream.set_nodelay(true)?;
-            BufReader::new(stream)
-        }
-    };
-    kept.get_mut().write_all(ask.as_bytes())?;
-    let (mut code, mut length) = (0, 0usize);
-    loop {
-        let mut line = String::new();
-        if kept.read_line(&mut line)? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        let line = line.trim_end().to_ascii_lowercase();
-        match line.split_once(": ") {
-            _ if line.is_empty() => break,
-            Some(("content-length", value)) => length = value.parse().unwrap_or(0),
-            None => code = line.split(' ').nth(1).and_then(|c| c.parse().ok()).unwrap_or(0),
-            Some(_) => {}
-        }
-    }
-    let mut body = vec![0; length];
-    kept.read_exact(&mut body)?;
-    *link = Some(kept);
-    Ok((code, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+    /// The voters: the owner moves among them.
+    Relays(Vec<Member>),
 }
 
 /// What a relay says of itself.
 pub fn status(at: SocketAddr) -> Option<Value> {
-    let (code, said) = call(&mut None, at, &format!("GET /v1/status HTTP/1.1\r\nHost: {at}\r\n\r\n")).ok()?;
-    (code == 200).then_some(said)
+    let said = Line::new(at, PATIENCE, LONGEST).call("GET", "/v1/status", "Connection: close\r\n", b"");
+    let (code, body) = said.ok()?;
+    serde_json::from_slice(&body).ok().filter(|_| code == 200)
 }
 
 /// The place of the relay that owns the feed now.
@@ -74,38 +47,24 @@
 }
 
 /// One that publishes, one event after the other.
-struct Publisher {
-    outlet: Outlet,
-    to: Option<SocketAddr>,
-    link: Option<BufReader<TcpStream>>,
-    again: Arc<AtomicUsize>,
-    given_up: Arc<AtomicBool>,
+enum Publisher {
+    Star(Feed),
+    Relays { to: publish::Publisher, again: Arc<AtomicUsize>, given_up: Arc<AtomicBool> },
 }
 
 impl Publisher {
     /// The number that it got; nothing, once the trial has given up.
     fn publish(&mut self, event: &str, mark: &str) -> Option<u64> {
-        let relays = match &self.outlet {
-            Outlet::Star(feed) => return Some(feed.tell(event)),
-            Outlet::Relays(relays) => Arc::clone(relays),
+        let (to, again, given_up) = match self {
+            Publisher::Star(feed) => return Some(feed.tell(event)),
+            Publisher::Relays { to, again, given_up } => (to, again, given_up),
         };
-        while !self.given_up.load(Ordering::Relaxed) {
-            if self.to.is_none() {
-                self.to = owner(&relays).map(|n| relays[n]);
-            }
-            if let Some(at) = self.to {
-                let length = event.len() + 2;
-                let ask = format!(
-                    "POST /v1/events HTTP/1.1\r\nHost: {at}\r\nSablecross-Mark: {mark}\r\n\
-                     Content-Length: {length}\r\n\r\n{{{event}}}"
-                );
-                match call(&mut self.link, at, &ask) {
-                    Ok((200, said)) if said["n"].is_u64() => return said["n"].as_u64(),
-                    _ => (self.to, self.link) = (None, None),
-                }
-            }
-            self.again.fetch_add(1, Ordering::Relaxed);
-            std::thread::sleep(Duration::from_millis(50));
+        let event = format!("{{{event}}}");
+        while !given_up.load(Ordering::Relaxed) {
+            match to.publish(mark, event.as_bytes(), PATIENCE) {
+                Ok(number) => return Some(number),
+                Err(_) => again.fetch_add(1, Ordering::Relaxed),
+            };
         }
         None
     }
@@ -125,7 +84,7 @@
 
 /// A node of the list.
 #[derive(Clone, Copy)]
-struct Line {
+struct NodeLine {
     status: &'static str,
     since: u64,
     change: u32,
@@ -133,7 +92,7 @@
 
 struct List {
     zones: usize,
-    lines: Vec<Line>,
+    lines: Vec<NodeLine>,
 }
 
 impl List {
@@ -145,7 +104,7 @@
             _ if n % 30 == 29 => "parent",
             _ => "small",
         };
-        let Line { status, since, change } = self.lines[n];
+        let NodeLine { status, since, change } = self.lines[n];
         let address = SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 10_080));
         json!({"name": format!("node-{n}"), "address": address, "zone": format!("zone-{}", n % self.zones),
             "type": kind, "group": n % 8, "status": status, "weight": change, "since_ms": since})
@@ -161,7 +120,7 @@
 
 impl List {
     fn of(s: &Scale) -> List {
-        List { zones: s.zones, lines: vec![Line { status: "ready", since: 0, change: 0 }; s.nodes] }
+        List { zones: s.zones, lines: vec![NodeLine { status: "ready", since: 0, change: 0 }; s.nodes] }
     }
 
     /// Another state of one node, never of the origin.
@@ -258,12 +217,13 @@
     }
 
     fn publisher(&self) -> Publisher {
-        Publisher {
-            outlet: self.outlet.clone(),
-            to: None,
-            link: None,
-            again: Arc::clone(&self.again),
-            given_up: Arc::clone(&self.given_up),
+        match &self.outlet {
+            Outlet::Star(feed) => Publisher::Star(feed.clone()),
+            Outlet::Relays(voters) => Publisher::Relays {
+                to: publish::Publisher::new(voters),
+                again: Arc::clone(&self.again),
+                given_up: Arc::clone(&self.given_up),
+            },
         }
     }
 
--- a/crates/lab/src/scale/tier.rs
+++ b/crates/lab/src/scale/tier.rs
@@ -11,6 +11,8 @@
 use rustix::process::Signal;
 
 use super::settings::Scale;
+use sablecross_tier::settings::Member;
+
 use super::source::owner;
 use crate::directors::Ports;
 use crate::fleet::ways::{Held, Pair, Planned, Ways};
@@ -176,6 +178,12 @@
         number % self.regions
     }
 
+    /// Those that vote, as publishers know them.
+    pub fn voting(&self) -> Vec<Member> {
+        let all = (0..).zip(&self.feeds).take(self.voters);
+        all.map(|(number, at)| Member { number, address: *at, votes: true }).collect()
+    }
+
     /// Feeds of a director: those of its own region first, turn by turn, then others.
     pub fn feeds_of(&self, director: usize, most: usize) -> Vec<SocketAddr> {
         let turn = director / self.regions;
--- a/crates/tier/src/publish.rs
+++ b/crates/tier/src/publish.rs
@@ -12,8 +12,9 @@
 const LONGEST: usize = 64 << 10;
 /// Between two rounds of looking for the owner.
 const PAUSE: Duration = Duration::from_millis(50);
-/// For how long one voter is waited for, before another is asked.
-const PATIENCE: Duration = Duration::from_secs(2);
+/// For how long one voter is waited for, before another is asked: an owner that is stopped is to cost no more than the lease
+/// after which there is another. An answer takes some milliseconds; one that comes later is had again by the mark.
+const PATIENCE: Duration = Duration::from_secs(1);
 
 /// Why an event has no number.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
