--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -417,6 +417,10 @@
                 bound(format!("bytes a second of a {kind} director"), side.heard + side.said, s.bytes);
             }
         }
+        if s.faults.is_empty() {
+            let what = "bytes a second of a hollow director with heads and acknowledgements";
+            bound(what.into(), self.with_heads, s.bytes);
+        }
         for role in &self.roles {
             bound(format!("part of a core of {}", role.name), role.cpu, s.relay_core);
         }
