Read once more: processes of a trial end with it by one function

Seen: the lab's end_with_parent and the relay's (crates/tier/src/life.rs) were the same seven lines, since the lab has come to depend on the relay's crate. Change: the lab hands the relay's on; two imports stand in their order. Behaviour stays.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,7 +16,8 @@
 pub mod settings;
 
 pub use outcome::Outcome;
-pub use process::{Failed, end_with_parent};
+pub use process::Failed;
 pub use report::Report;
 pub use run::run;
+pub use sablecross_tier::life::end_with_parent;
 pub use settings::Experiment;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -8,8 +8,6 @@
 use sablecross_hierarchy::change::No;
 use thiserror::Error;
 
-use crate::node::spawn;
-
 #[derive(Debug, Error)]
 pub enum Failed {
     #[error("{what}: {why}")]
@@ -29,14 +27,6 @@
     move |why| Failed::Io { what, why }
 }
 
-/// A process of a trial ends with it, however that ends: then the pipe that it reads is closed.
-pub fn end_with_parent() {
-    spawn(|| {
-        let _ = io::copy(&mut io::stdin(), &mut io::sink());
-        std::process::exit(0);
-    });
-}
-
 /// A process that ends with the trial.
 pub struct Process(pub Child);
 
--- a/crates/lab/src/scale/settings.rs
+++ b/crates/lab/src/scale/settings.rs
@@ -2,9 +2,8 @@
 
 use garde::Validate;
 use sablecross_forms::Fault as Flaw;
-use serde::{Deserialize, Serialize};
-
 use sablecross_relay::horizon::HELD;
+use serde::{Deserialize, Serialize};
 
 use crate::settings::only;
 
--- a/crates/lab/src/scale/tier.rs
+++ b/crates/lab/src/scale/tier.rs
@@ -9,10 +9,9 @@
 use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
-
-use super::settings::Scale;
 use sablecross_tier::settings::Member;
 
+use super::settings::Scale;
 use super::source::owner;
 use crate::directors::Ports;
 use crate::fleet::ways::{Held, Pair, Planned, Ways};
