--- /dev/null
+++ b/crates/director/tests/help/faults.rs
@@ -0,0 +1,44 @@
+//! Faults of system calls in the program under test: the plan that its preloaded library follows.
+
+use std::ffi::{OsStr, OsString};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+pub struct Faults {
+    plan: PathBuf,
+    library: OsString,
+}
+
+impl Faults {
+    /// A plan that is in force from the start on; `crates/faults/src/plan.rs` has its grammar.
+    pub fn plan(rules: &str) -> Faults {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("sablecross-faults-{}-{number}.plan", std::process::id());
+        // The library lies beside the tests, as one of their dependencies.
+        let tests = std::env::current_exe().expect("its own name");
+        let library = tests.with_file_name("libsablecross_faults.so");
+        assert!(library.exists(), "built with the tests");
+        let faults = Faults { plan: std::env::temp_dir().join(name), library: library.into_os_string() };
+        faults.set(rules);
+        faults
+    }
+
+    /// Other rules from now on.
+    pub fn set(&self, rules: &str) {
+        let new = self.plan.with_extension("new");
+        std::fs::write(&new, rules).expect("written");
+        std::fs::rename(&new, &self.plan).expect("in place");
+    }
+
+    /// What the program is started with.
+    pub fn environment(&self) -> [(&str, &OsStr); 2] {
+        [("LD_PRELOAD", &self.library), ("SABLECROSS_FAULTS", self.plan.as_os_str())]
+    }
+}
+
+impl Drop for Faults {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.plan);
+    }
+}
--- a/crates/director/tests/help/mod.rs
+++ b/crates/director/tests/help/mod.rs
@@ -1,6 +1,8 @@
 //! Small stand-ins for clients, nodes and the feed that each test drives, and the program between them.
 #![allow(dead_code)]
 
+pub mod faults;
+
 use std::collections::HashMap;
 use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -11,7 +13,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use rmp::decode;
 use socket2::{Domain, Socket, Type};
@@ -20,6 +22,11 @@
 pub const LONG: Duration = Duration::from_secs(5);
 pub const SHORT: Duration = Duration::from_millis(200);
 
+/// The true time, in milliseconds.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
 /// The sample with another address for one of its nodes.
 pub fn moved(config: &str, node: &str, address: SocketAddr) -> String {
     let before = format!("\"{node}\", \"address\": \"");
--- /dev/null
+++ b/crates/faults/src/calls.rs
@@ -0,0 +1,263 @@
+//! The functions of the C library that take the place of its own. Each asks whether a fault is due, else it makes the
+//! system call itself.
+#![allow(clippy::missing_safety_doc)]
+
+use libc::{
+    c_char, c_int, c_long, c_uint, c_void, iovec, off64_t, pthread_attr_t, pthread_t, size_t, ssize_t,
+};
+
+use crate::plan::{Call, Fault};
+use crate::state;
+
+/// Errors after which a connection stays broken: the next call must not find it whole.
+const BREAKING: [i32; 3] = [libc::ETIMEDOUT, libc::EHOSTUNREACH, libc::ECONNRESET];
+
+fn due(call: Call) -> Option<i32> {
+    match state::fault(call)? {
+        Fault::Errno(errno) => Some(errno),
+        Fault::Short(_) => None,
+    }
+}
+
+fn result(value: c_long) -> c_int {
+    value as c_int
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Kind {
+    Socket,
+    File,
+    Other,
+}
+
+/// What a descriptor is.
+fn kind(descriptor: c_int) -> Kind {
+    // SAFETY: the kernel fills the structure that it is given.
+    let mode = unsafe {
+        let mut status: libc::stat = std::mem::zeroed();
+        if libc::syscall(libc::SYS_fstat, descriptor, &mut status) != 0 {
+            return Kind::Other;
+        }
+        status.st_mode & libc::S_IFMT
+    };
+    match mode {
+        libc::S_IFSOCK => Kind::Socket,
+        libc::S_IFREG => Kind::File,
+        _ => Kind::Other,
+    }
+}
+
+/// How many bytes a transfer may move, or the error with which it fails.
+fn transfer(descriptor: c_int, on_socket: Call, on_file: Call) -> Result<usize, c_int> {
+    let call = match kind(descriptor) {
+        Kind::Socket => on_socket,
+        Kind::File => on_file,
+        Kind::Other => return Ok(usize::MAX),
+    };
+    match state::fault(call) {
+        None => Ok(usize::MAX),
+        Some(Fault::Short(bytes)) => Ok(bytes.max(1)),
+        Some(Fault::Errno(errno)) => {
+            if call == on_socket && BREAKING.contains(&errno) {
+                // SAFETY: a system call without pointers.
+                unsafe { libc::syscall(libc::SYS_shutdown, descriptor, libc::SHUT_RDWR) };
+            }
+            Err(state::fail(errno))
+        }
+    }
+}
+
+/// The first parts of a gathered or scattered transfer, at most so many bytes of them.
+fn cut(parts: &[iovec], most: usize) -> Vec<iovec> {
+    let mut left = most;
+    let mut cut = Vec::new();
+    for part in parts {
+        let length = part.iov_len.min(left);
+        left -= length;
+        cut.push(iovec { iov_base: part.iov_base, iov_len: length });
+    }
+    cut
+}
+
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn clock_gettime(clock: libc::clockid_t, time: *mut libc::timespec) -> c_int {
+    // SAFETY: the caller's arguments go on unchanged.
+    let done = unsafe { libc::syscall(libc::SYS_clock_gettime, clock, time) };
+    if done == 0 && clock == libc::CLOCK_REALTIME {
+        let offset = state::clock_offset_ms();
+        // SAFETY: the kernel has just filled it.
+        let time = unsafe { &mut *time };
+        let nanoseconds = time.tv_nsec + (offset.rem_euclid(1_000)) * 1_000_000;
+        time.tv_sec += offset.div_euclid(1_000) + nanoseconds / 1_000_000_000;
+        time.tv_nsec = nanoseconds % 1_000_000_000;
+    }
+    result(done)
+}
+
+/// A function whose arguments go on to one system call, unless a fault is due.
+macro_rules! forwarded {
+    ($name:ident, $kind:expr, $number:expr, ($($argument:ident: $type:ty),*)) => {
+        #[unsafe(no_mangle)]
+        pub unsafe extern "C" fn $name($($argument: $type),*) -> c_int {
+            if let Some(errno) = due($kind) {
+                return state::fail(errno);
+            }
+            // SAFETY: the caller's arguments go on unchanged.
+            result(unsafe { libc::syscall($number, $($argument),*) })
+        }
+    };
+}
+
+forwarded!(socket, Call::Socket, libc::SYS_socket, (domain: c_int, kind: c_int, protocol: c_int));
+forwarded!(bind, Call::Bind, libc::SYS_bind, (socket: c_int, address: *const c_void, length: c_uint));
+forwarded!(listen, Call::Listen, libc::SYS_listen, (socket: c_int, backlog: c_int));
+forwarded!(connect, Call::Connect, libc::SYS_connect, (socket: c_int, address: *const c_void, length: c_uint));
+forwarded!(epoll_create1, Call::EpollCreate, libc::SYS_epoll_create1, (flags: c_int));
+forwarded!(epoll_ctl, Call::EpollControl, libc::SYS_epoll_ctl,
+    (epoll: c_int, operation: c_int, descriptor: c_int, event: *mut c_void));
+forwarded!(eventfd, Call::EventFd, libc::SYS_eventfd2, (value: c_uint, flags: c_int));
+forwarded!(socketpair, Call::SocketPair, libc::SYS_socketpair,
+    (domain: c_int, kind: c_int, protocol: c_int, pair: *mut c_int));
+forwarded!(poll, Call::Wait, libc::SYS_poll, (watched: *mut c_void, many: c_uint, timeout: c_int));
+forwarded!(fsync, Call::Sync, libc::SYS_fsync, (file: c_int));
+forwarded!(fdatasync, Call::Sync, libc::SYS_fdatasync, (file: c_int));
+
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn accept4(
+    listener: c_int,
+    address: *mut c_void,
+    length: *mut c_uint,
+    flags: c_int,
+) -> c_int {
+    if let Some(errno) = due(Call::Accept) {
+        if errno == libc::ECONNABORTED {
+            // The connection that was aborted is gone from the queue.
+            // SAFETY: no address is asked for, and the descriptor is this call's own.
+            unsafe {
+                let none = std::ptr::null_mut::<c_void>();
+                let taken = libc::syscall(libc::SYS_accept4, listener, none, none, 0);
+                if taken < 0 {
+                    return result(taken);
+                }
+                libc::syscall(libc::SYS_close, taken);
+            }
+        }
+        return state::fail(errno);
+    }
+    // SAFETY: the caller's arguments go on unchanged.
+    result(unsafe { libc::syscall(libc::SYS_accept4, listener, address, length, flags) })
+}
+
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn epoll_wait(epoll: c_int, events: *mut c_void, most: c_int, timeout: c_int) -> c_int {
+    if let Some(errno) = due(Call::Wait) {
+        return state::fail(errno);
+    }
+    let mask = std::ptr::null::<c_void>();
+    // SAFETY: the caller's arguments go on unchanged, with no signal mask.
+    result(unsafe { libc::syscall(libc::SYS_epoll_pwait, epoll, events, most, timeout, mask, 8) })
+}
+
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn open64(path: *const c_char, flags: c_int, mode: c_uint) -> c_int {
+    if let Some(errno) = due(Call::Open) {
+        return state::fail(errno);
+    }
+    // SAFETY: the caller's arguments go on unchanged.
+    result(unsafe { libc::syscall(libc::SYS_openat, libc::AT_FDCWD, path, flags, mode) })
+}
+
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn read(descriptor: c_int, to: *mut c_void, length: size_t) -> ssize_t {
+    match transfer(descriptor, Call::Receive, Call::FileRead) {
+        Err(failed) => failed as ssize_t,
+        // SAFETY: the caller's buffer, or a part of it.
+        Ok(most) => unsafe { libc::syscall(libc::SYS_read, descriptor, to, length.min(most)) as ssize_t },
+    }
+}
+
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn write(descriptor: c_int, from: *const c_void, length: size_t) -> ssize_t {
+    match transfer(descriptor, Call::Send, Call::FileWrite) {
+        Err(failed) => failed as ssize_t,
+        // SAFETY: the caller's buffer, or a part of it.
+        Ok(most) => unsafe { libc::syscall(libc::SYS_write, descriptor, from, length.min(most)) as ssize_t },
+    }
+}
+
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn pwrite64(
+    descriptor: c_int,
+    from: *const c_void,
+    length: size_t,
+    at: off64_t,
+) -> ssize_t {
+    match transfer(descriptor, Call::Send, Call::FileWrite) {
+        Err(failed) => failed as ssize_t,
+        // SAFETY: the caller's buffer, or a part of it.
+        Ok(most) => unsafe {
+            libc::syscall(libc::SYS_pwrite64, descriptor, from, length.min(most), at) as ssize_t
+        },
+    }
+}
+
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recv(socket: c_int, to: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
+    match transfer(socket, Call::Receive, Call::FileRead) {
+        Err(failed) => failed as ssize_t,
+        // SAFETY: the caller's buffer, or a part of it.
+        Ok(most) => unsafe {
+            let nobody = std::ptr::null::<c_void>();
+            libc::syscall(libc::SYS_recvfrom, socket, to, length.min(most), flags, nobody, nobody) as ssize_t
+        },
+    }
+}
+
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn send(socket: c_int, from: *const c_void, length: size_t, flags: c_int) -> ssize_t {
+    match transfer(socket, Call::Send, Call::FileWrite) {
+        Err(failed) => failed as ssize_t,
+        // SAFETY: the caller's buffer, or a part of it.
+        Ok(most) => unsafe {
+            let nobody = std::ptr::null::<c_void>();
+            libc::syscall(libc::SYS_sendto, socket, from, length.min(most), flags, nobody, 0) as ssize_t
+        },
+    }
+}
+
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn writev(descriptor: c_int, parts: *const iovec, many: c_int) -> ssize_t {
+    match transfer(descriptor, Call::Send, Call::FileWrite) {
+        Err(failed) => failed as ssize_t,
+        // SAFETY: the caller tells how many parts there are.
+        Ok(usize::MAX) => unsafe { libc::syscall(libc::SYS_writev, descriptor, parts, many) as ssize_t },
+        // SAFETY: as above, of which some are left out.
+        Ok(most) => unsafe {
+            let shorter = cut(std::slice::from_raw_parts(parts, many as usize), most);
+            libc::syscall(libc::SYS_writev, descriptor, shorter.as_ptr(), many) as ssize_t
+        },
+    }
+}
+
+type Start = extern "C" fn(*mut c_void) -> *mut c_void;
+
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn pthread_create(
+    thread: *mut pthread_t,
+    attributes: *const pthread_attr_t,
+    start: Start,
+    argument: *mut c_void,
+) -> c_int {
+    if let Some(errno) = due(Call::Thread) {
+        return errno;
+    }
+    type Create = unsafe extern "C" fn(*mut pthread_t, *const pthread_attr_t, Start, *mut c_void) -> c_int;
+    // SAFETY: the next definition of this symbol is the C library's, of the type that it documents.
+    unsafe {
+        let next = libc::dlsym(libc::RTLD_NEXT, c"pthread_create".as_ptr());
+        if next.is_null() {
+            return libc::EAGAIN;
+        }
+        std::mem::transmute::<*mut c_void, Create>(next)(thread, attributes, start, argument)
+    }
+}
--- /dev/null
+++ b/crates/faults/src/lib.rs
@@ -0,0 +1,12 @@
+//! Fault injection for tests: a shared object that is preloaded into one process (`LD_PRELOAD`) and makes its system
+//! calls fail, fall short or tell another wall clock, as a plan says.
+//!
+//! The environment variable `SABLECROSS_FAULTS` names the plan, a text file that is read again whenever it changes, so
+//! that a test can switch faults on and off while the process runs. `plan` has the grammar. Calls that no rule names go
+//! straight to the kernel. Nothing here allocates on behalf of the host process between a failing call and its `errno`.
+
+mod calls;
+mod plan;
+mod state;
+
+pub use plan::{Call, Fault, Plan, PlanError};
