Purges count from when they are heard of: a wall clock that is off drops none

Cause: desk.rs took now less the purge's Unix time, now being the wall clock of the start plus monotonic time; an hour ahead, choice.rs dropped the purge as cleared. Age at arrival is at most the way through discovery, which can't be told from a clock that is off, so it is left out: a copy given out in that moment is asked for once more.

--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -385,7 +385,7 @@
                 self.ready |= !lines.is_empty();
                 self.hand.choice.listed(now, &lines, whole);
             }
-            Fact::Purge { object, group, at } => {
+            Fact::Purge { object, group } => {
                 // What waits for its connection asked for copies from before.
                 let Floor { nodes, kept, .. } = &mut self.floor;
                 nodes.withdraw(|out, _, _| {
@@ -394,7 +394,9 @@
                         None => k.asked.group == group,
                     })
                 });
-                self.hand.choice.purged(now, object, group, now.saturating_sub(at));
+                // It was made no later than now. The time that its maker wrote on it is of another wall clock than
+                // this machine's, either of which may be off: an age measured between the two can be too long.
+                self.hand.choice.purged(now, object, group, 0);
             }
             Fact::Hierarchy(told) => {
                 if let Some((lines, in_force)) = self.floor.upper.take(&told) {
--- a/crates/director/src/plain/facts.rs
+++ b/crates/director/src/plain/facts.rs
@@ -16,10 +16,10 @@
         members: Vec<Member>,
         whole: bool,
     },
+    /// Of an object, or with none of a whole group. When it was made is not read: it is measured by another clock.
     Purge {
         object: Option<u64>,
         group: u32,
-        at: Ns,
     },
     /// A version of the hierarchy of upper caches, where this program knows them.
     Hierarchy(Box<Told>),
@@ -73,7 +73,6 @@
     key: Option<String>,
     #[serde(default)]
     group: u32,
-    at: u64,
 }
 
 impl Numbered {
@@ -88,7 +87,7 @@
             let raw = RawPurge::deserialize(raw).map_err(bad)?;
             let object = raw.key.map(|k| u64::from_str_radix(&k, 16)).transpose();
             let object = object.map_err(|_| format!("event {n}: key is no object"))?;
-            Fact::Purge { object, group: raw.group, at: raw.at.saturating_mul(MS) }
+            Fact::Purge { object, group: raw.group }
         } else if let Some(raw) = event.get("hierarchy") {
             Fact::Hierarchy(Box::new(Told::of(raw).map_err(|e| format!("event {n}: {e}"))?))
         } else {
