Slow start under a wall clock that is off: two tests that fail

Cause: since_ms, a Unix time, is compared with the wall clock read at the process's start: ahead, a cold node looks warm; behind, a warm one stays cold for an hour.

--- a/crates/director/tests/clock.rs
+++ b/crates/director/tests/clock.rs
@@ -90,6 +90,52 @@
     }
 }
 
+/// A cache that started so long ago, and warms within the second.
+fn started(config: &str, since_ms: u64) -> String {
+    let before = config.find("cache-a").expect("listed");
+    let at = before + config[before..].find("\"since_ms\": 0").expect("a start");
+    let config = format!("{}\"since_ms\": {since_ms}{}", &config[..at], &config[at + 13..]);
+    config.replace("\"warmAfterUs\": 18000000", "\"warmAfterUs\": 1500000")
+}
+
+#[test]
+fn slow_start_counts_real_time_whatever_the_wall_clock_tells() {
+    for clock in CLOCKS {
+        let faults = Faults::plan(clock);
+        let w = World::start_with(|c| started(&c, unix_ms()), &faults.environment());
+        let mut client = w.client();
+        // Cold, and with no allowance yet: its parent is asked.
+        client.ask(1, 0x77, 2_000);
+        w.parent.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"parent");
+        client.satisfied(1, b"parent");
+        w.cache.quiet();
+        std::thread::sleep(Duration::from_millis(1_600));
+        client.ask(2, 0x78, 2_000);
+        w.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"warm");
+        client.satisfied(2, b"warm");
+    }
+}
+
+#[test]
+fn slow_start_of_a_node_told_in_service_counts_real_time() {
+    for clock in CLOCKS {
+        let faults = Faults::plan(clock);
+        let w = World::start_with(|c| started(&c, 0), &faults.environment());
+        let (_, feed) = w.feed.call();
+        let event = member(2, "cache-a", w.cache.address, "ready");
+        tell(&feed, 2, &event.replace("\"since_ms\":0", &format!("\"since_ms\":{}", unix_ms())));
+        w.told(2);
+        let mut client = w.client();
+        client.ask(1, 0x77, 2_000);
+        w.parent.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"parent");
+        client.satisfied(1, b"parent");
+        std::thread::sleep(Duration::from_millis(1_600));
+        client.ask(2, 0x78, 2_000);
+        w.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"warm");
+        client.satisfied(2, b"warm");
+    }
+}
+
 /// A client's time and the time-out of a silent node are spans of real time.
 #[test]
 fn deadlines_do_not_move_with_the_wall_clock() {
