Slow start counts local time from a lower bound of the source's clock

Cause: since_ms was compared with the wall clock of the process's start. Change: the local clock is monotonic time alone. The latest stamp heard of, plus the time since, bounds the source's clock from below (plain/source_clock.rs); a node's start is turned into local time by it once, so a node is never taken as warmer than it is, and is warm the settings' time after it was first heard of at the latest.

--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -73,7 +73,7 @@
     if let Some(told) = Told::read() {
         desk.fact(Fact::Hierarchy(Box::new(told?)));
     }
-    config.known.events.into_iter().for_each(|event| desk.fact(event.fact));
+    desk.known(config.known.events);
 
     let vital = |name: &'static str, run: Box<dyn FnOnce() + Send>| {
         let ending = Vital(name, common.events.clone());
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -13,7 +13,7 @@
 use crate::exchange::{Asked, Call, Client, Ended, Event, Link, Name};
 use crate::plain::clock::MS;
 use crate::plain::counters::{self, Counters};
-use crate::plain::facts::Fact;
+use crate::plain::facts::{Fact, Numbered};
 use crate::upper::{Current, InForce, Upper};
 use crate::wire::clients::{Outlet, Reply, Say};
 use crate::wire::nodes::{Nodes, Out};
@@ -372,6 +372,17 @@
         Ok(())
     }
 
+    /// The events that are known at the start.
+    pub fn known(&mut self, events: Vec<Numbered>) {
+        // All of their starts first: of several that are known at once the latest bounds the ages of the others.
+        for event in &events {
+            if let Fact::Members { members, .. } = &event.fact {
+                self.floor.nodes.observe(members);
+            }
+        }
+        events.into_iter().for_each(|event| self.fact(event.fact));
+    }
+
     pub fn fact(&mut self, fact: Fact) {
         let now = self.floor.now;
         self.floor.counters.facts += 1;
--- a/crates/director/src/plain/clock.rs
+++ b/crates/director/src/plain/clock.rs
@@ -1,33 +1,31 @@
-//! One Unix base, taken at the start, plus monotonic time.
+//! The local clock: monotonic time alone. The wall clock may step at any time, so nothing is measured by it.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use sablecross::Ns;
 
 pub const MS: Ns = 1_000_000;
 
+/// What the clock tells at the start of the program. Spans that reach back before it stay in range.
+const START: Ns = 2 * 366 * 86_400 * 1_000 * MS;
+
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    base: Ns,
     start: Instant,
 }
 
 impl Clock {
     pub fn start() -> Clock {
-        let base = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { base: ns(base), start: Instant::now() }
+        Clock { start: Instant::now() }
     }
 
-    /// Unix time in nanoseconds.
+    /// Nanoseconds of local time.
     pub fn now(&self) -> Ns {
-        self.base + ns(self.start.elapsed())
+        let elapsed = u64::try_from(self.start.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        START.saturating_add(elapsed)
     }
 
     pub fn until(&self, at: Ns) -> Duration {
         Duration::from_nanos(at.saturating_sub(self.now()))
     }
 }
-
-fn ns(d: Duration) -> Ns {
-    u64::try_from(d.as_nanos()).unwrap_or(u64::MAX)
-}
--- a/crates/director/src/plain/facts.rs
+++ b/crates/director/src/plain/facts.rs
@@ -34,6 +34,7 @@
     pub kind: String,
     pub cell: usize,
     pub state: State,
+    /// The Unix time of its start, by the clock of whoever lists it; 0: long ago.
     pub started: Ns,
 }
 
--- a/crates/director/src/plain/mod.rs
+++ b/crates/director/src/plain/mod.rs
@@ -7,4 +7,5 @@
 pub mod limits;
 pub mod names;
 pub mod roster;
+pub mod source_clock;
 pub mod sparing;
--- a/crates/director/src/plain/roster.rs
+++ b/crates/director/src/plain/roster.rs
@@ -3,10 +3,11 @@
 
 use std::collections::HashMap;
 
-use sablecross::{Listed, State, rank};
+use sablecross::{Listed, Ns, State, rank};
 
 use super::facts::Member;
 use super::names::Names;
+use super::source_clock::SourceClock;
 
 #[derive(Default)]
 struct Known {
@@ -14,6 +15,14 @@
     /// Once it is gone, the number of the first lookup that came after: when all before it are out of hand,
     /// none can have sent to that node, and its number is free for another.
     gone: Option<u64>,
+    start: Start,
+}
+
+/// When a node started: as it was listed, and in local time, which stays the same for as long as the listed one does.
+#[derive(Clone, Copy, Default, PartialEq)]
+struct Start {
+    listed: Ns,
+    local: Ns,
 }
 
 #[derive(Default)]
@@ -22,6 +31,7 @@
     nodes: Vec<Known>,
     numbers: HashMap<String, usize>,
     free: Vec<usize>,
+    source_clock: SourceClock,
 }
 
 impl Roster {
@@ -43,8 +53,15 @@
         }
     }
 
+    /// Takes in the starts of a whole event, or of several, before any line of them is read.
+    pub fn observe(&mut self, members: &[Member], now: Ns) {
+        for member in members {
+            self.source_clock.observe(member.started, now);
+        }
+    }
+
     /// One line, unless the settings do not know its like or it went before it came.
-    pub fn line(&mut self, names: &Names, m: &Member) -> Option<Listed> {
+    pub fn line(&mut self, names: &Names, m: &Member, now: Ns) -> Option<Listed> {
         let (Some(&zone), Some(&machine)) = (names.zones.get(&m.zone), names.machines.get(&m.kind)) else {
             tracing::warn!("list: {}: zone {} or type {} is not in the settings", m.name, m.zone, m.kind);
             return None;
@@ -60,12 +77,22 @@
             zone,
             machine,
             cell: m.cell,
-            started: m.started,
+            started: self.started(node, m.started, now),
             state: m.state,
             withheld: 0,
         })
     }
 
+    /// When a node started, in local time; 0: long ago.
+    fn started(&mut self, node: usize, listed: Ns, now: Ns) -> Ns {
+        let start = &mut self.nodes[node].start;
+        if start.listed != listed {
+            let local = self.source_clock.local(listed, now).max(1);
+            *start = Start { listed, local: if listed == 0 { 0 } else { local } };
+        }
+        start.local
+    }
+
     /// The number of a node that was not known: one that is free, or a new one.
     fn number(&mut self, name: &str) -> usize {
         let node = self.free.pop().unwrap_or(self.nodes.len());
@@ -73,7 +100,7 @@
         if node == self.nodes.len() {
             self.nodes.push(Known::default());
         }
-        self.nodes[node] = Known { name: name.to_owned(), gone: None };
+        self.nodes[node] = Known { name: name.to_owned(), ..Known::default() };
         self.numbers.insert(name.to_owned(), node);
         node
     }
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -86,14 +86,21 @@
         self.roster.name(node)
     }
 
+    /// Starts of nodes that are to be listed, before the first of them is.
+    pub fn observe(&mut self, members: &[Member]) {
+        self.roster.observe(members, self.common.clock.now());
+    }
+
     /// Lines of the list as the module reads them.
     ///
     /// `oldest` is the oldest lookup in hand, `next` the one to come: numbers of nodes that are gone are given out
     /// again, so that what is kept by them is bounded by the nodes there are and the lookups in hand.
     pub fn listed(&mut self, members: &[Member], whole: bool, oldest: u64, next: u64) -> Vec<Listed> {
+        let now = self.common.clock.now();
+        self.roster.observe(members, now);
         let pools = &self.pools;
         self.roster.release(oldest, |node| pools[node].links.is_empty());
-        let lines: Vec<Listed> = members.iter().filter_map(|m| self.line(m)).collect();
+        let lines: Vec<Listed> = members.iter().filter_map(|m| self.line(m, now)).collect();
         let states: HashMap<usize, State> = lines.iter().map(|l| (l.node, l.state)).collect();
         // What still waits to be written must not begin after the grace, however late its connection comes up.
         let stays = |node| states.get(&node).map_or(!whole, |s| *s == State::Ready);
@@ -104,8 +111,8 @@
         lines
     }
 
-    fn line(&mut self, m: &Member) -> Option<Listed> {
-        let line = self.roster.line(&self.common.names, m)?;
+    fn line(&mut self, m: &Member, now: Ns) -> Option<Listed> {
+        let line = self.roster.line(&self.common.names, m, now)?;
         if line.node == self.pools.len() {
             self.pools.push(Pool { address: m.address, links: Vec::new() });
         } else if self.pools[line.node].address != m.address {
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -142,15 +142,16 @@
                 let Life { roster, upper, .. } = self;
                 roster.release(u64::MAX, |_| true);
                 let names = &shared.config.names;
-                let mut lines: Vec<_> = members.iter().filter_map(|m| roster.line(names, m)).collect();
+                roster.observe(members, now);
+                let mut lines: Vec<_> = members.iter().filter_map(|m| roster.line(names, m, now)).collect();
                 roster.settle(&lines, *whole, 0);
                 upper.list(&mut lines, *whole, |node| roster.name(node).to_owned());
                 self.choice.listed(now, &lines, *whole);
                 // Nobody writes its notes to a log.
                 self.choice.notes();
             }
-            Fact::Purge { object, group, at } => {
-                self.choice.purged(now, *object, *group, now.saturating_sub(*at));
+            Fact::Purge { object, group } => {
+                self.choice.purged(now, *object, *group, 0);
             }
             Fact::Hierarchy(told) => {
                 if let Some((lines, _)) = self.upper.take(told) {
