--- a/crates/director/src/life/config.rs
+++ b/crates/director/src/life/config.rs
@@ -1,10 +1,12 @@
 //! The one place where the configuration is read and checked.
 
+use std::io;
 use std::net::SocketAddr;
 
 use sablecross::Settings;
 use sablecross_inhand::settings::{self, Pairs};
 use serde_json::Value;
+use thiserror::Error;
 
 use crate::plain::facts::{Known, Numbered};
 use crate::plain::limits::Limits;
@@ -25,12 +27,26 @@
     pub known: Known,
 }
 
+/// Why there is no configuration.
+#[derive(Debug, Error)]
+pub enum LoadError {
+    #[error("NODE_CONFIG: not set")]
+    Unset,
+    #[error("NODE_CONFIG: {path}: {why}")]
+    Unreadable { path: String, why: io::Error },
+    /// Names the key at fault.
+    #[error("{why} (NODE_CONFIG: {path})")]
+    Faulty { path: String, why: String },
+}
+
 impl Config {
-    /// From the file that `NODE_CONFIG` names; errors name the key at fault.
-    pub fn load() -> Result<Config> {
-        let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG: not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
-        Config::parse(&text).map_err(|e| format!("{e} (NODE_CONFIG: {path})"))
+    /// From the file that `NODE_CONFIG` names.
+    pub fn load() -> std::result::Result<Config, LoadError> {
+        let path = std::env::var("NODE_CONFIG").map_err(|_| LoadError::Unset)?;
+        match std::fs::read_to_string(&path) {
+            Ok(text) => Config::parse(&text).map_err(|why| LoadError::Faulty { path, why }),
+            Err(why) => Err(LoadError::Unreadable { path, why }),
+        }
     }
 
     pub fn parse(text: &str) -> Result<Config> {
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -3,22 +3,22 @@
 pub mod config;
 mod journal;
 mod signals;
+mod starting;
 
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::thread;
 
-use crossbeam_channel::{Sender, bounded};
+use crossbeam_channel::bounded;
 use sablecross::Choice;
 use sablecross_feed::{Cursor, Feeds};
 use signal_hook::iterator::Signals;
 
-use config::Config;
+use config::{Config, LoadError};
 use signals::Fixed;
+use starting::Starting;
 
 use crate::common::Common;
 use crate::duty::Duties;
-use crate::exchange::Event;
 use crate::memory::desk::Desk;
 use crate::plain::facts::Fact;
 use crate::plain::names::Names;
@@ -29,15 +29,6 @@
 use crate::wire::links::Links;
 use crate::wire::nodes::Nodes;
 
-/// Tells the desk when a thread that must not end does, even by a panic.
-struct Vital(&'static str, Sender<Event>);
-
-impl Drop for Vital {
-    fn drop(&mut self) {
-        let _ = self.1.send(Event::Died(self.0));
-    }
-}
-
 /// A whole life with its log, as a program's.
 pub fn start() -> ExitCode {
     journal::begin();
@@ -50,9 +41,22 @@
     }
 }
 
+/// The configuration; one that can't be read for a moment is read again.
+fn load(starting: &Starting) -> Result<Config, LoadError> {
+    loop {
+        match Config::load() {
+            Err(LoadError::Unreadable { why, .. }) if starting.may_retry(&why) => {}
+            done => return done,
+        }
+    }
+}
+
 /// A whole life, from the configuration to the last answer.
 pub fn run() -> Result<(), String> {
-    let config = Config::load()?;
+    let starting = Starting::begin();
+    // First of all: a signal that comes during the start must not end the program.
+    let caught = starting.retry(|| Signals::new(signals::HEARD)).map_err(|e| format!("signals: {e}"))?;
+    let config = load(&starting).map_err(|e| e.to_string())?;
     let (to_feed, moves) = bounded(config.limits.moves);
     let fixed = Fixed::of(&config, moves.clone());
     let duty = Setting::read().transpose()?;
@@ -60,33 +64,19 @@
     let (common, to_desk) = Common::new(names, config.limits);
     let limits = &common.limits;
     let at_listen = |e| format!("listen: {}: {e}", config.listen);
-    let (clients, outlet) = Clients::listen(config.listen, &common).map_err(at_listen)?;
+    let listened = starting.retry(|| Clients::listen(config.listen, &common));
+    let (clients, outlet) = listened.map_err(at_listen)?;
     let listen = clients.address().map_err(at_listen)?;
     let (to_say, in_force) = bounded(limits.moves);
-    let (links, orders) = Links::new(&common).map_err(|e| format!("connections to nodes: {e}"))?;
+    let linked = starting.retry(|| Links::new(&common));
+    let (links, orders) = linked.map_err(|e| format!("connections to nodes: {e}"))?;
     let nodes = Nodes::new(orders, Arc::clone(&common));
     let upper = Upper::new(config.settings.parent_kind);
     let at_duty = |e| format!("duties: {e}");
     let (duties, agent) = Duties::start(duty, &config.settings, &common).map_err(at_duty)?;
     let choice = Choice::new(config.settings, config.seed, common.clock.now());
     let mut desk = Desk::new(choice, nodes, outlet, Arc::clone(&common), upper, duties, to_say);
-    if let Some(told) = Told::read() {
-        desk.fact(Fact::Hierarchy(Box::new(told?)));
-    }
-    desk.known(config.known.events);
-
-    let vital = |name: &'static str, run: Box<dyn FnOnce() + Send>| {
-        let ending = Vital(name, common.events.clone());
-        let started = thread::Builder::new().name(name.into()).stack_size(limits.stack).spawn(move || {
-            let _ending = ending;
-            run();
-        });
-        started.map_err(|e| format!("thread {name}: {e}"))
-    };
-    let caught = Signals::new(signals::HEARD).map_err(|e| format!("signals: {e}"))?;
-    let heard = common.events.clone();
-    let hear = Box::new(move || signals::hear(caught, &fixed, &heard, &to_feed));
-    vital("signals", hear)?;
+    let hierarchy = Told::read().transpose()?;
     let (home, others) = config.feeds.split_first().ok_or("feed: missing")?;
     let follower = Follower {
         cursor: Cursor::after(config.known.last),
@@ -99,15 +89,25 @@
         in_force,
         word: None,
     };
-    vital("feed", Box::new(move || follower.follow()))?;
-    vital("links", Box::new(move || links.serve()))?;
-    vital("clients", Box::new(move || clients.serve()))?;
+
+    let (stack, events) = (limits.stack, &common.events);
+    let at_thread = |name: &'static str| move |e| format!("thread {name}: {e}");
+    let heard = common.events.clone();
+    let hear = move || signals::hear(caught, &fixed, &heard, &to_feed);
+    starting.spawn_vital("signals", stack, events, hear).map_err(at_thread("signals"))?;
+    starting.spawn_vital("feed", stack, events, move || follower.follow()).map_err(at_thread("feed"))?;
+    starting.spawn_vital("links", stack, events, move || links.serve()).map_err(at_thread("links"))?;
+    starting.spawn_vital("clients", stack, events, move || clients.serve()).map_err(at_thread("clients"))?;
     if let Some(agent) = agent {
         // Lookups never depend on it.
         let run = move || agent.serve();
-        let began = thread::Builder::new().name("duty".into()).stack_size(limits.stack).spawn(run);
-        began.map_err(|e| format!("thread duty: {e}"))?;
+        let began = std::thread::Builder::new().name("duty".into()).stack_size(stack).spawn(run);
+        began.map_err(at_thread("duty"))?;
     }
+    if let Some(told) = hierarchy {
+        desk.fact(Fact::Hierarchy(Box::new(told)));
+    }
+    desk.known(config.known.events);
     tracing::info!("serving name={} listen={listen}", config.name);
 
     let served = desk.serve(&to_desk);
--- a/crates/director/src/plain/mod.rs
+++ b/crates/director/src/plain/mod.rs
@@ -6,6 +6,7 @@
 pub mod facts;
 pub mod limits;
 pub mod names;
+pub mod os_error;
 pub mod roster;
 pub mod source_clock;
 pub mod sparing;
