System calls in service: rows that hold and three tests that fail

Measured: accept that fails for 300 ms holds a client up for 470 ms; a connection that broke with ETIMEDOUT, of a client or to a node, is kept as if it had paused. Rows of aborted connections, interrupted waits, short transfers and discovery hold.

--- /dev/null
+++ b/crates/director/tests/syscalls.rs
@@ -0,0 +1,177 @@
+//! System calls in service that fail as Linux documents, on the real process: a row each.
+
+mod help;
+
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+use help::faults::Faults;
+use help::*;
+
+/// So long calls fail in a row that passes.
+const MOMENT: Duration = Duration::from_millis(300);
+
+struct Faulty {
+    faults: Faults,
+    world: World,
+}
+
+impl Faulty {
+    /// Faults begin once the program serves.
+    fn start() -> Faulty {
+        let faults = Faults::plan("");
+        let world = World::start_with(|c| c, &faults.environment());
+        Faulty { faults, world }
+    }
+
+    fn fail(&self, call: &str, error: &str) {
+        self.faults.set(&format!("fail {call} {error} 0 1000000 100"));
+        // The library looks at its plan before long.
+        std::thread::sleep(Duration::from_millis(30));
+    }
+
+    fn heal(&self) {
+        self.faults.set("");
+    }
+
+    /// A lookup that is served by the cache.
+    fn served(&self, client: &mut Client, call: u8) {
+        client.ask(call, u64::from(call), 3_000);
+        self.world.cache.later_pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"whole");
+        client.satisfied(call, b"whole");
+    }
+}
+
+#[test]
+fn a_new_client_is_served_once_accept_goes_well() {
+    let errors = ["EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO", "EPERM", "EINTR", "ENETDOWN"];
+    for error in errors {
+        let f = Faulty::start();
+        f.fail("accept", error);
+        let mut client = f.world.client();
+        let start = Instant::now();
+        client.write(b"\x94\x00\xcc\xff\xa5alive\x91\x80");
+        std::thread::sleep(MOMENT);
+        f.heal();
+        assert_eq!(client.answer(), (255, Answer::Alive(true)), "{error}");
+        let took = start.elapsed();
+        assert!(took < MOMENT + Duration::from_millis(100), "{error}: {took:?}");
+    }
+}
+
+/// The connection that failed is gone; the one behind it is served at once.
+#[test]
+fn a_client_behind_an_aborted_connection_is_served_at_once() {
+    let f = Faulty::start();
+    f.faults.set("fail accept ECONNABORTED 0 1000000 50");
+    std::thread::sleep(Duration::from_millis(30));
+    let mut served = 0;
+    for _ in 0..40 {
+        let mut client = f.world.client();
+        let start = Instant::now();
+        if client.0.write_all(b"\x94\x00\xcc\xff\xa5alive\x91\x80").is_err() {
+            continue;
+        }
+        let mut first = [0; 1];
+        if client.0.peek(&mut first).is_ok_and(|n| n == 1) {
+            served += 1;
+            assert!(start.elapsed() < Duration::from_millis(150), "{:?}", start.elapsed());
+        }
+    }
+    assert!(served >= 5, "{served}");
+}
+
+/// What this machine is short of is no fault of the node: the send waits for it, and no other way is taken.
+/// A shortage that lasts ends a send in the time that a connection may take; others have their answers.
+/// A client's connection that broke is known to be gone: what it asked is given up.
+#[test]
+fn a_broken_connection_of_a_client_is_gone() {
+    for (call, error) in [("receive", "ETIMEDOUT"), ("receive", "EHOSTUNREACH"), ("receive", "ECONNRESET")] {
+        let f = Faulty::start();
+        let mut client = f.world.client();
+        client.ask(1, 1, 4_000);
+        let pull = f.world.cache.pull();
+        f.fail(call, error);
+        client.write(&[0x94]);
+        f.world.counted("cancelled", 1);
+        f.heal();
+        assert_eq!(f.world.cache.next().line, format!("KILL {}", pull.name()), "{call} {error}");
+    }
+}
+
+/// A node's connection that broke ends at once what was out on it, and another way is taken.
+#[test]
+fn a_broken_connection_to_a_node_is_lost_at_once() {
+    for error in ["ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"] {
+        let f = Faulty::start();
+        let mut client = f.world.client();
+        client.ask(1, 1, 4_000);
+        let pull = f.world.cache.pull();
+        f.fail("receive", error);
+        let start = Instant::now();
+        pull.write(b"0");
+        f.world.counted("broken", 1);
+        f.heal();
+        f.world.cache.later_pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"again");
+        client.satisfied(1, b"again");
+        assert!(start.elapsed() < Duration::from_secs(1), "{error}: {:?}", start.elapsed());
+    }
+}
+
+/// Nothing of a send was written: it never ran, so one with an effect has another way.
+#[test]
+fn interrupted_waits_and_short_transfers_change_nothing() {
+    let f = Faulty::start();
+    f.faults.set(
+        "fail wait EINTR 0 1000000 40\nshort receive 7 0 1000000 60\nshort send 5 0 1000000 60\n\
+         fail receive EINTR 0 1000000 10\nfail send EINTR 0 1000000 10",
+    );
+    let (_, feed) = f.world.feed.call();
+    tell(&feed, 2, &member(2, "cache-a", f.world.cache.address, "ready"));
+    f.world.told(2);
+    let mut client = f.world.client();
+    let body: Vec<u8> = (0..20_000_u32).map(|i| (i % 251) as u8).collect();
+    for call in 1..=20 {
+        client.ask(call, u64::from(call), 4_000);
+        f.world.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", &body);
+        client.satisfied(call, &body);
+    }
+}
+
+/// The feed is called again after each failed call, with nothing lost.
+#[test]
+fn discovery_is_taken_up_again_after_each_failed_call() {
+    let rows = [
+        ("socket", "ENFILE"),
+        ("socket", "ENOBUFS"),
+        ("connect", "EADDRNOTAVAIL"),
+        ("connect", "ENETUNREACH"),
+        ("receive", "ETIMEDOUT"),
+        ("receive", "EHOSTUNREACH"),
+        ("send", "ETIMEDOUT"),
+    ];
+    for (call, error) in rows {
+        let f = Faulty::start();
+        let (_, feed) = f.world.feed.call();
+        f.fail(call, error);
+        let start = Instant::now();
+        // It hears something, which is what fails, or its connection's end.
+        let _ = (&feed).write_all(b": tick\n\n");
+        if !matches!(call, "receive") {
+            drop(feed);
+        }
+        std::thread::sleep(MOMENT);
+        f.heal();
+        let event = member(2, "cache-a", f.world.cache.address, "draining");
+        // Calls that broke off meanwhile come first.
+        while f.world.reported()["facts"] < 2 {
+            let (last, feed) = f.world.feed.call();
+            assert_eq!(last, 1, "{call} {error}");
+            let _ = (&feed).write_all(format!("id: 2\ndata: {event}\n\n").as_bytes());
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        assert!(start.elapsed() < Duration::from_millis(1_500), "{call} {error}: {:?}", start.elapsed());
+    }
+}
+
+/// A new configuration that can't be read for a moment is read again: the feed it names is the one to follow.
--- a/crates/faults/src/calls.rs
+++ b/crates/faults/src/calls.rs
@@ -30,6 +30,24 @@
     Other,
 }
 
+/// Whether a socket speaks TCP: pairs within the process do not break.
+fn is_internet(socket: c_int) -> bool {
+    let mut domain: c_int = 0;
+    let mut length = size_of::<c_int>() as libc::socklen_t;
+    // SAFETY: the kernel fills the number that it is given.
+    let done = unsafe {
+        libc::syscall(
+            libc::SYS_getsockopt,
+            socket,
+            libc::SOL_SOCKET,
+            libc::SO_DOMAIN,
+            &mut domain,
+            &mut length,
+        )
+    };
+    done == 0 && (domain == libc::AF_INET || domain == libc::AF_INET6)
+}
+
 /// What a descriptor is.
 fn kind(descriptor: c_int) -> Kind {
     // SAFETY: the kernel fills the structure that it is given.
@@ -41,7 +59,7 @@
         status.st_mode & libc::S_IFMT
     };
     match mode {
-        libc::S_IFSOCK => Kind::Socket,
+        libc::S_IFSOCK if is_internet(descriptor) => Kind::Socket,
         libc::S_IFREG => Kind::File,
         _ => Kind::Other,
     }
