--- a/crates/director/src/plain/limits.rs
+++ b/crates/director/src/plain/limits.rs
@@ -55,6 +55,8 @@
     pub half_said: Ns,
     pub idle_client: Ns,
     pub settled: Ns,
+    /// The pause before a call that failed for want of descriptors, memory or ports is made again.
+    pub shortage_pause: Ns,
     /// How often idle connections are looked for.
     pub sweep: Ns,
     /// An answer is not begun any more so long after its client gave up.
@@ -110,6 +112,7 @@
             half_said: 2_000 * MS,
             idle_client: 8_000 * MS,
             settled: 200 * MS,
+            shortage_pause: 10 * MS,
             sweep: 250 * MS,
             overdue: 400 * MS,
             finish: 40 * MS,
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -12,7 +12,7 @@
 use mio::{Events, Interest, Poll, Token, Waker};
 use sablecross::Ns;
 
-use super::intake::{Intake, paused};
+use super::intake::Intake;
 use super::rpc::{self, Flaw, Message};
 use super::write_on;
 use crate::common::Common;
@@ -20,6 +20,7 @@
 use crate::plain::bodies::Body;
 use crate::plain::clock::MS;
 use crate::plain::counters;
+use crate::plain::os_error::{is_failed_connection, is_pause};
 use crate::plain::sparing::Sparing;
 
 /// What a client is told, and until when it listens.
@@ -176,7 +177,7 @@
                         Ok(true) => {}
                         Ok(false) => return Err(Over::Gone),
                         Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                        Err(e) if paused(&e) => return Ok(false),
+                        Err(e) if is_pause(&e) => return Ok(false),
                         Err(e) if e.kind() == ErrorKind::InvalidData => {
                             return Err(Over::Fault("message too long"));
                         }
@@ -198,7 +199,7 @@
             match (&self.stream).read(&mut bytes) {
                 Ok(n) if n > 0 => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if paused(&e) => return Ok(false),
+                Err(e) if is_pause(&e) => return Ok(false),
                 _ => return Err(Over::Gone),
             }
         }
@@ -265,7 +266,7 @@
                 }
                 Ok(false) => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if paused(&e) => return Ok(()),
+                Err(e) if is_pause(&e) => return Ok(()),
                 Err(_) => return Err(Over::Gone),
             }
         }
@@ -298,6 +299,8 @@
     finishing: Arc<AtomicBool>,
     /// Connections that have more to say than their share.
     more: Vec<Client>,
+    /// When connections are taken again, after that could not be done.
+    accept_at: Option<Ns>,
     log: Sparing,
 }
 
@@ -320,6 +323,7 @@
             next: 0,
             finishing,
             more: Vec::new(),
+            accept_at: None,
             log: Sparing::default(),
         };
         Ok((clients, outlet))
@@ -335,9 +339,10 @@
         let mut events = Events::with_capacity(limits.turns);
         let mut sweep = self.of.clock.now();
         loop {
-            let wait = if self.more.is_empty() { self.of.clock.until(sweep) } else { Default::default() };
+            let next = self.accept_at.map_or(sweep, |at| at.min(sweep));
+            let wait = if self.more.is_empty() { self.of.clock.until(next) } else { Default::default() };
             if let Err(e) = self.poll.poll(&mut events, Some(wait))
-                && !paused(&e)
+                && !is_pause(&e)
             {
                 return tracing::error!("connections of clients: {e}");
             }
@@ -361,6 +366,9 @@
             again.dedup();
             again.into_iter().for_each(|client| self.read(client));
             let now = self.of.clock.now();
+            if self.accept_at.is_some_and(|at| now >= at) {
+                self.accept();
+            }
             let finishing = self.finishing.load(Ordering::Acquire);
             if now >= sweep || finishing {
                 sweep = now + if finishing { limits.stop_poll } else { limits.sweep };
@@ -393,20 +401,32 @@
         }
     }
 
+    /// The next connection that waits to come in. Where none can be taken for a moment, the next try is set.
+    fn next_connection(&mut self) -> Option<(TcpStream, SocketAddr)> {
+        let listener = self.listener.as_ref()?;
+        for _ in 0..self.of.limits.turns {
+            match listener.accept() {
+                Ok(taken) => return Some(taken),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
+                // That one has failed already; others may wait behind it.
+                Err(e) if is_failed_connection(&e) => {}
+                Err(e) => {
+                    self.log.warn(self.of.clock.now(), || format!("accept failed: {e}"));
+                    break;
+                }
+            }
+        }
+        self.accept_at = Some(self.of.clock.now() + self.of.limits.shortage_pause);
+        None
+    }
+
     /// Takes all that wait to come in. With all slots taken the longest idle connection makes room: of those that
     /// never said anything whole, but had the time to, before all others. One that waits for an answer never
     /// does; with none idle the newcomer has to go. Guards against clients that hold slots; harms one that
     /// would have asked again just then.
     fn accept(&mut self) {
-        loop {
-            let Some(listener) = &self.listener else { return };
-            let (mut stream, peer) = match listener.accept() {
-                Ok(taken) => taken,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                // Out of descriptors, most likely: the next sweep tries again.
-                Err(e) => return tracing::warn!("accept failed: {e}"),
-            };
+        self.accept_at = None;
+        while let Some((mut stream, peer)) = self.next_connection() {
             let (now, client) = (self.of.clock.now(), self.next);
             if !self.has_place(now) {
                 counters::add(&self.of.counters.turned_away, 1);
--- a/crates/director/src/wire/feed.rs
+++ b/crates/director/src/wire/feed.rs
@@ -10,11 +10,12 @@
 use sablecross_feed::{Cursor, Feeds, Flaw, Said, Stream, Verdict, request};
 use serde_json::Value;
 
-use super::intake::{Intake, paused};
+use super::intake::Intake;
 use crate::common::Common;
 use crate::exchange::Event;
 use crate::plain::counters;
 use crate::plain::facts::{Fact, Known, Numbered};
+use crate::plain::os_error::is_pause;
 use crate::upper::InForce;
 
 /// Where the feed is from now on, home first, and what was known there.
@@ -177,8 +178,8 @@
             self.say();
             self.stays()?;
             match (&mut &*socket).read(&mut bytes) {
-                Err(e) if paused(&e) && start.elapsed() < self.common.limits.feed_silence => {}
-                Err(e) if paused(&e) => return Err(Over::Call("silent".into())),
+                Err(e) if is_pause(&e) && start.elapsed() < self.common.limits.feed_silence => {}
+                Err(e) if is_pause(&e) => return Err(Over::Call("silent".into())),
                 Err(e) => return Err(e.into()),
                 Ok(0) => return Ok(false),
                 Ok(n) => {
--- a/crates/director/src/wire/intake.rs
+++ b/crates/director/src/wire/intake.rs
@@ -58,9 +58,3 @@
         Ok(n > 0)
     }
 }
-
-/// Whether nothing came yet, no more. A program that is stopped and continued, as one held to part of a core is,
-/// has its reads interrupted and their time-outs begun anew: times count by the clock alone.
-pub fn paused(e: &io::Error) -> bool {
-    matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::WouldBlock | ErrorKind::TimedOut)
-}
--- a/crates/director/src/wire/links.rs
+++ b/crates/director/src/wire/links.rs
@@ -11,12 +11,13 @@
 use mio::{Events, Interest, Poll, Token, Waker};
 use sablecross::{Ns, Outcome};
 
-use super::intake::{Intake, paused};
+use super::intake::Intake;
 use super::{lines, write_on};
 use crate::common::Common;
 use crate::exchange::{Copy, Ended, Event, Link, Name, Withdrawn};
 use crate::plain::bodies::Body;
 use crate::plain::counters;
+use crate::plain::os_error::is_pause;
 use crate::plain::sparing::Sparing;
 
 pub enum Order {
@@ -158,7 +159,7 @@
                 }
                 Ok(false) => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if paused(&e) || e.kind() == ErrorKind::NotConnected => return Ok(()),
+                Err(e) if is_pause(&e) || e.kind() == ErrorKind::NotConnected => return Ok(()),
                 Err(_) => return Err("a send not taken"),
             }
         }
@@ -176,7 +177,7 @@
                 Ok(true) => {}
                 Ok(false) => return Err(""),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if paused(&e) => return Ok(false),
+                Err(e) if is_pause(&e) => return Ok(false),
                 Err(e) if e.kind() == ErrorKind::InvalidData => return Err("line too long"),
                 Err(_) => return Err(""),
             }
@@ -298,7 +299,7 @@
             let wait =
                 if self.more.is_empty() { self.of.clock.until(self.sweep_at) } else { Default::default() };
             if let Err(e) = self.poll.poll(&mut events, Some(wait))
-                && !paused(&e)
+                && !is_pause(&e)
             {
                 return tracing::error!("connections to nodes: {e}");
             }
