Shortages of this machine: three tests that fail

Measured: a client that comes while epoll_ctl fails for 300 ms is closed with its request unread; a lookup that comes while socket or connect fails with a shortage takes another way and counts against the node; after a shortage that lasts, the cache is taken for down.

--- a/crates/director/tests/syscalls.rs
+++ b/crates/director/tests/syscalls.rs
@@ -89,6 +89,65 @@
     assert!(served >= 5, "{served}");
 }
 
+#[test]
+fn a_connection_that_cannot_be_watched_for_a_moment_is_kept() {
+    for error in ["ENOMEM", "ENOSPC"] {
+        let f = Faulty::start();
+        f.fail("epoll_ctl", error);
+        let mut client = f.world.client();
+        client.ask(1, 1, 3_000);
+        std::thread::sleep(MOMENT);
+        f.heal();
+        f.world.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"whole");
+        client.satisfied(1, b"whole");
+    }
+}
+
+/// What this machine is short of is no fault of the node: the send waits for it, and no other way is taken.
+#[test]
+fn a_node_is_not_blamed_for_what_this_machine_is_short_of() {
+    let rows = [
+        ("socket", "EMFILE"),
+        ("socket", "ENFILE"),
+        ("socket", "ENOBUFS"),
+        ("socket", "ENOMEM"),
+        ("connect", "EADDRNOTAVAIL"),
+        ("connect", "ENETUNREACH"),
+        ("connect", "EAGAIN"),
+        ("connect", "EINTR"),
+        ("connect", "ENETDOWN"),
+        ("epoll_ctl", "ENOSPC"),
+    ];
+    for (call, error) in rows {
+        let f = Faulty::start();
+        let mut client = f.world.client();
+        assert!(client.alive());
+        f.fail(call, error);
+        client.ask(1, 1, 3_000);
+        std::thread::sleep(MOMENT);
+        f.heal();
+        f.world.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"whole");
+        client.satisfied(1, b"whole");
+        let counters = f.world.reported();
+        assert_eq!((counters["unconnected"], counters["sends"]), (0, 1), "{call} {error}");
+    }
+}
+
+/// A shortage that lasts ends a send in the time that a connection may take; others have their answers.
+#[test]
+fn a_shortage_that_lasts_ends_the_send_in_its_time() {
+    let f = Faulty::start();
+    let mut client = f.world.client();
+    assert!(client.alive());
+    f.fail("socket", "ENOBUFS");
+    let start = Instant::now();
+    client.ask(1, 1, 1_500);
+    assert_eq!(client.nacked(), 1);
+    assert!(start.elapsed() < Duration::from_millis(1_500), "{:?}", start.elapsed());
+    f.heal();
+    f.served(&mut client, 2);
+}
+
 /// A client's connection that broke is known to be gone: what it asked is given up.
 #[test]
 fn a_broken_connection_of_a_client_is_gone() {
