A new configuration that can't be read for a moment: a test that fails

Measured: ENFILE or EIO at the one read after SIGHUP leaves the director with its old discovery for good.

--- a/crates/director/tests/syscalls.rs
+++ b/crates/director/tests/syscalls.rs
@@ -181,6 +181,26 @@
     }
 }
 
+/// Nothing of a send was written: it never ran, so one with an effect is refused, which its client may ask again.
+#[test]
+fn a_send_whose_first_write_fails_never_ran() {
+    for error in ["ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"] {
+        let f = Faulty::with_effects();
+        let mut client = f.world.client();
+        f.served(&mut client, 1);
+        // Only what is written to nodes fails meanwhile: the answer comes once the fault is over.
+        let mut other = f.world.client();
+        other.ask(2, 2, 600);
+        let pull = f.world.cache.later_pull();
+        f.fail("send", error);
+        client.ask(3, 3, 3_000);
+        f.world.counted("never_sent", 1);
+        f.heal();
+        assert_eq!(f.world.reported()["broken"], 0, "{error}");
+        pull.answer("ACK", "how=HIT,entity=t1,issued=1", b"other");
+    }
+}
+
 #[test]
 fn interrupted_waits_and_short_transfers_change_nothing() {
     let f = Faulty::start();
@@ -235,3 +255,19 @@
         assert!(start.elapsed() < Duration::from_millis(1_500), "{call} {error}: {:?}", start.elapsed());
     }
 }
+
+/// A new configuration that can't be read for a moment is read again: the feed it names is the one to follow.
+#[test]
+fn a_new_configuration_is_read_once_it_can_be() {
+    for (call, error) in [("open", "ENFILE"), ("open", "EMFILE"), ("file_read", "EIO"), ("open", "EIO")] {
+        let f = Faulty::start();
+        let _old = f.world.feed.call();
+        f.fail(call, error);
+        f.world.signal("HUP");
+        std::thread::sleep(MOMENT);
+        f.heal();
+        f.world.logged("feed moved");
+        let (last, _feed) = f.world.feed.call();
+        assert_eq!(last, 1);
+    }
+}
