A reload that can't read its file, or not whole, is tried again for three seconds

Cause: one failed read after SIGHUP, for want of a descriptor or in the midst of a write, kept the old discovery. Change: the signals' thread tries again every 50 ms and hears other signals meanwhile; the ends of a load are a type.

--- a/crates/director/src/life/config.rs
+++ b/crates/director/src/life/config.rs
@@ -34,24 +34,42 @@
     Unset,
     #[error("NODE_CONFIG: {path}: {why}")]
     Unreadable { path: String, why: io::Error },
+    /// Not JSON, or not all of it.
+    #[error("configuration: {why} (NODE_CONFIG: {path})")]
+    Unparsed { path: String, why: serde_json::Error },
     /// Names the key at fault.
     #[error("{why} (NODE_CONFIG: {path})")]
     Faulty { path: String, why: String },
 }
 
+impl LoadError {
+    /// Whether the file may be readable a little later as it is, or once it has been written to its end.
+    pub fn may_pass(&self) -> bool {
+        matches!(self, LoadError::Unreadable { .. } | LoadError::Unparsed { .. })
+    }
+}
+
 impl Config {
     /// From the file that `NODE_CONFIG` names.
     pub fn load() -> std::result::Result<Config, LoadError> {
         let path = std::env::var("NODE_CONFIG").map_err(|_| LoadError::Unset)?;
-        match std::fs::read_to_string(&path) {
-            Ok(text) => Config::parse(&text).map_err(|why| LoadError::Faulty { path, why }),
-            Err(why) => Err(LoadError::Unreadable { path, why }),
+        let text = match std::fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(why) => return Err(LoadError::Unreadable { path, why }),
+        };
+        match serde_json::from_str(&text) {
+            Ok(all) => Config::of(&all).map_err(|why| LoadError::Faulty { path, why }),
+            Err(why) => Err(LoadError::Unparsed { path, why }),
         }
     }
 
     pub fn parse(text: &str) -> Result<Config> {
         let all: Value = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
-        let seed = string(&all, "seed")?;
+        Config::of(&all)
+    }
+
+    fn of(all: &Value) -> Result<Config> {
+        let seed = string(all, "seed")?;
         let known = all.get("known").ok_or("known: missing")?;
         let events = known.get("events").and_then(Value::as_array).ok_or("known.events: not a list")?;
         let events = events.iter().map(|e| Numbered::of(e).map_err(|e| format!("known.events: {e}")));
@@ -68,9 +86,9 @@
         };
         let time = |key: &str| pairs.ns(key).map_err(in_settings);
         Ok(Config {
-            name: string(&all, "name")?.to_owned(),
-            listen: address(&all, "listen")?,
-            feeds: feeds(&all)?,
+            name: string(all, "name")?.to_owned(),
+            listen: address(all, "listen")?,
+            feeds: feeds(all)?,
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed: not hexadecimal: {seed}"))?,
             settings: settings::decode(&pairs).map_err(in_settings)?,
             names: Names::of(&pairs, &all["settings"]).map_err(in_settings)?,
--- a/crates/director/src/life/signals.rs
+++ b/crates/director/src/life/signals.rs
@@ -1,13 +1,14 @@
 //! What signals ask for: to stop, to report, to read the configuration again.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, Sender, TrySendError};
 use sablecross::Settings;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
-use super::config::Config;
+use super::config::{Config, LoadError};
 use crate::exchange::Event;
 use crate::plain::facts::Fact;
 use crate::terms::Setting;
@@ -33,11 +34,8 @@
     }
 
     /// Reads the configuration again: the feed moves, all else takes a restart. A faulty one changes nothing.
-    fn reload(&self, moves: &Sender<Move>) {
-        let config = match Config::load() {
-            Ok(config) => config,
-            Err(e) => return tracing::error!("reload failed, the old configuration stays: {e}"),
-        };
+    fn reload(&self, moves: &Sender<Move>) -> Result<(), LoadError> {
+        let config = Config::load()?;
         let same = [
             ("name", self.name == config.name),
             ("listen", self.listen == config.listen),
@@ -52,39 +50,65 @@
             latest = back;
             let _ = self.overtaken.try_recv();
         }
+        Ok(())
+    }
+}
+
+/// How long a configuration that can't be read, or not whole, is read again, and how often.
+const RELOAD_PATIENCE: Duration = Duration::from_secs(3);
+const RELOAD_PAUSE: Duration = Duration::from_millis(50);
+
+/// Reads the files of the duties and the hierarchy again; false once the desk is gone.
+fn reload_more(events: &Sender<Event>) -> bool {
+    let setting = Setting::read()
+        .and_then(|read| read.map_err(|e| tracing::error!("reload failed, the old duties stay: {e}")).ok());
+    if let Some(setting) = setting
+        && events.send(Event::Settle(Box::new(setting))).is_err()
+    {
+        return false;
     }
+    let told = Told::read().and_then(|read| {
+        read.map_err(|e| tracing::error!("reload failed, the old hierarchy stays: {e}")).ok()
+    });
+    told.is_none_or(|told| events.send(Event::Fact(Fact::Hierarchy(Box::new(told)))).is_ok())
 }
 
-/// Hears signals for ever, or until the desk is gone.
+/// Hears signals for ever, or until the desk is gone. A reload that fails is tried again for a while, during which
+/// other signals are heard: the file may be in the midst of being written, or no descriptor be left to read it.
 pub fn hear(mut signals: Signals, fixed: &Fixed, events: &Sender<Event>, moves: &Sender<Move>) {
-    for signal in signals.forever() {
-        let told = match signal {
-            SIGHUP => {
-                fixed.reload(moves);
-                let settled = Setting::read().map(|read| match read {
-                    Ok(setting) => events.send(Event::Settle(Box::new(setting))).is_ok(),
-                    Err(e) => {
-                        tracing::error!("reload failed, the old duties stay: {e}");
-                        true
+    let mut reload_by: Option<Instant> = None;
+    loop {
+        let heard: Vec<i32> = if reload_by.is_some() {
+            std::thread::sleep(RELOAD_PAUSE);
+            signals.pending().collect()
+        } else {
+            signals.wait().collect()
+        };
+        for signal in heard {
+            let told = match signal {
+                SIGHUP => {
+                    reload_by = Some(Instant::now() + RELOAD_PATIENCE);
+                    if !reload_more(events) {
+                        return;
                     }
-                });
-                if settled == Some(false) {
-                    return;
+                    Ok(())
                 }
-                match Told::read() {
-                    Some(Ok(told)) => events.send(Event::Fact(Fact::Hierarchy(Box::new(told)))),
-                    Some(Err(e)) => {
-                        tracing::error!("reload failed, the old hierarchy stays: {e}");
-                        continue;
-                    }
-                    None => continue,
+                SIGTERM => events.send(Event::Stop),
+                _ => events.send(Event::Report),
+            };
+            if told.is_err() {
+                return;
+            }
+        }
+        if let Some(by) = reload_by {
+            match fixed.reload(moves) {
+                Ok(()) => reload_by = None,
+                Err(e) if Instant::now() < by && e.may_pass() => tracing::debug!("reload waits: {e}"),
+                Err(e) => {
+                    tracing::error!("reload failed, the old configuration stays: {e}");
+                    reload_by = None;
                 }
             }
-            SIGTERM => events.send(Event::Stop),
-            _ => events.send(Event::Report),
-        };
-        if told.is_err() {
-            return;
         }
     }
 }
