Collisions: three tests that fail, on late connections, a process that stood still, half requests

Measured on sockets: with a connection that comes up after a second a node is told 2,977 ms where its client has 1,985 left; a request that came while the process stood still for 0.4 s is passed on with 1,977 ms of 1,598; a client that has written half a request loses its connection to newcomers, and at a stop. Two more tests hold: a reload during the start, resets under answers.

--- /dev/null
+++ b/crates/director/tests/collisions.rs
@@ -0,0 +1,147 @@
+//! Rare events that meet, on the real process: each test holds one back until the other is there.
+
+mod help;
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::TcpStream;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+use help::faults::Faults;
+use help::*;
+use socket2::SockRef;
+
+/// By how much the time told to a node may pass what its client has left.
+const SLACK_MS: u64 = 150;
+
+fn wait_field(line: &str) -> u64 {
+    let field = line.split([',', ' ']).find_map(|f| f.strip_prefix("wait="));
+    field.and_then(|w| w.parse().ok()).expect("a time")
+}
+
+/// A slow connection and a deadline: what a node is told is what is left when the send is written.
+#[test]
+fn a_connection_that_comes_up_late_takes_from_the_time_told_to_its_node() {
+    let late = Late::start();
+    let w = World::with(|config| moved_late(&config, "cache-a", &late));
+    let mut client = w.client();
+    let start = Instant::now();
+    client.ask(1, 0x77, 3_000);
+    std::thread::sleep(Duration::from_millis(1_000));
+    let stream = late.open();
+    let mut line = String::new();
+    BufReader::new(&stream).read_line(&mut line).expect("a send");
+    let left = 3_000 - start.elapsed().as_millis() as u64;
+    assert!(wait_field(&line) <= left + SLACK_MS, "{line} with {left} ms left");
+}
+
+/// A process that stands still and requests that come meanwhile: their time has run on.
+#[test]
+fn a_request_that_came_while_the_process_stood_still_has_that_much_less_time() {
+    for stood_ms in [400, 1_000] {
+        let w = World::start();
+        let mut client = w.client();
+        assert!(client.alive());
+        w.signal("STOP");
+        let start = Instant::now();
+        client.ask(1, 0x77, 2_000);
+        std::thread::sleep(Duration::from_millis(stood_ms));
+        w.signal("CONT");
+        let pull = w.cache.pull();
+        let left = 2_000 - start.elapsed().as_millis() as u64;
+        assert!(wait_field(&pull.line) <= left + SLACK_MS, "{} with {left} ms left", pull.line);
+        assert_eq!(client.nacked(), 1);
+        let took = start.elapsed();
+        assert!(took < Duration::from_millis(2_100), "answered after {took:?}");
+    }
+}
+
+/// A request that is half written, and others that want its connection's place, or the end of the program.
+#[test]
+fn a_half_written_request_keeps_its_connection() {
+    let request = lookup(1, 0x77, 4_000, &[]);
+    let (first, rest) = request.split_at(20);
+    let w = World::with(|c| c.replace("\"sockets\": 1024", "\"sockets\": 64"));
+    let mut slow = w.client();
+    assert!(slow.alive());
+    slow.write(first);
+    let mut others: Vec<Client> = (0..40).map(|_| w.client()).collect();
+    others.iter_mut().skip(20).for_each(|c| assert!(c.alive()));
+    slow.write(rest);
+    w.cache.pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"owed");
+    slow.satisfied(1, b"owed");
+
+    let w = World::start();
+    let mut slow = w.client();
+    assert!(slow.alive());
+    w.signal("TERM");
+    std::thread::sleep(Duration::from_millis(500));
+    slow.write(first);
+    std::thread::sleep(Duration::from_millis(600));
+    slow.write(rest);
+    assert_eq!(slow.nacked(), 1, "its last byte came after the program took no more");
+    slow.closed();
+}
+
+fn free_address() -> std::net::SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("bound")
+}
+
+fn alive_within(address: std::net::SocketAddr, most: Duration) -> bool {
+    let start = Instant::now();
+    while start.elapsed() < most {
+        if let Ok(stream) = TcpStream::connect(address) {
+            stream.set_read_timeout(Some(Duration::from_millis(500))).expect("set");
+            let mut client = Client(stream);
+            client.write(b"\x94\x00\xcc\xff\xa5alive\x91\x80");
+            if client.0.read(&mut [0; 16]).is_ok_and(|n| n > 0) {
+                return true;
+            }
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+/// A signal before the configuration has been read.
+#[test]
+fn a_reload_during_the_start_does_not_end_the_program() {
+    let at = free_address();
+    let path = std::env::temp_dir().join(format!("sablecross-fifo-{}", at.port()));
+    assert!(Command::new("mkfifo").arg(&path).status().expect("made").success());
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sablecross-director"))
+        .env("NODE_CONFIG", &path)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("starts");
+    std::thread::sleep(Duration::from_millis(200));
+    signal(child.id(), "HUP");
+    std::thread::sleep(Duration::from_millis(100));
+    let ended = child.try_wait().expect("asked");
+    if ended.is_none() {
+        std::fs::write(&path, SAMPLE.replace("127.0.0.1:10080", &at.to_string())).expect("written");
+    }
+    let serves = ended.is_none() && alive_within(at, Duration::from_secs(3));
+    let _ = child.kill();
+    let _ = child.wait();
+    std::fs::remove_file(&path).expect("removed");
+    assert!(serves, "{ended:?}");
+}
+
+/// A client whose connection is reset in the moment in which its answer is written takes no other's.
+#[test]
+fn resets_under_answers_harm_no_other_client() {
+    let w = World::start();
+    let mut good = w.client();
+    for call in 1..=30 {
+        let mut bad = w.client();
+        bad.ask(100 + call, 0x100 + u64::from(call), 2_000);
+        let pull = w.cache.later_pull();
+        SockRef::from(&bad.0).set_linger(Some(Duration::ZERO)).expect("set");
+        pull.answer("ACK", "how=HIT,entity=t1,issued=1", &[7; 100_000]);
+        drop(bad);
+        good.ask(call, u64::from(call), 2_000);
+        w.cache.later_pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"good");
+        good.satisfied(call, b"good");
+    }
+}
