Rules in one module, asked at each begin, answer and close; three collisions mended

Causes: the head of a send, with the time told to the node, was written at the desk, up to a connection's time before it left; a request's time counted from when it was read, also after the process had stood still; a connection was idle if nothing was open on it, half a request or not. Change: src/rules.rs says what may be begun, answered or closed; links.rs, clients.rs and the desk ask it at that moment, and what it forbids is not carried out and counted (violations). The time left is put into the head with its first byte. plain/stall.rs finds by waits that ended late how long bytes may have lain unread. A half-heard connection is closed last. Log lines and counters name attempts, their ends, and why one was not begun.

--- a/crates/director/src/duty/agent.rs
+++ b/crates/director/src/duty/agent.rs
@@ -22,9 +22,9 @@
 use crate::plain::clock::MS;
 use crate::plain::facts::{self, Fact};
 use crate::plain::names::DUTY;
+use crate::plain::os_error::is_pause;
 use crate::terms::{DRIVING, Setting, WARMING, named};
 use crate::upper::Told;
-use crate::wire::intake::paused;
 use crate::wire::lines;
 use crate::wire::rpc::{self, Flaw};
 
@@ -126,7 +126,7 @@
             let warming = self.warming.as_ref().map_or(Ns::MAX, |(_, w)| w.next());
             let next = self.office.next().min(driving).min(warming).min(now + 250 * MS);
             if let Err(e) = self.poll.poll(&mut events, Some(self.common.clock.until(next)))
-                && !paused(&e)
+                && !is_pause(&e)
             {
                 return tracing::error!("duty: {e}");
             }
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
-use sablecross::{Choice, Lookup, Ns, Outcome, Send};
+use sablecross::rules::{self, Chosen, Earlier, Violation};
+use sablecross::{Choice, Effect, Lookup, Ns, Outcome, Send};
 use sablecross_inhand::{Carrier, End, Hand};
 
 use crate::common::Common;
@@ -16,6 +17,7 @@
 use crate::plain::facts::{Fact, Numbered};
 use crate::upper::{Current, InForce, Upper};
 use crate::wire::clients::{Outlet, Reply, Say};
+use crate::wire::lines::text;
 use crate::wire::nodes::{Nodes, Out};
 
 struct Kept {
@@ -25,6 +27,8 @@
     links: Vec<Option<Link>>,
     /// All connections that carried one.
     before: Vec<Link>,
+    /// What the rules ask of its attempts.
+    earlier: Vec<Earlier>,
     answered: bool,
     /// The hierarchy by which it is filled, as it was when it came.
     upper: Option<Arc<Current>>,
@@ -54,6 +58,8 @@
     /// Ends of sends that came without an event.
     ends: VecDeque<(u64, usize, End)>,
     counters: Counters,
+    /// By object kind.
+    effects: Vec<Effect>,
     upper: Upper,
     duties: Duties,
     /// To the feed's thread: what is in force.
@@ -99,7 +105,14 @@
 
     /// The one final answer.
     fn answer(&mut self, id: u64, say: Say) {
-        let Some(kept) = self.kept.get_mut(&id).filter(|k| !k.answered) else { return };
+        let Some(kept) = self.kept.get_mut(&id) else { return };
+        if let Err(why) = rules::check_answer(kept.answered) {
+            // Of two copies that are out at once both may be satisfied: the second one is for nobody.
+            if !matches!(say, Say::Satisfied(_)) {
+                self.counters.violation(text(&kept.asked.name), why);
+            }
+            return;
+        }
         kept.answered = true;
         let (client, call, until) =
             (kept.asked.client, kept.asked.call, kept.deadline + self.common.limits.margin);
@@ -115,6 +128,34 @@
         self.tell(client, call, until, say);
     }
 
+    /// Whether the rules let this attempt be made.
+    fn check(&self, id: u64, send: &Send) -> Result<(), Violation> {
+        let Some(kept) = self.kept.get(&id) else { return Err(Violation::AttemptAfterAnswer) };
+        let chosen = Chosen {
+            effect: self.effects.get(kept.asked.kind).copied().unwrap_or(Effect::SideEffecting),
+            answered: kept.answered,
+            client_gone: kept.asked.withdrawn.said(),
+            deadline: kept.deadline,
+            node: self.nodes.state(send.node),
+            source: send.source.map(|source| self.nodes.state(source)),
+            earlier: &kept.earlier,
+        };
+        chosen.check(self.now)
+    }
+
+    /// An attempt that a rule forbids was never made.
+    fn refuse(&mut self, id: u64, shot: usize, why: Violation) {
+        if let Some(kept) = self.kept.get_mut(&id) {
+            kept.links.push(None);
+            kept.earlier.push(Earlier { at: self.now, outcome: Some(Outcome::NeverSent) });
+            // A client may go in the moment in which the attempt is chosen.
+            if why != Violation::AttemptForGoneClient {
+                self.counters.violation(text(&kept.asked.name), why);
+            }
+        }
+        self.end(id, shot, Outcome::NeverSent, Ns::MAX);
+    }
+
     /// Gives a send up; its end comes from the queue.
     fn give_up(&mut self, id: u64, shot: usize, outcome: Outcome) {
         let Some(kept) = self.kept.get_mut(&id) else { return };
@@ -127,8 +168,19 @@
 
 impl Carrier for Floor {
     fn send(&mut self, id: u64, shot: usize, send: &Send) {
+        if let Err(refused) = self.check(id, send) {
+            self.refuse(id, shot, refused);
+            return;
+        }
         let Some(kept) = self.kept.get_mut(&id) else { return };
         let out = Out { id, shot, at: self.now };
+        kept.earlier.push(Earlier { at: self.now, outcome: None });
+        tracing::debug!(
+            "request {} attempt {shot} to {} from {}",
+            text(&kept.asked.name),
+            self.nodes.name(send.node),
+            send.source.map_or("-", |source| self.nodes.name(source)),
+        );
         self.counters.sends += 1;
         self.counters.further += u64::from(shot > 0);
         let way = kept
@@ -193,6 +245,7 @@
             most_timers: 0,
             ends: VecDeque::new(),
             counters: Counters::default(),
+            effects: choice.effects(),
             upper,
             duties,
             in_force,
@@ -287,6 +340,12 @@
 
     fn ended(&mut self, id: u64, shot: usize, end: End) {
         self.floor.counters.end(end.outcome);
+        if let Some(kept) = self.floor.kept.get_mut(&id) {
+            tracing::debug!("request {} attempt {shot} ended {:?}", text(&kept.asked.name), end.outcome);
+            if let Some(earlier) = kept.earlier.get_mut(shot) {
+                earlier.outcome = Some(end.outcome);
+            }
+        }
         self.heed(id);
         self.hand.ended(id, shot, end, self.floor.now, &mut self.floor);
     }
@@ -466,6 +525,7 @@
                 deadline,
                 links: Vec::new(),
                 before: Vec::new(),
+                earlier: Vec::new(),
                 answered: false,
                 upper: f.upper.current().cloned(),
             },
--- a/crates/director/src/plain/counters.rs
+++ b/crates/director/src/plain/counters.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use sablecross::Outcome;
+use sablecross::rules::{Hold, Violation};
 
 /// Kept by the desk alone.
 #[derive(Default, Debug)]
@@ -25,6 +26,8 @@
     pub links: u64,
     pub links_open: u64,
     pub facts: u64,
+    /// Rules that something chosen would have broken; it was not carried out.
+    pub violations: u64,
 }
 
 /// Kept by the threads that serve connections.
@@ -42,6 +45,12 @@
     pub idle_closed: AtomicU64,
     pub made_room: AtomicU64,
     pub turned_away: AtomicU64,
+    /// Attempts that were not begun: past their time, given up by the desk, their client gone.
+    pub expired: AtomicU64,
+    pub retracted: AtomicU64,
+    pub client_gone: AtomicU64,
+    /// Times the process stood still for longer than a request may lose unnoticed.
+    pub stalls: AtomicU64,
     /// Connections that could not be made, taken or watched for want of something on this machine.
     pub shortages: AtomicU64,
     pub feed_calls: AtomicU64,
@@ -49,11 +58,27 @@
     pub feed_skipped: AtomicU64,
 }
 
+/// Counts why an attempt was not begun.
+pub fn hold(counters: &Shared, why: Hold) {
+    let counter = match why {
+        Hold::Expired => &counters.expired,
+        Hold::Retracted => &counters.retracted,
+        Hold::ClientGone => &counters.client_gone,
+    };
+    add(counter, 1);
+}
+
 pub fn add(counter: &AtomicU64, n: usize) {
     counter.fetch_add(n as u64, Ordering::Relaxed);
 }
 
 impl Counters {
+    /// Something that was chosen would have broken a rule: said with the request's name, and counted.
+    pub fn violation(&mut self, name: &str, why: Violation) {
+        self.violations += 1;
+        tracing::error!("violation request={name} rule={why:?}");
+    }
+
     pub fn end(&mut self, outcome: Outcome) {
         self.ends[place(outcome)] += 1;
     }
@@ -81,7 +106,7 @@
             "taken={} satisfied={} nacked={} failed={} cancelled={} in_hand={} unchanged={} crowded={} \
              unfit={} sends={} further={} ok={ok} miss={miss} full={full} error={error} \
              timed_out={timed_out} unconnected={unconnected} broken={broken} called_off={called_off} \
-             never_sent={never_sent} late={} links={} links_open={} facts={}",
+             never_sent={never_sent} late={} links={} links_open={} facts={} violations={}",
             self.taken,
             self.satisfied,
             self.nacked,
@@ -97,6 +122,7 @@
             self.links,
             self.links_open,
             self.facts,
+            self.violations,
         )
     }
 }
@@ -107,7 +133,7 @@
         write!(
             f,
             "answers={} answer_bytes={} unsent={} body_bytes={} bad_messages={} bad_lines={} clients={} \
-             idle_closed={} made_room={} turned_away={} shortages={} \
+             idle_closed={} made_room={} turned_away={} shortages={} stalls={} expired={} retracted={} client_gone={} \
              feed_calls={} feed_gaps={} feed_skipped={}",
             of(&self.answers),
             of(&self.answer_bytes),
@@ -120,6 +146,10 @@
             of(&self.made_room),
             of(&self.turned_away),
             of(&self.shortages),
+            of(&self.stalls),
+            of(&self.expired),
+            of(&self.retracted),
+            of(&self.client_gone),
             of(&self.feed_calls),
             of(&self.feed_gaps),
             of(&self.feed_skipped),
--- a/crates/director/src/plain/limits.rs
+++ b/crates/director/src/plain/limits.rs
@@ -12,8 +12,10 @@
     pub clients: usize,
     pub links: usize,
     pub links_a_node: usize,
-    /// Open on one connection of a client, and to a node.
+    /// Open on one connection of a client, past which more are refused, and past which no more is read of it; open on
+    /// one to a node.
     pub open_a_client: usize,
+    pub unanswered_a_client: usize,
     pub open_a_link: usize,
     pub lookups: usize,
     /// Bytes: of one body, of all bodies in hand, of a message without its body, of a line.
@@ -57,6 +59,8 @@
     pub settled: Ns,
     /// The pause before a call that failed for want of descriptors, memory or ports is made again.
     pub shortage_pause: Ns,
+    /// No wait for clients is longer: a process that stood still finds out by a wait that ended late.
+    pub longest_wait: Ns,
     /// How often idle connections are looked for.
     pub sweep: Ns,
     /// An answer is not begun any more so long after its client gave up.
@@ -85,6 +89,7 @@
             links: (sockets / 2).saturating_sub(16).max(4),
             links_a_node: (sockets / 16).max(4),
             open_a_client: 32,
+            unanswered_a_client: 64,
             open_a_link: 32,
             lookups: 16 * memory_mb.max(1),
             body: 240_000,
@@ -113,6 +118,7 @@
             idle_client: 8_000 * MS,
             settled: 200 * MS,
             shortage_pause: 10 * MS,
+            longest_wait: 100 * MS,
             sweep: 250 * MS,
             overdue: 400 * MS,
             finish: 40 * MS,
--- a/crates/director/src/plain/mod.rs
+++ b/crates/director/src/plain/mod.rs
@@ -10,3 +10,4 @@
 pub mod roster;
 pub mod source_clock;
 pub mod sparing;
+pub mod stall;
--- a/crates/director/src/plain/roster.rs
+++ b/crates/director/src/plain/roster.rs
@@ -16,6 +16,7 @@
     /// none can have sent to that node, and its number is free for another.
     gone: Option<u64>,
     start: Start,
+    state: State,
 }
 
 /// When a node started: as it was listed, and in local time, which stays the same for as long as the listed one does.
@@ -43,6 +44,11 @@
         self.nodes.get(node).map_or("", |k| &k.name)
     }
 
+    /// What the list says of a node.
+    pub fn state(&self, node: usize) -> State {
+        self.nodes.get(node).map_or(State::Gone, |known| known.state)
+    }
+
     /// Lets go of the numbers of nodes that went before the oldest lookup in hand came, and that are idle.
     pub fn release(&mut self, oldest: u64, idle: impl Fn(usize) -> bool) {
         for (node, known) in self.nodes.iter_mut().enumerate() {
@@ -111,7 +117,11 @@
         let states: HashMap<usize, State> = lines.iter().map(|l| (l.node, l.state)).collect();
         let mut gone = Vec::new();
         for (node, known) in self.nodes.iter_mut().enumerate() {
+            if let Some(state) = states.get(&node) {
+                known.state = *state;
+            }
             if states.get(&node).map_or(whole, |s| *s == State::Gone) {
+                known.state = State::Gone;
                 gone.push(node);
                 if !known.name.is_empty() {
                     known.gone.get_or_insert(next);
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -6,11 +6,13 @@
 use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
 use sablecross::Ns;
+use sablecross::rules::{self, Owed};
 
 use super::intake::Intake;
 use super::rpc::{self, Flaw, Message};
@@ -22,6 +24,7 @@
 use crate::plain::counters;
 use crate::plain::os_error::{is_failed_connection, is_pause};
 use crate::plain::sparing::Sparing;
+use crate::plain::stall::StallWatch;
 
 /// What a client is told, and until when it listens.
 pub struct Reply {
@@ -132,6 +135,10 @@
     spoke: bool,
     /// By when the message that has begun must be whole.
     whole_by: Option<Ns>,
+    /// Since when what is read next may have lain unread.
+    unread_since: Option<Ns>,
+    /// It has so many open requests that no more is read of it until some are answered.
+    throttled: bool,
     unfit: usize,
     /// It was told that no more comes. What it says still is read off until then or its own end, as a close over
     /// unread bytes would reset it, and with it the answers that are under way.
@@ -139,8 +146,23 @@
 }
 
 impl Connection {
-    fn idle(&self) -> bool {
-        self.calls.is_empty() && self.answers.is_empty() && self.writing.is_none()
+    fn may_close(&self) -> Result<(), Owed> {
+        let under_way = rules::Connection {
+            open_requests: self.calls.len(),
+            unwritten_answers: self.answers.len() + usize::from(self.writing.is_some()),
+            partial_request: !self.intake.seen().is_empty(),
+        };
+        under_way.may_close()
+    }
+
+    /// Whether the director may end it of its own accord, and has not begun to.
+    fn is_resting(&self) -> bool {
+        self.ending.is_none() && self.may_close().is_ok()
+    }
+
+    /// Whether it only ever sent a part of a request: where all places are taken, it has to go.
+    fn is_half_heard(&self) -> bool {
+        self.ending.is_none() && !self.spoke && self.may_close() == Err(Owed::Request)
     }
 
     /// Passes on what it asks, up to a share; whether there may be more at once. Ends at bytes that are no
@@ -150,14 +172,19 @@
             return self.read_off(of);
         }
         for _ in 0..of.limits.turns {
+            self.throttled = self.calls.len() >= of.limits.unanswered_a_client;
+            if self.throttled {
+                return Ok(false);
+            }
             match rpc::read(self.intake.seen(), &of.names, &of.limits) {
                 Ok((message, length)) => {
+                    let arrived = self.unread_since.unwrap_or_else(|| of.clock.now());
                     let withdrawn = Withdrawn::default();
                     let said = match &message {
                         Message::Unfit { call, why } => Some((*call, *why)),
                         _ => None,
                     };
-                    let event = event(client, self.turn, message, &withdrawn, of);
+                    let event = event(client, self.turn, message, &withdrawn, arrived, of);
                     self.intake.used(length);
                     (self.since, self.spoke, self.whole_by) = (of.clock.now(), true, None);
                     if let Some((call, why)) = said {
@@ -177,7 +204,10 @@
                         Ok(true) => {}
                         Ok(false) => return Err(Over::Gone),
                         Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                        Err(e) if is_pause(&e) => return Ok(false),
+                        Err(e) if is_pause(&e) => {
+                            self.unread_since = None;
+                            return Ok(false);
+                        }
                         Err(e) if e.kind() == ErrorKind::InvalidData => {
                             return Err(Over::Fault("message too long"));
                         }
@@ -282,7 +312,7 @@
         if self.whole_by.is_some_and(|by| now >= by) {
             return Some(Over::Fault("half a message"));
         }
-        (self.idle() && now >= self.since + time).then_some(Over::Resting)
+        (self.is_resting() && now >= self.since + time).then_some(Over::Resting)
     }
 }
 
@@ -303,6 +333,13 @@
     accept_at: Option<Ns>,
     /// One that was taken and can't be watched yet.
     unwatched: Option<(TcpStream, SocketAddr)>,
+    /// Since when connections may wait to be taken.
+    untaken_since: Option<Ns>,
+    stalls: StallWatch,
+    /// Since when what is read now may have lain unread.
+    heard_at: Ns,
+    /// When it was first told to finish.
+    finishing_since: Option<Ns>,
     log: Sparing,
 }
 
@@ -327,6 +364,10 @@
             more: Vec::new(),
             accept_at: None,
             unwatched: None,
+            untaken_since: None,
+            stalls: StallWatch::begin(of.clock.now()),
+            heard_at: of.clock.now(),
+            finishing_since: None,
             log: Sparing::default(),
         };
         Ok((clients, outlet))
@@ -344,11 +385,15 @@
         loop {
             let next = self.accept_at.map_or(sweep, |at| at.min(sweep));
             let wait = if self.more.is_empty() { self.of.clock.until(next) } else { Default::default() };
-            if let Err(e) = self.poll.poll(&mut events, Some(wait))
-                && !is_pause(&e)
+            let wait = wait.min(Duration::from_nanos(limits.longest_wait));
+            let entered = self.of.clock.now();
+            let polled = self.poll.poll(&mut events, Some(wait));
+            if let Err(e) = &polled
+                && !is_pause(e)
             {
                 return tracing::error!("connections of clients: {e}");
             }
+            self.woken(entered, wait, polled.is_err());
             let mut again = std::mem::take(&mut self.more);
             for event in &events {
                 match event.token() {
@@ -385,21 +430,38 @@
         }
     }
 
+    /// A wait is over: since when what is read now may have lain unread.
+    fn woken(&mut self, entered: Ns, wait: Duration, interrupted: bool) {
+        let now = self.of.clock.now();
+        let unread = self.stalls.woken(entered, wait, now, interrupted);
+        self.heard_at = now.saturating_sub(unread);
+        if unread > 0 {
+            counters::add(&self.of.counters.stalls, 1);
+            tracing::debug!("stood still for up to {} ms", unread / MS);
+        }
+    }
+
     /// Takes no more connections and ends those on which nothing is open; whether none is left.
     fn finished(&mut self) -> bool {
-        self.listener = None;
-        let resting = self.open.iter().filter(|(_, c)| c.idle() && c.ending.is_none());
+        let now = self.of.clock.now();
+        let since = *self.finishing_since.get_or_insert(now);
+        // Those that wait to be taken are owed an answer, as long as they can be taken before long.
+        if self.accept_at.is_none() || now >= since + self.of.limits.half_said {
+            self.listener = None;
+            self.unwatched = None;
+        }
+        let resting = self.open.iter().filter(|(_, c)| c.is_resting());
         for client in resting.map(|(id, _)| *id).collect::<Vec<Client>>() {
             self.rest(client);
         }
-        self.open.is_empty()
+        self.open.is_empty() && self.listener.is_none()
     }
 
     /// Ends a connection on which nothing is open, unless something has come on it that is not read yet: that
     /// would be owed an answer.
     fn rest(&mut self, client: Client) {
         self.read(client);
-        if self.open.get(&client).is_some_and(Connection::idle) {
+        if self.open.get(&client).is_some_and(Connection::is_resting) {
             self.close(client, Over::Resting);
         }
     }
@@ -413,7 +475,10 @@
         for _ in 0..self.of.limits.turns {
             match listener.accept() {
                 Ok(taken) => return Some(taken),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.untaken_since = None;
+                    return None;
+                }
                 // That one has failed already; others may wait behind it.
                 Err(e) if is_failed_connection(&e) => {}
                 Err(e) => {
@@ -428,6 +493,7 @@
 
     fn accept_later(&mut self) {
         counters::add(&self.of.counters.shortages, 1);
+        self.untaken_since.get_or_insert(self.heard_at);
         self.accept_at = Some(self.of.clock.now() + self.of.limits.shortage_pause);
     }
 
@@ -466,6 +532,8 @@
                 since: now,
                 spoke: false,
                 whole_by: None,
+                unread_since: self.untaken_since,
+                throttled: false,
                 unfit: 0,
                 ending: None,
             };
@@ -479,11 +547,22 @@
     fn has_place(&mut self, now: Ns) -> bool {
         let settled = now.saturating_sub(self.of.limits.settled);
         while self.open.len() - self.ending >= self.of.limits.clients {
-            let idle = self.open.iter().filter(|(_, c)| c.idle() && c.ending.is_none());
-            let longest = idle.map(|(id, c)| (c.spoke || c.since > settled, c.since, *id)).min();
-            let Some((_, _, longest)) = longest else { return false };
-            // One that has just said something stays, and the next one is looked at.
-            self.rest(longest);
+            let resting = self.open.iter().filter(|(_, c)| c.is_resting());
+            let longest = resting.map(|(id, c)| (c.spoke || c.since > settled, c.since, *id)).min();
+            let half_heard = self.open.iter().filter(|(_, c)| c.is_half_heard());
+            let half_heard = half_heard.map(|(id, c)| (c.since, *id)).min();
+            let longest = match (longest, half_heard) {
+                (Some((_, _, longest)), _) => {
+                    // One that has just said something stays, and the next one is looked at.
+                    self.rest(longest);
+                    longest
+                }
+                (None, Some((_, half))) => {
+                    self.close(half, Over::Fault("half a message, and no place left"));
+                    half
+                }
+                (None, None) => return false,
+            };
             let stays = self.open.get(&longest).is_some_and(|c| c.ending.is_none());
             counters::add(&self.of.counters.made_room, usize::from(!stays));
         }
@@ -505,12 +584,17 @@
             let Some(connection) = open.filter(|c| owed(c)) else { continue };
             connection.calls.remove(&number);
             connection.answers.push_back(reply);
+            if connection.throttled && connection.calls.len() < self.of.limits.open_a_client {
+                connection.throttled = false;
+                self.more.push(client);
+            }
             self.write(client);
         }
     }
 
     fn read(&mut self, client: Client) {
         let Some(connection) = self.open.get_mut(&client) else { return };
+        connection.unread_since.get_or_insert(self.heard_at);
         match connection.read(client, &self.of, &mut self.log) {
             Ok(true) => self.more.push(client),
             Ok(false) => {}
@@ -579,7 +663,14 @@
     }
 }
 
-fn event(client: Client, turn: u64, message: Message, withdrawn: &Withdrawn, of: &Common) -> Event {
+fn event(
+    client: Client,
+    turn: u64,
+    message: Message,
+    withdrawn: &Withdrawn,
+    arrived: Ns,
+    of: &Common,
+) -> Event {
     let call = |number| Call { number, turn };
     match message {
         Message::Alive { call: number } => Event::Alive { client, call: call(number) },
@@ -589,7 +680,7 @@
         }
         Message::Unfit { call: number, .. } => Event::Unfit { client, call: call(number), crowded: false },
         Message::Lookup { call: number, fields, body: bytes } => {
-            let (arrived, call) = (of.clock.now(), call(number));
+            let call = call(number);
             let Some(mut body) = of.room.body(bytes.len()) else {
                 return Event::Unfit { client, call, crowded: true };
             };
--- a/crates/director/src/wire/lines.rs
+++ b/crates/director/src/wire/lines.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 
-use sablecross::{Load, Outcome, Send};
+use sablecross::{Load, Ns, Outcome, Send};
 use sablecross_inhand::settings;
 
 use crate::exchange::{Asked, Name};
@@ -68,22 +68,39 @@
     Some(head)
 }
 
-/// The head of a send, with the line's end.
-/// `way` is a field of our own, for installations with more than two tiers.
-pub fn pull(asked: &Asked, send: &Send, kind: &str, source: Option<&str>, way: Option<&str>) -> Vec<u8> {
-    let mut line = Vec::with_capacity(256);
-    let ms = |ns: u64| (ns / MS).max(1);
+/// The head of a send, but for the time that its client has left, which is known when it is written.
+#[derive(Debug, Default)]
+pub struct PullHead {
+    before_wait: Vec<u8>,
+    after_wait: Vec<u8>,
+}
+
+impl PullHead {
+    /// The whole line with its end, told so much time.
+    pub fn line(&self, left: Ns) -> Vec<u8> {
+        let wait = milliseconds(left).to_string();
+        [&self.before_wait, wait.as_bytes(), &self.after_wait].concat()
+    }
+}
+
+fn milliseconds(ns: Ns) -> u64 {
+    (ns / MS).max(1)
+}
+
+/// The head of a send. `way` is a field of our own, for installations with more than two tiers.
+pub fn pull(asked: &Asked, send: &Send, kind: &str, source: Option<&str>, way: Option<&str>) -> PullHead {
+    let before_wait = format!(
+        "PULL {} class={kind},key={:016x},part={},wait=",
+        text(&asked.name),
+        asked.object,
+        asked.part
+    );
+    let mut line = Vec::with_capacity(128);
+    let ms = milliseconds;
     // Writing into memory does not fail.
     let mut put = |text: std::fmt::Arguments| {
         let _ = line.write_fmt(text);
     };
-    put(format_args!(
-        "PULL {} class={kind},key={:016x},part={}",
-        text(&asked.name),
-        asked.object,
-        asked.part
-    ));
-    put(format_args!(",wait={}", ms(send.time_out)));
     if let Some(source) = source {
         put(format_args!(",miss={source}"));
     }
@@ -109,13 +126,14 @@
         put(format_args!(",once={mark}"));
     }
     put(format_args!(" {}\r\n", asked.body.bytes().len()));
-    line
+    PullHead { before_wait: before_wait.into_bytes(), after_wait: line }
 }
 
 pub fn kill(name: &Name) -> Vec<u8> {
     format!("KILL {}\r\n", text(name)).into_bytes()
 }
 
-fn text(name: &Name) -> &str {
+/// A name as it is written.
+pub fn text(name: &Name) -> &str {
     std::str::from_utf8(name).unwrap_or_default()
 }
--- a/crates/director/src/wire/links.rs
+++ b/crates/director/src/wire/links.rs
@@ -9,6 +9,7 @@
 use crossbeam_channel::{Receiver, Sender, bounded};
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Token, Waker};
+use sablecross::rules::{Hold, Waiting};
 use sablecross::{Ns, Outcome};
 
 use super::intake::Intake;
@@ -60,15 +61,65 @@
 /// Something to write.
 pub struct Send {
     pub name: Name,
-    pub head: Vec<u8>,
-    /// None: it is a kill.
-    pub body: Option<Arc<Body>>,
-    pub until: Ns,
+    pub content: Content,
     /// The desk's word, and the client's, that it is not to be begun any more.
     pub off: Withdrawn,
     pub withdrawn: Withdrawn,
 }
 
+pub enum Content {
+    Pull {
+        head: lines::PullHead,
+        body: Arc<Body>,
+        begin_by: Ns,
+        /// When its time-out is over.
+        answer_by: Ns,
+    },
+    Kill {
+        until: Ns,
+    },
+}
+
+impl Send {
+    fn is_pull(&self) -> bool {
+        matches!(self.content, Content::Pull { .. })
+    }
+
+    /// Until when it may be written to its end.
+    fn until(&self) -> Ns {
+        match self.content {
+            Content::Pull { begin_by, answer_by, .. } => begin_by.min(answer_by),
+            Content::Kill { until } => until,
+        }
+    }
+
+    /// Whether it may be begun now; the time that its client has left then.
+    fn may_begin(&self, now: Ns) -> Result<Ns, Hold> {
+        match self.content {
+            Content::Kill { .. } => Ok(0),
+            Content::Pull { begin_by, answer_by, .. } => {
+                let (retracted, client_gone) = (self.off.said(), self.withdrawn.said());
+                Waiting { begin_by, answer_by, retracted, client_gone }.may_begin(now)
+            }
+        }
+    }
+
+    /// Its line, as it is written now.
+    fn line(&self, left: Ns) -> Vec<u8> {
+        match &self.content {
+            Content::Pull { head, .. } => head.line(left),
+            Content::Kill { .. } => lines::kill(&self.name),
+        }
+    }
+
+    fn body(&self) -> (&[u8], &[u8]) {
+        match &self.content {
+            Content::Pull { body, .. } => (body.bytes(), b"\r\n"),
+            Content::Kill { .. } => (&[], &[]),
+        }
+    }
+}
+
 /// An answer whose body is coming in.
 struct Coming {
     ended: Ended,
@@ -109,7 +160,8 @@
     intake: Intake,
     coming: Option<Coming>,
     sends: VecDeque<Send>,
-    /// Bytes of the first send that are written.
+    /// The line of the first send, once it has been begun, and the bytes of the send that are written.
+    line: Vec<u8>,
     written: usize,
     /// Sends that were passed over, until the kill of each has come, which is passed over too.
     skipped: BTreeSet<Name>,
@@ -119,7 +171,7 @@
 
 /// Something of a send has been written. A kill gives up what it names.
 fn note_begun(begun: &mut BTreeSet<Name>, send: &Send) {
-    if send.body.is_some() {
+    if send.is_pull() {
         begun.insert(send.name);
     } else {
         begun.remove(&send.name);
@@ -147,16 +199,16 @@
             if std::mem::take(&mut begun) {
                 return true;
             }
-            if send.body.is_none() {
+            if !send.is_pull() {
                 return !skipped.remove(&send.name);
             }
-            let keep = now < send.until && !send.off.said() && !send.withdrawn.said();
-            if !keep {
-                skipped.insert(send.name);
-                // The desk outlives all connections, but for the end of the program.
-                let _ = of.events.send(Event::Unbegun { link, name: send.name });
-            }
-            keep
+            let Err(why) = send.may_begin(now) else { return true };
+            tracing::debug!("link {link}: attempt {} not begun: {why:?}", lines::text(&send.name));
+            counters::hold(&of.counters, why);
+            skipped.insert(send.name);
+            // The desk outlives all connections, but for the end of the program.
+            let _ = of.events.send(Event::Unbegun { link, name: send.name });
+            false
         });
     }
 
@@ -165,12 +217,19 @@
         self.pass_over(of);
         while let (Some(send), Some(stream), true) = (self.sends.front(), &self.stream, self.up) {
             let now = of.clock.now();
-            if now >= send.until + of.limits.finish {
+            if now >= send.until().saturating_add(of.limits.finish) {
                 return Err(Over::Fault("a send not taken in time"));
             }
-            let body = send.body.as_ref().map_or(&[][..], |b| b.bytes());
-            let tail = if send.body.is_some() { &b"\r\n"[..] } else { &[] };
-            let mut parts = [IoSlice::new(&send.head), IoSlice::new(body), IoSlice::new(tail)];
+            if self.written == 0 {
+                // What is written from here on tells what is left now.
+                let Ok(left) = send.may_begin(now) else {
+                    self.pass_over(of);
+                    continue;
+                };
+                self.line = send.line(left);
+            }
+            let (body, tail) = send.body();
+            let mut parts = [IoSlice::new(&self.line), IoSlice::new(body), IoSlice::new(tail)];
             match write_on(stream, &mut parts, &mut self.written) {
                 Ok(whole) => {
                     note_begun(&mut self.begun, send);
@@ -394,8 +453,8 @@
             }
             Order::Kill { link, name } => {
                 let until = self.of.clock.now() + self.of.limits.undated;
-                let (head, off, withdrawn) = (lines::kill(&name), Withdrawn::default(), Withdrawn::default());
-                (link, Send { name, head, body: None, until, off, withdrawn })
+                let (off, withdrawn) = (Withdrawn::default(), Withdrawn::default());
+                (link, Send { name, content: Content::Kill { until }, off, withdrawn })
             }
         };
         self.with(link, |wire, of| {
@@ -418,6 +477,7 @@
             intake,
             coming: None,
             sends,
+            line: Vec::new(),
             written: 0,
             skipped,
             begun,
--- a/crates/director/src/wire/nodes.rs
+++ b/crates/director/src/wire/nodes.rs
@@ -86,6 +86,11 @@
         self.roster.name(node)
     }
 
+    /// What the list says of a node.
+    pub fn state(&self, node: usize) -> State {
+        self.roster.state(node)
+    }
+
     /// Starts of nodes that are to be listed, before the first of them is.
     pub fn observe(&mut self, members: &[Member]) {
         self.roster.observe(members, self.common.clock.now());
@@ -166,10 +171,14 @@
         let head = lines::pull(asked, send, kind, send.source.map(|s| self.name(s)), way);
         let link = self.choose(send.node, &asked.name, before, out.at)?;
         let open = self.links.get_mut(&link).ok_or(Outcome::NeverSent)?;
-        let until = send.begin_by.min(out.at + send.time_out);
-        let off = Withdrawn::default();
-        let (body, withdrawn) = (Some(Arc::clone(&asked.body)), asked.withdrawn.clone());
-        let written = links::Send { name: asked.name, head, body, until, off: off.clone(), withdrawn };
+        let content = links::Content::Pull {
+            head,
+            body: Arc::clone(&asked.body),
+            begin_by: send.begin_by,
+            answer_by: out.at + send.time_out,
+        };
+        let (off, withdrawn) = (Withdrawn::default(), asked.withdrawn.clone());
+        let written = links::Send { name: asked.name, content, off: off.clone(), withdrawn };
         if !self.orders.give(Order::Pull { link, send: written }) {
             return Err(Outcome::NeverSent);
         }
--- a/crates/director/tests/codec.rs
+++ b/crates/director/tests/codec.rs
@@ -240,7 +240,8 @@
     let full = Send { oldest: Some(1), join: true, renew: true, keep: 2, ..bare };
     let start = "PULL 9b1f03aa5c7e2d41 class=footage,key=00000000000000ff,part=3,wait=1500";
     let line = |asked: &Asked, send: &Send, source| {
-        String::from_utf8(lines::pull(asked, send, "footage", source, None)).expect("text")
+        String::from_utf8(lines::pull(asked, send, "footage", source, None).line(send.time_out))
+            .expect("text")
     };
     assert_eq!(line(&asked(None), &bare, None), format!("{start} 2\r\n"));
     assert_eq!(
--- a/crates/director/tests/collisions.rs
+++ b/crates/director/tests/collisions.rs
@@ -7,7 +7,6 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-use help::faults::Faults;
 use help::*;
 use socket2::SockRef;
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -373,6 +373,11 @@
         self.set.follow_list
     }
 
+    /// The effects of all object kinds, by their numbers.
+    pub fn effects(&self) -> Vec<Effect> {
+        self.set.object_kinds.iter().map(|kind| kind.effect).collect()
+    }
+
     pub fn knows_kind(&self, kind: usize) -> bool {
         kind < self.set.object_kinds.len()
     }
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,153 @@
+//! What may be begun, answered or closed now.
+//!
+//! The one place that holds the rules a director must never break, apart from how it chooses: every path that begins,
+//! repeats or answers something, or closes a connection, asks here at the moment of doing it. A choice that breaks a
+//! rule is not carried out and is counted as a violation: there should be none.
+
+use crate::interface::{Effect, Ns, Outcome, State};
+
+/// An attempt that waits to be written to its node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Waiting {
+    /// Its first byte must leave before.
+    pub begin_by: Ns,
+    /// Its answer must come before.
+    pub answer_by: Ns,
+    /// The desk has given it up, or news have come against it: a drain, a purge.
+    pub retracted: bool,
+    /// Its client has closed or cancelled.
+    pub client_gone: bool,
+}
+
+/// Why an attempt is not begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hold {
+    Expired,
+    Retracted,
+    ClientGone,
+}
+
+impl Waiting {
+    /// Whether its first byte may leave now; the time that its client has left then.
+    pub fn may_begin(&self, now: Ns) -> Result<Ns, Hold> {
+        if self.client_gone {
+            return Err(Hold::ClientGone);
+        }
+        if self.retracted {
+            return Err(Hold::Retracted);
+        }
+        if now >= self.begin_by || now >= self.answer_by {
+            return Err(Hold::Expired);
+        }
+        Ok(self.answer_by - now)
+    }
+}
+
+/// What is under way on a client's connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Connection {
+    pub open_requests: usize,
+    pub unwritten_answers: usize,
+    /// The first bytes of a request have come.
+    pub partial_request: bool,
+}
+
+/// What a connection that may not be closed still owes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owed {
+    Answer,
+    /// The rest of a request: once it is whole, it is owed an answer.
+    Request,
+}
+
+impl Connection {
+    /// Whether the director may close it of its own accord.
+    pub fn may_close(&self) -> Result<(), Owed> {
+        if self.open_requests > 0 || self.unwritten_answers > 0 {
+            return Err(Owed::Answer);
+        }
+        if self.partial_request {
+            return Err(Owed::Request);
+        }
+        Ok(())
+    }
+}
+
+/// An earlier attempt of the same request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Earlier {
+    pub at: Ns,
+    pub outcome: Option<Outcome>,
+}
+
+impl Earlier {
+    fn may_have_run(&self) -> bool {
+        let never = [Outcome::Full, Outcome::Unconnected, Outcome::NeverSent, Outcome::Miss];
+        self.outcome.is_none_or(|outcome| !never.contains(&outcome))
+    }
+}
+
+/// An attempt that was chosen, with all that the rules ask of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Chosen<'a> {
+    pub effect: Effect,
+    pub answered: bool,
+    pub client_gone: bool,
+    pub deadline: Ns,
+    pub node: State,
+    pub source: Option<State>,
+    pub earlier: &'a [Earlier],
+}
+
+/// A rule that an attempt or an answer would have broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Violation {
+    AnsweredTwice,
+    AttemptAfterAnswer,
+    AttemptAfterDeadline,
+    AttemptForGoneClient,
+    NodeNotReady,
+    SourceNotReady,
+    EffectRepeated,
+}
+
+impl Chosen<'_> {
+    /// Whether it may be handed to a connection.
+    pub fn check(&self, now: Ns) -> Result<(), Violation> {
+        if self.answered {
+            return Err(Violation::AttemptAfterAnswer);
+        }
+        if self.client_gone {
+            return Err(Violation::AttemptForGoneClient);
+        }
+        if now >= self.deadline {
+            return Err(Violation::AttemptAfterDeadline);
+        }
+        if self.node != State::Ready {
+            return Err(Violation::NodeNotReady);
+        }
+        if self.source.is_some_and(|source| source != State::Ready) {
+            return Err(Violation::SourceNotReady);
+        }
+        if self.repeats_effect(now) {
+            return Err(Violation::EffectRepeated);
+        }
+        Ok(())
+    }
+
+    fn repeats_effect(&self, now: Ns) -> bool {
+        let mut ran = self.earlier.iter().filter(|e| e.may_have_run());
+        match self.effect {
+            Effect::Idempotent => false,
+            Effect::SideEffecting => ran.next().is_some(),
+            Effect::Deduplicated { memory, .. } => {
+                ran.map(|e| e.at).min().is_some_and(|first| now >= first.saturating_add(memory))
+            }
+        }
+    }
+}
+
+/// Whether a request may be given an answer.
+pub fn check_answer(answered: bool) -> Result<(), Violation> {
+    if answered { Err(Violation::AnsweredTwice) } else { Ok(()) }
+}
