--- a/crates/director/tests/collisions.rs
+++ b/crates/director/tests/collisions.rs
@@ -7,6 +7,7 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
+use help::faults::Faults;
 use help::*;
 use socket2::SockRef;
 
@@ -82,6 +83,19 @@
     slow.closed();
 }
 
+/// A node says that the client's copy is the one, and names another: the client holds no such copy.
+#[test]
+fn a_copy_is_called_current_only_if_it_was_named() {
+    for fields in ["how=HIT,entity=t2,issued=1", "how=HIT,issued=1", "-"] {
+        let w = World::start();
+        let mut client = w.client();
+        client.ask_with(1, 0x77, 2_000, &[("ver", "t1")]);
+        w.cache.pull().answer("NOMOD", fields, b"");
+        w.cache.later_pull().answer("ACK", "how=HIT,entity=t2,issued=1", b"whole");
+        client.satisfied(1, b"whole");
+    }
+}
+
 fn free_address() -> std::net::SocketAddr {
     std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("bound")
 }
@@ -102,6 +116,49 @@
     false
 }
 
+/// The disk of the log is full, or whoever reads it has stopped reading or gone: the service goes on.
+#[test]
+fn a_log_that_cannot_be_written_stops_nothing() {
+    let full = std::fs::OpenOptions::new().write(true).open("/dev/full").expect("a full device");
+    for log in [Stdio::from(full), Stdio::piped()] {
+        let at = free_address();
+        let path = std::env::temp_dir().join(format!("sablecross-log-{}.json", at.port()));
+        std::fs::write(&path, SAMPLE.replace("127.0.0.1:10080", &at.to_string())).expect("written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_sablecross-director"))
+            .env("NODE_CONFIG", &path)
+            .stderr(log)
+            .spawn()
+            .expect("starts");
+        let began = alive_within(at, Duration::from_secs(3));
+        // Nobody reads its log, and it has much to say.
+        (0..300).filter(|_| began).for_each(|_| signal(child.id(), "USR1"));
+        let serves = alive_within(at, Duration::from_secs(3));
+        let ended = child.try_wait().expect("asked");
+        let _ = child.kill();
+        let _ = child.wait();
+        std::fs::remove_file(&path).expect("removed");
+        assert!(serves && ended.is_none(), "serves {serves}, ended {ended:?}");
+    }
+}
+
+/// The last clients of a program that ends come while it has no descriptor to take them with.
+#[test]
+fn a_client_that_waits_to_be_taken_at_a_stop_is_answered() {
+    let faults = Faults::plan("");
+    let w = World::start_with(|c| c, &faults.environment());
+    assert!(w.client().alive());
+    w.signal("TERM");
+    w.logged("stopping");
+    std::thread::sleep(Duration::from_millis(300));
+    faults.set("fail accept ENFILE 0 1000000 100");
+    std::thread::sleep(Duration::from_millis(50));
+    let mut client = w.client();
+    client.ask(1, 0x77, 2_000);
+    std::thread::sleep(Duration::from_millis(600));
+    faults.set("");
+    assert_eq!(client.nacked(), 1);
+}
+
 /// A signal before the configuration has been read.
 #[test]
 fn a_reload_during_the_start_does_not_end_the_program() {
