The log has a thread of its own; a copy is current only by its name

Causes: every thread wrote its lines itself, so a reader that stood still stopped the service, and a write that failed made the log layer print that, which panics; a word that the client's copy is current was passed on whatever copy it named.

--- a/crates/director/src/life/journal.rs
+++ b/crates/director/src/life/journal.rs
@@ -1,24 +1,118 @@
 //! The log: a line for each event on standard error, with its fields, as text or as JSON.
+//!
+//! Lines are written by a thread of their own. Whoever reads them may stop reading, go, or have no room left on its
+//! disk: the threads that serve never wait for that. Lines that find the queue full are dropped and counted.
 
-use std::io::stderr;
+use std::io::{self, Write, stderr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
 
+use crossbeam_channel::{Receiver, Sender, bounded};
 use tracing::Level;
 use tracing_subscriber::filter::Targets;
+use tracing_subscriber::fmt::writer::BoxMakeWriter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 use tracing_subscriber::{Layer, Registry, fmt};
 
+use super::starting::Starting;
+
 /// Which parts are heard, and from which level on: `info` if it is not set or can't be read.
 const FILTER: &str = "RUST_LOG";
 /// `json`: each line is an object.
 const FORM: &str = "SABLECROSS_LOG";
+/// Lines that wait to be written.
+const QUEUE: usize = 4_096;
+const STACK: usize = 128 << 10;
+/// How long the end of the program waits for its last lines to be written.
+const LAST_LINES: Duration = Duration::from_millis(300);
+
+enum Message {
+    Line(Vec<u8>),
+    /// All lines before it are to be written; then this is dropped.
+    Flush(Sender<()>),
+}
+
+/// Where the threads leave their lines.
+#[derive(Clone)]
+struct LineQueue {
+    messages: Sender<Message>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Write for LineQueue {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if self.messages.try_send(Message::Line(line.to_vec())).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines for ever. One that can't be written is lost: there is nowhere to say so.
+fn write_lines(messages: &Receiver<Message>, dropped: &AtomicU64) {
+    for message in messages {
+        let line = match message {
+            Message::Line(line) => line,
+            Message::Flush(written) => {
+                drop(written);
+                continue;
+            }
+        };
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let _ = writeln!(stderr(), "{lost} log lines were dropped here");
+        }
+        let _ = stderr().write_all(&line);
+    }
+}
+
+/// The log of a program, until it ends.
+pub struct Journal {
+    messages: Option<Sender<Message>>,
+}
+
+impl Journal {
+    /// Once, at the start of the program. Without a thread for it lines are written directly.
+    pub fn begin(starting: &Starting) -> Journal {
+        let (messages, waiting) = bounded(QUEUE);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let started = starting.retry(|| {
+            let (waiting, dropped) = (waiting.clone(), Arc::clone(&dropped));
+            let body = move || write_lines(&waiting, &dropped);
+            thread::Builder::new().name("log".into()).stack_size(STACK).spawn(body)
+        });
+        let queue = LineQueue { messages: messages.clone(), dropped };
+        match started {
+            Ok(_) => subscribe(BoxMakeWriter::new(move || queue.clone())),
+            Err(_) => subscribe(BoxMakeWriter::new(stderr)),
+        }
+        Journal { messages: started.is_ok().then_some(messages) }
+    }
+
+    /// Waits a little for the last lines.
+    pub fn end(self) {
+        let Some(messages) = self.messages else { return };
+        let (written, done) = bounded(0);
+        if messages.send_timeout(Message::Flush(written), LAST_LINES).is_ok() {
+            // It is dropped once its turn has come.
+            let _ = done.recv_timeout(LAST_LINES);
+        }
+    }
+}
 
-/// Once, at the start of the program.
-pub fn begin() {
+fn subscribe(writer: BoxMakeWriter) {
     let asked = std::env::var(FILTER).unwrap_or_default();
     let filter = asked.parse::<Targets>().ok().filter(|_| !asked.is_empty());
     let filter = filter.unwrap_or_else(|| Targets::new().with_default(Level::INFO));
-    let lines = fmt::layer().with_writer(stderr).with_ansi(false);
+    // An error of the log must not be said on the log: that would panic.
+    let lines = fmt::layer().with_writer(writer).with_ansi(false).log_internal_errors(false);
     let layer = match std::env::var(FORM).as_deref() {
         Ok("json") => lines.json().flatten_event(true).with_filter(filter).boxed(),
         _ => lines.with_filter(filter).boxed(),
--- a/crates/director/src/life/mod.rs
+++ b/crates/director/src/life/mod.rs
@@ -14,6 +14,7 @@
 use signal_hook::iterator::Signals;
 
 use config::{Config, LoadError};
+use journal::Journal;
 use signals::Fixed;
 use starting::Starting;
 
@@ -31,14 +32,17 @@
 
 /// A whole life with its log, as a program's.
 pub fn start() -> ExitCode {
-    journal::begin();
-    match run() {
+    let starting = Starting::begin();
+    let journal = Journal::begin(&starting);
+    let code = match run(&starting) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             tracing::error!("{e}");
             ExitCode::FAILURE
         }
-    }
+    };
+    journal.end();
+    code
 }
 
 /// The configuration; one that can't be read for a moment is read again.
@@ -52,11 +56,10 @@
 }
 
 /// A whole life, from the configuration to the last answer.
-pub fn run() -> Result<(), String> {
-    let starting = Starting::begin();
+fn run(starting: &Starting) -> Result<(), String> {
     // First of all: a signal that comes during the start must not end the program.
     let caught = starting.retry(|| Signals::new(signals::HEARD)).map_err(|e| format!("signals: {e}"))?;
-    let config = load(&starting).map_err(|e| e.to_string())?;
+    let config = load(starting).map_err(|e| e.to_string())?;
     let (to_feed, moves) = bounded(config.limits.moves);
     let fixed = Fixed::of(&config, moves.clone());
     let duty = Setting::read().transpose()?;
--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -576,8 +576,8 @@
         let mut outcome = ended.outcome;
         if let Some(copy) = ended.copy {
             let held = kept.asked.tag.as_deref();
-            if copy.body.is_none() && held.is_none() {
-                // Nothing to pass on: the client holds no copy that could be unchanged.
+            if copy.body.is_none() && held != Some(&*copy.tag) {
+                // Nothing to pass on: the client holds no copy that was named as current.
                 outcome = Outcome::Error;
             } else {
                 let body = copy.body.filter(|_| copy.tag.is_empty() || held != Some(&*copy.tag));
