Collisions: answers dropped where many ask much at once, a test that fails

Measured on sockets: 300 clients that sent 200 requests each while the process stood still: answers are missing, and with them the connections never come to rest, so a stop does not end.

--- a/crates/director/tests/collisions.rs
+++ b/crates/director/tests/collisions.rs
@@ -83,6 +83,38 @@
     slow.closed();
 }
 
+/// Many clients that send many requests at once, all read in one turn: none loses its answer.
+#[test]
+fn many_that_ask_much_at_once_are_all_answered() {
+    const EACH: usize = 200;
+    let w = World::start();
+    let mut clients: Vec<Client> = (0..300).map(|_| w.client()).collect();
+    assert!(clients.iter_mut().all(Client::alive));
+    w.signal("STOP");
+    let mut requests = Vec::new();
+    for call in 0..EACH {
+        requests.extend([0x94, 0, 0xcc, call as u8]);
+        requests.extend(b"\xa5alive\x91\x80");
+    }
+    clients.iter_mut().for_each(|c| c.write(&requests));
+    w.signal("CONT");
+    for (number, client) in clients.iter_mut().enumerate() {
+        let mut left = EACH;
+        while left > 0 {
+            assert_eq!(client.answer().1, Answer::Alive(true), "client {number}, {left} left");
+            left -= 1;
+        }
+    }
+    w.signal("TERM");
+    drop(clients);
+    let mut w = w;
+    let start = Instant::now();
+    while w.child.try_wait().expect("asked").is_none() {
+        assert!(start.elapsed() < LONG, "it ends");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// A node says that the client's copy is the one, and names another: the client holds no such copy.
 #[test]
 fn a_copy_is_called_current_only_if_it_was_named() {
