--- a/crates/director/src/memory/desk.rs
+++ b/crates/director/src/memory/desk.rs
@@ -46,6 +46,8 @@
     common: Arc<Common>,
     nodes: Nodes,
     outlet: Outlet,
+    /// Answers for which there was no room on the way to the clients.
+    untold: VecDeque<Reply>,
     /// Its lookups in hand by their numbers, for each connection of a client.
     callers: HashMap<Client, HashMap<u32, u64>>,
     /// By their numbers, which rise.
@@ -87,8 +89,17 @@
         if let Some(calls) = self.callers.get_mut(&client) {
             calls.remove(&call.number);
         }
-        if !self.outlet.tell(Reply { client, call, until, say }) {
-            counters::add(&self.common.counters.unsent, 1);
+        self.untold.push_back(Reply { client, call, until, say });
+        self.tell_on();
+    }
+
+    /// Hands over the answers that found no room, in their order. No more wait than clients may leave unanswered.
+    fn tell_on(&mut self) {
+        while let Some(reply) = self.untold.pop_front() {
+            if let Err(reply) = self.outlet.tell(reply) {
+                self.untold.push_front(reply);
+                return;
+            }
         }
     }
 
@@ -238,6 +249,7 @@
             common,
             nodes,
             outlet,
+            untold: VecDeque::new(),
             callers: HashMap::new(),
             kept: BTreeMap::new(),
             names: HashMap::new(),
@@ -266,13 +278,14 @@
         loop {
             self.floor.now = self.floor.common.clock.now();
             self.due();
+            self.floor.tell_on();
             self.finish();
             // All that clients were owed is written, or they have left; what is out still is for nobody.
             if self.finished && self.floor.kept.is_empty() {
                 return Ok(());
             }
             let next = self.floor.timers.peek().map_or(Ns::MAX, |Reverse((when, _))| *when);
-            let next = if self.stopped.is_some() && !self.finishing {
+            let next = if self.stopped.is_some() && !self.finishing || !self.floor.untold.is_empty() {
                 next.min(self.floor.now + self.floor.common.limits.stop_poll)
             } else {
                 next
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -55,9 +55,13 @@
 }
 
 impl Outlet {
-    /// Hands an answer over; false if there are more than can be kept.
-    pub fn tell(&self, reply: Reply) -> bool {
-        let told = !matches!(self.replies.try_send(reply), Err(TrySendError::Full(_)));
+    /// Hands an answer over; it comes back if there are more than can be kept just now.
+    pub fn tell(&self, reply: Reply) -> Result<(), Reply> {
+        let told = match self.replies.try_send(reply) {
+            Err(TrySendError::Full(reply)) => Err(reply),
+            // Without the clients' thread nobody is owed anything.
+            Ok(()) | Err(TrySendError::Disconnected(_)) => Ok(()),
+        };
         // It wakes by itself before long.
         let _ = self.waker.wake();
         told
