--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod relay;
 mod scale;
 mod slopes;
+mod soak;
 mod trial;
 
 use std::process::ExitCode;
@@ -34,6 +35,8 @@
     FleetTrial(fleet::Arguments),
     /// A trial of control at full size: thousands of hollow directors, real ones beside them, relays, faults.
     Scale(scale::Arguments),
+    /// A soak: directors under overlapping troubles, judged from outside by the invariants.
+    Soak(soak::Arguments),
     /// Relays between one source of events and the directors: run, show, publish.
     #[command(subcommand)]
     Relay(relay::Command),
@@ -75,6 +78,7 @@
         Command::Lab(command) => lab::run(&command),
         Command::Relay(command) => relay::run(&command),
         Command::Slopes(arguments) => slopes::run(&arguments),
+        Command::Soak(arguments) => soak::run(&arguments),
     };
     match done {
         Ok(Verdict::Well) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/cli/src/soak.rs
@@ -0,0 +1,76 @@
+//! `sablecross soak`: directors under overlapping troubles, judged by the invariants.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use clap::Args;
+use sablecross_lab::soak::{self, Options};
+
+use super::Verdict;
+
+#[derive(Args)]
+pub struct Arguments {
+    /// The seed of the first soak; each further one has the next.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many soaks, one after another.
+    #[arg(long, default_value_t = 1)]
+    soaks: u64,
+    /// How long each lasts.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(5..=3_600))]
+    seconds: u64,
+    #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u16).range(1..=100))]
+    directors: u16,
+    #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u16).range(1..=100))]
+    caches: u16,
+    /// Clients of each director.
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u16).range(1..=50))]
+    clients: u16,
+    /// The director's program; without it, the one in this program.
+    #[arg(long)]
+    director: Option<PathBuf>,
+    /// The fault library (libsablecross_faults.so); without it no system calls fail.
+    #[arg(long)]
+    faults: Option<PathBuf>,
+    /// Where configurations and logs go.
+    #[arg(long, default_value = "found/soak")]
+    folder: PathBuf,
+}
+
+/// A file that must be there.
+fn existing(path: Option<&PathBuf>) -> Result<Option<PathBuf>, String> {
+    path.map(|p| p.canonicalize().map_err(|e| format!("{}: {e}", p.display()))).transpose()
+}
+
+pub fn run(arguments: &Arguments) -> Result<Verdict, Vec<String>> {
+    let one = |e: String| vec![e];
+    let director = existing(arguments.director.as_ref()).map_err(one)?;
+    let fault_library = existing(arguments.faults.as_ref()).map_err(one)?;
+    let own = std::env::current_exe().map_err(|e| vec![format!("this program: {e}")])?;
+    let program = || match &director {
+        Some(path) => Command::new(path),
+        None => {
+            let mut command = Command::new(&own);
+            command.args(["lab", "director"]);
+            command
+        }
+    };
+    let mut verdict = Verdict::Well;
+    for seed in arguments.seed..arguments.seed.saturating_add(arguments.soaks) {
+        let options = Options {
+            seed,
+            seconds: arguments.seconds,
+            directors: arguments.directors.into(),
+            caches: arguments.caches.into(),
+            clients_a_director: arguments.clients.into(),
+            fault_library: fault_library.clone(),
+        };
+        let folder = arguments.folder.join(seed.to_string());
+        let outcome = soak::run(&options, &program, &folder).map_err(|e| vec![e.to_string()])?;
+        println!("seed {seed}: {outcome}");
+        if !outcome.breaches.is_empty() {
+            verdict = Verdict::Refused;
+        }
+    }
+    Ok(verdict)
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod run;
 pub mod scale;
 pub mod settings;
+pub mod soak;
 
 pub use outcome::Outcome;
 pub use process::Failed;
--- /dev/null
+++ b/crates/lab/src/soak/discovery.rs
@@ -0,0 +1,169 @@
+//! Stand-in discovery: numbered events to each director, with outages, silences and moves to another address.
+
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::At;
+use super::judge::Judge;
+use crate::node::{lock, spawn};
+
+/// What an event tells, for the judge.
+#[derive(Clone, Debug)]
+pub enum News {
+    Drained(usize),
+    Ready(usize),
+    Purge { object: u64, made_ms: u64 },
+}
+
+#[derive(Clone)]
+struct Event {
+    text: String,
+    news: Option<News>,
+}
+
+#[derive(Default)]
+struct State {
+    events: Vec<Event>,
+    down_until: At,
+    silent_until: At,
+    links: Vec<Arc<TcpStream>>,
+}
+
+/// One source of events with two addresses.
+pub struct Discovery {
+    pub addresses: [SocketAddr; 2],
+    judge: Arc<Judge>,
+    state: Mutex<State>,
+}
+
+const POLL: Duration = Duration::from_millis(20);
+const TICK: f64 = 0.5;
+
+impl Discovery {
+    pub fn start(judge: &Arc<Judge>) -> io::Result<Arc<Discovery>> {
+        let listeners = [TcpListener::bind("127.0.0.1:0")?, TcpListener::bind("127.0.0.1:0")?];
+        let addresses = [listeners[0].local_addr()?, listeners[1].local_addr()?];
+        let discovery = Arc::new(Discovery { addresses, judge: Arc::clone(judge), state: Mutex::default() });
+        for listener in listeners {
+            let own = Arc::clone(&discovery);
+            spawn(move || {
+                for stream in listener.incoming().map_while(Result::ok) {
+                    let (own, stream) = (Arc::clone(&own), Arc::new(stream));
+                    spawn(move || {
+                        // A director that goes ends its connection.
+                        let _ = own.serve(&stream);
+                    });
+                }
+            });
+        }
+        Ok(discovery)
+    }
+
+    /// An event without its number, which is added.
+    pub fn tell(&self, event: &str, news: Option<News>) {
+        let mut state = lock(&self.state);
+        let number = state.events.len() + 1;
+        state.events.push(Event { text: format!("{{\"n\":{number},{event}}}"), news });
+    }
+
+    pub fn known(&self) -> Vec<Value> {
+        let state = lock(&self.state);
+        state.events.iter().filter_map(|e| serde_json::from_str(&e.text).ok()).collect()
+    }
+
+    /// A director knows all of it from its start.
+    pub fn known_at_start(&self, director: usize) {
+        let events = lock(&self.state).events.clone();
+        events.iter().filter_map(|e| e.news.as_ref()).for_each(|news| self.note(director, news));
+    }
+
+    pub fn goes_down(&self, lasts: f64) {
+        let mut state = lock(&self.state);
+        state.down_until = self.judge.now() + lasts;
+        for link in std::mem::take(&mut state.links) {
+            let _ = link.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub fn falls_silent(&self, lasts: f64) {
+        lock(&self.state).silent_until = self.judge.now() + lasts;
+    }
+
+    fn note(&self, director: usize, news: &News) {
+        match news {
+            News::Drained(node) => self.judge.told_drained(director, *node),
+            News::Ready(node) => self.judge.told_ready(director, *node),
+            News::Purge { object, made_ms } => self.judge.told_purge(director, *object, *made_ms),
+        }
+    }
+
+    fn serve(&self, stream: &Arc<TcpStream>) -> io::Result<()> {
+        if self.judge.now() < lock(&self.state).down_until {
+            return stream.shutdown(Shutdown::Both);
+        }
+        lock(&self.state).links.push(Arc::clone(stream));
+        let mut reader = BufReader::new(&**stream);
+        let mut next = 0;
+        loop {
+            let mut line = String::new();
+            if reader.read_line(&mut line)? == 0 {
+                return Ok(());
+            }
+            if let Some(last) = line.strip_prefix("Last-Event-ID: ") {
+                next = last.trim_end().parse().unwrap_or(0);
+            }
+            if line == "\r\n" {
+                break;
+            }
+        }
+        let mut out = &**stream;
+        out.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
+        let mut ticked = 0.0;
+        loop {
+            let now = self.judge.now();
+            let (events, silent) = {
+                let state = lock(&self.state);
+                (state.events.get(next..).unwrap_or_default().to_vec(), now < state.silent_until)
+            };
+            if !silent {
+                for event in events {
+                    next += 1;
+                    out.write_all(format!("id: {next}\ndata: {}\n\n", event.text).as_bytes())?;
+                }
+                if now > ticked + TICK {
+                    ticked = now;
+                    out.write_all(b": tick\n\n")?;
+                }
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+}
+
+/// When all directors count as having been told of an event, whether or not it has arrived.
+pub const TOLD_AFTER: f64 = 7.0;
+
+/// Notes for every director, at the latest moment at which an event counts as told, what it says.
+pub fn note_all(discovery: &Arc<Discovery>, directors: usize) {
+    let discovery = Arc::clone(discovery);
+    spawn(move || {
+        let mut heard: Vec<At> = Vec::new();
+        let mut noted = 0;
+        loop {
+            let now = discovery.judge.now();
+            let events = lock(&discovery.state).events.clone();
+            heard.resize(events.len(), now);
+            while noted < events.len() && now > heard[noted] + TOLD_AFTER {
+                if let Some(news) = &events[noted].news {
+                    (0..directors).for_each(|director| discovery.note(director, news));
+                }
+                noted += 1;
+            }
+            std::thread::sleep(POLL);
+        }
+    });
+}
--- /dev/null
+++ b/crates/lab/src/soak/run.rs
@@ -0,0 +1,293 @@
+//! A soak from start to end.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::Path;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+
+use super::clients::Client;
+use super::discovery::{Discovery, News, note_all};
+use super::fleet::Director;
+use super::judge::{Breach, Judge, Rule};
+use super::nodes::{Node, Nodes};
+use super::troubles::{self, Trouble};
+use super::{At, Options};
+use crate::directors::{Ports, endpoint, members, serving};
+use crate::node::{lock, unix_ms};
+use crate::process::{Failed, io_error};
+
+/// How long a platform waits after it has told a director to end, and for one to serve.
+const STOP_WAIT: Duration = Duration::from_millis(3_700);
+const READY_WAIT: Duration = Duration::from_secs(10);
+/// Requests a second that a cold cache bears once it is warm.
+const CACHE_CAPACITY: f64 = 60.0;
+/// A node that is listed as draining goes so much later, and its successor comes then.
+const DRAINS_FOR: f64 = 2.5;
+
+/// What a soak came to.
+pub struct Outcome {
+    pub breaches: Vec<Breach>,
+    pub counts: BTreeMap<&'static str, u64>,
+    pub troubles: usize,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{} troubles", self.troubles)?;
+        for (what, many) in &self.counts {
+            writeln!(f, "{many:>9} {what}")?;
+        }
+        let mut by_rule: BTreeMap<Rule, usize> = BTreeMap::new();
+        self.breaches.iter().for_each(|breach| *by_rule.entry(breach.rule).or_default() += 1);
+        for (rule, many) in by_rule {
+            writeln!(f, "broken {rule:?}: {many}")?;
+        }
+        self.breaches.iter().take(20).try_for_each(|breach| writeln!(f, "{breach}"))
+    }
+}
+
+struct Soak<'a> {
+    options: &'a Options,
+    program: &'a (dyn Fn() -> Command + Sync),
+    judge: Arc<Judge>,
+    discovery: Arc<Discovery>,
+    directors: Vec<Arc<Director>>,
+    nodes: Nodes,
+    /// By number: caches, the parent, the origin, then successors.
+    by_number: Mutex<Vec<Arc<Node>>>,
+    /// The node that stands in each cache's place now.
+    places: Mutex<Vec<usize>>,
+}
+
+fn listed(node: &Node, status: &str, since_ms: u64) -> serde_json::Value {
+    endpoint(&node.name, node.address, node.kind, status, since_ms)
+}
+
+impl Soak<'_> {
+    fn add_node(&self, name: &str, kind: &'static str) -> Result<Arc<Node>, Failed> {
+        let number = lock(&self.by_number).len();
+        let node = Node::start(number, name, kind, &self.judge, &self.nodes).map_err(io_error("a node"))?;
+        lock(&self.by_number).push(Arc::clone(&node));
+        Ok(node)
+    }
+
+    fn node(&self, place: usize) -> Option<Arc<Node>> {
+        let number = lock(&self.places).get(place).copied()?;
+        lock(&self.by_number).get(number).cloned()
+    }
+
+    fn tell(&self, node: &Node, status: &str, since_ms: u64) {
+        let news = match status {
+            "ready" => News::Ready(node.number),
+            _ => News::Drained(node.number),
+        };
+        self.discovery.tell(&members(&[listed(node, status, since_ms)], false), Some(news));
+    }
+
+    fn start(&self, director: &Director) -> Result<(), Failed> {
+        director.start(self.options, &self.program, &self.discovery)?;
+        let name = format!("director-{}", director.number);
+        serving(&name, director.at, &director.log, Instant::now(), READY_WAIT)
+    }
+
+    /// Started again, whatever made it end. Its end is a crash if nobody asked for it.
+    fn restart(&self, director: &Director, killed: bool) {
+        if killed {
+            director.kill();
+        } else {
+            director.ends();
+            director.awaits_end(STOP_WAIT);
+            director.kill();
+        }
+        director.faults("");
+        if let Err(e) = self.start(director) {
+            self.judge.breach(Rule::Crash, e.to_string());
+        }
+        director.is_back();
+    }
+
+    fn replace(&self, place: usize) -> Result<(), Failed> {
+        let Some(old) = self.node(place) else { return Ok(()) };
+        self.tell(&old, "draining", 0);
+        thread::sleep(Duration::from_secs_f64(DRAINS_FOR));
+        self.tell(&old, "gone", 0);
+        let number = lock(&self.by_number).len();
+        let new = self.add_node(&format!("cache-{number}"), "small")?;
+        self.judge.starts_cold(new.number, CACHE_CAPACITY);
+        lock(&self.places)[place] = new.number;
+        self.tell(&new, "ready", unix_ms());
+        thread::sleep(Duration::from_secs_f64(super::judge::DRAIN_GRACE));
+        old.drops_connections(false);
+        Ok(())
+    }
+
+    fn carry_out(&self, trouble: &Trouble) -> Result<(), Failed> {
+        match *trouble {
+            Trouble::Restart(n) => self.restart(&self.directors[n], false),
+            Trouble::Kill(n) => self.restart(&self.directors[n], true),
+            Trouble::StandStill(n, lasts) => {
+                let director = &self.directors[n];
+                director.stands_still(lasts + 0.2);
+                director.signal(Signal::STOP);
+                thread::sleep(Duration::from_secs_f64(lasts));
+                director.signal(Signal::CONT);
+            }
+            Trouble::Reload(n) => self.directors[n].moves(self.options, &self.discovery)?,
+            Trouble::Fault(n, fault, lasts) => {
+                let director = &self.directors[n];
+                if troubles::breaks_connections(fault) {
+                    director.breaks_for(lasts);
+                }
+                director.faults(&format!("{fault} 0 1000000000 80"));
+                thread::sleep(Duration::from_secs_f64(lasts));
+                director.faults("");
+            }
+            Trouble::ClockStep(n, offset) => {
+                let director = &self.directors[n];
+                director.faults(&format!("clock 0 {offset}"));
+                thread::sleep(Duration::from_millis(1_500));
+                director.faults("");
+            }
+            Trouble::DiscoveryDown(lasts) => self.discovery.goes_down(lasts),
+            Trouble::DiscoverySilent(lasts) => self.discovery.falls_silent(lasts),
+            Trouble::Purge(object) => {
+                let made_ms = unix_ms();
+                let event = format!("\"purge\":{{\"key\":\"{object:016x}\",\"at\":{made_ms}}}");
+                self.discovery.tell(&event, Some(News::Purge { object, made_ms }));
+            }
+            Trouble::Replace(place) => self.replace(place)?,
+            Trouble::Misbehave(place, mode, lasts) => {
+                if let Some(node) = self.node(place) {
+                    node.behaves(mode, lasts);
+                }
+            }
+            Trouble::DropConnections(place, by_reset) => {
+                if let Some(node) = self.node(place) {
+                    node.drops_connections(by_reset);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Troubles at their times, each on a thread of its own. Two that restart one director take turns.
+    fn trouble(&self, until: At) {
+        let turns: Vec<Mutex<()>> = self.directors.iter().map(|_| Mutex::default()).collect();
+        let turns = &turns;
+        thread::scope(|scope| {
+            for (at, trouble) in troubles::plan(self.options) {
+                let wait = at - self.judge.now();
+                if wait > 0.0 {
+                    thread::sleep(Duration::from_secs_f64(wait));
+                }
+                if self.judge.now() > until {
+                    return;
+                }
+                scope.spawn(move || {
+                    let turn = match trouble {
+                        Trouble::Restart(n) | Trouble::Kill(n) => Some(lock(&turns[n])),
+                        _ => None,
+                    };
+                    if let Err(e) = self.carry_out(&trouble) {
+                        self.judge.breach(Rule::Crash, format!("{trouble:?}: {e}"));
+                    }
+                    drop(turn);
+                });
+            }
+        });
+    }
+
+    /// What the directors said of themselves.
+    fn look_inside(&self) {
+        for director in &self.directors {
+            let log = std::fs::read_to_string(&director.log).unwrap_or_default();
+            for line in log.lines().filter(|l| l.contains("violation request=") || l.contains("panicked at"))
+            {
+                self.judge.breach(Rule::Inside, format!("director {}: {line}", director.number));
+            }
+        }
+    }
+}
+
+/// Runs it. `program` starts a real director; its files go to the folder.
+pub fn run(
+    options: &Options,
+    program: &(dyn Fn() -> Command + Sync),
+    folder: &Path,
+) -> Result<Outcome, Failed> {
+    std::fs::create_dir_all(folder).map_err(io_error(folder.display().to_string()))?;
+    let judge = Arc::new(Judge::begin());
+    let discovery = Discovery::start(&judge).map_err(io_error("discovery"))?;
+    let mut ports = Ports::new();
+    let mut directors: Vec<Arc<Director>> = Vec::new();
+    while directors.len() < options.directors {
+        let at = ports.next().map_err(io_error("a port"))?;
+        if directors.iter().all(|d| d.at != at) {
+            directors.push(Arc::new(Director::new(directors.len(), at, folder, &judge)));
+        }
+    }
+    let soak = Soak {
+        options,
+        program,
+        judge: Arc::clone(&judge),
+        discovery,
+        directors,
+        nodes: Nodes::default(),
+        by_number: Mutex::default(),
+        places: Mutex::default(),
+    };
+    let kinds = (0..options.caches).map(|n| (format!("cache-{n}"), "small"));
+    for (name, kind) in kinds.chain([("parent-0".into(), "parent"), ("origin-0".into(), "origin")]) {
+        soak.add_node(&name, kind)?;
+    }
+    *lock(&soak.places) = (0..options.caches + 2).collect();
+    let all: Vec<_> = lock(&soak.by_number).iter().map(|node| listed(node, "ready", 0)).collect();
+    soak.discovery.tell(&members(&all, true), None);
+    note_all(&soak.discovery, options.directors);
+    for director in &soak.directors {
+        let _ = std::fs::remove_file(&director.log);
+        director.faults("");
+        soak.start(director)?;
+    }
+    let (over, next_id) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(1)));
+    let mut clients = Vec::new();
+    for director in &soak.directors {
+        for number in 0..options.clients_a_director {
+            let client = Client {
+                director: Arc::clone(director),
+                judge: Arc::clone(&judge),
+                over: Arc::clone(&over),
+                next_id: Arc::clone(&next_id),
+                seed: options.seed ^ ((director.number as u64) << 32) ^ ((number as u64) << 16),
+            };
+            clients.push(thread::spawn(move || client.run()));
+        }
+    }
+    let began = Instant::now();
+    soak.trouble(options.seconds as f64);
+    thread::sleep(Duration::from_secs(options.seconds).saturating_sub(began.elapsed()));
+    over.store(true, Ordering::Relaxed);
+    for client in clients {
+        if client.join().is_err() {
+            judge.breach(Rule::Unknown, "a client of the soak panicked".into());
+        }
+    }
+    for director in &soak.directors {
+        if director.has_crashed() {
+            judge.breach(Rule::Crash, format!("director {} has ended by itself", director.number));
+        } else {
+            director.ends();
+            director.awaits_end(STOP_WAIT);
+        }
+    }
+    soak.look_inside();
+    let troubles = troubles::plan(options).len();
+    let (breaches, counts) = judge.close();
+    Ok(Outcome { breaches, counts, troubles })
+}
--- /dev/null
+++ b/crates/lab/src/soak/troubles.rs
@@ -0,0 +1,111 @@
+//! What goes wrong, and when: rounds of two or three troubles that overlap, drawn by the seed.
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+use super::nodes::Mode;
+use super::{At, Options};
+
+#[derive(Clone, Debug)]
+pub enum Trouble {
+    /// Told to end, then started again.
+    Restart(usize),
+    /// Killed, then started again.
+    Kill(usize),
+    StandStill(usize, f64),
+    Reload(usize),
+    /// A fault of system calls, by its rule's words.
+    Fault(usize, &'static str, f64),
+    /// The wall clock steps by so many milliseconds.
+    ClockStep(usize, i64),
+    DiscoveryDown(f64),
+    DiscoverySilent(f64),
+    Purge(u64),
+    /// A node drains, goes, and another takes its place, cold.
+    Replace(usize),
+    Misbehave(usize, Mode, f64),
+    DropConnections(usize, bool),
+}
+
+/// System calls that fail for a moment. Those that break connections are marked by their errors.
+const FAULTS: [&str; 16] = [
+    "fail accept ECONNABORTED",
+    "fail accept ENFILE",
+    "fail accept EMFILE",
+    "fail socket ENFILE",
+    "fail socket ENOBUFS",
+    "fail connect EADDRNOTAVAIL",
+    "fail connect ENETUNREACH",
+    "fail connect EINTR",
+    "fail epoll_ctl ENOMEM",
+    "fail wait EINTR",
+    "fail open EMFILE",
+    "short receive 3",
+    "short send 9",
+    "fail receive ETIMEDOUT",
+    "fail send EHOSTUNREACH",
+    "fail receive ECONNRESET",
+];
+
+pub fn breaks_connections(fault: &str) -> bool {
+    ["ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET", "ECONNABORTED"].iter().any(|error| fault.contains(error))
+}
+
+const MODES: [Mode; 8] = [
+    Mode::Hangs,
+    Mode::Stuck,
+    Mode::Resets,
+    Mode::Full,
+    Mode::Errors,
+    Mode::Garbage,
+    Mode::Twice,
+    Mode::WrongTag,
+];
+
+/// Seconds between two rounds, and within one between its troubles at most.
+const ROUND: f64 = 1.5;
+const APART: f64 = 0.4;
+
+fn draw(rng: &mut Pcg32, o: &Options) -> Trouble {
+    let director = rng.random_range(0..o.directors);
+    let node = rng.random_range(0..o.caches + 2);
+    let cache = rng.random_range(0..o.caches);
+    match rng.random_range(0..14) {
+        0 | 1 => Trouble::Restart(director),
+        2 => Trouble::Kill(director),
+        3 => Trouble::StandStill(director, 0.1 + 1.2 * rng.random::<f64>()),
+        4 => Trouble::Reload(director),
+        5 | 6 if o.fault_library.is_some() => {
+            let fault = FAULTS[rng.random_range(0..FAULTS.len())];
+            Trouble::Fault(director, fault, 0.05 + 0.35 * rng.random::<f64>())
+        }
+        7 if o.fault_library.is_some() => {
+            let step = [3_600_000, -3_600_000, 5_000, -5_000][rng.random_range(0..4)];
+            Trouble::ClockStep(director, step)
+        }
+        8 => Trouble::DiscoveryDown(0.5 + 3.0 * rng.random::<f64>()),
+        9 => Trouble::DiscoverySilent(1.0 + 3.0 * rng.random::<f64>()),
+        10 => Trouble::Purge(1 + rng.random_range(0..super::clients::OBJECTS)),
+        11 => Trouble::Replace(cache),
+        12 => Trouble::DropConnections(node, rng.random()),
+        _ => {
+            let mode = MODES[rng.random_range(0..MODES.len())];
+            Trouble::Misbehave(node, mode, 0.3 + 2.0 * rng.random::<f64>())
+        }
+    }
+}
+
+/// All troubles of a soak with their times, in order.
+pub fn plan(o: &Options) -> Vec<(At, Trouble)> {
+    let mut rng = Pcg32::seed_from_u64(o.seed);
+    let mut all = Vec::new();
+    let mut at = 2.0;
+    while at < o.seconds as f64 - 1.0 {
+        for _ in 0..rng.random_range(2..=3) {
+            all.push((at + APART * rng.random::<f64>(), draw(&mut rng, o)));
+        }
+        at += ROUND * (0.6 + 0.8 * rng.random::<f64>());
+    }
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    all
+}
