--- a/crates/lab/src/soak/fleet.rs
+++ b/crates/lab/src/soak/fleet.rs
@@ -89,6 +89,7 @@
         let mut config = configuration(number, many, seed, self.at, (feed, &[]), &like);
         let known = discovery.known();
         config["known"] = json!({"n": known.len(), "events": known});
+        config["settings"]["ceilings"]["dialTimeoutUs"] = json!(1_500_000);
         config["limits"]["sockets"] = json!(256);
         settings(&mut config, &KINDS.map(|(name, _)| name));
         // In place at once: a reload may read it at any time.
--- a/crates/lab/src/soak/nodes.rs
+++ b/crates/lab/src/soak/nodes.rs
@@ -6,6 +6,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use socket2::{Domain, Socket, Type};
+
 use super::At;
 use super::judge::{Attempt, Judge};
 use crate::node::{lock, spawn, unix_ms};
@@ -41,6 +43,18 @@
     copies: HashMap<u64, u64>,
     links: Vec<Arc<TcpStream>>,
     stuck_until: At,
+    /// Connections are not taken until then.
+    late_until: At,
+}
+
+/// Connections that wait to be taken, past which a new one comes up late.
+const BACKLOG: i32 = 2;
+
+fn listen() -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
 }
 
 pub struct Node {
@@ -93,7 +107,7 @@
         judge: &Arc<Judge>,
         all: &Nodes,
     ) -> io::Result<Arc<Node>> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = listen()?;
         let node = Arc::new(Node {
             number,
             name: name.to_owned(),
@@ -106,6 +120,10 @@
         let (own, all) = (Arc::clone(&node), Arc::clone(all));
         spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
+                let late = lock(&own.state).late_until - own.judge.now();
+                if late > 0.0 {
+                    std::thread::sleep(Duration::from_secs_f64(late));
+                }
                 let (own, all, stream) = (Arc::clone(&own), Arc::clone(&all), Arc::new(stream));
                 lock(&own.state).links.push(Arc::clone(&stream));
                 spawn(move || {
@@ -126,6 +144,10 @@
         }
     }
 
+    pub fn connects_late(&self, lasts: f64) {
+        lock(&self.state).late_until = self.judge.now() + lasts;
+    }
+
     /// Closes or resets all its connections, idle ones as well.
     pub fn drops_connections(&self, by_reset: bool) {
         for link in std::mem::take(&mut lock(&self.state).links) {
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -97,7 +97,7 @@
     }
 
     /// Started again, whatever made it end. Its end is a crash if nobody asked for it.
-    fn restart(&self, director: &Director, killed: bool) {
+    fn restart(&self, director: &Director, killed: bool, faults_at_start: &str) {
         if killed {
             director.kill();
         } else {
@@ -105,7 +105,7 @@
             director.awaits_end(STOP_WAIT);
             director.kill();
         }
-        director.faults("");
+        director.faults(faults_at_start);
         if let Err(e) = self.start(director) {
             self.judge.breach(Rule::Crash, e.to_string());
         }
@@ -129,8 +129,12 @@
 
     fn carry_out(&self, trouble: &Trouble) -> Result<(), Failed> {
         match *trouble {
-            Trouble::Restart(n) => self.restart(&self.directors[n], false),
-            Trouble::Kill(n) => self.restart(&self.directors[n], true),
+            Trouble::Restart(n) => self.restart(&self.directors[n], false, ""),
+            Trouble::Kill(n) => self.restart(&self.directors[n], true, ""),
+            Trouble::KillUnderClock(n, offset) => {
+                let clock = format!("clock 0 {offset}\nclock 2000 0");
+                self.restart(&self.directors[n], true, &clock);
+            }
             Trouble::StandStill(n, lasts) => {
                 let director = &self.directors[n];
                 director.stands_still(lasts + 0.2);
@@ -167,6 +171,11 @@
                     node.behaves(mode, lasts);
                 }
             }
+            Trouble::ConnectLate(place, lasts) => {
+                if let Some(node) = self.node(place) {
+                    node.connects_late(lasts);
+                }
+            }
             Trouble::DropConnections(place, by_reset) => {
                 if let Some(node) = self.node(place) {
                     node.drops_connections(by_reset);
@@ -191,7 +200,9 @@
                 }
                 scope.spawn(move || {
                     let turn = match trouble {
-                        Trouble::Restart(n) | Trouble::Kill(n) => Some(lock(&turns[n])),
+                        Trouble::Restart(n) | Trouble::Kill(n) | Trouble::KillUnderClock(n, _) => {
+                            Some(lock(&turns[n]))
+                        }
                         _ => None,
                     };
                     if let Err(e) = self.carry_out(&trouble) {
--- a/crates/lab/src/soak/troubles.rs
+++ b/crates/lab/src/soak/troubles.rs
@@ -18,6 +18,8 @@
     Fault(usize, &'static str, f64),
     /// The wall clock steps by so many milliseconds.
     ClockStep(usize, i64),
+    /// Killed, and started under a wall clock that is off for its first seconds.
+    KillUnderClock(usize, i64),
     DiscoveryDown(f64),
     DiscoverySilent(f64),
     Purge(u64),
@@ -25,6 +27,8 @@
     Replace(usize),
     Misbehave(usize, Mode, f64),
     DropConnections(usize, bool),
+    /// New connections to it come up late.
+    ConnectLate(usize, f64),
 }
 
 /// System calls that fail for a moment. Those that break connections are marked by their errors.
@@ -66,11 +70,15 @@
 const ROUND: f64 = 1.5;
 const APART: f64 = 0.4;
 
-fn draw(rng: &mut Pcg32, o: &Options) -> Trouble {
-    let director = rng.random_range(0..o.directors);
+/// Directors that share one series of rounds, and how often a trouble strikes the one that the round is about.
+const GROUP: usize = 4;
+const SAME: f64 = 0.7;
+
+fn draw(rng: &mut Pcg32, o: &Options, victim: usize) -> Trouble {
+    let director = if rng.random::<f64>() < SAME { victim } else { rng.random_range(0..o.directors) };
     let node = rng.random_range(0..o.caches + 2);
     let cache = rng.random_range(0..o.caches);
-    match rng.random_range(0..14) {
+    match rng.random_range(0..16) {
         0 | 1 => Trouble::Restart(director),
         2 => Trouble::Kill(director),
         3 => Trouble::StandStill(director, 0.1 + 1.2 * rng.random::<f64>()),
@@ -81,13 +89,18 @@
         }
         7 if o.fault_library.is_some() => {
             let step = [3_600_000, -3_600_000, 5_000, -5_000][rng.random_range(0..4)];
-            Trouble::ClockStep(director, step)
+            if rng.random() {
+                Trouble::ClockStep(director, step)
+            } else {
+                Trouble::KillUnderClock(director, step)
+            }
         }
         8 => Trouble::DiscoveryDown(0.5 + 3.0 * rng.random::<f64>()),
         9 => Trouble::DiscoverySilent(1.0 + 3.0 * rng.random::<f64>()),
-        10 => Trouble::Purge(1 + rng.random_range(0..super::clients::OBJECTS)),
+        10 | 14 => Trouble::Purge(1 + rng.random_range(0..super::clients::OBJECTS)),
         11 => Trouble::Replace(cache),
         12 => Trouble::DropConnections(node, rng.random()),
+        13 => Trouble::ConnectLate(node, 0.5 + rng.random::<f64>()),
         _ => {
             let mode = MODES[rng.random_range(0..MODES.len())];
             Trouble::Misbehave(node, mode, 0.3 + 2.0 * rng.random::<f64>())
@@ -99,12 +112,17 @@
 pub fn plan(o: &Options) -> Vec<(At, Trouble)> {
     let mut rng = Pcg32::seed_from_u64(o.seed);
     let mut all = Vec::new();
-    let mut at = 2.0;
-    while at < o.seconds as f64 - 1.0 {
-        for _ in 0..rng.random_range(2..=3) {
-            all.push((at + APART * rng.random::<f64>(), draw(&mut rng, o)));
+    for group in 0..o.directors.div_ceil(GROUP) {
+        let from = group * GROUP;
+        let to = (from + GROUP).min(o.directors);
+        let mut at = 2.0 + ROUND * rng.random::<f64>();
+        while at < o.seconds as f64 - 1.0 {
+            let victim = rng.random_range(from..to);
+            for _ in 0..rng.random_range(2..=3) {
+                all.push((at + APART * rng.random::<f64>(), draw(&mut rng, o, victim)));
+            }
+            at += ROUND * (0.6 + 0.8 * rng.random::<f64>());
         }
-        at += ROUND * (0.6 + 0.8 * rng.random::<f64>());
     }
     all.sort_by(|a, b| a.0.total_cmp(&b.0));
     all
