--- a/crates/director/tests/collisions.rs
+++ b/crates/director/tests/collisions.rs
@@ -233,3 +233,26 @@
         good.satisfied(call, b"good");
     }
 }
+
+/// A client that asks and goes while the process stands still: nothing is begun for it afterwards.
+#[test]
+fn a_client_that_went_while_the_process_stood_still_gets_no_attempt() {
+    let w = World::start();
+    for round in 0..25 {
+        let mut clients: Vec<Client> = (0..8).map(|_| w.client()).collect();
+        assert!(clients.iter_mut().all(Client::alive));
+        w.signal("STOP");
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.ask(1 + number as u8, 0x100 + number as u64, 2_000);
+        }
+        if round % 2 == 0 {
+            clients.iter().for_each(|c| SockRef::from(&c.0).set_linger(Some(Duration::ZERO)).expect("set"));
+        }
+        drop(clients);
+        std::thread::sleep(Duration::from_millis(250));
+        w.signal("CONT");
+        std::thread::sleep(Duration::from_millis(40));
+        let begun: Vec<String> = w.cache.told.try_iter().map(|told| told.line).collect();
+        assert!(begun.iter().all(|line| !line.starts_with("PULL")), "round {round}: {begun:?}");
+    }
+}
