--- a/crates/director/src/plain/counters.rs
+++ b/crates/director/src/plain/counters.rs
@@ -49,6 +49,8 @@
     pub expired: AtomicU64,
     pub retracted: AtomicU64,
     pub client_gone: AtomicU64,
+    /// Times an attempt waited as it had to be looked first whether its client was there.
+    pub unconfirmed: AtomicU64,
     /// Times the process stood still for longer than a request may lose unnoticed.
     pub stalls: AtomicU64,
     /// Connections that could not be made, taken or watched for want of something on this machine.
@@ -64,6 +66,7 @@
         Hold::Expired => &counters.expired,
         Hold::Retracted => &counters.retracted,
         Hold::ClientGone => &counters.client_gone,
+        Hold::Unconfirmed => &counters.unconfirmed,
     };
     add(counter, 1);
 }
@@ -133,7 +136,7 @@
         write!(
             f,
             "answers={} answer_bytes={} unsent={} body_bytes={} bad_messages={} bad_lines={} clients={} \
-             idle_closed={} made_room={} turned_away={} shortages={} stalls={} expired={} retracted={} client_gone={} \
+             idle_closed={} made_room={} turned_away={} shortages={} stalls={} expired={} retracted={} client_gone={} unconfirmed={} \
              feed_calls={} feed_gaps={} feed_skipped={}",
             of(&self.answers),
             of(&self.answer_bytes),
@@ -150,6 +153,7 @@
             of(&self.expired),
             of(&self.retracted),
             of(&self.client_gone),
+            of(&self.unconfirmed),
             of(&self.feed_calls),
             of(&self.feed_gaps),
             of(&self.feed_skipped),
--- a/crates/director/src/plain/limits.rs
+++ b/crates/director/src/plain/limits.rs
@@ -59,6 +59,8 @@
     pub settled: Ns,
     /// The pause before a call that failed for want of descriptors, memory or ports is made again.
     pub shortage_pause: Ns,
+    /// The pause before an attempt is looked at again whose client is not known to be there.
+    pub confirm_pause: Ns,
     /// No wait for clients is longer: a process that stood still finds out by a wait that ended late.
     pub longest_wait: Ns,
     /// How often idle connections are looked for.
@@ -118,7 +120,8 @@
             idle_client: 8_000 * MS,
             settled: 200 * MS,
             shortage_pause: 10 * MS,
-            longest_wait: 100 * MS,
+            confirm_pause: 2 * MS,
+            longest_wait: 50 * MS,
             sweep: 250 * MS,
             overdue: 400 * MS,
             finish: 40 * MS,
--- a/crates/director/src/wire/clients.rs
+++ b/crates/director/src/wire/clients.rs
@@ -397,7 +397,7 @@
             {
                 return tracing::error!("connections of clients: {e}");
             }
-            self.woken(entered, wait, polled.is_err());
+            let woke = self.woken(entered, wait, polled.is_err());
             let mut again = std::mem::take(&mut self.more);
             for event in &events {
                 match event.token() {
@@ -417,6 +417,10 @@
             again.sort_unstable();
             again.dedup();
             again.into_iter().for_each(|client| self.read(client));
+            // With more events than one wait tells, others may have gone that were not looked at.
+            if polled.is_ok() && events.iter().count() < limits.turns {
+                self.of.clients_heard(woke);
+            }
             let now = self.of.clock.now();
             if self.accept_at.is_some_and(|at| now >= at) {
                 self.accept();
@@ -434,8 +438,8 @@
         }
     }
 
-    /// A wait is over: since when what is read now may have lain unread.
-    fn woken(&mut self, entered: Ns, wait: Duration, interrupted: bool) {
+    /// A wait is over: since when what is read now may have lain unread. The time now.
+    fn woken(&mut self, entered: Ns, wait: Duration, interrupted: bool) -> Ns {
         let now = self.of.clock.now();
         let unread = self.stalls.woken(entered, wait, now, interrupted);
         self.heard_at = now.saturating_sub(unread);
@@ -443,6 +447,7 @@
             counters::add(&self.of.counters.stalls, 1);
             tracing::debug!("stood still for up to {} ms", unread / MS);
         }
+        now
     }
 
     /// Takes no more connections and ends those on which nothing is open; whether none is left.
--- a/crates/director/src/wire/links.rs
+++ b/crates/director/src/wire/links.rs
@@ -94,12 +94,12 @@
     }
 
     /// Whether it may be begun now; the time that its client has left then.
-    fn may_begin(&self, now: Ns) -> Result<Ns, Hold> {
+    fn may_begin(&self, now: Ns, clients_heard_at: Ns) -> Result<Ns, Hold> {
         match self.content {
             Content::Kill { .. } => Ok(0),
             Content::Pull { begin_by, answer_by, .. } => {
                 let (retracted, client_gone) = (self.off.said(), self.withdrawn.said());
-                Waiting { begin_by, answer_by, retracted, client_gone }.may_begin(now)
+                Waiting { begin_by, answer_by, retracted, client_gone, clients_heard_at }.may_begin(now)
             }
         }
     }
@@ -163,6 +163,8 @@
     /// The line of the first send, once it has been begun, and the bytes of the send that are written.
     line: Vec<u8>,
     written: usize,
+    /// Its first send waits until it is known whether its client has gone.
+    unconfirmed: bool,
     /// Sends that were passed over, until the kill of each has come, which is passed over too.
     skipped: BTreeSet<Name>,
     /// Sends that are written, if only in part, and neither answered nor killed.
@@ -202,7 +204,10 @@
             if !send.is_pull() {
                 return !skipped.remove(&send.name);
             }
-            let Err(why) = send.may_begin(now) else { return true };
+            let why = match send.may_begin(now, of.clients_heard_at()) {
+                Ok(_) | Err(Hold::Unconfirmed) => return true,
+                Err(why) => why,
+            };
             tracing::debug!("link {link}: attempt {} not begun: {why:?}", lines::text(&send.name));
             counters::hold(&of.counters, why);
             skipped.insert(send.name);
@@ -214,6 +219,7 @@
 
     /// Writes on, as far as there is room.
     fn write(&mut self, of: &Common) -> Result<(), Over> {
+        self.unconfirmed = false;
         self.pass_over(of);
         while let (Some(send), Some(stream), true) = (self.sends.front(), &self.stream, self.up) {
             let now = of.clock.now();
@@ -222,11 +228,18 @@
             }
             if self.written == 0 {
                 // What is written from here on tells what is left now.
-                let Ok(left) = send.may_begin(now) else {
-                    self.pass_over(of);
-                    continue;
-                };
-                self.line = send.line(left);
+                match send.may_begin(now, of.clients_heard_at()) {
+                    Ok(left) => self.line = send.line(left),
+                    Err(Hold::Unconfirmed) => {
+                        counters::hold(&of.counters, Hold::Unconfirmed);
+                        self.unconfirmed = true;
+                        return Ok(());
+                    }
+                    Err(_) => {
+                        self.pass_over(of);
+                        continue;
+                    }
+                }
             }
             let (body, tail) = send.body();
             let mut parts = [IoSlice::new(&self.line), IoSlice::new(body), IoSlice::new(tail)];
@@ -422,6 +435,9 @@
                         (false, false) => limits.sweep,
                     };
             }
+            if self.wires.values().any(|wire| wire.unconfirmed) {
+                self.sweep_at = self.sweep_at.min(now + limits.confirm_pause);
+            }
         }
     }
 
@@ -479,6 +495,7 @@
             sends,
             line: Vec::new(),
             written: 0,
+            unconfirmed: false,
             skipped,
             begun,
         };
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,6 +6,10 @@
 
 use crate::interface::{Effect, Ns, Outcome, State};
 
+/// An attempt is begun only if its client was known to be there so shortly before: a process that stood still has to
+/// look first who has gone meanwhile. Longer than the pause between two looks while it runs.
+pub const CONFIRMED_WITHIN: Ns = 80_000_000;
+
 /// An attempt that waits to be written to its node.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Waiting {
@@ -17,6 +21,8 @@
     pub retracted: bool,
     /// Its client has closed or cancelled.
     pub client_gone: bool,
+    /// When all that clients had said, or that they had gone, was heard last.
+    pub clients_heard_at: Ns,
 }
 
 /// Why an attempt is not begun.
@@ -25,6 +31,8 @@
     Expired,
     Retracted,
     ClientGone,
+    /// Whether its client has gone is to be looked at first: the attempt stays.
+    Unconfirmed,
 }
 
 impl Waiting {
@@ -39,6 +47,9 @@
         if now >= self.begin_by || now >= self.answer_by {
             return Err(Hold::Expired);
         }
+        if now.saturating_sub(self.clients_heard_at) > CONFIRMED_WITHIN {
+            return Err(Hold::Unconfirmed);
+        }
         Ok(self.answer_by - now)
     }
 }
