The log of a driver goes on once its disk is well

Cause: redb refuses all writes after one that failed; the log kept that database open. Change: after a failed write the file is opened anew for the next one, which writes the entry under the same number, whether or not it was kept; the driver of the lab waits ten seconds for its disk.

--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -13,7 +13,7 @@
 use sablecross_hierarchy::change::Party;
 use sablecross_hierarchy::spec::Told;
 use sablecross_hierarchy::{Act, Admission, Driver, FULL, Hierarchy, Input, Member, NodeId, Record, Rules};
-use sablecross_store::Log;
+use sablecross_store::{Error as LogError, Log};
 
 use crate::directors::{Like, Ports, configuration, endpoint, members, serving, spawn_director};
 use crate::feed::{Feed, Said};
@@ -242,7 +242,7 @@
                     break;
                 }
                 match act {
-                    Act::Write(record) => self.log.write(&record)?,
+                    Act::Write(record) => write_at_last(&mut self.log, &record)?,
                     Act::Note(line) => self.notes.push(line),
                     Act::Publish { number, version } => {
                         self.common.count(|s| s.version = number);
@@ -524,3 +524,20 @@
         endings
     }
 }
+
+/// How long the driver waits for a disk that can't be written, and how often it tries.
+const DISK_PATIENCE: Duration = Duration::from_secs(10);
+const DISK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Keeps an entry, for which a disk that is full or fails for a while is waited for: nothing may follow before.
+fn write_at_last(log: &mut Log, record: &Record) -> Result<(), LogError> {
+    let start = Instant::now();
+    loop {
+        match log.write(record) {
+            Err(LogError::Write(_) | LogError::Open { .. }) if start.elapsed() < DISK_PATIENCE => {
+                std::thread::sleep(DISK_PAUSE);
+            }
+            done => return done,
+        }
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,7 +1,7 @@
 //! The log of the driver on disk: each entry is there before anything that follows from it is done. What a
 //! `Start` makes needless goes in the same commit.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use sablecross_duty::{Gate, Member, Old, Token};
@@ -16,7 +16,8 @@
 pub enum Error {
     #[error("{file}: the log can't be opened (is another driver running on it?): {why}")]
     Open { file: String, why: redb::Error },
-    #[error("the log can't be written, so nothing more is told (free the disk, then start again): {0}")]
+    /// Nothing follows from the entry. It may be written again: the file is opened anew for that.
+    #[error("the log can't be written, so nothing more is told until it can be (is the disk full?): {0}")]
     Write(redb::Error),
     #[error("entry {at} of the log can't be read: {why}")]
     Read { at: u64, why: String },
@@ -25,33 +26,36 @@
 }
 
 pub struct Log {
-    database: Database,
+    file: PathBuf,
+    /// None after a write that failed: the database refuses all others then, until it is opened again.
+    database: Option<Database>,
     next: u64,
 }
 
 impl Log {
     /// Opens the log, or begins one; the entries that it has.
     pub fn open(file: &Path) -> Result<(Log, Vec<Record>), Error> {
-        let failed = |why: redb::Error| Error::Open { file: file.display().to_string(), why };
-        let database = Database::create(file).map_err(|e| failed(e.into()))?;
-        let mut log = Log { database, next: 0 };
-        // The tables are there from the first opening on.
-        let begun = || -> Result<(), redb::Error> {
-            let write = log.database.begin_write()?;
-            write.open_table(RECORDS)?;
-            write.open_table(NEWEST)?;
-            write.commit()?;
-            Ok(())
-        };
-        begun().map_err(failed)?;
+        let mut log = Log { file: file.to_path_buf(), database: None, next: 0 };
+        log.database()?;
         let records = log.records()?;
         log.next = records.last().map_or(0, |(at, _)| at + 1);
         Ok((log, records.into_iter().map(|(_, r)| r).collect()))
     }
 
-    fn records(&self) -> Result<Vec<(u64, Record)>, Error> {
+    /// The database, opened if it is not. The tables are there from the first opening on.
+    fn database(&mut self) -> Result<&Database, Error> {
+        let failed = |why: redb::Error| Error::Open { file: self.file.display().to_string(), why };
+        let database = match self.database.take() {
+            Some(database) => database,
+            None => opened(&self.file).map_err(failed)?,
+        };
+        Ok(self.database.insert(database))
+    }
+
+    fn records(&mut self) -> Result<Vec<(u64, Record)>, Error> {
+        let database = self.database()?;
         let read = || -> Result<Vec<(u64, Vec<u8>)>, redb::Error> {
-            let read = self.database.begin_read()?;
+            let read = database.begin_read()?;
             let table = read.open_table(RECORDS)?;
             let mut all = Vec::new();
             for entry in table.iter()? {
@@ -80,9 +84,10 @@
     }
 
     /// The newest token that wrote: who opens the log claims past its term.
-    pub fn newest(&self) -> Result<Token, Error> {
+    pub fn newest(&mut self) -> Result<Token, Error> {
+        let database = self.database()?;
         let read = || -> Result<Token, redb::Error> {
-            let read = self.database.begin_read()?;
+            let read = database.begin_read()?;
             Ok(kept_token(&read.open_table(NEWEST)?)?)
         };
         read().map_err(|why| Error::Read { at: 0, why: why.to_string() })
@@ -93,8 +98,9 @@
             serde_json::to_vec(record).map_err(|e| Error::Read { at: self.next, why: e.to_string() })?;
         let starts = matches!(record, Record::Start { .. });
         let at = self.next;
+        let database = self.database()?;
         let kept = || -> Result<Result<(), Old>, redb::Error> {
-            let write = self.database.begin_write()?;
+            let write = database.begin_write()?;
             {
                 if let Some(by) = by {
                     let mut newest = write.open_table(NEWEST)?;
@@ -112,12 +118,27 @@
             write.commit()?;
             Ok(Ok(()))
         };
-        kept().map_err(Error::Write)??;
+        match kept() {
+            Ok(kept) => kept?,
+            Err(why) => {
+                self.database = None;
+                return Err(Error::Write(why));
+            }
+        }
         self.next += 1;
         Ok(())
     }
 }
 
+fn opened(file: &Path) -> Result<Database, redb::Error> {
+    let database = Database::create(file)?;
+    let write = database.begin_write()?;
+    write.open_table(RECORDS)?;
+    write.open_table(NEWEST)?;
+    write.commit()?;
+    Ok(database)
+}
+
 fn kept_token(from: &impl ReadableTable<(), (u64, u32, u64)>) -> Result<Token, redb::StorageError> {
     let kept = from.get(())?.map(|kept| kept.value());
     Ok(kept.map_or(Token::default(), |(term, number, life)| Token { term, owner: Member { number, life } }))
