--- a/crates/lab/src/fleet/watch.rs
+++ b/crates/lab/src/fleet/watch.rs
@@ -101,6 +101,8 @@
     said.is_ok_and(|said| said.contains(&Answer::Wished(DRIVING, Ok(()))))
 }
 
+const DAY_MS: u64 = 86_400_000;
+
 /// Milliseconds of the day of a line of the log.
 fn at_ms(line: &str) -> Option<u64> {
     let clock = line.get(11..23)?;
@@ -117,7 +119,9 @@
         let field = |name: &str| {
             rest.split(' ').find_map(|f| f.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
         };
-        let at = (field("at_ms")? as f64 - zero as f64) / 1e3;
+        // Directors' own times are of no wall clock: the log's are, of one day.
+        let at = (at_ms(line)? + DAY_MS - zero % DAY_MS) % DAY_MS;
+        let at = at as f64 / 1e3;
         Some(Begun { at, member, duty: field("duty")? as Duty, term: field("term")? })
     };
     text.lines().filter_map(one).collect()
--- a/crates/lab/src/soak/nodes.rs
+++ b/crates/lab/src/soak/nodes.rs
@@ -48,8 +48,9 @@
     late_until: At,
 }
 
-/// Connections that wait to be taken, past which a new one comes up late.
-const BACKLOG: i32 = 2;
+/// Connections that may wait to be taken; while new ones are to come up late, so few that others find no room.
+const BACKLOG: i32 = 128;
+const LATE_BACKLOG: i32 = 0;
 
 fn listen() -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
@@ -129,7 +130,10 @@
             for stream in listener.incoming().map_while(Result::ok) {
                 let late = lock(&own.state).late_until - own.judge.now();
                 if late > 0.0 {
+                    // A listener that listens again takes the new length of its queue.
+                    let _ = socket2::SockRef::from(&listener).listen(LATE_BACKLOG);
                     std::thread::sleep(Duration::from_secs_f64(late));
+                    let _ = socket2::SockRef::from(&listener).listen(BACKLOG);
                 }
                 let (own, all, stream) = (Arc::clone(&own), Arc::clone(&all), Arc::new(stream));
                 lock(&own.state).links.push(Arc::clone(&stream));
