--- a/crates/lab/src/soak/nodes.rs
+++ b/crates/lab/src/soak/nodes.rs
@@ -151,12 +151,14 @@
         let mut state = lock(&self.state);
         (state.mode, state.until) = (mode, until);
         if mode == Mode::Stuck {
-            state.stuck_until = until;
+            state.stuck_until = state.stuck_until.max(until);
         }
     }
 
     pub fn connects_late(&self, lasts: f64) {
-        lock(&self.state).late_until = self.judge.now() + lasts;
+        let until = self.judge.now() + lasts;
+        let mut state = lock(&self.state);
+        state.late_until = state.late_until.max(until);
     }
 
     /// Closes or resets all its connections, idle ones as well.
