Deduplicated requests: outstanding repeats are withdrawn before nodes forget the effect

Cause: a repeat had to begin within the window in which nodes know the effect, but nothing ended one that was outstanding at the window's end. A node that stands still takes the bytes up when it goes on, up to the client's deadline, and by then the others have forgotten that it ran.

Change: once more than one attempt may have run, what is outstanding is withdrawn two ticks before the window of the first one ends (effects.rs decides, CancelOutstanding in the router). What is begun gets its KILL, which lies behind the attempt in the node's kernel; what still waits for its connection never begins and counts as not sent. No repeat is chosen in those two ticks either. Where settings forbid cancels, attempts run to their time-out as before.

Excluded by measurement: a reset in place of the KILL. On this kernel (6.18) a read after RST still returns what had come before it, on an accepted connection and on one accepted late, so a reset withdraws nothing.

--- a/crates/director/src/dispatch/action_executor.rs
+++ b/crates/director/src/dispatch/action_executor.rs
@@ -218,6 +218,15 @@
         self.abandon_attempt(id, attempt, Outcome::Cancelled);
     }
 
+    fn withdraw(&mut self, id: u64, attempt: usize) {
+        let Some(request) = self.requests.get(id) else { return };
+        let Some(connection) = request.connection_of(attempt) else { return };
+        // What is not begun ends by an event of its connection.
+        if !self.nodes.withdraw_unbegun(connection, &request.incoming.request_id) {
+            self.abandon_attempt(id, attempt, Outcome::Cancelled);
+        }
+    }
+
     fn schedule_check(&mut self, id: u64, generation: u32, after: Ns) {
         let requests = &self.requests;
         let timer = Timer::Check { key: id, generation };
--- a/crates/director/src/dispatch/inflight_requests.rs
+++ b/crates/director/src/dispatch/inflight_requests.rs
@@ -60,6 +60,11 @@
         self.used_connections.extend(connection);
     }
 
+    /// The connection on which an attempt is outstanding.
+    pub(super) fn connection_of(&self, attempt: usize) -> Option<NodeConnectionId> {
+        self.outstanding_on.get(attempt).copied().flatten()
+    }
+
     /// An attempt is no longer outstanding; the connection on which it was.
     pub(super) fn end_attempt(&mut self, attempt: usize) -> Option<NodeConnectionId> {
         self.outstanding_on.get_mut(attempt).and_then(Option::take)
--- a/crates/director/src/events.rs
+++ b/crates/director/src/events.rs
@@ -38,12 +38,12 @@
 impl CancellationFlag {
     /// Sets the flag for good.
     pub fn cancel(&self) {
-        self.0.store(true, Ordering::Release);
+        self.0.store(true, Ordering::SeqCst);
     }
 
     /// Whether it is set.
     pub fn is_cancelled(&self) -> bool {
-        self.0.load(Ordering::Acquire)
+        self.0.load(Ordering::SeqCst)
     }
 }
 
--- a/crates/director/src/wire/node_connection.rs
+++ b/crates/director/src/wire/node_connection.rs
@@ -157,6 +157,7 @@
                 return Err(CloseReason::Fault(NodeFault::MessageNotTakenInTime));
             }
             if self.written == 0 {
+                message.begin.set();
                 // The line holds the time that is left now, when it is begun.
                 match message.may_begin(now, shared.clients_checked_at()) {
                     Ok(time_left) => self.line = message.line(time_left),
--- a/crates/director/src/wire/node_pool.rs
+++ b/crates/director/src/wire/node_pool.rs
@@ -9,7 +9,7 @@
 
 use super::node_connections::{CommandSender, ConnectionCommand};
 use super::node_protocol;
-use super::outgoing_message::{Content, OutgoingMessage};
+use super::outgoing_message::{BeginFlag, Content, OutgoingMessage};
 use crate::discovery_event::Endpoint;
 use crate::events::{CancellationFlag, IncomingRequest, NodeConnectionId, RequestId, RequestKey};
 use crate::node_registry::NodeRegistry;
@@ -32,6 +32,8 @@
     source: Option<usize>,
     /// Tells the connection's thread that it is not to be begun any more.
     withdrawal: CancellationFlag,
+    /// Set by the connection's thread.
+    begin: BeginFlag,
 }
 
 struct PooledConnection {
@@ -209,7 +211,7 @@
         let head = node_protocol::pull_head(request, spec, class, source, fill_path);
         let id = self.select_connection(spec.node, &request.request_id, used, attempt.sent_at)?;
         let connection = self.connections.get_mut(&id).ok_or(Outcome::NotSent)?;
-        let withdrawal = CancellationFlag::default();
+        let (withdrawal, begin) = (CancellationFlag::default(), BeginFlag::default());
         let message = OutgoingMessage {
             request_id: request.request_id,
             content: Content::Pull {
@@ -219,12 +221,13 @@
                 answer_by: attempt.sent_at + spec.timeout,
             },
             withdrawal: withdrawal.clone(),
+            begin: begin.clone(),
             client_cancellation: request.cancellation.clone(),
         };
         if !self.commands.send(ConnectionCommand::Send { connection: id, message }) {
             return Err(Outcome::NotSent);
         }
-        let outstanding = OutstandingAttempt { attempt, source: spec.source, withdrawal };
+        let outstanding = OutstandingAttempt { attempt, source: spec.source, withdrawal, begin };
         connection.outstanding.insert(request.request_id, outstanding);
         connection.last_used = attempt.sent_at;
         Ok(id)
@@ -360,6 +363,20 @@
         }
     }
 
+    /// Withdraws an attempt that is not begun: it never is, and an event ends it. False if it may be begun already.
+    pub fn withdraw_unbegun(&mut self, id: NodeConnectionId, request_id: &RequestId) -> bool {
+        let connection = self.connections.get(&id);
+        let outstanding = connection.and_then(|connection| connection.outstanding.get(request_id));
+        let Some(OutstandingAttempt { withdrawal, begin, .. }) = outstanding else { return false };
+        // The connection's thread sets the one and reads the other in the opposite order: one of both is seen.
+        withdrawal.cancel();
+        if begin.is_set() {
+            return false;
+        }
+        self.commands.send(ConnectionCommand::Withdraw(id));
+        true
+    }
+
     /// An attempt was never begun; none if it was abandoned before that was known here.
     pub fn on_not_sent(&mut self, id: NodeConnectionId, request_id: &RequestId) -> Option<InflightAttempt> {
         let connection = self.connections.get_mut(&id)?;
--- a/crates/director/src/wire/outgoing_message.rs
+++ b/crates/director/src/wire/outgoing_message.rs
@@ -1,6 +1,7 @@
 //! What is written to a node: an attempt, or the kill of one.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use sablecross::Ns;
 use sablecross::invariants::{BeginDenied, PendingAttempt};
@@ -9,6 +10,22 @@
 use crate::events::{CancellationFlag, RequestId};
 use crate::memory_budget::Body;
 
+/// Set by a connection's thread before it looks whether a message may be begun, for the dispatcher to read.
+#[derive(Clone, Debug, Default)]
+pub struct BeginFlag(Arc<AtomicBool>);
+
+impl BeginFlag {
+    /// Sets the flag for good.
+    pub fn set(&self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether it is set.
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
 /// A message that waits to be written to a node.
 pub struct OutgoingMessage {
     /// The request for which it is.
@@ -17,6 +34,8 @@
     pub content: Content,
     /// Set by the dispatcher: it is not to be begun any more.
     pub withdrawal: CancellationFlag,
+    /// Set once the message may be begun.
+    pub begin: BeginFlag,
     /// Set by the client's connection: the client has cancelled or gone.
     pub client_cancellation: CancellationFlag,
 }
@@ -48,6 +67,7 @@
             request_id,
             content: Content::Kill { deadline },
             withdrawal: CancellationFlag::default(),
+            begin: BeginFlag::default(),
             client_cancellation: CancellationFlag::default(),
         }
     }
--- a/crates/director/tests/collisions.rs
+++ b/crates/director/tests/collisions.rs
@@ -262,3 +262,27 @@
         assert!(begun.iter().all(|line| !line.starts_with("PULL")), "round {round}: {begun:?}");
     }
 }
+
+/// Guards against an effect that runs twice: a node that stands still begins an attempt once the others have forgotten
+/// the one that ran.
+#[test]
+fn a_repeat_is_withdrawn_before_nodes_forget_the_effect() {
+    const WINDOW: Duration = Duration::from_millis(600);
+    let w = World::with(|config| {
+        config.replacen(
+            "\"idempotent\", \"group\": \"all\", \"memorySpanUs\": 5000000",
+            "\"deduplicated\", \"group\": \"all\", \"memorySpanUs\": 600000",
+            1,
+        )
+    });
+    let mut client = w.client();
+    client.ask_with(1, 0x77, 4_000, &[("token", "m1")]);
+    let ran = w.cache.pull();
+    let forgotten_at = Instant::now() + WINDOW;
+    ran.answer("EIO", "-", b"");
+    let repeat = w.cache.pull();
+    let wait = forgotten_at.saturating_duration_since(Instant::now());
+    let withdrawal = w.cache.messages.recv_timeout(wait).map(|told| told.line);
+    assert_eq!(withdrawal, Ok(format!("KILL {}", repeat.name())), "told before the window is over");
+    assert_eq!(client.answer(), (1, Answer::Error("Failed".into(), vec![])));
+}
--- a/crates/inflight/src/inflight_table.rs
+++ b/crates/inflight/src/inflight_table.rs
@@ -15,6 +15,9 @@
     fn fail(&mut self, id: u64);
     /// Cancels an attempt that is outstanding; its result is still owed.
     fn cancel(&mut self, id: u64, attempt: usize);
+    /// Withdraws an attempt that is outstanding: it is cancelled, or never sent if it still waits for a connection. Its
+    /// result is still owed.
+    fn withdraw(&mut self, id: u64, attempt: usize);
     /// Calls [`InflightTable::check`] with this generation once the time has passed.
     fn schedule_check(&mut self, id: u64, generation: u32, after: Ns);
     /// The request is answered and none of its attempts is outstanding: nothing more is asked for it.
@@ -124,6 +127,9 @@
                 inflight.request.attempts.push(Attempt { node, source, sent_at: now, outcome: None });
             }
             RouteDecision::Wait => {}
+            RouteDecision::CancelOutstanding => {
+                inflight.outstanding_attempts().for_each(|outstanding| transport.withdraw(id, outstanding));
+            }
             RouteDecision::Reject { retry_after } => {
                 transport.reject(id, retry_after);
                 inflight.is_answered = true;
--- a/crates/sim-adapter/src/instance.rs
+++ b/crates/sim-adapter/src/instance.rs
@@ -64,6 +64,10 @@
         self.reply.call_off(self.director, id as u32, attempt as u16);
     }
 
+    fn withdraw(&mut self, id: u64, attempt: usize) {
+        self.cancel(id, attempt);
+    }
+
     fn schedule_check(&mut self, id: u64, generation: u32, wait: Ns) {
         self.reply.defer(self.director, wait, u64::from(generation) << GENERATION_SHIFT | id);
     }
--- a/src/effects.rs
+++ b/src/effects.rs
@@ -7,6 +7,9 @@
 use crate::invariants::may_have_run;
 use crate::types::{Attempt, DeduplicationScope, Effect, Ns, Request, Settings};
 
+/// How many ticks before nodes forget an effect its repeats end, so that one decided a tick late is still recognised.
+const REPEAT_MARGIN_TICKS: Ns = 2;
+
 /// The attempts that may have been executed.
 fn possibly_run(request: &Request) -> impl Iterator<Item = &Attempt> {
     request.attempts.iter().filter(|attempt| may_have_run(attempt.outcome))
@@ -24,6 +27,24 @@
     ends.min().unwrap_or(Ns::MAX)
 }
 
+/// The time until which a repeat of the request may begin, or be outstanding.
+fn repeat_until(settings: &Settings, request: &Request) -> Ns {
+    let effect = settings.request_classes[request.class].effect;
+    match recognised_until(effect, request) {
+        Ns::MAX => Ns::MAX,
+        until => until.saturating_sub(REPEAT_MARGIN_TICKS * settings.tick),
+    }
+}
+
+/// The time at which outstanding attempts have to be cancelled, as a node that begins one later could repeat the effect
+/// of another. None while only one attempt may have run.
+pub(crate) fn cancel_time(settings: &Settings, request: &Request) -> Option<Ns> {
+    let has_outstanding = request.attempts.iter().any(|attempt| attempt.outcome.is_none());
+    let is_repeated = possibly_run(request).nth(1).is_some();
+    let until = repeat_until(settings, request);
+    (has_outstanding && is_repeated && until < Ns::MAX && settings.may_cancel).then_some(until)
+}
+
 /// Whether the request may have one more attempt, at this node.
 pub(crate) fn allow_attempt(
     settings: &Settings,
@@ -41,7 +62,7 @@
         Effect::Idempotent => true,
         Effect::SideEffecting => !any_may_have_run(request),
         Effect::Deduplicated { within, .. } => {
-            now < recognised_until(effect, request)
+            now < repeat_until(settings, request)
                 && possibly_run(request).all(|attempt| share_scope(endpoints, within, attempt.node, node))
         }
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -150,6 +150,9 @@
     /// What to do with a request now. An attempt that is returned counts as made.
     pub fn route(&mut self, now: Ns, request: &Request) -> RouteDecision {
         self.close_windows(now);
+        if effects::cancel_time(&self.settings, request).is_some_and(|at| now >= at) {
+            return RouteDecision::CancelOutstanding;
+        }
         if now + self.deadline_margin() >= request.deadline {
             return self.wait_or_reject(now, request);
         }
@@ -175,8 +178,15 @@
         RouteDecision::Attempt(spec)
     }
 
-    /// How long until `route` is to be asked again, if nothing has come by then: the time of a hedge.
+    /// How long until `route` is to be asked again, if nothing has come by then: the time of a hedge, or that at which
+    /// outstanding attempts are to be cancelled.
     pub fn next_check(&self, now: Ns, request: &Request) -> Option<Ns> {
+        let times = [self.hedge_time(request), effects::cancel_time(&self.settings, request)];
+        times.into_iter().flatten().filter(|&at| at > now && at < request.deadline).min().map(|at| at - now)
+    }
+
+    /// When a further attempt may go out beside the last one.
+    fn hedge_time(&self, request: &Request) -> Option<Ns> {
         let last = request.attempts.last()?;
         let max_attempts = MAX_HEDGED_ATTEMPTS.min(self.settings.max_attempts);
         if !self.settings.may_hedge || request.attempts.len() >= max_attempts {
@@ -189,8 +199,7 @@
         let latest = self.objective_end(request) as f64
             - HEDGE_RESERVE_TRANSFERS * transfer
             - latency * HEDGE_RESERVE_LATENCIES;
-        let at = latest.max(earliest) as Ns;
-        (at > now && at < request.deadline).then(|| at - now)
+        Some(latest.max(earliest) as Ns)
     }
 
     fn deadline_margin(&self) -> Ns {
--- a/src/types.rs
+++ b/src/types.rs
@@ -240,6 +240,8 @@
     Attempt(AttemptSpec),
     /// Make no further attempt now: one is outstanding.
     Wait,
+    /// Cancel all attempts that are outstanding: a node that begins one from now on could repeat the effect of another.
+    CancelOutstanding,
     /// Reject it, which proves to the client that it had no effect.
     Reject {
         /// How long the client is asked to wait before it tries again; 0: it is not asked to.
--- a/tests/router/answers.rs
+++ b/tests/router/answers.rs
@@ -116,6 +116,48 @@
     }
 }
 
+/// Guards against an effect that runs twice: a node that stands still begins an attempt once the others have forgotten
+/// the one that ran.
+#[test]
+fn outstanding_attempts_are_cancelled_before_nodes_forget_the_effect() {
+    use Outcome::*;
+    let window = SEC;
+    // (outcome of the first attempt, none while it is outstanding; whether the second is cancelled)
+    let cases = [
+        (None, true),
+        (Some(Error), true),
+        (Some(TimedOut), true),
+        (Some(ConnectionLost), true),
+        (Some(Overloaded), false),
+        (Some(ConnectFailed), false),
+    ];
+    for (outcome, is_cancelled) in cases {
+        let effect = Effect::Deduplicated { within: DeduplicationScope::All, window };
+        let set = Settings { request_classes: vec![class_with_effect(effect)], ..settings() };
+        let mut router = router_with(set, &endpoint_list(4, 2));
+        let mut request = new_request(8, START);
+        route_and_record(&mut router, START, &mut request);
+        assert!(router.next_check(START, &request).is_none_or(|wait| wait < window), "only a hedge is due");
+        if let Some(outcome) = outcome {
+            finish_last(&mut router, START + 300 * MS, &mut request, outcome);
+        }
+        let second_at = START + 500 * MS;
+        let second = route_and_record(&mut router, second_at, &mut request);
+        assert!(matches!(second, RouteDecision::Attempt(_)), "{outcome:?} {second:?}");
+        // The checks that the router asks for, up to the end of the window.
+        let mut now = second_at;
+        let mut decision = None;
+        while let Some(wait) = router.next_check(now, &request).filter(|wait| now + wait < START + window) {
+            now += wait;
+            decision = Some(router.route(now, &request));
+            if decision == Some(RouteDecision::CancelOutstanding) {
+                break;
+            }
+        }
+        assert_eq!(decision == Some(RouteDecision::CancelOutstanding), is_cancelled, "{outcome:?}");
+    }
+}
+
 #[test]
 fn an_attempt_that_was_never_sent_costs_no_retry_budget() {
     let mut router = router_with(settings(), &endpoint_list(4, 2));
