Requests on connections made while the process stood still count from then

A node that works for a client that has given up takes its place from others.

Cause: what is read counts from the begin of the turn in which it is read, and the clients' thread adds how long it stood still before that turn. A connection that came meanwhile is accepted in the first turn after the stop but its request is read in the next one, which has stood still for nothing: the request counted as if it had just come. Nor was it looked at in the first turn whether its client had gone again, though that turn vouched for all clients.

The issue's first guess, a stop inside a turn, is excluded by reading: a turn's times count from its begin.

Change: a connection begins with the time from which its turn counts, and is read in the turn in which it is accepted.

Tests, both failed before, three runs of three and two of two: a_request_on_a_connection_made_while_the_process_stood_still_has_that_much_less_time (1,977 ms told with 1,797 left, in the first round), a_client_that_came_and_went_while_the_process_stood_still_gets_no_attempt (an attempt in round 20).

--- a/crates/director/src/wire/client_server.rs
+++ b/crates/director/src/wire/client_server.rs
@@ -98,10 +98,12 @@
                 return tracing::error!("connections of clients: {e}");
             }
             let woke = self.on_wakeup(entered, wait, polled.is_err());
-            let readable = self.handle_socket_events(&events);
+            let mut readable = self.handle_socket_events(&events);
             if !self.handle_responses() {
                 return;
             }
+            // Those that were accepted in this turn are looked at in it: their clients may have gone already.
+            readable.append(&mut self.readable);
             self.read_all(readable);
             // With more events than one wait reports, others may have gone that were not looked at.
             if polled.is_ok() && events.iter().count() < self.shared.limits.max_messages_per_turn {
@@ -222,11 +224,13 @@
         }
         // Without it responses are but slower.
         let _ = stream.set_nodelay(true);
-        let unread_since = self.acceptor.waiting_since();
-        let connection = ClientConnection::new(stream, peer, unread_since, &self.shared);
+        // What it has sent came after the connection itself, which may have waited for as long as anything in this turn.
+        let unread_since = self.acceptor.waiting_since().unwrap_or(self.unread_since);
+        let connection = ClientConnection::new(stream, peer, Some(unread_since), &self.shared);
         counters::add(&self.shared.counters.clients, 1);
         self.next_id += 1;
         self.connections.insert(client, connection);
+        self.readable.push(client);
         true
     }
 
--- a/crates/director/tests/collisions.rs
+++ b/crates/director/tests/collisions.rs
@@ -286,3 +286,49 @@
     assert_eq!(withdrawal, Ok(format!("KILL {}", repeat.name())), "told before the window is over");
     assert_eq!(client.answer(), (1, Answer::Error("Failed".into(), vec![])));
 }
+
+/// Guards against nodes that are told too long a wait: the connection itself came while the process stood still. Stops of
+/// less than the sweep's interval: the connection is accepted in another turn than its request is read.
+#[test]
+fn a_request_on_a_connection_made_while_the_process_stood_still_has_that_much_less_time() {
+    let w = World::start();
+    for round in 0..25 {
+        w.signal("STOP");
+        let start = Instant::now();
+        let mut client = w.client();
+        client.ask(1, 0x77, 2_000);
+        std::thread::sleep(Duration::from_millis(200));
+        w.signal("CONT");
+        let pull = w.cache.next_pull();
+        let left = 2_000 - start.elapsed().as_millis() as u64;
+        assert!(
+            wait_field(&pull.line) <= left + SLACK_MS,
+            "round {round}: {} with {left} ms left",
+            pull.line
+        );
+        pull.answer("ACK", "how=HIT,entity=t1,issued=1", b"whole");
+        client.satisfied(1, b"whole");
+    }
+}
+
+/// Guards against attempts for clients that have gone: they connected, asked and went while the process stood still.
+#[test]
+fn a_client_that_came_and_went_while_the_process_stood_still_gets_no_attempt() {
+    let w = World::start();
+    for round in 0..25 {
+        assert!(w.client().alive());
+        w.signal("STOP");
+        for number in 0..8 {
+            let mut client = w.client();
+            client.ask(1 + number, 0x100 + u64::from(number), 2_000);
+            if round % 2 == 0 {
+                SockRef::from(&client.0).set_linger(Some(Duration::ZERO)).expect("set");
+            }
+        }
+        std::thread::sleep(Duration::from_millis(200));
+        w.signal("CONT");
+        std::thread::sleep(Duration::from_millis(40));
+        let begun: Vec<String> = w.cache.messages.try_iter().map(|told| told.line).collect();
+        assert!(begun.iter().all(|line| !line.starts_with("PULL")), "round {round}: {begun:?}");
+    }
+}
