Clients' thread: one wait reports all connections, so none counts from a later turn

What callers saw: after a process stood still, with news on more than 64 connections, the requests of the 65th and later ones counted as if they had just come: attempts for requests whose time was over, and nodes told too long a wait.

Cause: a wait reported 64 events at most; what was left came with the next one, for which the time of the stop no longer counted.

Change: a wait has room for all sockets that can be watched (clients, closing ones, listener, waker: 362 with 1,024 descriptors). Carrying the stop over to the next waits was tried first and dropped: under a flood that fills each wait it adds up, and every request would be taken as old.

Test, failed before: many_requests_that_came_while_the_process_stood_still_are_all_too_late (attempts for the 65th, 66th and more of 150 requests with 300 ms, after a stop of 500 ms).

--- a/crates/director/src/stall_detector.rs
+++ b/crates/director/src/stall_detector.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StallDetector {
     last_wakeup: Ns,
-    /// Found at waits that were interrupted, which do not report what has come.
+    /// Found at waits that did not report all that had come.
     carried_over: Ns,
 }
 
@@ -24,9 +24,9 @@
     }
 
     /// A wait of at most so long that began at `entered` is over. Returns how long before now, at most, what is found
-    /// then may have come, beside the length of the wait itself; 0 if that is no more than usual. A wait that was
-    /// interrupted has not reported what has come.
-    pub(crate) fn on_wakeup(&mut self, entered: Ns, wait: Duration, now: Ns, was_interrupted: bool) -> Ns {
+    /// then may have come, beside the length of the wait itself; 0 if that is no more than usual. What a wait has not
+    /// reported, as it was interrupted, the next one finds.
+    pub(crate) fn on_wakeup(&mut self, entered: Ns, wait: Duration, now: Ns, has_reported_all: bool) -> Ns {
         let busy = entered.saturating_sub(self.last_wakeup);
         self.last_wakeup = now;
         let waited = now.saturating_sub(entered);
@@ -34,7 +34,7 @@
         // A wait that lasted longer than it could has ended late: what came may have come at its beginning.
         let overslept = if waited > planned.saturating_add(THRESHOLD) { waited } else { 0 };
         let unread = self.carried_over + busy + overslept;
-        self.carried_over = if was_interrupted { unread } else { 0 };
+        self.carried_over = if has_reported_all { 0 } else { unread };
         if unread > THRESHOLD { unread } else { 0 }
     }
 }
--- a/crates/director/src/wire/client_server.rs
+++ b/crates/director/src/wire/client_server.rs
@@ -86,7 +86,9 @@
 
     /// Serves until a shutdown is complete, or the dispatcher is gone.
     pub(crate) fn run(mut self) {
-        let mut events = Events::with_capacity(self.shared.limits.max_messages_per_turn);
+        // One wait reports all connections, so that none has news which counts from a later one.
+        let capacity = self.max_watched() + 1;
+        let mut events = Events::with_capacity(capacity);
         let mut next_sweep = self.shared.clock.now();
         loop {
             let wait = self.poll_timeout(next_sweep);
@@ -97,7 +99,8 @@
             {
                 return tracing::error!("connections of clients: {e}");
             }
-            let woke = self.on_wakeup(entered, wait, polled.is_err());
+            let has_reported_all = polled.is_ok() && events.iter().count() < capacity;
+            let woke = self.on_wakeup(entered, wait, has_reported_all);
             let mut readable = self.handle_socket_events(&events);
             if !self.handle_responses() {
                 return;
@@ -105,8 +108,7 @@
             // Those that were accepted in this turn are looked at in it: their clients may have gone already.
             readable.append(&mut self.readable);
             self.read_all(readable);
-            // With more events than one wait reports, others may have gone that were not looked at.
-            if polled.is_ok() && events.iter().count() < self.shared.limits.max_messages_per_turn {
+            if has_reported_all {
                 self.shared.record_clients_checked(woke);
             }
             let now = self.shared.clock.now();
@@ -129,6 +131,12 @@
         }
     }
 
+    /// How many sockets and wakers may be watched at once.
+    fn max_watched(&self) -> usize {
+        let limits = &self.shared.limits;
+        limits.max_client_connections + limits.max_closing_clients + [LISTENER, RESPONSES].len()
+    }
+
     fn poll_timeout(&self, next_sweep: Ns) -> Duration {
         if !self.readable.is_empty() {
             return Duration::ZERO;
@@ -138,9 +146,9 @@
     }
 
     /// A wait is over: since when what is read now may have lain unread. The time now.
-    fn on_wakeup(&mut self, entered: Ns, wait: Duration, was_interrupted: bool) -> Ns {
+    fn on_wakeup(&mut self, entered: Ns, wait: Duration, has_reported_all: bool) -> Ns {
         let now = self.shared.clock.now();
-        let unread = self.stalls.on_wakeup(entered, wait, now, was_interrupted);
+        let unread = self.stalls.on_wakeup(entered, wait, now, has_reported_all);
         self.unread_since = now.saturating_sub(unread);
         if unread > 0 {
             counters::add(&self.shared.counters.stalls, 1);
--- a/crates/director/tests/collisions.rs
+++ b/crates/director/tests/collisions.rs
@@ -332,3 +332,24 @@
         assert!(begun.iter().all(|line| !line.starts_with("PULL")), "round {round}: {begun:?}");
     }
 }
+
+/// Guards against attempts for requests whose time is over: more connections have news at once than one wait reports.
+#[test]
+fn many_requests_that_came_while_the_process_stood_still_are_all_too_late() {
+    let w = World::start();
+    let introduced = |_| {
+        let mut client = w.client();
+        assert!(client.alive());
+        client
+    };
+    let mut clients: Vec<Client> = (0..150).map(introduced).collect();
+    w.signal("STOP");
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.ask(1, 0x1000 + number as u64, 300);
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    w.signal("CONT");
+    clients.iter_mut().for_each(|client| assert_eq!(client.assert_rejected(), 1));
+    let begun: Vec<String> = w.cache.messages.try_iter().map(|told| told.line).collect();
+    assert!(begun.iter().all(|line| !line.starts_with("PULL")), "{begun:?}");
+}
