Soak: the time of each send, what a node gives up, and how late its own threads are

Change: the fault library notes each attempt and kill before its write, by the monotonic clock that all processes share. The judge takes that time for what it held by the time of reading (wait, gone clients, drains, purges), and with it judges attempts that were read late, which it passed over before. Marks name director, node, connection, when that was accepted, when the request was written and when the attempt was sent. Nodes give up what is killed, or whose connection has ended, before it is begun. The report says how late the soak's own threads were woken.

Tests of the judge pass, those of before with their numbers.

--- a/crates/fault-injection/src/calls.rs
+++ b/crates/fault-injection/src/calls.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::plan::{Call, Fault};
-use crate::state;
+use crate::{send_log, state};
 
 /// Errors after which a connection stays broken: the next call must not find it whole.
 const BREAKING: [i32; 3] = [libc::ETIMEDOUT, libc::EHOSTUNREACH, libc::ECONNRESET];
@@ -203,6 +203,8 @@
 
 #[unsafe(no_mangle)]
 pub(crate) unsafe extern "C" fn write(descriptor: c_int, from: *const c_void, length: size_t) -> ssize_t {
+    // SAFETY: the caller's buffer.
+    unsafe { send_log::note(from, length, descriptor) };
     match transfer(descriptor, Call::Send, Call::FileWrite) {
         Err(failed) => failed as ssize_t,
         // SAFETY: the caller's buffer, or a part of it.
@@ -250,6 +252,8 @@
     length: size_t,
     flags: c_int,
 ) -> ssize_t {
+    // SAFETY: the caller's buffer.
+    unsafe { send_log::note(from, length, socket) };
     match transfer(socket, Call::Send, Call::FileWrite) {
         Err(failed) => failed as ssize_t,
         // SAFETY: the caller's buffer, or a part of it.
@@ -262,6 +266,8 @@
 
 #[unsafe(no_mangle)]
 pub(crate) unsafe extern "C" fn writev(descriptor: c_int, parts: *const iovec, many: c_int) -> ssize_t {
+    // SAFETY: the caller's buffers.
+    unsafe { send_log::note_parts(descriptor, parts, many) };
     match transfer(descriptor, Call::Send, Call::FileWrite) {
         Err(failed) => failed as ssize_t,
         // SAFETY: the caller tells how many parts there are.
--- /dev/null
+++ b/crates/fault-injection/src/send_log.rs
@@ -0,0 +1,87 @@
+//! The log of what a process sends to nodes: the moment at which each attempt or kill is about to be written to its socket,
+//! by the monotonic clock, which all processes of the machine share.
+//!
+//! The environment variable `SABLECROSS_SEND_LOG` names the file; without it nothing is noted. One line each:
+//!
+//! ```text
+//! NANOSECONDS LOCAL_PORT FIRST_LINE    the time, the port of this process's end, what is written up to its first line end
+//! ```
+
+use std::io::Write;
+use std::sync::OnceLock;
+
+use libc::{c_int, c_long, c_void, iovec};
+
+use crate::state::monotonic_ns;
+
+/// The environment variable that names the log's file.
+const VARIABLE: &std::ffi::CStr = c"SABLECROSS_SEND_LOG";
+/// What is noted begins with one of these words.
+const COMMANDS: [&[u8]; 2] = [b"PULL ", b"KILL "];
+/// The longest line of the log; the first line of a message is cut to fit.
+const MAX_LINE_BYTES: usize = 256;
+const FILE_MODE: c_int = 0o644;
+
+/// The descriptor of the log; none if it has no name or can't be opened.
+static FILE: OnceLock<Option<c_int>> = OnceLock::new();
+
+fn open() -> Option<c_int> {
+    // SAFETY: the variable is read before the process changes its environment, and the path ends in a zero byte.
+    let file = unsafe {
+        let path = libc::getenv(VARIABLE.as_ptr());
+        if path.is_null() {
+            return None;
+        }
+        let flags = libc::O_WRONLY | libc::O_CREAT | libc::O_APPEND | libc::O_CLOEXEC;
+        libc::syscall(libc::SYS_openat, libc::AT_FDCWD, path, flags, FILE_MODE)
+    };
+    c_int::try_from(file).ok().filter(|file| *file >= 0)
+}
+
+/// The port of this process's end of a socket; 0 if it has none.
+fn local_port(socket: c_int) -> u16 {
+    // SAFETY: the kernel fills the structure that it is given, up to the length that it is told.
+    unsafe {
+        let mut address: libc::sockaddr_in = std::mem::zeroed();
+        let mut length = size_of::<libc::sockaddr_in>() as libc::socklen_t;
+        let done: c_long = libc::syscall(libc::SYS_getsockname, socket, &mut address, &mut length);
+        if done == 0 { u16::from_be(address.sin_port) } else { 0 }
+    }
+}
+
+/// Notes the first part of a gathered write, if it begins a message to a node.
+///
+/// # Safety
+/// `parts` has to point to `count` parts of readable memory.
+pub(crate) unsafe fn note_parts(socket: c_int, parts: *const iovec, count: c_int) {
+    if count > 0 {
+        // SAFETY: the caller's promise.
+        unsafe { note((*parts).iov_base, (*parts).iov_len, socket) }
+    }
+}
+
+/// Notes a write, if it begins a message to a node.
+///
+/// # Safety
+/// `bytes` has to point to `length` readable bytes.
+pub(crate) unsafe fn note(bytes: *const c_void, length: usize, socket: c_int) {
+    if length == 0 || bytes.is_null() {
+        return;
+    }
+    // SAFETY: the caller's promise.
+    let bytes = unsafe { std::slice::from_raw_parts(bytes.cast::<u8>(), length) };
+    if !COMMANDS.iter().any(|command| bytes.starts_with(command)) {
+        return;
+    }
+    let Some(file) = *FILE.get_or_init(open) else { return };
+    let first_line = bytes.split(|byte| *byte == b'\r').next().unwrap_or_default();
+    let mut line = [0u8; MAX_LINE_BYTES];
+    let mut rest = &mut line[..MAX_LINE_BYTES - 1];
+    // What does not fit is left out.
+    let _ = write!(rest, "{} {} ", monotonic_ns(), local_port(socket));
+    let _ = rest.write(first_line);
+    let used = MAX_LINE_BYTES - 1 - rest.len();
+    line[used] = b'\n';
+    // SAFETY: the buffer has the length that is told.
+    unsafe { libc::syscall(libc::SYS_write, file, line.as_ptr(), used + 1) };
+}
--- a/crates/fault-injection/src/state.rs
+++ b/crates/fault-injection/src/state.rs
@@ -31,12 +31,17 @@
 
 static STATE: OnceLock<Mutex<State>> = OnceLock::new();
 
-/// Milliseconds of the monotonic clock.
-fn monotonic_ms() -> u64 {
+/// Nanoseconds of the monotonic clock.
+pub(crate) fn monotonic_ns() -> u64 {
     let mut time = libc::timespec { tv_sec: 0, tv_nsec: 0 };
     // SAFETY: the kernel fills the structure that it is given.
     unsafe { libc::syscall(libc::SYS_clock_gettime, libc::CLOCK_MONOTONIC, &mut time) };
-    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+    time.tv_sec as u64 * 1_000_000_000 + time.tv_nsec as u64
+}
+
+/// Milliseconds of the monotonic clock.
+fn monotonic_ms() -> u64 {
+    monotonic_ns() / 1_000_000
 }
 
 /// The state at the start of the process.
--- a/crates/testbed/src/soak/client.rs
+++ b/crates/testbed/src/soak/client.rs
@@ -244,6 +244,7 @@
             Behavior::Slow => self.write_in_pieces(session, id, &bytes, rng),
             _ => session.stream.write_all(&bytes),
         };
+        self.judge.on_request_sent(id);
         if written.is_ok() { Connection::Open } else { Connection::Ended }
     }
 
--- a/crates/testbed/src/soak/director.rs
+++ b/crates/testbed/src/soak/director.rs
@@ -63,6 +63,8 @@
     pub(crate) log: PathBuf,
     /// The file of its rules for the fault library.
     fault_rules: PathBuf,
+    /// The file in which the fault library notes what it sends.
+    pub(crate) send_log: PathBuf,
     judge: Arc<Judge>,
     state: Mutex<DirectorState>,
 }
@@ -76,6 +78,7 @@
             config: file("json"),
             log: file("log"),
             fault_rules: file("plan"),
+            send_log: file("sends"),
             judge: Arc::clone(judge),
             state: Mutex::default(),
         }
@@ -116,7 +119,9 @@
         let command = || {
             let mut command = program();
             if let Some(library) = &options.fault_library {
-                command.env("LD_PRELOAD", library).env("SABLECROSS_FAULTS", &self.fault_rules);
+                command.env("LD_PRELOAD", library);
+                command.env("SABLECROSS_FAULTS", &self.fault_rules);
+                command.env("SABLECROSS_SEND_LOG", &self.send_log);
             }
             command.env("RUST_LOG", "info");
             command
--- a/crates/testbed/src/soak/invariants.rs
+++ b/crates/testbed/src/soak/invariants.rs
@@ -10,6 +10,8 @@
 pub(crate) const CLIENT_GONE_TOLERANCE: f64 = 0.1;
 /// What is added to every bound for this program's own threads, which may be late as well.
 pub(crate) const OBSERVER_TOLERANCE: f64 = 0.1;
+/// How much longer each bound of the protocol is on sockets.
+pub(crate) const SEND_TOLERANCE: f64 = 0.05;
 /// A request without an answer so long after its time is lost. (An answer after its time earns nothing.)
 pub(crate) const LOST_AFTER: f64 = 0.5;
 /// How long after a node drains attempts may still come to it.
@@ -82,6 +84,17 @@
     AtMostOnce,
 }
 
+impl Effect {
+    /// Whether an attempt so many seconds after another, which may have run, could run the effect once more.
+    pub(crate) fn is_repeated(self, seconds_apart: f64) -> bool {
+        match self {
+            Effect::Idempotent => false,
+            Effect::Deduplicated => seconds_apart > DEDUPLICATION_WINDOW + SEND_TOLERANCE,
+            Effect::AtMostOnce => true,
+        }
+    }
+}
+
 /// The request classes of a soak, as clients name them.
 pub(crate) const CLASSES: [(&str, Effect); 3] =
     [("read", Effect::Idempotent), ("order", Effect::Deduplicated), ("charge", Effect::AtMostOnce)];
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -1,15 +1,20 @@
 //! Checks the invariants as clients, discovery and nodes report what they see.
 
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::path::PathBuf;
 use std::sync::Mutex;
 use std::time::Instant;
 
+use rustix::time::{ClockId, clock_gettime};
+
 use super::Seconds;
 use super::invariants::{
     CLIENT_GONE_TOLERANCE, COLLAPSE_MULTIPLE, DEDUPLICATION_WINDOW, DRAIN_GRACE, Effect, LOST_AFTER,
     OBSERVER_TOLERANCE, PURGE_GRACE, Rule, SLOW_START_INITIAL_SHARE, SLOW_START_WINDOW, Violation,
     WAIT_TOLERANCE,
 };
+use super::send_log::SendLog;
 use crate::threads::lock;
 
 #[cfg(test)]
@@ -22,8 +27,10 @@
     pub(crate) director: usize,
     pub(crate) effect: Effect,
     pub(crate) object: u64,
-    /// When its last byte was written.
+    /// When its last byte was about to be written.
     pub(crate) written_at: Seconds,
+    /// When its last byte was known to be written; none until then.
+    pub(crate) written_by: Option<Seconds>,
     /// How many seconds its client waits from then.
     pub(crate) budget: f64,
     /// When its client closed or cancelled.
@@ -31,6 +38,34 @@
     pub(crate) answered: bool,
     /// When each attempt of it was executed.
     executed_at: Vec<Seconds>,
+    /// Its attempts whose time of sending is known, as nodes read them.
+    sent: Vec<SentAttempt>,
+}
+
+impl Request {
+    /// Its director, and when its attempts were sent, as far as that is known.
+    fn describe_sent(&self) -> String {
+        let sent = self.sent.iter().map(|attempt| format!(" {:.3}", attempt.sent_at));
+        format!(": director {}, sent at{}", self.director, sent.collect::<String>())
+    }
+}
+
+/// An attempt whose time of sending is known.
+#[derive(Clone, Copy, Debug)]
+struct SentAttempt {
+    /// The port of the director's end of its connection.
+    port: u16,
+    sent_at: Seconds,
+    /// When its node proved that it never ran.
+    not_run_at: Option<Seconds>,
+}
+
+/// A connection of a director to a node, as the node sees it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct NodeLink {
+    /// The port of the director's end.
+    pub(crate) port: u16,
+    pub(crate) accepted_at: Seconds,
 }
 
 /// An attempt as its node sees it.
@@ -45,6 +80,28 @@
     pub(crate) wait_ms: u64,
     /// Its bytes may have lain unread at the node for a while.
     pub(crate) read_late: bool,
+    /// The connection on which it came.
+    pub(crate) link: NodeLink,
+    /// When its first byte was about to be written, if that is known.
+    pub(crate) sent_at: Option<Seconds>,
+}
+
+impl Attempt {
+    /// When it was begun; none if that is not known and its bytes may have come at any time.
+    fn begun_at(&self, read_at: Seconds) -> Option<Seconds> {
+        self.sent_at.or((!self.read_late).then_some(read_at))
+    }
+}
+
+impl fmt::Display for Attempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Attempt { node, link, .. } = self;
+        write!(f, "node {node}, connection {} accepted at {:.3}, ", link.port, link.accepted_at)?;
+        match self.sent_at {
+            Some(sent_at) => write!(f, "sent at {sent_at:.3}"),
+            None => write!(f, "time of sending unknown"),
+        }
+    }
 }
 
 /// A purge of which a director was notified.
@@ -90,12 +147,39 @@
 /// Keeps what was seen, and the violations that were found.
 pub(crate) struct Judge {
     started: Instant,
+    /// The same in nanoseconds of the monotonic clock, which all processes share.
+    started_ns: u64,
     state: Mutex<JudgeState>,
+    /// The send logs of the directors, where the fault library keeps them.
+    send_logs: Mutex<Vec<SendLog>>,
+}
+
+/// The monotonic clock of the machine, in nanoseconds.
+fn monotonic_ns() -> u64 {
+    let time = clock_gettime(ClockId::Monotonic);
+    time.tv_sec as u64 * 1_000_000_000 + time.tv_nsec as u64
 }
 
 impl Judge {
     pub(crate) fn new() -> Judge {
-        Judge { started: Instant::now(), state: Mutex::default() }
+        Judge {
+            started: Instant::now(),
+            started_ns: monotonic_ns(),
+            state: Mutex::default(),
+            send_logs: Mutex::default(),
+        }
+    }
+
+    /// Reads from these files, one for each director, when attempts were sent.
+    pub(crate) fn read_send_logs(&self, files: impl Iterator<Item = PathBuf>) {
+        *lock(&self.send_logs) = files.map(SendLog::new).collect();
+    }
+
+    /// When an attempt was sent that came on a connection with this port at the director's end, if that is known.
+    pub(crate) fn sent_at(&self, request: u64, port: u16) -> Option<Seconds> {
+        let director = lock(&self.state).requests.get(&request)?.director;
+        let sent_ns = lock(&self.send_logs).get_mut(director)?.sent_ns(request, port)?;
+        Some((sent_ns as f64 - self.started_ns as f64) / 1e9)
     }
 
     /// Seconds since the soak began.
@@ -129,10 +213,12 @@
             effect,
             object,
             written_at,
+            written_by: None,
             budget,
             client_gone_at: None,
             answered: false,
             executed_at: Vec::new(),
+            sent: Vec::new(),
         };
         let mut state = lock(&self.state);
         state.requests.insert(id, request);
@@ -147,6 +233,14 @@
         }
     }
 
+    /// The last byte of a request has been written.
+    pub(crate) fn on_request_sent(&self, id: u64) {
+        let now = self.now();
+        if let Some(request) = lock(&self.state).requests.get_mut(&id) {
+            request.written_by = Some(now);
+        }
+    }
+
     /// The client of a request has closed its connection or cancelled the request.
     pub(crate) fn on_client_gone(&self, id: u64) {
         let now = self.now();
@@ -226,6 +320,16 @@
         }
     }
 
+    /// A node has proven that an attempt, which came on this connection, never ran.
+    pub(crate) fn on_not_run(&self, id: u64, port: u16) {
+        let now = self.now();
+        let mut state = lock(&self.state);
+        let attempts = state.requests.get_mut(&id).map(|request| request.sent.iter_mut());
+        if let Some(attempt) = attempts.and_then(|mut sent| sent.find(|attempt| attempt.port == port)) {
+            attempt.not_run_at.get_or_insert(now);
+        }
+    }
+
     /// An attempt was executed by a node. Nodes recognize repeats within the deduplication window, so only a repeat
     /// that they have forgotten, or one that was never allowed, runs the effect twice.
     pub(crate) fn on_executed(&self, id: u64) {
@@ -244,7 +348,10 @@
             Effect::Deduplicated => now > first + DEDUPLICATION_WINDOW + OBSERVER_TOLERANCE,
         };
         if runs_twice {
-            self.record_violation(Rule::EffectTwice, format!("request {id:016x} ran at {first:.3} and now"));
+            let request = self.request(id);
+            let sent = request.map(|request| request.describe_sent()).unwrap_or_default();
+            let detail = format!("request {id:016x} ran at {first:.3} and now{sent}");
+            self.record_violation(Rule::EffectTwice, detail);
         }
     }
 
@@ -284,18 +391,42 @@
                 let detail = format!("request {:016x}", attempt.request);
                 findings.push(Finding { rule: Rule::Unknown, detail });
             }
-            // When its bytes came is not known.
-            Some(_) if attempt.read_late => {}
             Some(request) => {
-                findings.extend(check_wait(request, attempt, now));
-                findings.extend(check_client_present(request, attempt, now));
-                let nodes = [Some(attempt.node), attempt.source].into_iter().flatten();
-                findings.extend(nodes.filter_map(|node| self.check_drained(request, attempt, node, now)));
+                if let Some(begun_at) = attempt.begun_at(now) {
+                    findings.extend(check_wait(request, attempt, begun_at));
+                    findings.extend(check_client_present(request, attempt, begun_at));
+                    let nodes = [Some(attempt.node), attempt.source].into_iter().flatten();
+                    let drained = |node| self.check_drained(request, attempt, node, begun_at);
+                    findings.extend(nodes.filter_map(drained));
+                }
             }
         }
+        findings.extend(self.check_repeat(attempt));
         findings
     }
 
+    /// That no attempt was sent that could run an effect once more, by what the director could know then. Notes the
+    /// attempt.
+    fn check_repeat(&mut self, attempt: &Attempt) -> Option<Finding> {
+        let sent_at = attempt.sent_at?;
+        let request = self.requests.get_mut(&attempt.request)?;
+        let own = SentAttempt { port: attempt.link.port, sent_at, not_run_at: None };
+        // A node that stands still reads late, so that a later attempt may be known already.
+        let repeats = |other: &SentAttempt| {
+            let (first, second) = if other.sent_at < sent_at { (*other, own) } else { (own, *other) };
+            let is_proven = first.not_run_at.is_some_and(|at| at <= second.sent_at);
+            !is_proven && request.effect.is_repeated(second.sent_at - first.sent_at)
+        };
+        let repeated = request.sent.iter().copied().find(repeats);
+        request.sent.push(own);
+        let other = repeated?;
+        let detail = format!(
+            "request {:016x} at director {}: sent at {:.3} and again: {attempt}",
+            attempt.request, request.director, other.sent_at
+        );
+        Some(Finding { rule: Rule::EffectTwice, detail })
+    }
+
     /// Calls to a cold node in the last second, against what slow start allows.
     fn check_slow_start(&mut self, node: usize, now: Seconds) -> Option<Finding> {
         let cold = self.cold_nodes.get_mut(&node)?;
@@ -329,7 +460,10 @@
         if now <= notified_at + DRAIN_GRACE + OBSERVER_TOLERANCE {
             return None;
         }
-        let detail = format!("request {:016x} to node {node}, notified at {notified_at:.3}", attempt.request);
+        let detail = format!(
+            "request {:016x} at director {} to node {node}, notified at {notified_at:.3}: {attempt}",
+            attempt.request, request.director
+        );
         Some(Finding { rule: Rule::Drained, detail })
     }
 }
@@ -341,7 +475,13 @@
     if wait <= left.max(0.0) + WAIT_TOLERANCE + OBSERVER_TOLERANCE {
         return None;
     }
-    let detail = format!("request {:016x}: {wait:.3} s of {left:.3} s left", attempt.request);
+    let detail = format!(
+        "request {:016x} at director {}: {wait:.3} s of {left:.3} s left, written from {:.3} to {:.3}: {attempt}",
+        attempt.request,
+        request.director,
+        request.written_at,
+        request.written_by.unwrap_or(now)
+    );
     Some(Finding { rule: Rule::WaitTooLong, detail })
 }
 
@@ -352,6 +492,9 @@
         return None;
     }
     let late = now - gone_at;
-    let detail = format!("request {:016x}: {late:.3} s after its client had gone", attempt.request);
+    let detail = format!(
+        "request {:016x} at director {}: {late:.3} s after its client had gone: {attempt}",
+        attempt.request, request.director
+    );
     Some(Finding { rule: Rule::ClientGone, detail })
 }
--- a/crates/testbed/src/soak/judge/tests.rs
+++ b/crates/testbed/src/soak/judge/tests.rs
@@ -14,15 +14,25 @@
         effect: Effect::Idempotent,
         object: OBJECT,
         written_at,
+        written_by: None,
         budget,
         client_gone_at: None,
         answered: false,
         executed_at: Vec::new(),
+        sent: Vec::new(),
     }
 }
 
 fn attempt(wait_ms: u64) -> Attempt {
-    Attempt { request: REQUEST, node: NODE, source: Some(SOURCE), wait_ms, read_late: false }
+    Attempt {
+        request: REQUEST,
+        node: NODE,
+        source: Some(SOURCE),
+        wait_ms,
+        read_late: false,
+        link: NodeLink::default(),
+        sent_at: None,
+    }
 }
 
 fn rules(findings: &[Finding]) -> Vec<Rule> {
@@ -160,3 +170,54 @@
     judge.on_notified_purge(DIRECTOR, OBJECT, 2_000);
     assert_eq!(made_ms(&judge), 2_000);
 }
+
+#[test]
+fn an_attempt_whose_time_of_sending_is_known_is_judged_by_it() {
+    let mut state = JudgeState::default();
+    state.requests.insert(REQUEST, Request { client_gone_at: Some(1.2), ..request(1.0, 1.0) });
+    // Read late or not, and however long after it was sent.
+    for read_late in [false, true] {
+        let sent = |wait_ms, sent_at| Attempt { read_late, sent_at: Some(sent_at), ..attempt(wait_ms) };
+        assert_eq!(rules(&state.check_attempt(&sent(749, 1.39), 9.0)), []);
+        assert_eq!(rules(&state.check_attempt(&sent(0, 1.41), 9.0)), [Rule::ClientGone]);
+        assert_eq!(rules(&state.check_attempt(&sent(1_100, 1.2), 9.0)), [Rule::WaitTooLong]);
+    }
+}
+
+#[test]
+fn an_effect_is_sent_again_only_while_nodes_recognise_it_or_after_proof_that_it_never_ran() {
+    let second = |judge: &Judge, sent_at: Seconds| {
+        let link = NodeLink { port: 2, accepted_at: 0.0 };
+        judge.on_attempt(&Attempt { sent_at: Some(sent_at), link, ..attempt(0) });
+    };
+    for (effect, apart, is_proven, expected) in [
+        (Effect::Idempotent, 0.5, false, vec![]),
+        (Effect::AtMostOnce, 0.5, false, vec![Rule::EffectTwice]),
+        (Effect::AtMostOnce, 0.5, true, vec![]),
+        (Effect::Deduplicated, 1.54, false, vec![]),
+        (Effect::Deduplicated, 1.56, false, vec![Rule::EffectTwice]),
+        (Effect::Deduplicated, 1.56, true, vec![]),
+    ] {
+        for is_read_in_order in [true, false] {
+            let judge = Judge::new();
+            judge.on_request(REQUEST, DIRECTOR, effect, OBJECT, 9.0);
+            // Proofs count from now on.
+            let first =
+                Attempt { sent_at: Some(0.0), link: NodeLink { port: 1, accepted_at: 0.0 }, ..attempt(0) };
+            if is_read_in_order {
+                judge.on_attempt(&first);
+            }
+            if is_proven {
+                judge.on_not_run(REQUEST, 1);
+            }
+            second(&judge, apart);
+            if !is_read_in_order {
+                judge.on_attempt(&first);
+            }
+            if is_proven && !is_read_in_order {
+                continue;
+            }
+            assert_eq!(found(&judge), expected, "{effect:?} {apart} {is_proven} {is_read_in_order}");
+        }
+    }
+}
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -12,14 +12,17 @@
 mod fault_plan;
 mod invariants;
 mod judge;
+mod lateness;
 mod node;
 mod report;
 mod run;
+mod send_log;
 
 use std::path::PathBuf;
 
 pub use fault_plan::{Fault, ScheduledFault, plan_faults};
 pub use invariants::{Rule, Violation};
+pub use lateness::Lateness;
 pub use node::Misbehavior;
 pub use report::SoakReport;
 pub use run::run;
--- a/crates/testbed/src/soak/node.rs
+++ b/crates/testbed/src/soak/node.rs
@@ -1,16 +1,16 @@
 //! Stand-in nodes: caches, parents and an origin that keep copies, and that misbehave when they are told to.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::channel;
+use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use socket2::{Domain, SockRef, Socket, Type};
 
 use super::Seconds;
-use super::judge::{Attempt, Judge};
+use super::judge::{Attempt, Judge, NodeLink};
 use crate::clock::unix_ms;
 use crate::pull_request::PullRequest;
 use crate::threads::{lock, spawn};
@@ -127,6 +127,24 @@
     received_at: Seconds,
 }
 
+/// What a director has given up on a connection: a `KILL` names one attempt, the end of the connection means all.
+#[derive(Default)]
+struct GivenUp {
+    requests: HashSet<u64>,
+    is_ended: bool,
+}
+
+impl GivenUp {
+    fn contains(&self, request: u64) -> bool {
+        self.is_ended || self.requests.contains(&request)
+    }
+}
+
+/// The request that a line gives up, if it is a `KILL`.
+fn killed_request(line: &str) -> Option<u64> {
+    u64::from_str_radix(line.trim_end().strip_prefix("KILL ")?, 16).ok()
+}
+
 /// Whether a connection is still in use after an attempt.
 #[derive(Clone, Copy, PartialEq)]
 enum Connection {
@@ -213,27 +231,46 @@
                 let _ = SockRef::from(listener).listen(BACKLOG);
             }
             let (own, nodes, stream) = (Arc::clone(self), Arc::clone(nodes), Arc::new(stream));
+            let port = stream.peer_addr().map_or(0, |address| address.port());
+            let link = NodeLink { port, accepted_at: self.judge.now() };
             lock(&self.state).connections.push(Arc::clone(&stream));
             spawn(move || {
                 // A director that goes ends its connection.
-                let _ = own.read_attempts(&stream, &nodes);
+                let _ = own.serve(&stream, link, &nodes);
             });
         }
     }
 
-    /// Reads attempts as they come; a thread beside it executes them, one after another.
-    fn read_attempts(self: &Arc<Node>, stream: &Arc<TcpStream>, nodes: &Nodes) -> io::Result<()> {
+    /// Reads attempts as they come; a thread beside it executes them, one after another. What the director gives up
+    /// before it is begun does not run.
+    fn serve(self: &Arc<Node>, stream: &Arc<TcpStream>, link: NodeLink, nodes: &Nodes) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        let given_up = Arc::new(Mutex::new(GivenUp::default()));
         let (queue, queued_pulls) = channel::<QueuedPull>();
         let (own, output, sources) = (Arc::clone(self), Arc::clone(stream), Arc::clone(nodes));
+        let seen_by_worker = Arc::clone(&given_up);
         spawn(move || {
             for queued in queued_pulls {
-                if !own.execute(&queued, &output, &sources).is_ok_and(|after| after == Connection::Open) {
+                let after = own.execute(&queued, link, &seen_by_worker, &output, &sources);
+                if !after.is_ok_and(|after| after == Connection::Open) {
                     return;
                 }
             }
         });
-        let mut reader = BufReader::new(&**stream);
+        let read = self.read_attempts(stream, link, nodes, &queue, &given_up);
+        lock(&given_up).is_ended = true;
+        read
+    }
+
+    fn read_attempts(
+        &self,
+        stream: &TcpStream,
+        link: NodeLink,
+        nodes: &Nodes,
+        queue: &Sender<QueuedPull>,
+        given_up: &Mutex<GivenUp>,
+    ) -> io::Result<()> {
+        let mut reader = BufReader::new(stream);
         let mut line = String::new();
         loop {
             let stuck = lock(&self.state).stuck_until - self.judge.now();
@@ -244,36 +281,57 @@
             if reader.read_line(&mut line)? == 0 {
                 return Ok(());
             }
+            if let Some(request) = killed_request(&line) {
+                lock(given_up).requests.insert(request);
+                continue;
+            }
             let Ok(request) = PullRequest::parse(&line) else { continue };
             let pull = Pull::from_request(&request);
             request.skip_body(&mut reader)?;
             let Some(pull) = pull else { continue };
-            let received_at = self.report_attempt(&pull, nodes);
+            let received_at = self.report_attempt(&pull, link, nodes);
             if queue.send(QueuedPull { pull, received_at }).is_err() {
                 return Ok(());
             }
         }
     }
 
-    /// Reports an attempt to the judge. Returns when it came: 0 if it may have come at any time, as nothing was read.
-    fn report_attempt(&self, pull: &Pull, nodes: &Nodes) -> Seconds {
+    /// Reports an attempt to the judge. Returns when it was sent or, where that is not known, when it came: 0 if it may
+    /// have come at any time, as nothing was read.
+    fn report_attempt(&self, pull: &Pull, link: NodeLink, nodes: &Nodes) -> Seconds {
         let source = pull.source.as_ref().and_then(|name| lock(nodes).get(name).map(|node| node.number));
         let read_late = self.is_reading_late();
         let (request, node, wait_ms) = (pull.request, self.number, pull.wait_ms);
-        self.judge.on_attempt(&Attempt { request, node, source, wait_ms, read_late });
-        if read_late { 0.0 } else { self.judge.now() }
+        let sent_at = self.judge.sent_at(request, link.port);
+        self.judge.on_attempt(&Attempt { request, node, source, wait_ms, read_late, link, sent_at });
+        sent_at.unwrap_or(if read_late { 0.0 } else { self.judge.now() })
     }
 
     /// Executes one attempt and answers it, as the behavior of this moment has it.
-    fn execute(&self, queued: &QueuedPull, mut stream: &TcpStream, nodes: &Nodes) -> io::Result<Connection> {
+    fn execute(
+        &self,
+        queued: &QueuedPull,
+        link: NodeLink,
+        given_up: &Mutex<GivenUp>,
+        mut stream: &TcpStream,
+        nodes: &Nodes,
+    ) -> io::Result<Connection> {
         let QueuedPull { pull, received_at } = queued;
         let source = pull.source.as_ref().and_then(|name| lock(nodes).get(name).cloned());
         std::thread::sleep(Duration::from_micros(1_000 + pull.object % 7_000));
+        if lock(given_up).contains(pull.request) {
+            self.judge.count("attempts given up before they were begun");
+            return Ok(Connection::Open);
+        }
         let behavior = self.behavior();
+        if behavior == Misbehavior::Full {
+            self.judge.on_not_run(pull.request, link.port);
+        }
         if let Some(connection) = misbehave_before_work(behavior, pull, stream)? {
             return Ok(connection);
         }
         let Some(issued_ms) = self.copy(pull, source.as_deref()) else {
+            self.judge.on_not_run(pull.request, link.port);
             stream.write_all(pull.empty_answer("NOENT").as_bytes())?;
             return Ok(Connection::Open);
         };
--- a/crates/testbed/src/soak/report.rs
+++ b/crates/testbed/src/soak/report.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use super::invariants::{Rule, Violation};
+use super::lateness::Lateness;
 
 /// How many violations are printed.
 const PRINTED_VIOLATIONS: usize = 20;
@@ -16,11 +17,14 @@
     pub counts: BTreeMap<&'static str, u64>,
     /// The number of planned faults.
     pub faults: usize,
+    /// How late the soak's own threads were.
+    pub lateness: Lateness,
 }
 
 impl fmt::Display for SoakReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{} faults", self.faults)?;
+        writeln!(f, "{}", self.lateness)?;
         for (name, count) in &self.counts {
             writeln!(f, "{count:>9} {name}")?;
         }
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -14,6 +14,7 @@
 use super::fault_plan::plan_faults;
 use super::invariants::Rule;
 use super::judge::Judge;
+use super::lateness::LatenessSampler;
 use super::node::{Node, Nodes};
 use super::report::SoakReport;
 use crate::director_process::{PortAllocator, endpoint_json, members_event, wait_until_serving};
@@ -95,7 +96,9 @@
 
     fn start_directors(&self) -> Result<(), TrialError> {
         for director in &self.directors {
-            let _ = std::fs::remove_file(&director.log);
+            for of_an_earlier_run in [&director.log, &director.send_log] {
+                let _ = std::fs::remove_file(of_an_earlier_run);
+            }
             director.set_fault_rules("");
             self.start_director(director)?;
         }
@@ -183,11 +186,13 @@
         nodes_by_number: Mutex::default(),
         places: Mutex::default(),
     };
+    judge.read_send_logs(soak.directors.iter().map(|director| director.send_log.clone()));
     soak.start_nodes()?;
     note_events_for_all(&soak.discovery, options.directors);
     soak.start_directors()?;
 
     let over = Arc::new(AtomicBool::new(false));
+    let lateness = LatenessSampler::start();
     let clients = soak.start_clients(&over);
     let started = Instant::now();
     soak.inject_faults(options.seconds as f64);
@@ -202,5 +207,6 @@
     soak.stop_directors();
     soak.check_logs();
     let (violations, counts) = judge.finish();
-    Ok(SoakReport { violations, counts, faults: plan_faults(options).len() })
+    let lateness = lateness.finish();
+    Ok(SoakReport { violations, counts, faults: plan_faults(options).len(), lateness })
 }
--- /dev/null
+++ b/crates/testbed/src/soak/send_log.rs
@@ -0,0 +1,63 @@
+//! When directors sent their attempts: read from the logs that the fault library keeps in their processes.
+
+use std::collections::HashMap;
+use std::fs::File;
+use std::io::{self, Read, Seek, SeekFrom};
+use std::path::PathBuf;
+
+/// An attempt by its request and the port of the director's end of the connection. No connection carries two attempts of
+/// one request.
+type AttemptKey = (u64, u16);
+
+/// The send log of one director, over all its processes.
+pub(crate) struct SendLog {
+    path: PathBuf,
+    read_bytes: u64,
+    /// What was read of a line that is not complete.
+    partial: String,
+    /// By attempt, the monotonic time in nanoseconds at which its first byte was about to be written.
+    sent: HashMap<AttemptKey, u64>,
+}
+
+impl SendLog {
+    /// A log that is to be written to this file.
+    pub(crate) fn new(path: PathBuf) -> SendLog {
+        SendLog { path, read_bytes: 0, partial: String::new(), sent: HashMap::new() }
+    }
+
+    /// When an attempt was sent, in nanoseconds of the monotonic clock; none if the log does not have it.
+    pub(crate) fn sent_ns(&mut self, request: u64, port: u16) -> Option<u64> {
+        let key = (request, port);
+        if !self.sent.contains_key(&key) {
+            // A log that can't be read has nothing new.
+            let _ = self.read_more();
+        }
+        self.sent.get(&key).copied()
+    }
+
+    fn read_more(&mut self) -> io::Result<()> {
+        let mut file = File::open(&self.path)?;
+        file.seek(SeekFrom::Start(self.read_bytes))?;
+        let mut bytes = Vec::new();
+        self.read_bytes += file.read_to_end(&mut bytes)? as u64;
+        self.partial.push_str(&String::from_utf8_lossy(&bytes));
+        let text = std::mem::take(&mut self.partial);
+        let mut lines = text.split('\n');
+        // What follows the last line end is not complete.
+        self.partial = lines.next_back().unwrap_or_default().to_owned();
+        self.sent.extend(lines.filter_map(parse_attempt));
+        Ok(())
+    }
+}
+
+/// A line of the log, if it is of an attempt: `NANOSECONDS PORT PULL REQUEST ...`.
+fn parse_attempt(line: &str) -> Option<(AttemptKey, u64)> {
+    let mut words = line.split(' ');
+    let sent_ns = words.next()?.parse().ok()?;
+    let port = words.next()?.parse().ok()?;
+    if words.next()? != "PULL" {
+        return None;
+    }
+    let request = u64::from_str_radix(words.next()?, 16).ok()?;
+    Some(((request, port), sent_ns))
+}
