Testbed: the ports of a trial's processes are reserved until it ends

Cause: a port was bound, let go and given to a director that binds it a moment later. Two trials drew 20727 for directors of theirs; the second director could not listen (its log: Address already in use), and its trial took the other's for its own, as it accepts connections. Clients of one soak then asked the director of the other, whose judge knows none of their requests. Not the director's fault.

Change: a trial keeps a socket bound to each port, which never listens; the director may, as both allow the address to be used again, and another reservation finds the port taken. Fleet, scale and experiment trials did the same and reserve too; two copies of the loop over ports are gone.

Test: a_reserved_port_is_nobody_elses_and_its_process_may_listen_there_again_and_again. Tests of the testbed pass.

--- a/crates/testbed/src/director_process.rs
+++ b/crates/testbed/src/director_process.rs
@@ -1,53 +1,19 @@
-//! Directors on loopback as processes of their own: ports, configurations, starts, and lines of the endpoint list.
+//! Directors on loopback as processes of their own: configurations, starts, and lines of the endpoint list.
 
-use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::ops::Range;
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg32;
 use serde_json::{Value, json};
 
 use crate::client_load::BUDGET_MS;
 use crate::process::{ChildProcess, TrialError};
 
-/// Ports of directors lie below those that the system gives to connections.
-const DIRECTOR_PORTS: Range<u16> = 12_000..32_000;
-/// How many ports are tried before there is none.
-const PORT_ATTEMPTS: usize = 100;
 const SERVING_POLL: Duration = Duration::from_millis(20);
 /// Names the file of a director's coordination settings to it.
 const COORDINATION_VARIABLE: &str = "SABLECROSS_DUTY";
 
-/// Finds free ports. A director that was killed finds its own again, and trials beside one another seldom meet.
-pub(crate) struct PortAllocator(Pcg32);
-
-impl PortAllocator {
-    pub(crate) fn new() -> PortAllocator {
-        // Trials of one program, as tests are, draw apart as well.
-        static ALLOCATORS: AtomicU64 = AtomicU64::new(0);
-        let own = ALLOCATORS.fetch_add(1, Ordering::Relaxed) << 32;
-        PortAllocator(Pcg32::seed_from_u64(own | u64::from(std::process::id())))
-    }
-
-    /// A port that was free a moment ago; a director that finds it taken says so.
-    pub(crate) fn allocate(&mut self) -> io::Result<SocketAddr> {
-        let mut last_error = io::ErrorKind::AddrInUse.into();
-        for _ in 0..PORT_ATTEMPTS {
-            let port = self.0.random_range(DIRECTOR_PORTS);
-            match TcpListener::bind(("127.0.0.1", port)).and_then(|listener| listener.local_addr()) {
-                Ok(address) => return Ok(address),
-                Err(e) => last_error = e,
-            }
-        }
-        Err(last_error)
-    }
-}
-
 /// Starts a director, whose log is appended to `log`. `coordination` is the file of its coordination settings.
 pub(crate) fn spawn_director(
     program: &dyn Fn() -> Command,
--- a/crates/testbed/src/experiment.rs
+++ b/crates/testbed/src/experiment.rs
@@ -20,11 +20,11 @@
 use crate::client_load::{BUDGET_MS, Client, ClientStats, Purges};
 use crate::clock::unix_ms;
 use crate::director_process::{
-    NodeModel, PortAllocator, director_config, endpoint_json, members_event, spawn_director,
-    wait_until_serving,
+    NodeModel, director_config, endpoint_json, members_event, spawn_director, wait_until_serving,
 };
 use crate::discovery_stub::{AppliedReport, DiscoveryStub};
 use crate::node_stub::{Node, Role, StartedNode};
+use crate::ports::{PortAllocator, ReservedPort};
 use crate::process::{ChildProcess, TrialError, io_error};
 use crate::report::{ExperimentOutcome, Report};
 use crate::settings::Experiment;
@@ -59,6 +59,7 @@
 struct StartedDirector {
     /// Ends with the experiment.
     _process: ChildProcess,
+    _port: ReservedPort,
     address: SocketAddr,
 }
 
@@ -162,7 +163,8 @@
     let mut ports = PortAllocator::new();
     let mut directors = Vec::new();
     for number in 0..experiment.directors {
-        let address = ports.allocate().map_err(io_error("a port"))?;
+        let port = ports.allocate()?;
+        let address = port.address;
         let name = format!("director-{number}");
         let config_file = folder.join(format!("{name}.json"));
         let log = folder.join(format!("{name}.log"));
@@ -175,7 +177,7 @@
         std::fs::write(&config_file, config).map_err(io_error(config_file.display().to_string()))?;
         let process = spawn_director(program, &config_file, &log, None)?;
         wait_until_serving(&name, address, &log, Instant::now(), START_TIMEOUT)?;
-        directors.push(StartedDirector { _process: process, address });
+        directors.push(StartedDirector { _process: process, _port: port, address });
     }
     Ok(directors)
 }
--- a/crates/testbed/src/fleet/run.rs
+++ b/crates/testbed/src/fleet/run.rs
@@ -27,8 +27,9 @@
 use super::settings::{Fault, FaultKind, Trial};
 use crate::client_load::BUDGET_MS;
 use crate::clock::unix_ms;
-use crate::director_process::{PortAllocator, endpoint_json, members_event, wait_until_serving};
+use crate::director_process::{endpoint_json, members_event, wait_until_serving};
 use crate::discovery_stub::DiscoveryStub;
+use crate::ports::{PortAllocator, addresses_of};
 use crate::process::{TrialError, io_error};
 use crate::schedule::take_due;
 use crate::trial_state::TrialState;
@@ -84,7 +85,8 @@
     let nodes = start_nodes(trial, &mut rng, nodes_started, &over)?;
     let state = Arc::new(TrialState::new(nodes_started));
     let discovery = start_discovery(&nodes, &state)?;
-    let addresses = allocate_addresses(trial.directors)?;
+    let ports = PortAllocator::new().allocate_all(trial.directors)?;
+    let addresses = addresses_of(&ports);
     let coordination = trial
         .duties
         .as_ref()
@@ -171,19 +173,6 @@
     Ok(copies)
 }
 
-/// Addresses of directors, no two alike.
-fn allocate_addresses(count: usize) -> Result<Vec<SocketAddr>, TrialError> {
-    let mut ports = PortAllocator::new();
-    let mut addresses = Vec::new();
-    while addresses.len() < count {
-        let address = ports.allocate().map_err(io_error("a port"))?;
-        if !addresses.contains(&address) {
-            addresses.push(address);
-        }
-    }
-    Ok(addresses)
-}
-
 fn start_directors(
     trial: &Trial,
     program: &dyn Fn() -> Command,
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -16,6 +16,7 @@
 mod experiment;
 pub mod fleet;
 mod node_stub;
+mod ports;
 mod process;
 mod pull_request;
 mod report;
--- a/crates/testbed/src/scale/installation.rs
+++ b/crates/testbed/src/scale/installation.rs
@@ -21,10 +21,9 @@
 use super::source::{Source, status};
 use super::tier::{Program, Tier, binds_ms};
 use crate::clock::unix_ms;
-use crate::director_process::{
-    NodeModel, PortAllocator, director_config, spawn_director, wait_until_serving,
-};
+use crate::director_process::{NodeModel, director_config, spawn_director, wait_until_serving};
 use crate::fleet::link_proxy::{HeldDirections, LinkProxies, PlannedLink};
+use crate::ports::PortAllocator;
 use crate::process::{TrialError, cpu_seconds_of, io_error};
 use crate::schedule::sample;
 
@@ -423,12 +422,12 @@
         // That of an earlier run.
         let _ = std::fs::remove_file(&log);
         let feeds: Vec<_> = (0..settings.feeds).filter_map(|place| links.address(real, place)).collect();
-        let address = ports.allocate().map_err(io_error("a port"))?;
-        let text = config_text(settings, settings.hollow + real, address, &feeds, known);
+        let port = ports.allocate()?;
+        let text = config_text(settings, settings.hollow + real, port.address, &feeds, known);
         std::fs::write(&config, text).map_err(io_error(config.display().to_string()))?;
         let process = spawn_director(&|| program(&["testbed", "director"]), &config, &log, None)?;
-        wait_until_serving(&name, address, &log, Instant::now(), REAL_START_TIMEOUT)?;
-        reals.push(RealDirector { process, log });
+        wait_until_serving(&name, port.address, &log, Instant::now(), REAL_START_TIMEOUT)?;
+        reals.push(RealDirector { process, log, _port: port });
     }
     Ok(reals)
 }
--- a/crates/testbed/src/scale/processes.rs
+++ b/crates/testbed/src/scale/processes.rs
@@ -8,6 +8,7 @@
 use super::evaluation::ProcessUse;
 use super::pool_messages::{Finished, PoolCommand, PoolProgress, PoolReport};
 use super::tier::Program;
+use crate::ports::ReservedPort;
 use crate::process::{ChildProcess, TrialError, io_error};
 use crate::threads::spawn;
 
@@ -72,6 +73,7 @@
 pub(super) struct RealDirector {
     pub(super) process: ChildProcess,
     pub(super) log: PathBuf,
+    pub(super) _port: ReservedPort,
 }
 
 impl RealDirector {
--- a/crates/testbed/src/scale/tier.rs
+++ b/crates/testbed/src/scale/tier.rs
@@ -13,8 +13,8 @@
 use super::evaluation::{ProcessUse, RelayBytes};
 use super::settings::Scale;
 use super::source::leader;
-use crate::director_process::PortAllocator;
 use crate::fleet::link_proxy::{HeldDirections, LinkProxies, Pair, PlannedLink};
+use crate::ports::{PortAllocator, ReservedPort, addresses_of};
 use crate::process::{ChildProcess, TrialError, io_error};
 
 /// How long relays may take until they serve and have a leader.
@@ -112,13 +112,22 @@
     voter_count: usize,
     regions: usize,
     links: LinkProxies,
+    /// Those of the relays.
+    _ports: Vec<ReservedPort>,
 }
 
 impl Tier {
     /// No relays: directors connect to the source.
     pub(crate) fn without_relays(source: SocketAddr, over: &Arc<AtomicBool>) -> Result<Tier, TrialError> {
         let links = LinkProxies::between(Vec::new(), over).map_err(io_error("links"))?;
-        Ok(Tier { relays: Vec::new(), feeds: vec![source], voter_count: 0, regions: 1, links })
+        Ok(Tier {
+            relays: Vec::new(),
+            feeds: vec![source],
+            voter_count: 0,
+            regions: 1,
+            links,
+            _ports: Vec::new(),
+        })
     }
 
     /// Starts the relays and waits until they serve. Where some vote, one of them leads then; where none does, they
@@ -130,7 +139,8 @@
         source: Option<SocketAddr>,
         over: &Arc<AtomicBool>,
     ) -> Result<Tier, TrialError> {
-        let feeds = allocate_addresses(settings.relays)?;
+        let ports = PortAllocator::new().allocate_all(settings.relays)?;
+        let feeds = addresses_of(&ports);
         let links = link_relays(&feeds, over)?;
         let mut relays = Vec::new();
         for (number, address) in feeds.iter().enumerate() {
@@ -145,7 +155,14 @@
             }
             std::thread::sleep(Duration::from_millis(50));
         }
-        Ok(Tier { relays, feeds, voter_count: settings.voters, regions: settings.regions, links })
+        Ok(Tier {
+            relays,
+            feeds,
+            voter_count: settings.voters,
+            regions: settings.regions,
+            links,
+            _ports: ports,
+        })
     }
 
     /// The region of a relay or of a director.
@@ -211,19 +228,6 @@
     list
 }
 
-/// Addresses of relays, no two alike.
-fn allocate_addresses(count: usize) -> Result<Vec<SocketAddr>, TrialError> {
-    let mut ports = PortAllocator::new();
-    let mut addresses = Vec::new();
-    while addresses.len() < count {
-        let address = ports.allocate().map_err(io_error("a port"))?;
-        if !addresses.contains(&address) {
-            addresses.push(address);
-        }
-    }
-    Ok(addresses)
-}
-
 /// Makes a link from each relay to each other one.
 fn link_relays(feeds: &[SocketAddr], over: &Arc<AtomicBool>) -> Result<LinkProxies, TrialError> {
     let pairs = (0..feeds.len()).flat_map(|a| (0..feeds.len()).map(move |b| (a, b)));
--- a/crates/testbed/src/soak/director.rs
+++ b/crates/testbed/src/soak/director.rs
@@ -17,6 +17,7 @@
 use super::judge::Judge;
 use super::{Options, Seconds};
 use crate::director_process::{NodeModel, director_config, spawn_director};
+use crate::ports::ReservedPort;
 use crate::process::{ChildProcess, TrialError, io_error};
 use crate::threads::lock;
 
@@ -65,16 +66,18 @@
     fault_rules: PathBuf,
     /// The file in which the fault library notes what it sends.
     pub(crate) send_log: PathBuf,
+    _port: ReservedPort,
     judge: Arc<Judge>,
     state: Mutex<DirectorState>,
 }
 
 impl Director {
-    pub(crate) fn new(number: usize, address: SocketAddr, folder: &Path, judge: &Arc<Judge>) -> Director {
+    pub(crate) fn new(number: usize, port: ReservedPort, folder: &Path, judge: &Arc<Judge>) -> Director {
         let file = |extension: &str| folder.join(format!("director-{number}.{extension}"));
         Director {
             number,
-            address,
+            address: port.address,
+            _port: port,
             config: file("json"),
             log: file("log"),
             fault_rules: file("plan"),
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -17,7 +17,8 @@
 use super::lateness::LatenessSampler;
 use super::node::{Node, Nodes};
 use super::report::SoakReport;
-use crate::director_process::{PortAllocator, endpoint_json, members_event, wait_until_serving};
+use crate::director_process::{endpoint_json, members_event, wait_until_serving};
+use crate::ports::PortAllocator;
 use crate::process::{TrialError, io_error};
 use crate::threads::lock;
 
@@ -152,14 +153,8 @@
 /// Makes the directors, each with a port of its own.
 fn make_directors(count: usize, folder: &Path, judge: &Arc<Judge>) -> Result<Vec<Arc<Director>>, TrialError> {
     let mut ports = PortAllocator::new();
-    let mut directors: Vec<Arc<Director>> = Vec::new();
-    while directors.len() < count {
-        let address = ports.allocate().map_err(io_error("a port"))?;
-        if directors.iter().all(|director| director.address != address) {
-            directors.push(Arc::new(Director::new(directors.len(), address, folder, judge)));
-        }
-    }
-    Ok(directors)
+    let director = |number| Ok(Arc::new(Director::new(number, ports.allocate()?, folder, judge)));
+    (0..count).map(director).collect()
 }
 
 /// Runs a soak.
