Answers leave earlier while the director's threads are woken late

A rejection that comes too late costs the client its own second try.

Cause: the director answers 20 ms before the deadline, and the answer passes two threads, each of which waits for a processor. Which of the threads was late makes no difference; that the lateness can be foreseen does: it is there in every wait.

Change: a new part of the policy, deadline_margin.rs: three times the longest delay of late beyond the usual 5 ms, a delay of 50 ms at most counting, and a quarter of the client's time at most; a peak loses half of its weight each second. The clients' thread measures it at waits that end with nothing, the dispatcher at its timers. The router looks again at shrinking intervals before the deadline, as delays may grow after the attempt was sent, and ends what is outstanding as timed out.

Tests of module, inflight, adapter and director pass.

--- a/crates/director/src/dispatch/action_executor.rs
+++ b/crates/director/src/dispatch/action_executor.rs
@@ -227,6 +227,10 @@
         }
     }
 
+    fn time_out(&mut self, id: u64, attempt: usize) {
+        self.abandon_attempt(id, attempt, Outcome::TimedOut);
+    }
+
     fn schedule_check(&mut self, id: u64, generation: u32, after: Ns) {
         let requests = &self.requests;
         let timer = Timer::Check { key: id, generation };
--- a/crates/director/src/dispatch/dispatcher.rs
+++ b/crates/director/src/dispatch/dispatcher.rs
@@ -81,6 +81,7 @@
     pub(crate) fn run(&mut self, events: &Receiver<Event>) -> Result<(), DispatchError> {
         loop {
             self.executor.update_time();
+            self.take_wakeup_delay();
             self.run_due_timers();
             self.executor.flush_responses();
             self.advance_shutdown();
@@ -100,6 +101,13 @@
         }
     }
 
+    /// Tells the router how late threads were woken since the last turn.
+    fn take_wakeup_delay(&mut self) {
+        let own = self.executor.timers.next_deadline().map_or(0, |due| self.executor.now.saturating_sub(due));
+        let delay = own.max(self.executor.shared.take_wakeup_delay());
+        self.table.router.record_wakeup_delay(self.executor.now, delay);
+    }
+
     /// Waits for an event until the next time at which something is to be done without one.
     fn next_event(&self, events: &Receiver<Event>) -> Result<Event, RecvTimeoutError> {
         match self.next_wakeup() {
--- a/crates/director/src/shared.rs
+++ b/crates/director/src/shared.rs
@@ -29,6 +29,8 @@
     pub events: Sender<Event>,
     /// When all connections of clients were last looked at.
     clients_checked_at: AtomicU64,
+    /// The longest delay of a thread's wakeup that the dispatcher has not taken yet.
+    wakeup_delay: AtomicU64,
 }
 
 impl SharedContext {
@@ -42,6 +44,7 @@
             memory_budget: MemoryBudget::new(limits.body_memory_bytes),
             events,
             clients_checked_at: AtomicU64::new(0),
+            wakeup_delay: AtomicU64::new(0),
             limits,
         };
         (Arc::new(shared), to_dispatcher)
@@ -52,6 +55,16 @@
         self.clients_checked_at.store(at, Ordering::Release);
     }
 
+    /// A thread was woken so long after the time that it had asked for.
+    pub fn record_wakeup_delay(&self, delay: Ns) {
+        self.wakeup_delay.fetch_max(delay, Ordering::Relaxed);
+    }
+
+    /// The longest delay since the last call; 0 if there was none.
+    pub fn take_wakeup_delay(&self) -> Ns {
+        self.wakeup_delay.swap(0, Ordering::Relaxed)
+    }
+
     /// When it was last known of all clients whether they are there.
     pub fn clients_checked_at(&self) -> Ns {
         self.clients_checked_at.load(Ordering::Acquire)
--- a/crates/director/src/wire/client_server.rs
+++ b/crates/director/src/wire/client_server.rs
@@ -101,6 +101,10 @@
             }
             let has_reported_all = polled.is_ok() && events.iter().count() < capacity;
             let woke = self.on_wakeup(entered, wait, has_reported_all);
+            if polled.is_ok() && events.is_empty() {
+                let planned = u64::try_from(wait.as_nanos()).unwrap_or(Ns::MAX);
+                self.shared.record_wakeup_delay(woke.saturating_sub(entered).saturating_sub(planned));
+            }
             let mut readable = self.handle_socket_events(&events);
             if !self.handle_responses() {
                 return;
--- a/crates/inflight/src/inflight_table.rs
+++ b/crates/inflight/src/inflight_table.rs
@@ -18,6 +18,8 @@
     /// Withdraws an attempt that is outstanding: it is cancelled, or never sent if it still waits for a connection. Its
     /// result is still owed.
     fn withdraw(&mut self, id: u64, attempt: usize);
+    /// Ends an attempt that is outstanding as timed out; its result is still owed.
+    fn time_out(&mut self, id: u64, attempt: usize);
     /// Calls [`InflightTable::check`] with this generation once the time has passed.
     fn schedule_check(&mut self, id: u64, generation: u32, after: Ns);
     /// The request is answered and none of its attempts is outstanding: nothing more is asked for it.
@@ -130,6 +132,9 @@
             RouteDecision::CancelOutstanding => {
                 inflight.outstanding_attempts().for_each(|outstanding| transport.withdraw(id, outstanding));
             }
+            RouteDecision::TimeOutOutstanding => {
+                inflight.outstanding_attempts().for_each(|outstanding| transport.time_out(id, outstanding));
+            }
             RouteDecision::Reject { retry_after } => {
                 transport.reject(id, retry_after);
                 inflight.is_answered = true;
--- a/crates/sim-adapter/src/instance.rs
+++ b/crates/sim-adapter/src/instance.rs
@@ -68,6 +68,11 @@
         self.cancel(id, attempt);
     }
 
+    /// The simulator's actions are never late, so that the router does not ask for this.
+    fn time_out(&mut self, id: u64, attempt: usize) {
+        self.cancel(id, attempt);
+    }
+
     fn schedule_check(&mut self, id: u64, generation: u32, wait: Ns) {
         self.reply.defer(self.director, wait, u64::from(generation) << GENERATION_SHIFT | id);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod burst;
 mod cache_policy;
+mod deadline_margin;
 mod effects;
 mod endpoint;
 mod fill_price;
--- a/src/router.rs
+++ b/src/router.rs
@@ -25,6 +25,7 @@
 
 use crate::burst::{BurstDetector, BurstStatus, REMEMBERED_WINDOWS, WINDOW};
 use crate::cache_policy::{PurgeLog, ReuseHistory};
+use crate::deadline_margin::DeadlineMargin;
 use crate::effects;
 use crate::endpoint::{EndpointRole, EndpointTable, directors_sharing};
 use crate::fill_price::FillOffload;
@@ -78,6 +79,7 @@
     fill_offload: FillOffload,
     retry_budget: RetryBudget,
     origin_limit: OriginLimit,
+    lateness: DeadlineMargin,
     /// When the open window of measurements ends.
     window_ends_at: Ns,
     mode_changes: Vec<ModeChange>,
@@ -100,6 +102,7 @@
             fill_offload: FillOffload::new(),
             retry_budget: RetryBudget::new(),
             origin_limit: OriginLimit::new(sharing),
+            lateness: DeadlineMargin::default(),
             window_ends_at: now + WINDOW,
             mode_changes: Vec::new(),
             settings,
@@ -147,13 +150,23 @@
         self.purges.record(now, object, group, now.saturating_sub(age));
     }
 
+    /// Takes how late a thread of the caller was woken. From the first call on, 0 included, requests are answered earlier
+    /// while that is long.
+    pub fn record_wakeup_delay(&mut self, now: Ns, delay: Ns) {
+        self.lateness.record(now, delay);
+    }
+
     /// What to do with a request now. An attempt that is returned counts as made.
     pub fn route(&mut self, now: Ns, request: &Request) -> RouteDecision {
         self.close_windows(now);
         if effects::cancel_time(&self.settings, request).is_some_and(|at| now >= at) {
             return RouteDecision::CancelOutstanding;
         }
-        if now + self.deadline_margin() >= request.deadline {
+        if now >= self.answer_time(now, request) {
+            let is_early = self.lateness.margin(now, request) > 0;
+            if is_early && outstanding(request) > 0 {
+                return RouteDecision::TimeOutOutstanding;
+            }
             return self.wait_or_reject(now, request);
         }
         let is_hopeless =
@@ -178,10 +191,13 @@
         RouteDecision::Attempt(spec)
     }
 
-    /// How long until `route` is to be asked again, if nothing has come by then: the time of a hedge, or that at which
-    /// outstanding attempts are to be cancelled.
+    /// How long until `route` is to be asked again, if nothing has come by then: the time of a hedge, that at which
+    /// outstanding attempts are to be cancelled, or at which an answer may have to leave early.
     pub fn next_check(&self, now: Ns, request: &Request) -> Option<Ns> {
-        let times = [self.hedge_time(request), effects::cancel_time(&self.settings, request)];
+        let has_outstanding = outstanding(request) > 0;
+        let answer_time = self.answer_time(now, request);
+        let look = self.lateness.next_look(now, answer_time, request).filter(|_| has_outstanding);
+        let times = [self.hedge_time(request), effects::cancel_time(&self.settings, request), look];
         times.into_iter().flatten().filter(|&at| at > now && at < request.deadline).min().map(|at| at - now)
     }
 
@@ -206,6 +222,12 @@
         DEADLINE_MARGIN_TICKS * self.settings.tick
     }
 
+    /// When a request has to be answered, as things are now.
+    fn answer_time(&self, now: Ns, request: &Request) -> Ns {
+        let margin = self.deadline_margin() + self.lateness.margin(now, request);
+        request.deadline.saturating_sub(margin)
+    }
+
     fn class(&self, request: &Request) -> &RequestClass {
         &self.settings.request_classes[request.class]
     }
--- a/src/router/selection.rs
+++ b/src/router/selection.rs
@@ -246,7 +246,7 @@
     // ---- what is asked of the node ----
 
     fn timeout(&self, source: Option<usize>) -> Ns {
-        let left = self.request.deadline - self.now - self.router.deadline_margin();
+        let left = self.router.answer_time(self.now, self.request) - self.now;
         if !self.is_first || source.is_some() {
             return left;
         }
--- a/src/types.rs
+++ b/src/types.rs
@@ -242,6 +242,8 @@
     Wait,
     /// Cancel all attempts that are outstanding: a node that begins one from now on could repeat the effect of another.
     CancelOutstanding,
+    /// End all attempts that are outstanding as timed out: the answer has to leave now to be in time.
+    TimeOutOutstanding,
     /// Reject it, which proves to the client that it had no effect.
     Reject {
         /// How long the client is asked to wait before it tries again; 0: it is not asked to.
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod cache_policy;
+mod deadline_margin;
 mod load_shedding;
 mod outlier_ejection;
 mod ring;
