Relays: a subscriber that is sent the complete list has a step to go on from it

At full size the list is the largest thing that a relay sends, and it is sent when all come back at once.

At most two steps' events: 20 s in service.

Test, failed before (two lists, called 0 ms after a step): one_that_is_sent_the_list_has_a_step_to_go_on_from_it, calls at each tenth of a second of a step, one list each.

--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -92,6 +92,8 @@
     endpoint_names: BTreeSet<String>,
     /// The frames of the snapshot's list, with the snapshot's number.
     cached_list: Option<(u64, Vec<u8>)>,
+    /// The last Unix ms that it was told.
+    told_unix_ms: u64,
 }
 
 impl Log {
@@ -111,6 +113,7 @@
             has_list: snapshot.has_list,
             endpoint_names: snapshot.members.keys().cloned().collect(),
             cached_list: None,
+            told_unix_ms: 0,
             snapshot,
         }
     }
@@ -177,6 +180,7 @@
         idempotency_key: Option<&str>,
         unix_ms: u64,
     ) -> u64 {
+        self.told_unix_ms = self.told_unix_ms.max(unix_ms);
         let number = self.last_number() + 1;
         let frame = event.to_frame(number).into_boxed_slice();
         self.event_bytes += frame.len();
@@ -215,6 +219,7 @@
     /// been expired for a step. A snapshot that moved with each event would be sent over and over to a subscriber
     /// that is behind it.
     pub fn compact(&mut self, unix_ms: u64) {
+        self.told_unix_ms = self.told_unix_ms.max(unix_ms);
         let step_ms = self.retention.compaction_step_ms();
         let first = self.events.front();
         if first.is_none_or(|event| !self.is_expired(event, unix_ms.saturating_sub(step_ms))) {
@@ -268,11 +273,13 @@
     /// to send.
     ///
     /// A subscriber that is behind the snapshot gets that, in full and not counted in `max_bytes`, and at least
-    /// one event more.
+    /// one event more. Nor counts what the next snapshot may stand for: with a part of that it would be behind again.
     pub fn encode_after(&mut self, cursor: u64, max_bytes: usize, out: &mut Vec<u8>) -> u64 {
         let mut cursor = cursor;
         let len_before = out.len();
+        let mut uncounted = 0;
         if cursor < self.snapshot.number {
+            uncounted = self.expiring_count();
             if self.snapshot.has_list {
                 self.encode_snapshot(cursor, out);
             } else if !self.begins_with_list() {
@@ -283,8 +290,8 @@
         let start = out.len();
         let end = max_bytes.saturating_add(start - len_before);
         let skipped = usize::try_from(cursor - self.snapshot.number).unwrap_or(usize::MAX);
-        for event in self.events.iter().skip(skipped) {
-            if out.len() > start && out.len() + event.frame.len() > end {
+        for (index, event) in self.events.iter().enumerate().skip(skipped) {
+            if index >= uncounted && out.len() > start && out.len() + event.frame.len() > end {
                 break;
             }
             out.extend_from_slice(&event.frame);
@@ -293,6 +300,12 @@
         cursor
     }
 
+    /// How many events the snapshot may have taken in a step from now.
+    fn expiring_count(&self) -> usize {
+        let until = self.told_unix_ms + self.retention.compaction_step_ms();
+        self.events.iter().take_while(|event| self.is_expired(event, until)).count()
+    }
+
     /// Whether the first event is a complete list, which can be sent in place of a snapshot.
     fn begins_with_list(&self) -> bool {
         let list = EventKind::Members { is_snapshot: true };
--- a/crates/relay/tests/cases.rs
+++ b/crates/relay/tests/cases.rs
@@ -108,6 +108,29 @@
     assert_eq!(sent(&mut log, 0, 10).0, 8);
 }
 
+/// Guards against a second complete list: a subscriber calls at any time of a step, and takes small batches.
+#[test]
+fn one_that_is_sent_the_list_has_a_step_to_go_on_from_it() {
+    const PURGE_INTERVAL_MS: usize = 50;
+    const BATCH_BYTES: usize = 2_048;
+    let steady_from = UNIX + EXPIRED_MS + 2 * STEP_MS;
+    for called_after in (0..STEP_MS).step_by(100) {
+        let mut log = Log::new(RETENTION);
+        append(&mut log, &list(1, true, &[line("a", "ready")]), UNIX);
+        let (mut cursor, mut lists) = (0, 0);
+        for now in (UNIX..steady_from + 2 * STEP_MS).step_by(PURGE_INTERVAL_MS) {
+            append(&mut log, &purge(now, now), now);
+            log.compact(now);
+            if now >= steady_from + called_after && cursor < log.last_number() {
+                let (up_to, events) = sent(&mut log, cursor, BATCH_BYTES);
+                lists += events.iter().filter(|(_, body)| body.starts_with("{\"members\"")).count();
+                cursor = up_to;
+            }
+        }
+        assert_eq!(lists, 1, "called {called_after} ms after a step");
+    }
+}
+
 /// List and hierarchy of a subscriber that applied these.
 fn state<'a>(events: impl Iterator<Item = &'a (u64, String)>) -> (BTreeMap<String, String>, Option<String>) {
     let (mut members, mut hierarchy) = (BTreeMap::new(), None);
