Soak as in service: connections used until the director ends them, signals in series, crowds

Change: clients connect for 0.4 s after SIGTERM and use what they have until the director ends it. The kill comes after the longest deadline and 0.7 s (2.7 s, before 3.7 s), not counted the time for which the process was held; an end by itself excuses nothing. Signals come in series: several SIGHUPs, one just before or after SIGTERM, SIGTERM twice, SIGSTOP and SIGCONT amid both. A kill no longer excuses for ever what comes after it when a pause was noted between.

The fault library notes each shutdown now; a request crosses the end of its connection by that time and not by when its client looks.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,5 @@
 //! The command line of sablecross. Exit codes: 0 all is well, 1 what was asked about is refused or differs,
-//! 2 the command line or a file can't be used.
+//! 2 the command line or a file can't be used, 3 the machine was too busy for a verdict.
 
 mod capacity;
 mod coordination;
@@ -54,6 +54,7 @@
 enum CommandOutcome {
     Success,
     Rejected,
+    NotJudged,
 }
 
 fn main() -> ExitCode {
@@ -84,6 +85,7 @@
     match done {
         Ok(CommandOutcome::Success) => ExitCode::SUCCESS,
         Ok(CommandOutcome::Rejected) => ExitCode::from(1),
+        Ok(CommandOutcome::NotJudged) => ExitCode::from(3),
         Err(faults) => {
             faults.iter().for_each(|f| eprintln!("{f}"));
             ExitCode::from(2)
--- a/crates/cli/src/soak.rs
+++ b/crates/cli/src/soak.rs
@@ -4,7 +4,7 @@
 use std::process::Command;
 
 use clap::Args;
-use sablecross_testbed::soak::{self, Options};
+use sablecross_testbed::soak::{self, Options, Verdict};
 
 use super::CommandOutcome;
 
@@ -68,9 +68,11 @@
         let folder = arguments.folder.join(seed.to_string());
         let outcome = soak::run(&options, &program, &folder).map_err(|e| vec![e.to_string()])?;
         println!("seed {seed}: {outcome}");
-        if !outcome.violations.is_empty() {
-            verdict = CommandOutcome::Rejected;
-        }
+        verdict = match (outcome.verdict(), verdict) {
+            (Verdict::Failed, _) | (_, CommandOutcome::Rejected) => CommandOutcome::Rejected,
+            (Verdict::NotJudged, _) => CommandOutcome::NotJudged,
+            (Verdict::Passed, earlier) => earlier,
+        };
     }
     Ok(verdict)
 }
--- a/crates/fault-injection/src/calls.rs
+++ b/crates/fault-injection/src/calls.rs
@@ -142,6 +142,13 @@
 forwarded!(fsync, Call::Sync, libc::SYS_fsync, (file: c_int));
 forwarded!(fdatasync, Call::Sync, libc::SYS_fdatasync, (file: c_int));
 
+#[unsafe(no_mangle)]
+pub(crate) unsafe extern "C" fn shutdown(socket: c_int, how: c_int) -> c_int {
+    send_log::note_shutdown(socket);
+    // SAFETY: a system call without pointers.
+    result(unsafe { libc::syscall(libc::SYS_shutdown, socket, how) })
+}
+
 #[unsafe(no_mangle)]
 pub(crate) unsafe extern "C" fn accept4(
     listener: c_int,
--- a/crates/fault-injection/src/send_log.rs
+++ b/crates/fault-injection/src/send_log.rs
@@ -1,10 +1,12 @@
-//! The log of what a process sends to nodes: the moment at which each attempt or kill is about to be written to its socket,
-//! by the monotonic clock, which all processes of the machine share.
+//! The log of what a process sends to nodes, and of the connections that it ends: the moment at which each attempt or
+//! kill is about to be written to its socket, and each socket to be shut, by the monotonic clock, which all processes of
+//! the machine share.
 //!
 //! The environment variable `SABLECROSS_SEND_LOG` names the file; without it nothing is noted. One line each:
 //!
 //! ```text
 //! NANOSECONDS LOCAL_PORT FIRST_LINE    the time, the port of this process's end, what is written up to its first line end
+//! NANOSECONDS LOCAL_PORT SHUT PORT     the same of a socket that is shut, and the port of the other end
 //! ```
 
 use std::io::Write;
@@ -38,17 +40,39 @@
     c_int::try_from(file).ok().filter(|file| *file >= 0)
 }
 
-/// The port of this process's end of a socket; 0 if it has none.
-fn local_port(socket: c_int) -> u16 {
+/// The port of an end of a socket, as `SYS_getsockname` or `SYS_getpeername` tells it; 0 if it has none.
+fn port(socket: c_int, end: c_long) -> u16 {
     // SAFETY: the kernel fills the structure that it is given, up to the length that it is told.
     unsafe {
         let mut address: libc::sockaddr_in = std::mem::zeroed();
         let mut length = size_of::<libc::sockaddr_in>() as libc::socklen_t;
-        let done: c_long = libc::syscall(libc::SYS_getsockname, socket, &mut address, &mut length);
+        let done: c_long = libc::syscall(end, socket, &mut address, &mut length);
         if done == 0 { u16::from_be(address.sin_port) } else { 0 }
     }
 }
 
+/// Writes a line to the log; what does not fit is left out.
+fn write_line(file: c_int, socket: c_int, text: &[u8]) {
+    let mut line = [0u8; MAX_LINE_BYTES];
+    let mut rest = &mut line[..MAX_LINE_BYTES - 1];
+    let _ = write!(rest, "{} {} ", monotonic_ns(), port(socket, libc::SYS_getsockname));
+    let _ = rest.write(text);
+    let used = MAX_LINE_BYTES - 1 - rest.len();
+    line[used] = b'\n';
+    // SAFETY: the buffer has the length that is told.
+    unsafe { libc::syscall(libc::SYS_write, file, line.as_ptr(), used + 1) };
+}
+
+/// Notes that a socket is about to be shut.
+pub(crate) fn note_shutdown(socket: c_int) {
+    let Some(file) = *FILE.get_or_init(open) else { return };
+    let mut text = [0u8; MAX_LINE_BYTES];
+    let mut rest = &mut text[..];
+    let _ = write!(rest, "SHUT {}", port(socket, libc::SYS_getpeername));
+    let used = MAX_LINE_BYTES - rest.len();
+    write_line(file, socket, &text[..used]);
+}
+
 /// Notes the first part of a gathered write, if it begins a message to a node.
 ///
 /// # Safety
@@ -75,13 +99,5 @@
     }
     let Some(file) = *FILE.get_or_init(open) else { return };
     let first_line = bytes.split(|byte| *byte == b'\r').next().unwrap_or_default();
-    let mut line = [0u8; MAX_LINE_BYTES];
-    let mut rest = &mut line[..MAX_LINE_BYTES - 1];
-    // What does not fit is left out.
-    let _ = write!(rest, "{} {} ", monotonic_ns(), local_port(socket));
-    let _ = rest.write(first_line);
-    let used = MAX_LINE_BYTES - 1 - rest.len();
-    line[used] = b'\n';
-    // SAFETY: the buffer has the length that is told.
-    unsafe { libc::syscall(libc::SYS_write, file, line.as_ptr(), used + 1) };
+    write_line(file, socket, first_line);
 }
--- a/crates/testbed/src/soak/client.rs
+++ b/crates/testbed/src/soak/client.rs
@@ -13,7 +13,7 @@
 
 use super::Seconds;
 use super::director::Director;
-use super::invariants::{CLASSES, LOST_AFTER, Rule};
+use super::invariants::{CLASSES, LOST_AFTER, MAX_BUDGET, Rule};
 use super::judge::{Judge, Request};
 use crate::client_load::{Response, encode_call, read_any_response};
 
@@ -76,6 +76,7 @@
 /// A connection and the requests on it, by their call numbers.
 struct Session {
     stream: TcpStream,
+    began_at: Seconds,
     /// What was read and is not yet a whole answer.
     received: Vec<u8>,
     /// Requests without an answer.
@@ -86,9 +87,10 @@
 }
 
 impl Session {
-    fn new(stream: TcpStream) -> Session {
+    fn new(stream: TcpStream, began_at: Seconds) -> Session {
         Session {
             stream,
+            began_at,
             received: Vec::new(),
             open: HashMap::new(),
             abandoned: HashMap::new(),
@@ -151,10 +153,11 @@
     pub(crate) fn run(self) {
         let mut rng = Pcg32::seed_from_u64(self.seed);
         while !self.is_over() {
-            if !self.director.accepts_requests() {
+            if !self.director.accepts_connections() {
                 std::thread::sleep(NOT_ACCEPTING_WAIT);
                 continue;
             }
+            let began_at = self.judge.now();
             let Ok(stream) = TcpStream::connect(self.director.address) else {
                 std::thread::sleep(CONNECT_RETRY_WAIT);
                 continue;
@@ -162,7 +165,7 @@
             if stream.set_read_timeout(Some(READ_POLL)).is_err() || stream.set_nodelay(true).is_err() {
                 continue;
             }
-            self.use_connection(Session::new(stream), &mut rng);
+            self.use_connection(Session::new(stream, began_at), &mut rng);
             std::thread::sleep(Duration::from_millis(rng.random_range(1..40)));
         }
     }
@@ -171,13 +174,12 @@
         self.over.load(Ordering::Relaxed)
     }
 
-    /// Uses one connection from its beginning to its end.
+    /// Uses one connection from its beginning to its end. One to a director that stops is used until that ends it.
     fn use_connection(&self, mut session: Session, rng: &mut Pcg32) {
         let behavior = draw_behavior(rng);
-        for _ in 0..rng.random_range(1..6) {
-            if self.is_over() || !self.director.accepts_requests() {
-                break;
-            }
+        let mut rounds: u32 = rng.random_range(1..6);
+        while !self.is_over() && (rounds > 0 || self.director.is_stopping()) {
+            rounds = rounds.saturating_sub(1);
             if behavior == Behavior::Garbage {
                 return send_garbage(&mut session, rng);
             }
@@ -232,7 +234,7 @@
         let object = 1 + (OBJECTS as f64 * rng.random::<f64>().powi(2)) as u64;
         let budget_ms = match behavior {
             Behavior::ShortBudget => rng.random_range(1..80),
-            _ => rng.random_range(600..2_000),
+            _ => rng.random_range(600..(MAX_BUDGET * 1e3) as u64),
         };
         session.last_call += 1;
         let call = session.last_call;
@@ -352,10 +354,13 @@
                 break;
             }
         }
-        let now: Seconds = self.judge.now();
+        // A client that writes slowly sees the end late; the director's own call is exact.
+        let port = session.stream.local_addr().map_or(0, |address| address.port());
+        let shut_at = self.judge.shut_at(self.director.number, port, session.began_at);
+        let ended_at = shut_at.unwrap_or_else(|| self.judge.now());
         for id in std::mem::take(&mut session.open).into_values() {
             let Some(request) = self.judge.request(id) else { continue };
-            if now < request.written_at + CROSSING {
+            if ended_at < request.written_at + CROSSING {
                 self.judge.on_client_gone(id);
                 self.judge.count("requests that crossed the end of their connection");
             } else if self.director.may_break_connections() {
--- a/crates/testbed/src/soak/director.rs
+++ b/crates/testbed/src/soak/director.rs
@@ -4,14 +4,14 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rustix::process::Signal;
 use serde_json::{Value, json};
 
 use super::discovery::Discovery;
 use super::invariants::{
-    CLASSES, COLLAPSE_MULTIPLE, DEDUPLICATION_WINDOW, LOST_AFTER, Rule, SLOW_START_INITIAL_SHARE,
+    CLASSES, COLLAPSE_MULTIPLE, DEDUPLICATION_WINDOW, LOST_AFTER, MAX_BUDGET, Rule, SLOW_START_INITIAL_SHARE,
     SLOW_START_WINDOW,
 };
 use super::judge::Judge;
@@ -21,8 +21,12 @@
 use crate::process::{ChildProcess, TrialError, io_error};
 use crate::threads::lock;
 
-/// How long clients still send requests after the director was asked to stop.
+/// How long clients still connect after the director was asked to stop.
 const STOP_ACCEPTS_FOR: f64 = 0.4;
+/// How long a platform waits for the exit of a director that was asked to stop: the longest deadline and 0.7 s.
+const STOP_TIMEOUT: f64 = MAX_BUDGET + 0.7;
+/// How long after a pause requests are still excused.
+const PAUSE_TOLERANCE: f64 = 0.2;
 /// A process handles no signal in the first moment of its life, before its own code runs.
 const SIGNALS_AFTER: f64 = 0.2;
 /// A fault that breaks connections may show this much before it is noted, and this much after its end.
@@ -44,8 +48,10 @@
 #[derive(Default)]
 struct DirectorState {
     process: Option<ChildProcess>,
-    /// New requests are sent to it until then.
-    accepts_until: Option<Seconds>,
+    /// When it was asked to stop, if it was.
+    stopping_since: Option<Seconds>,
+    /// When it was held by SIGSTOP.
+    held: Vec<Span>,
     /// When no answer is owed in time: it was killed, or stopped by a signal.
     excused: Vec<Span>,
     /// When its connections may break by themselves.
@@ -134,7 +140,7 @@
         let mut state = lock(&self.state);
         state.process = Some(process);
         state.started_at = self.judge.now();
-        state.accepts_until = None;
+        state.stopping_since = None;
         Ok(())
     }
 
@@ -186,18 +192,25 @@
     /// It runs again.
     pub(crate) fn end_excuse(&self) {
         let now = self.judge.now();
-        if let Some(last) = lock(&self.state).excused.last_mut() {
-            last.to = last.to.min(now);
-        }
+        let mut state = lock(&self.state);
+        state.excused.iter_mut().filter(|span| span.to.is_infinite()).for_each(|span| span.to = now);
     }
 
-    /// It is stopped by a signal for so many seconds.
-    pub(crate) fn excuse_pause(&self, seconds: f64) {
+    /// Holds it by SIGSTOP for so many seconds.
+    pub(crate) fn hold(&self, seconds: f64) {
         let now = self.judge.now();
-        lock(&self.state).excused.push(Span { from: now, to: now + seconds });
+        {
+            let mut state = lock(&self.state);
+            state.excused.push(Span { from: now, to: now + seconds + PAUSE_TOLERANCE });
+            state.held.push(Span { from: now, to: now + seconds });
+        }
+        self.signal(Signal::STOP);
+        std::thread::sleep(Duration::from_secs_f64(seconds));
+        self.signal(Signal::CONT);
     }
 
-    /// Asks it to stop. Clients still send requests for a moment.
+    /// Asks it to stop, once more if it was asked before. Clients still connect for a moment, and use the connections
+    /// that they have until it ends them.
     pub(crate) fn terminate(&self) {
         let started_at = lock(&self.state).started_at;
         let too_early = started_at + SIGNALS_AFTER + 0.01 - self.judge.now();
@@ -205,23 +218,38 @@
             std::thread::sleep(Duration::from_secs_f64(too_early));
         }
         let now = self.judge.now();
-        lock(&self.state).accepts_until = Some(now + STOP_ACCEPTS_FOR);
+        lock(&self.state).stopping_since.get_or_insert(now);
         self.signal(Signal::TERM);
     }
 
-    /// Waits for its exit as long as a platform would; a failure or none is a crash.
-    pub(crate) fn wait_for_exit(&self, timeout: Duration) {
-        let start = Instant::now();
-        while start.elapsed() < timeout {
+    /// Waits for its exit as long as a platform does that kills it at the earliest, not counted the time for which it
+    /// was held; a failure or none is a crash. What it had taken and did not answer is lost.
+    pub(crate) fn wait_for_exit(&self) {
+        while self.judge.now() < self.kill_time() {
             let exited = lock(&self.state).process.as_mut().map(|process| process.0.try_wait());
             match exited {
                 None => return,
-                Some(Ok(Some(status))) if status.success() => return,
-                Some(Ok(Some(status))) => return self.record_crash(&format!(": {status}")),
+                Some(Ok(Some(status))) => {
+                    lock(&self.state).process = None;
+                    if !status.success() {
+                        self.record_crash(&format!(": {status}"));
+                    }
+                    return;
+                }
                 Some(_) => std::thread::sleep(EXIT_POLL),
             }
         }
         self.record_crash(" did not exit when it was asked to");
+        // Dropping a process kills it.
+        lock(&self.state).process = None;
+    }
+
+    /// When a platform kills it, after it was asked to stop.
+    fn kill_time(&self) -> Seconds {
+        let state = lock(&self.state);
+        let since = state.stopping_since.unwrap_or_else(|| self.judge.now());
+        let held: f64 = state.held.iter().map(|span| (span.to - span.from.max(since)).max(0.0)).sum();
+        since + STOP_TIMEOUT + held
     }
 
     fn record_crash(&self, what: &str) {
@@ -233,10 +261,16 @@
         lock(&self.state).process.as_mut().is_some_and(ChildProcess::has_exited)
     }
 
-    /// Whether clients send new requests to it.
-    pub(crate) fn accepts_requests(&self) -> bool {
+    /// Whether clients connect to it.
+    pub(crate) fn accepts_connections(&self) -> bool {
         let state = lock(&self.state);
-        state.process.is_some() && state.accepts_until.is_none_or(|until| self.judge.now() < until)
+        let is_early = |since| self.judge.now() < since + STOP_ACCEPTS_FOR;
+        state.process.is_some() && state.stopping_since.is_none_or(is_early)
+    }
+
+    /// Whether it was asked to stop and has not ended.
+    pub(crate) fn is_stopping(&self) -> bool {
+        lock(&self.state).stopping_since.is_some()
     }
 
     /// Whether a request that was written then is owed no answer in time.
@@ -257,7 +291,7 @@
 fn set_classes(config: &mut Value) {
     let class = |name: &str, effect: &str| {
         json!({"name": name, "effect": effect, "group": "all", "memorySpanUs": (DEDUPLICATION_WINDOW * 1e6) as u64,
-            "aimUs": 300_000, "aimStretch": 1.6, "deadlineUs": 2_000_000, "worth": 2.0})
+            "aimUs": 300_000, "aimStretch": 1.6, "deadlineUs": (MAX_BUDGET * 1e6) as u64, "worth": 2.0})
     };
     let effects = ["idempotent", "deduplicated", "at_most_once"];
     let classes: Vec<Value> =
--- a/crates/testbed/src/soak/fault_injection.rs
+++ b/crates/testbed/src/soak/fault_injection.rs
@@ -4,14 +4,12 @@
 use std::thread;
 use std::time::Duration;
 
-use rustix::process::Signal;
-
 use super::Seconds;
 use super::director::Director;
 use super::discovery::Notification;
 use super::fault_plan::{Fault, breaks_connections, plan_faults};
 use super::invariants::{DRAIN_GRACE, Rule};
-use super::run::{STOP_TIMEOUT, Soak};
+use super::run::Soak;
 use crate::clock::unix_ms;
 use crate::process::TrialError;
 use crate::threads::lock;
@@ -20,8 +18,6 @@
 const CACHE_CAPACITY: f64 = 100.0;
 /// A node goes so long after it was listed as draining, and its successor comes then.
 const DRAIN_SECONDS: f64 = 2.5;
-/// How long after a pause requests are still excused.
-const PAUSE_TOLERANCE: f64 = 0.2;
 const CLOCK_STEP_LASTS: Duration = Duration::from_millis(1_500);
 /// The time span of a rule of the fault library (all of the process's life, milliseconds), and how often it strikes in
 /// percent.
@@ -37,24 +33,21 @@
 impl Soak<'_> {
     /// Injects the faults at their times, each on a thread of its own, until `end`. Restarts of one director take
     /// turns. Returns once all are over.
-    pub(super) fn inject_faults(&self, end: Seconds) {
-        let restarts: Vec<Mutex<()>> = self.directors.iter().map(|_| Mutex::default()).collect();
-        let restarts = &restarts;
+    pub(super) fn inject_faults(&self, end: Seconds, restarts: &[Mutex<()>]) {
         thread::scope(|scope| {
             for scheduled in plan_faults(self.options) {
-                let wait = scheduled.at - self.judge.now();
-                if wait > 0.0 {
-                    thread::sleep(Duration::from_secs_f64(wait));
-                }
+                self.sleep_until(scheduled.at);
                 if self.judge.now() > end {
                     return;
                 }
                 let fault = scheduled.fault;
                 scope.spawn(move || {
                     let _turn = restarted_director(&fault).map(|director| lock(&restarts[director]));
+                    let record = self.judge.on_fault_begin(format!("{fault:?}"));
                     if let Err(e) = self.inject(&fault) {
                         self.judge.record_violation(Rule::Crash, format!("{fault:?}: {e}"));
                     }
+                    self.judge.on_fault_end(record);
                 });
             }
         });
@@ -68,7 +61,7 @@
                 let rules = format!("clock 0 {offset_ms}\nclock 2000 0");
                 self.restart(&self.directors[director], Stop::Killed, &rules);
             }
-            Fault::Pause { director, seconds } => pause(&self.directors[director], seconds),
+            Fault::Pause { director, seconds } => self.directors[director].hold(seconds),
             Fault::Reload { director } => {
                 self.directors[director].move_discovery(self.options, &self.discovery)?
             }
@@ -101,16 +94,27 @@
 
     /// Ends a director and starts it again with these rules of the fault library.
     fn restart(&self, director: &Director, stop: Stop, fault_rules: &str) {
-        if stop == Stop::Asked {
-            director.terminate();
-            director.wait_for_exit(STOP_TIMEOUT);
+        match stop {
+            Stop::Asked => {
+                director.terminate();
+                director.wait_for_exit();
+                director.set_fault_rules(fault_rules);
+                self.start_again(director);
+            }
+            Stop::Killed => {
+                director.kill();
+                director.set_fault_rules(fault_rules);
+                self.start_again(director);
+                director.end_excuse();
+            }
         }
-        director.kill();
-        director.set_fault_rules(fault_rules);
+    }
+
+    /// Starts a director that has ended.
+    pub(super) fn start_again(&self, director: &Director) {
         if let Err(e) = self.start_director(director) {
             self.judge.record_violation(Rule::Crash, e.to_string());
         }
-        director.end_excuse();
     }
 
     fn purge(&self, object: u64) {
@@ -146,13 +150,6 @@
     }
 }
 
-fn pause(director: &Director, seconds: f64) {
-    director.excuse_pause(seconds + PAUSE_TOLERANCE);
-    director.signal(Signal::STOP);
-    thread::sleep(Duration::from_secs_f64(seconds));
-    director.signal(Signal::CONT);
-}
-
 fn fail_system_calls(director: &Director, rule: &str, seconds: f64) {
     if breaks_connections(rule) {
         director.expect_broken_connections(seconds);
--- a/crates/testbed/src/soak/invariants.rs
+++ b/crates/testbed/src/soak/invariants.rs
@@ -12,6 +12,8 @@
 pub(crate) const OBSERVER_TOLERANCE: f64 = 0.1;
 /// How much longer each bound of the protocol is on sockets.
 pub(crate) const SEND_TOLERANCE: f64 = 0.05;
+/// The longest time that clients give a request.
+pub(crate) const MAX_BUDGET: f64 = 2.0;
 /// A request without an answer so long after its time is lost. (An answer after its time earns nothing.)
 pub(crate) const LOST_AFTER: f64 = 0.5;
 /// How long after a node drains attempts may still come to it.
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -129,6 +129,17 @@
     reported: bool,
 }
 
+/// A fault and the time for which it was in force.
+#[derive(Clone, Debug)]
+pub struct FaultSpan {
+    /// What was done.
+    pub what: String,
+    /// From when on, in seconds since the soak began.
+    pub from: Seconds,
+    /// Until when; infinite until its end.
+    pub to: Seconds,
+}
+
 /// A violation before its time is noted.
 struct Finding {
     rule: Rule,
@@ -142,6 +153,7 @@
     cold_nodes: HashMap<usize, ColdNode>,
     violations: Vec<Violation>,
     counts: BTreeMap<&'static str, u64>,
+    faults: Vec<FaultSpan>,
 }
 
 /// Keeps what was seen, and the violations that were found.
@@ -179,7 +191,17 @@
     pub(crate) fn sent_at(&self, request: u64, port: u16) -> Option<Seconds> {
         let director = lock(&self.state).requests.get(&request)?.director;
         let sent_ns = lock(&self.send_logs).get_mut(director)?.sent_ns(request, port)?;
-        Some((sent_ns as f64 - self.started_ns as f64) / 1e9)
+        Some(self.seconds(sent_ns))
+    }
+
+    /// When a director shut a connection that began at `since` with this port at its client's end, if it did.
+    pub(crate) fn shut_at(&self, director: usize, port: u16, since: Seconds) -> Option<Seconds> {
+        let shut_ns = lock(&self.send_logs).get_mut(director)?.shut_ns(port)?;
+        Some(self.seconds(shut_ns)).filter(|at| *at > since)
+    }
+
+    fn seconds(&self, monotonic_ns: u64) -> Seconds {
+        (monotonic_ns as f64 - self.started_ns as f64) / 1e9
     }
 
     /// Seconds since the soak began.
@@ -197,6 +219,27 @@
         lock(&self.state).violations.push(Violation { rule, at, detail });
     }
 
+    /// A fault is about to be injected. Returns its number.
+    pub(crate) fn on_fault_begin(&self, what: String) -> usize {
+        let from = self.now();
+        let mut state = lock(&self.state);
+        state.faults.push(FaultSpan { what, from, to: Seconds::INFINITY });
+        state.faults.len() - 1
+    }
+
+    /// A fault is over.
+    pub(crate) fn on_fault_end(&self, number: usize) {
+        let now = self.now();
+        if let Some(fault) = lock(&self.state).faults.get_mut(number) {
+            fault.to = now;
+        }
+    }
+
+    /// All faults up to now.
+    pub(crate) fn faults(&self) -> Vec<FaultSpan> {
+        lock(&self.state).faults.clone()
+    }
+
     /// Takes out what was found and counted.
     pub(crate) fn finish(&self) -> (Vec<Violation>, BTreeMap<&'static str, u64>) {
         let mut state = lock(&self.state);
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Stand-in clients, nodes and discovery speak the operators' published protocol and report what they see to the
 //! `Judge`, which holds the invariants. Signals and a preloaded fault library cause the faults, two or three at a
-//! time, as the seed draws them. What the directors count themselves (violations, panics) is read from their logs at
+//! time, as the seed draws them; beside them directors get signals in series and, with some seeds, a crowd of idle
+//! clients. Clients use their connections until the director ends them. What the directors count themselves (violations, panics) is read from their logs at
 //! the end.
 
 mod client;
@@ -17,15 +18,19 @@
 mod report;
 mod run;
 mod send_log;
+mod service;
+mod service_plan;
 
 use std::path::PathBuf;
 
 pub use fault_plan::{Fault, ScheduledFault, plan_faults};
 pub use invariants::{Rule, Violation};
+pub use judge::FaultSpan;
 pub use lateness::Lateness;
 pub use node::Misbehavior;
-pub use report::SoakReport;
+pub use report::{SoakReport, Verdict};
 pub use run::run;
+pub use service_plan::{Crowd, ServicePlan, SignalSeries, SignalStep, plan_service};
 
 /// What a soak consists of.
 #[derive(Clone, Debug)]
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -22,8 +22,6 @@
 use crate::process::{TrialError, io_error};
 use crate::threads::lock;
 
-/// How long a platform waits for the exit of a director that was asked to stop.
-pub(super) const STOP_TIMEOUT: Duration = Duration::from_millis(3_700);
 /// How long a platform waits until a director serves.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// What the logs of directors must not hold: a violation that was counted at run time, and a panic.
@@ -133,7 +131,7 @@
                 self.judge.record_violation(Rule::Crash, detail);
             } else {
                 director.terminate();
-                director.wait_for_exit(STOP_TIMEOUT);
+                director.wait_for_exit();
             }
         }
     }
@@ -190,7 +188,12 @@
     let lateness = LatenessSampler::start();
     let clients = soak.start_clients(&over);
     let started = Instant::now();
-    soak.inject_faults(options.seconds as f64);
+    let restarts: Vec<Mutex<()>> = soak.directors.iter().map(|_| Mutex::default()).collect();
+    let end = options.seconds as f64;
+    thread::scope(|scope| {
+        scope.spawn(|| soak.run_service(end, &restarts));
+        soak.inject_faults(end, &restarts);
+    });
     thread::sleep(Duration::from_secs(options.seconds).saturating_sub(started.elapsed()));
 
     over.store(true, Ordering::Relaxed);
@@ -201,7 +204,8 @@
     }
     soak.stop_directors();
     soak.check_logs();
-    let (violations, counts) = judge.finish();
     let lateness = lateness.finish();
-    Ok(SoakReport { violations, counts, faults: plan_faults(options).len(), lateness })
+    let faults = judge.faults();
+    let (violations, counts) = judge.finish();
+    Ok(SoakReport { violations, counts, planned_faults: plan_faults(options).len(), faults, lateness })
 }
--- a/crates/testbed/src/soak/send_log.rs
+++ b/crates/testbed/src/soak/send_log.rs
@@ -1,4 +1,5 @@
-//! When directors sent their attempts: read from the logs that the fault library keeps in their processes.
+//! When directors sent their attempts and ended connections: read from the logs that the fault library keeps in their
+//! processes.
 
 use std::collections::HashMap;
 use std::fs::File;
@@ -17,12 +18,21 @@
     partial: String,
     /// By attempt, the monotonic time in nanoseconds at which its first byte was about to be written.
     sent: HashMap<AttemptKey, u64>,
+    /// By the port of the other end, when the director last shut a connection with it.
+    shut: HashMap<u16, u64>,
+}
+
+/// What a line of the log says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Record {
+    Sent(AttemptKey),
+    Shut { peer_port: u16 },
 }
 
 impl SendLog {
     /// A log that is to be written to this file.
     pub(crate) fn new(path: PathBuf) -> SendLog {
-        SendLog { path, read_bytes: 0, partial: String::new(), sent: HashMap::new() }
+        SendLog { path, read_bytes: 0, partial: String::new(), sent: HashMap::new(), shut: HashMap::new() }
     }
 
     /// When an attempt was sent, in nanoseconds of the monotonic clock; none if the log does not have it.
@@ -35,6 +45,13 @@
         self.sent.get(&key).copied()
     }
 
+    /// When the director last shut a connection with this port at the other end, in nanoseconds of the monotonic clock.
+    pub(crate) fn shut_ns(&mut self, peer_port: u16) -> Option<u64> {
+        // A log that can't be read has nothing new.
+        let _ = self.read_more();
+        self.shut.get(&peer_port).copied()
+    }
+
     fn read_more(&mut self) -> io::Result<()> {
         let mut file = File::open(&self.path)?;
         file.seek(SeekFrom::Start(self.read_bytes))?;
@@ -45,19 +62,25 @@
         let mut lines = text.split('\n');
         // What follows the last line end is not complete.
         self.partial = lines.next_back().unwrap_or_default().to_owned();
-        self.sent.extend(lines.filter_map(parse_attempt));
+        for (at_ns, record) in lines.filter_map(parse_line) {
+            match record {
+                Record::Sent(attempt) => self.sent.insert(attempt, at_ns),
+                Record::Shut { peer_port } => self.shut.insert(peer_port, at_ns),
+            };
+        }
         Ok(())
     }
 }
 
-/// A line of the log, if it is of an attempt: `NANOSECONDS PORT PULL REQUEST ...`.
-fn parse_attempt(line: &str) -> Option<(AttemptKey, u64)> {
+/// A line of the log, if it is one of these: `NANOSECONDS PORT PULL REQUEST ...`, `NANOSECONDS PORT SHUT PEER_PORT`.
+fn parse_line(line: &str) -> Option<(u64, Record)> {
     let mut words = line.split(' ');
-    let sent_ns = words.next()?.parse().ok()?;
+    let at_ns = words.next()?.parse().ok()?;
     let port = words.next()?.parse().ok()?;
-    if words.next()? != "PULL" {
-        return None;
-    }
-    let request = u64::from_str_radix(words.next()?, 16).ok()?;
-    Some(((request, port), sent_ns))
+    let record = match (words.next()?, words.next()?) {
+        ("PULL", request) => Record::Sent((u64::from_str_radix(request, 16).ok()?, port)),
+        ("SHUT", peer_port) => Record::Shut { peer_port: peer_port.parse().ok()? },
+        _ => return None,
+    };
+    Some((at_ns, record))
 }
--- /dev/null
+++ b/crates/testbed/src/soak/service.rs
@@ -0,0 +1,80 @@
+//! Carries out the signals in series and the crowd of a soak.
+
+use std::net::TcpStream;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use rustix::process::Signal;
+
+use super::Seconds;
+use super::director::Director;
+use super::run::Soak;
+use super::service_plan::{Crowd, SignalSeries, SignalStep, plan_service};
+use crate::threads::lock;
+
+/// How often a crowd looks whether the soak is over.
+const CROWD_POLL: Duration = Duration::from_millis(50);
+
+impl Soak<'_> {
+    /// Carries out the plan at its times, each item on a thread of its own, until `end`. Stops of one director take
+    /// turns with its other restarts. Returns once all are over.
+    pub(super) fn run_service(&self, end: Seconds, restarts: &[Mutex<()>]) {
+        let plan = plan_service(self.options);
+        thread::scope(|scope| {
+            if let Some(crowd) = plan.crowd {
+                scope.spawn(move || self.run_crowd(&crowd, end));
+            }
+            for series in plan.signals {
+                self.sleep_until(series.at);
+                if self.judge.now() > end {
+                    return;
+                }
+                scope.spawn(move || {
+                    let director = &self.directors[series.director];
+                    let _turn = series.stops().then(|| lock(&restarts[series.director]));
+                    let fault = self.judge.on_fault_begin(format!("{series:?}"));
+                    self.send_series(director, &series);
+                    self.judge.on_fault_end(fault);
+                });
+            }
+        });
+    }
+
+    fn send_series(&self, director: &Director, series: &SignalSeries) {
+        for step in &series.steps {
+            match *step {
+                SignalStep::Reload => director.signal(Signal::HUP),
+                SignalStep::Stop => director.terminate(),
+                SignalStep::Hold(seconds) => director.hold(seconds),
+                SignalStep::Wait(seconds) => thread::sleep(Duration::from_secs_f64(seconds)),
+            }
+        }
+        if series.stops() {
+            director.wait_for_exit();
+            self.start_again(director);
+        }
+    }
+
+    /// Idle connections, each held until the crowd goes. One that the director ends stays ended.
+    fn run_crowd(&self, crowd: &Crowd, end: Seconds) {
+        self.sleep_until(crowd.at);
+        let fault = self.judge.on_fault_begin(format!("{crowd:?}"));
+        let address = self.directors[crowd.director].address;
+        let connections: Vec<TcpStream> =
+            (0..crowd.connections).filter_map(|_| TcpStream::connect(address).ok()).collect();
+        let until = (crowd.at + crowd.seconds).min(end);
+        while self.judge.now() < until {
+            thread::sleep(CROWD_POLL);
+        }
+        drop(connections);
+        self.judge.on_fault_end(fault);
+    }
+
+    pub(super) fn sleep_until(&self, at: Seconds) {
+        let wait = at - self.judge.now();
+        if wait > 0.0 {
+            thread::sleep(Duration::from_secs_f64(wait));
+        }
+    }
+}
