--- a/crates/director/tests/syscalls.rs
+++ b/crates/director/tests/syscalls.rs
@@ -271,3 +271,29 @@
         assert_eq!(last, 1);
     }
 }
+
+/// The moment of each send and of each end of a connection, as the soak takes it from the preloaded library.
+#[test]
+fn the_fault_library_notes_what_is_sent_and_shut() {
+    let faults = Faults::plan("");
+    let log = std::env::temp_dir().join(format!("sablecross-sends-{}", std::process::id()));
+    let mut environment = faults.environment().to_vec();
+    environment.push(("SABLECROSS_SEND_LOG", log.as_os_str()));
+    let w = World::start_with(|c| c, &environment);
+    let mut client = w.client();
+    let client_port = client.0.local_addr().expect("bound").port();
+    client.ask(1, 0x77, 2_000);
+    let pull = w.cache.pull();
+    let node_port = pull.stream.peer_addr().expect("connected").port();
+    pull.answer("ACK", "how=HIT,entity=t1,issued=1", b"whole");
+    client.satisfied(1, b"whole");
+    // Bytes that are no message end the connection.
+    client.write(b"what is this");
+    client.assert_closed();
+    let text = std::fs::read_to_string(&log).expect("written");
+    std::fs::remove_file(&log).expect("removed");
+    let without_time = |line: &str| line.split_once(' ').map(|(_, rest)| rest.to_owned());
+    let lines: Vec<String> = text.lines().filter_map(without_time).collect();
+    assert!(lines.contains(&format!("{node_port} {}", pull.line)), "{text}");
+    assert!(lines.contains(&format!("{} SHUT {client_port}", w.address.port())), "{text}");
+}
--- a/crates/testbed/src/soak/fault_injection.rs
+++ b/crates/testbed/src/soak/fault_injection.rs
@@ -43,11 +43,11 @@
                 let fault = scheduled.fault;
                 scope.spawn(move || {
                     let _turn = restarted_director(&fault).map(|director| lock(&restarts[director]));
-                    let record = self.judge.on_fault_begin(format!("{fault:?}"));
+                    let record = self.faults.begin(self.judge.now(), format!("{fault:?}"));
                     if let Err(e) = self.inject(&fault) {
                         self.judge.record_violation(Rule::Crash, format!("{fault:?}: {e}"));
                     }
-                    self.judge.on_fault_end(record);
+                    self.faults.end(self.judge.now(), record);
                 });
             }
         });
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -1,7 +1,6 @@
 //! Checks the invariants as clients, discovery and nodes report what they see.
 
 use std::collections::{BTreeMap, HashMap};
-use std::fmt;
 use std::path::PathBuf;
 use std::sync::Mutex;
 use std::time::Instant;
@@ -10,16 +9,21 @@
 
 use super::Seconds;
 use super::invariants::{
-    CLIENT_GONE_TOLERANCE, COLLAPSE_MULTIPLE, DEDUPLICATION_WINDOW, DRAIN_GRACE, Effect, LOST_AFTER,
-    OBSERVER_TOLERANCE, PURGE_GRACE, Rule, SLOW_START_INITIAL_SHARE, SLOW_START_WINDOW, Violation,
-    WAIT_TOLERANCE,
+    DEDUPLICATION_WINDOW, Effect, LOST_AFTER, OBSERVER_TOLERANCE, PURGE_GRACE, Rule, Violation,
 };
 use super::send_log::SendLog;
 use crate::threads::lock;
 
+mod attempt;
+mod checks;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use attempt::{Attempt, NodeLink};
+
+use attempt::SentAttempt;
+use checks::Finding;
+
 /// A request, as its client sent it, and what became of it.
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
@@ -50,60 +54,6 @@
     }
 }
 
-/// An attempt whose time of sending is known.
-#[derive(Clone, Copy, Debug)]
-struct SentAttempt {
-    /// The port of the director's end of its connection.
-    port: u16,
-    sent_at: Seconds,
-    /// When its node proved that it never ran.
-    not_run_at: Option<Seconds>,
-}
-
-/// A connection of a director to a node, as the node sees it.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct NodeLink {
-    /// The port of the director's end.
-    pub(crate) port: u16,
-    pub(crate) accepted_at: Seconds,
-}
-
-/// An attempt as its node sees it.
-#[derive(Clone, Debug)]
-pub(crate) struct Attempt {
-    pub(crate) request: u64,
-    /// The number of the node.
-    pub(crate) node: usize,
-    /// The number of the node that it is to fill from.
-    pub(crate) source: Option<usize>,
-    /// The time that the node was told.
-    pub(crate) wait_ms: u64,
-    /// Its bytes may have lain unread at the node for a while.
-    pub(crate) read_late: bool,
-    /// The connection on which it came.
-    pub(crate) link: NodeLink,
-    /// When its first byte was about to be written, if that is known.
-    pub(crate) sent_at: Option<Seconds>,
-}
-
-impl Attempt {
-    /// When it was begun; none if that is not known and its bytes may have come at any time.
-    fn begun_at(&self, read_at: Seconds) -> Option<Seconds> {
-        self.sent_at.or((!self.read_late).then_some(read_at))
-    }
-}
-
-impl fmt::Display for Attempt {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Attempt { node, link, .. } = self;
-        write!(f, "node {node}, connection {} accepted at {:.3}, ", link.port, link.accepted_at)?;
-        match self.sent_at {
-            Some(sent_at) => write!(f, "sent at {sent_at:.3}"),
-            None => write!(f, "time of sending unknown"),
-        }
-    }
-}
-
 /// A purge of which a director was notified.
 #[derive(Clone, Copy, Debug)]
 struct NotifiedPurge {
@@ -129,23 +79,6 @@
     reported: bool,
 }
 
-/// A fault and the time for which it was in force.
-#[derive(Clone, Debug)]
-pub struct FaultSpan {
-    /// What was done.
-    pub what: String,
-    /// From when on, in seconds since the soak began.
-    pub from: Seconds,
-    /// Until when; infinite until its end.
-    pub to: Seconds,
-}
-
-/// A violation before its time is noted.
-struct Finding {
-    rule: Rule,
-    detail: String,
-}
-
 #[derive(Default)]
 struct JudgeState {
     requests: HashMap<u64, Request>,
@@ -153,7 +86,6 @@
     cold_nodes: HashMap<usize, ColdNode>,
     violations: Vec<Violation>,
     counts: BTreeMap<&'static str, u64>,
-    faults: Vec<FaultSpan>,
 }
 
 /// Keeps what was seen, and the violations that were found.
@@ -219,27 +151,6 @@
         lock(&self.state).violations.push(Violation { rule, at, detail });
     }
 
-    /// A fault is about to be injected. Returns its number.
-    pub(crate) fn on_fault_begin(&self, what: String) -> usize {
-        let from = self.now();
-        let mut state = lock(&self.state);
-        state.faults.push(FaultSpan { what, from, to: Seconds::INFINITY });
-        state.faults.len() - 1
-    }
-
-    /// A fault is over.
-    pub(crate) fn on_fault_end(&self, number: usize) {
-        let now = self.now();
-        if let Some(fault) = lock(&self.state).faults.get_mut(number) {
-            fault.to = now;
-        }
-    }
-
-    /// All faults up to now.
-    pub(crate) fn faults(&self) -> Vec<FaultSpan> {
-        lock(&self.state).faults.clone()
-    }
-
     /// Takes out what was found and counted.
     pub(crate) fn finish(&self) -> (Vec<Violation>, BTreeMap<&'static str, u64>) {
         let mut state = lock(&self.state);
@@ -424,120 +335,4 @@
     fn count(&mut self, counter: &'static str) {
         *self.counts.entry(counter).or_default() += 1;
     }
-
-    fn check_attempt(&mut self, attempt: &Attempt, now: Seconds) -> Vec<Finding> {
-        let mut findings = Vec::new();
-        self.count("attempts");
-        findings.extend(self.check_slow_start(attempt.node, now));
-        match self.requests.get(&attempt.request) {
-            None => {
-                let detail = format!("request {:016x}", attempt.request);
-                findings.push(Finding { rule: Rule::Unknown, detail });
-            }
-            Some(request) => {
-                if let Some(begun_at) = attempt.begun_at(now) {
-                    findings.extend(check_wait(request, attempt, begun_at));
-                    findings.extend(check_client_present(request, attempt, begun_at));
-                    let nodes = [Some(attempt.node), attempt.source].into_iter().flatten();
-                    let drained = |node| self.check_drained(request, attempt, node, begun_at);
-                    findings.extend(nodes.filter_map(drained));
-                }
-            }
-        }
-        findings.extend(self.check_repeat(attempt));
-        findings
-    }
-
-    /// That no attempt was sent that could run an effect once more, by what the director could know then. Notes the
-    /// attempt.
-    fn check_repeat(&mut self, attempt: &Attempt) -> Option<Finding> {
-        let sent_at = attempt.sent_at?;
-        let request = self.requests.get_mut(&attempt.request)?;
-        let own = SentAttempt { port: attempt.link.port, sent_at, not_run_at: None };
-        // A node that stands still reads late, so that a later attempt may be known already.
-        let repeats = |other: &SentAttempt| {
-            let (first, second) = if other.sent_at < sent_at { (*other, own) } else { (own, *other) };
-            let is_proven = first.not_run_at.is_some_and(|at| at <= second.sent_at);
-            !is_proven && request.effect.is_repeated(second.sent_at - first.sent_at)
-        };
-        let repeated = request.sent.iter().copied().find(repeats);
-        request.sent.push(own);
-        let other = repeated?;
-        let detail = format!(
-            "request {:016x} at director {}: sent at {:.3} and again: {attempt}",
-            attempt.request, request.director, other.sent_at
-        );
-        Some(Finding { rule: Rule::EffectTwice, detail })
-    }
-
-    /// Calls to a cold node in the last second, against what slow start allows.
-    fn check_slow_start(&mut self, node: usize, now: Seconds) -> Option<Finding> {
-        let cold = self.cold_nodes.get_mut(&node)?;
-        let age = now - cold.since;
-        if age > SLOW_START_WINDOW {
-            return None;
-        }
-        cold.calls.push(now);
-        let calls = cold.calls.iter().filter(|at| **at > now - 1.0).count() as f64;
-        let share = SLOW_START_INITIAL_SHARE + (1.0 - SLOW_START_INITIAL_SHARE) * age / SLOW_START_WINDOW;
-        let allowed = COLLAPSE_MULTIPLE * share * cold.capacity;
-        // Small counts scatter more.
-        let deviations = if allowed < 30.0 { 3.0 } else { 2.0 };
-        if calls <= allowed + deviations * allowed.sqrt() + deviations || cold.reported {
-            return None;
-        }
-        cold.reported = true;
-        let detail = format!("node {node}: {calls} calls in a second, {allowed:.1} allowed");
-        Some(Finding { rule: Rule::SlowStart, detail })
-    }
-
-    /// That the director did not know for longer than the grace that this node drains.
-    fn check_drained(
-        &self,
-        request: &Request,
-        attempt: &Attempt,
-        node: usize,
-        now: Seconds,
-    ) -> Option<Finding> {
-        let notified_at = self.directors.get(&request.director)?.drained.get(&node)?;
-        if now <= notified_at + DRAIN_GRACE + OBSERVER_TOLERANCE {
-            return None;
-        }
-        let detail = format!(
-            "request {:016x} at director {} to node {node}, notified at {notified_at:.3}: {attempt}",
-            attempt.request, request.director
-        );
-        Some(Finding { rule: Rule::Drained, detail })
-    }
-}
-
-/// That the node was told no longer wait than the client has left.
-fn check_wait(request: &Request, attempt: &Attempt, now: Seconds) -> Option<Finding> {
-    let left = request.written_at + request.budget - now;
-    let wait = attempt.wait_ms as f64 / 1_000.0;
-    if wait <= left.max(0.0) + WAIT_TOLERANCE + OBSERVER_TOLERANCE {
-        return None;
-    }
-    let detail = format!(
-        "request {:016x} at director {}: {wait:.3} s of {left:.3} s left, written from {:.3} to {:.3}: {attempt}",
-        attempt.request,
-        request.director,
-        request.written_at,
-        request.written_by.unwrap_or(now)
-    );
-    Some(Finding { rule: Rule::WaitTooLong, detail })
-}
-
-/// That the client has not been gone for longer than the bound.
-fn check_client_present(request: &Request, attempt: &Attempt, now: Seconds) -> Option<Finding> {
-    let gone_at = request.client_gone_at?;
-    if now <= gone_at + CLIENT_GONE_TOLERANCE + OBSERVER_TOLERANCE {
-        return None;
-    }
-    let late = now - gone_at;
-    let detail = format!(
-        "request {:016x} at director {}: {late:.3} s after its client had gone: {attempt}",
-        attempt.request, request.director
-    );
-    Some(Finding { rule: Rule::ClientGone, detail })
 }
--- /dev/null
+++ b/crates/testbed/src/soak/judge/checks.rs
@@ -0,0 +1,133 @@
+//! What is checked of each attempt.
+
+use super::attempt::{Attempt, SentAttempt};
+use super::{JudgeState, Request};
+use crate::soak::Seconds;
+use crate::soak::invariants::{
+    CLIENT_GONE_TOLERANCE, COLLAPSE_MULTIPLE, DRAIN_GRACE, OBSERVER_TOLERANCE, Rule,
+    SLOW_START_INITIAL_SHARE, SLOW_START_WINDOW, WAIT_TOLERANCE,
+};
+
+/// A violation before its time is noted.
+pub(super) struct Finding {
+    pub(super) rule: Rule,
+    pub(super) detail: String,
+}
+
+impl JudgeState {
+    pub(super) fn check_attempt(&mut self, attempt: &Attempt, now: Seconds) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        self.count("attempts");
+        findings.extend(self.check_slow_start(attempt.node, now));
+        match self.requests.get(&attempt.request) {
+            None => {
+                let detail = format!("request {:016x}", attempt.request);
+                findings.push(Finding { rule: Rule::Unknown, detail });
+            }
+            Some(request) => {
+                if let Some(begun_at) = attempt.begun_at(now) {
+                    findings.extend(check_wait(request, attempt, begun_at));
+                    findings.extend(check_client_present(request, attempt, begun_at));
+                    let nodes = [Some(attempt.node), attempt.source].into_iter().flatten();
+                    let drained = |node| self.check_drained(request, attempt, node, begun_at);
+                    findings.extend(nodes.filter_map(drained));
+                }
+            }
+        }
+        findings.extend(self.check_repeat(attempt));
+        findings
+    }
+
+    /// That no attempt was sent that could run an effect once more, by what the director could know then. Notes the
+    /// attempt.
+    fn check_repeat(&mut self, attempt: &Attempt) -> Option<Finding> {
+        let sent_at = attempt.sent_at?;
+        let request = self.requests.get_mut(&attempt.request)?;
+        let own = SentAttempt { port: attempt.link.port, sent_at, not_run_at: None };
+        // A node that stands still reads late, so that a later attempt may be known already.
+        let repeats = |other: &SentAttempt| {
+            let (first, second) = if other.sent_at < sent_at { (*other, own) } else { (own, *other) };
+            let is_proven = first.not_run_at.is_some_and(|at| at <= second.sent_at);
+            !is_proven && request.effect.is_repeated(second.sent_at - first.sent_at)
+        };
+        let repeated = request.sent.iter().copied().find(repeats);
+        request.sent.push(own);
+        let other = repeated?;
+        let detail = format!(
+            "request {:016x} at director {}: sent at {:.3} and again: {attempt}",
+            attempt.request, request.director, other.sent_at
+        );
+        Some(Finding { rule: Rule::EffectTwice, detail })
+    }
+
+    /// Calls to a cold node in the last second, against what slow start allows.
+    pub(super) fn check_slow_start(&mut self, node: usize, now: Seconds) -> Option<Finding> {
+        let cold = self.cold_nodes.get_mut(&node)?;
+        let age = now - cold.since;
+        if age > SLOW_START_WINDOW {
+            return None;
+        }
+        cold.calls.push(now);
+        let calls = cold.calls.iter().filter(|at| **at > now - 1.0).count() as f64;
+        let share = SLOW_START_INITIAL_SHARE + (1.0 - SLOW_START_INITIAL_SHARE) * age / SLOW_START_WINDOW;
+        let allowed = COLLAPSE_MULTIPLE * share * cold.capacity;
+        // Small counts scatter more.
+        let deviations = if allowed < 30.0 { 3.0 } else { 2.0 };
+        if calls <= allowed + deviations * allowed.sqrt() + deviations || cold.reported {
+            return None;
+        }
+        cold.reported = true;
+        let detail = format!("node {node}: {calls} calls in a second, {allowed:.1} allowed");
+        Some(Finding { rule: Rule::SlowStart, detail })
+    }
+
+    /// That the director did not know for longer than the grace that this node drains.
+    fn check_drained(
+        &self,
+        request: &Request,
+        attempt: &Attempt,
+        node: usize,
+        now: Seconds,
+    ) -> Option<Finding> {
+        let notified_at = self.directors.get(&request.director)?.drained.get(&node)?;
+        if now <= notified_at + DRAIN_GRACE + OBSERVER_TOLERANCE {
+            return None;
+        }
+        let detail = format!(
+            "request {:016x} at director {} to node {node}, notified at {notified_at:.3}: {attempt}",
+            attempt.request, request.director
+        );
+        Some(Finding { rule: Rule::Drained, detail })
+    }
+}
+
+/// That the node was told no longer wait than the client has left.
+fn check_wait(request: &Request, attempt: &Attempt, now: Seconds) -> Option<Finding> {
+    let left = request.written_at + request.budget - now;
+    let wait = attempt.wait_ms as f64 / 1_000.0;
+    if wait <= left.max(0.0) + WAIT_TOLERANCE + OBSERVER_TOLERANCE {
+        return None;
+    }
+    let detail = format!(
+        "request {:016x} at director {}: {wait:.3} s of {left:.3} s left, written from {:.3} to {:.3}: {attempt}",
+        attempt.request,
+        request.director,
+        request.written_at,
+        request.written_by.unwrap_or(now)
+    );
+    Some(Finding { rule: Rule::WaitTooLong, detail })
+}
+
+/// That the client has not been gone for longer than the bound.
+fn check_client_present(request: &Request, attempt: &Attempt, now: Seconds) -> Option<Finding> {
+    let gone_at = request.client_gone_at?;
+    if now <= gone_at + CLIENT_GONE_TOLERANCE + OBSERVER_TOLERANCE {
+        return None;
+    }
+    let late = now - gone_at;
+    let detail = format!(
+        "request {:016x} at director {}: {late:.3} s after its client had gone: {attempt}",
+        attempt.request, request.director
+    );
+    Some(Finding { rule: Rule::ClientGone, detail })
+}
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod director;
 mod discovery;
 mod fault_injection;
+mod fault_log;
 mod fault_plan;
 mod invariants;
 mod judge;
@@ -23,9 +24,9 @@
 
 use std::path::PathBuf;
 
+pub use fault_log::FaultSpan;
 pub use fault_plan::{Fault, ScheduledFault, plan_faults};
 pub use invariants::{Rule, Violation};
-pub use judge::FaultSpan;
 pub use lateness::Lateness;
 pub use node::Misbehavior;
 pub use report::{SoakReport, Verdict};
--- a/crates/testbed/src/soak/report.rs
+++ b/crates/testbed/src/soak/report.rs
@@ -3,10 +3,13 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use super::fault_log::FaultSpan;
 use super::invariants::{OBSERVER_TOLERANCE, Rule, Violation};
-use super::judge::FaultSpan;
 use super::lateness::Lateness;
 
+#[cfg(test)]
+mod tests;
+
 /// How many violations are printed.
 const PRINTED_VIOLATIONS: usize = 20;
 /// Faults that ended so many seconds before a violation are printed with it.
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -11,6 +11,7 @@
 use super::client::Client;
 use super::director::Director;
 use super::discovery::{Discovery, Notification, note_events_for_all};
+use super::fault_log::FaultLog;
 use super::fault_plan::plan_faults;
 use super::invariants::Rule;
 use super::judge::Judge;
@@ -36,6 +37,7 @@
     pub(super) discovery: Arc<Discovery>,
     pub(super) directors: Vec<Arc<Director>>,
     nodes: Nodes,
+    pub(super) faults: FaultLog,
     /// By number: caches, the parent, the origin, then successors of caches.
     pub(super) nodes_by_number: Mutex<Vec<Arc<Node>>>,
     /// The number of the node that stands at each place of the list now.
@@ -176,6 +178,7 @@
         discovery: Discovery::start(&judge).map_err(io_error("discovery"))?,
         directors: make_directors(options.directors, folder, &judge)?,
         nodes: Nodes::default(),
+        faults: FaultLog::default(),
         nodes_by_number: Mutex::default(),
         places: Mutex::default(),
     };
@@ -205,7 +208,7 @@
     soak.stop_directors();
     soak.check_logs();
     let lateness = lateness.finish();
-    let faults = judge.faults();
+    let faults = soak.faults.spans();
     let (violations, counts) = judge.finish();
     Ok(SoakReport { violations, counts, planned_faults: plan_faults(options).len(), faults, lateness })
 }
--- a/crates/testbed/src/soak/send_log.rs
+++ b/crates/testbed/src/soak/send_log.rs
@@ -6,6 +6,9 @@
 use std::io::{self, Read, Seek, SeekFrom};
 use std::path::PathBuf;
 
+#[cfg(test)]
+mod tests;
+
 /// An attempt by its request and the port of the director's end of the connection. No connection carries two attempts of
 /// one request.
 type AttemptKey = (u64, u16);
--- a/crates/testbed/src/soak/service.rs
+++ b/crates/testbed/src/soak/service.rs
@@ -33,9 +33,9 @@
                 scope.spawn(move || {
                     let director = &self.directors[series.director];
                     let _turn = series.stops().then(|| lock(&restarts[series.director]));
-                    let fault = self.judge.on_fault_begin(format!("{series:?}"));
+                    let fault = self.faults.begin(self.judge.now(), format!("{series:?}"));
                     self.send_series(director, &series);
-                    self.judge.on_fault_end(fault);
+                    self.faults.end(self.judge.now(), fault);
                 });
             }
         });
@@ -59,7 +59,7 @@
     /// Idle connections, each held until the crowd goes. One that the director ends stays ended.
     fn run_crowd(&self, crowd: &Crowd, end: Seconds) {
         self.sleep_until(crowd.at);
-        let fault = self.judge.on_fault_begin(format!("{crowd:?}"));
+        let fault = self.faults.begin(self.judge.now(), format!("{crowd:?}"));
         let address = self.directors[crowd.director].address;
         let connections: Vec<TcpStream> =
             (0..crowd.connections).filter_map(|_| TcpStream::connect(address).ok()).collect();
@@ -68,7 +68,7 @@
             thread::sleep(CROWD_POLL);
         }
         drop(connections);
-        self.judge.on_fault_end(fault);
+        self.faults.end(self.judge.now(), fault);
     }
 
     pub(super) fn sleep_until(&self, at: Seconds) {
--- a/crates/testbed/tests/soak_plan.rs
+++ b/crates/testbed/tests/soak_plan.rs
@@ -2,7 +2,9 @@
 
 use std::path::PathBuf;
 
-use sablecross_testbed::soak::{Fault, Misbehavior, Options, plan_faults};
+use sablecross_testbed::soak::{
+    Fault, Misbehavior, Options, SignalSeries, SignalStep, plan_faults, plan_service,
+};
 
 fn options(seed: u64, fault_library: Option<PathBuf>) -> Options {
     Options { seed, seconds: 12, directors: 6, caches: 3, clients_per_director: 2, fault_library }
@@ -69,6 +71,31 @@
     assert_eq!(printed(&options(111, Some("library".into()))), SEED_111);
 }
 
+fn describe_series(series: &SignalSeries) -> String {
+    let step = |step: &SignalStep| match step {
+        SignalStep::Reload => "HUP".to_owned(),
+        SignalStep::Stop => "TERM".to_owned(),
+        SignalStep::Hold(seconds) => format!("STOP {seconds:.6} CONT"),
+        SignalStep::Wait(seconds) => format!("{seconds:.6}"),
+    };
+    let steps: Vec<String> = series.steps.iter().map(step).collect();
+    format!("{:.6} director {}: {}\n", series.at, series.director, steps.join(", "))
+}
+
+#[test]
+fn seed_3_draws_its_signals_and_its_crowd() {
+    let plan = plan_service(&options(3, None));
+    let signals: String = plan.signals.iter().map(describe_series).collect();
+    assert_eq!(signals, SIGNALS_3);
+    assert_eq!(plan, plan_service(&options(3, Some("library".into()))));
+    let crowds = (0..200).filter(|seed| plan_service(&options(*seed, None)).crowd.is_some()).count();
+    assert!((50..120).contains(&crowds), "{crowds} of 200 seeds have a crowd");
+}
+
+const SIGNALS_3: &str = r#"4.996404 director 2: STOP 0.239750 CONT, HUP, 0.005649, STOP 0.239750 CONT
+8.485898 director 0: HUP, STOP 0.307564 CONT, TERM, 0.041151, STOP 0.307564 CONT
+"#;
+
 const SEED_3: &str = r#"2.260747 purge 41
 2.289586 restart 3
 2.797541 late connections 4 for 1.149726
