Soak: one clock for what directors and stand-ins note; how long the kernel has had a request

Cause: the judge read its own clock and the shared one one after the other at its begin, and its thread stood still between the two, so that a proof noted before a send counted as after it. Change: the judge has one clock, the monotonic one that the fault library uses.

--- a/crates/fault-injection/src/calls.rs
+++ b/crates/fault-injection/src/calls.rs
@@ -247,7 +247,9 @@
         // SAFETY: the caller's buffer, or a part of it.
         Ok(most) => unsafe {
             let nobody = std::ptr::null::<c_void>();
-            libc::syscall(libc::SYS_recvfrom, socket, to, length.min(most), flags, nobody, nobody) as ssize_t
+            let read = libc::syscall(libc::SYS_recvfrom, socket, to, length.min(most), flags, nobody, nobody);
+            send_log::note_read(to, usize::try_from(read).unwrap_or(0), socket);
+            read as ssize_t
         },
     }
 }
--- a/crates/fault-injection/src/send_log.rs
+++ b/crates/fault-injection/src/send_log.rs
@@ -7,6 +7,8 @@
 //! ```text
 //! NANOSECONDS LOCAL_PORT FIRST_LINE    the time, the port of this process's end, what is written up to its first line end
 //! NANOSECONDS LOCAL_PORT SHUT PORT     the same of a socket that is shut, and the port of the other end
+//! NANOSECONDS LOCAL_PORT READ PORT AGE the same of a request that is read, and for how many milliseconds the kernel has had
+//!                                      the last byte on that socket
 //! ```
 
 use std::io::Write;
@@ -20,6 +22,8 @@
 const VARIABLE: &std::ffi::CStr = c"SABLECROSS_SEND_LOG";
 /// What is noted begins with one of these words.
 const COMMANDS: [&[u8]; 2] = [b"PULL ", b"KILL "];
+/// A request of a client begins with these bytes: an array of four, the first of which is the type of a call.
+const REQUEST: &[u8] = &[0x94, 0];
 /// The longest line of the log; the first line of a message is cut to fit.
 const MAX_LINE_BYTES: usize = 256;
 const FILE_MODE: c_int = 0o644;
@@ -73,6 +77,37 @@
     write_line(file, socket, &text[..used]);
 }
 
+/// How long ago the kernel received the last byte on a socket, in milliseconds.
+fn last_received_age_ms(socket: c_int) -> u32 {
+    // SAFETY: the kernel fills the structure that it is given, up to the length that it is told.
+    unsafe {
+        let mut info: libc::tcp_info = std::mem::zeroed();
+        let mut length = size_of::<libc::tcp_info>() as libc::socklen_t;
+        let (level, option) = (libc::IPPROTO_TCP, libc::TCP_INFO);
+        let done = libc::syscall(libc::SYS_getsockopt, socket, level, option, &mut info, &mut length);
+        if done == 0 { info.tcpi_last_data_recv } else { 0 }
+    }
+}
+
+/// Notes what was read, if it begins a request of a client.
+///
+/// # Safety
+/// `bytes` has to point to `length` readable bytes.
+pub(crate) unsafe fn note_read(bytes: *const c_void, length: usize, socket: c_int) {
+    // SAFETY: the caller's promise.
+    let bytes = unsafe { std::slice::from_raw_parts(bytes.cast::<u8>(), length) };
+    if !bytes.starts_with(REQUEST) {
+        return;
+    }
+    let Some(file) = *FILE.get_or_init(open) else { return };
+    let mut text = [0u8; MAX_LINE_BYTES];
+    let mut rest = &mut text[..];
+    let peer = port(socket, libc::SYS_getpeername);
+    let _ = write!(rest, "READ {peer} {}", last_received_age_ms(socket));
+    let used = MAX_LINE_BYTES - rest.len();
+    write_line(file, socket, &text[..used]);
+}
+
 /// Notes the first part of a gathered write, if it begins a message to a node.
 ///
 /// # Safety
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::path::PathBuf;
 use std::sync::Mutex;
-use std::time::Instant;
 
 use rustix::time::{ClockId, clock_gettime};
 
@@ -90,8 +89,7 @@
 
 /// Keeps what was seen, and the violations that were found.
 pub(crate) struct Judge {
-    started: Instant,
-    /// The same in nanoseconds of the monotonic clock, which all processes share.
+    /// When the soak began, in nanoseconds of the monotonic clock, which all processes share.
     started_ns: u64,
     state: Mutex<JudgeState>,
     /// The send logs of the directors, where the fault library keeps them.
@@ -106,12 +104,7 @@
 
 impl Judge {
     pub(crate) fn new() -> Judge {
-        Judge {
-            started: Instant::now(),
-            started_ns: monotonic_ns(),
-            state: Mutex::default(),
-            send_logs: Mutex::default(),
-        }
+        Judge { started_ns: monotonic_ns(), state: Mutex::default(), send_logs: Mutex::default() }
     }
 
     /// Reads from these files, one for each director, when attempts were sent.
@@ -138,7 +131,7 @@
 
     /// Seconds since the soak began.
     pub(crate) fn now(&self) -> Seconds {
-        self.started.elapsed().as_secs_f64()
+        self.seconds(monotonic_ns())
     }
 
     /// Adds one to a counter of the report.
