Clients' thread: after a wait that ended late it looks once more, and counts from its begin

Cause: a wait reports what had come when it found something. A process that is stopped, or waits for a processor, on its way out of the wait gets the rest with the next one, and for that the stop no longer counted: the request had just come. In the same turn it was noted that all clients had been looked at, which left out those with news after that.

Excluded: a request that the kernel handed over late, as it would not come with SIGCONT; a stop inside a turn, and one in a wait that found nothing, both counted before.

Change: a wait that ended late carries the stop over to the next one, as an interrupted one does, and the next one does not wait, so that nothing new counts from the stop. No turn vouches for clients that may have been left out.

--- a/crates/director/src/wire/client_server.rs
+++ b/crates/director/src/wire/client_server.rs
@@ -112,7 +112,8 @@
             // Those that were accepted in this turn are looked at in it: their clients may have gone already.
             readable.append(&mut self.readable);
             self.read_all(readable);
-            if has_reported_all {
+            // After a stop others may have gone that this wait has not reported.
+            if has_reported_all && !self.stalls.must_look_again() {
                 self.shared.record_clients_checked(woke);
             }
             let now = self.shared.clock.now();
@@ -142,7 +143,7 @@
     }
 
     fn poll_timeout(&self, next_sweep: Ns) -> Duration {
-        if !self.readable.is_empty() {
+        if !self.readable.is_empty() || self.stalls.must_look_again() {
             return Duration::ZERO;
         }
         let next = self.acceptor.retry_at().map_or(next_sweep, |at| at.min(next_sweep));
--- a/crates/director/tests/collisions.rs
+++ b/crates/director/tests/collisions.rs
@@ -9,6 +9,7 @@
 
 use help::faults::Faults;
 use help::*;
+use rustix::process::{Pid, Signal, kill_process};
 use socket2::SockRef;
 
 /// By how much the time told to a node may pass what its client has left.
@@ -353,3 +354,34 @@
     let begun: Vec<String> = w.cache.messages.try_iter().map(|told| told.line).collect();
     assert!(begun.iter().all(|line| !line.starts_with("PULL")), "{begun:?}");
 }
+
+/// Guards against nodes that are told too long a wait: the process is stopped on its way out of a wait that has news
+/// already, and a request that comes then is reported by the next wait.
+#[test]
+fn a_request_that_came_while_the_process_left_a_wait_has_that_much_less_time() {
+    let w = World::start();
+    let process = Pid::from_child(&w.child);
+    let (mut other, mut client) = (w.client(), w.client());
+    assert!(other.alive() && client.alive());
+    for round in 0..60 {
+        other.write(b"\x94\x00\xcc\xff\xa5alive\x91\x80");
+        // The director is woken by it, some microseconds earlier or later.
+        let woken = Instant::now() + Duration::from_micros(round);
+        while Instant::now() < woken {}
+        kill_process(process, Signal::STOP).expect("stopped");
+        let start = Instant::now();
+        client.ask(1, 0x77, 2_000);
+        std::thread::sleep(Duration::from_millis(200));
+        kill_process(process, Signal::CONT).expect("continued");
+        let pull = w.cache.next_pull();
+        let left = 2_000 - start.elapsed().as_millis() as u64;
+        assert!(
+            wait_field(&pull.line) <= left + SLACK_MS,
+            "round {round}: {} with {left} ms left",
+            pull.line
+        );
+        pull.answer("ACK", "how=HIT,entity=t1,issued=1", b"whole");
+        client.satisfied(1, b"whole");
+        assert_eq!(other.answer(), (255, Answer::Health(true)));
+    }
+}
