Soak: a request counts from the end of its client's write, and long writes are the soak's own lateness

Cause, by the trace of each mark of WaitTooLong: the client's thread was not run for 0.3 to 1.6 s between the note that its last byte is about to be written and the end of that write ("written from 0.399 to 1.759"), and what the node was told fits the end. The stand-ins' threads waited for one another's locks, which a timer does not show.

Change: the time that a client has left counts from the end of its write at the latest, as the protocol counts from the last byte; the bound stays. The longest such write belongs to the soak's own lateness: past 0.1 s a run is not judged. Send logs have a lock each in place of one for all.

--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::path::PathBuf;
-use std::sync::Mutex;
+use std::sync::{Mutex, OnceLock};
 
 use rustix::time::{ClockId, clock_gettime};
 
@@ -84,6 +84,7 @@
     directors: HashMap<usize, DirectorView>,
     cold_nodes: HashMap<usize, ColdNode>,
     violations: Vec<Violation>,
+    longest_write: f64,
     counts: BTreeMap<&'static str, u64>,
 }
 
@@ -93,7 +94,7 @@
     started_ns: u64,
     state: Mutex<JudgeState>,
     /// The send logs of the directors, where the fault library keeps them.
-    send_logs: Mutex<Vec<SendLog>>,
+    send_logs: OnceLock<Vec<Mutex<SendLog>>>,
 }
 
 /// The monotonic clock of the machine, in nanoseconds.
@@ -104,24 +105,24 @@
 
 impl Judge {
     pub(crate) fn new() -> Judge {
-        Judge { started_ns: monotonic_ns(), state: Mutex::default(), send_logs: Mutex::default() }
+        Judge { started_ns: monotonic_ns(), state: Mutex::default(), send_logs: OnceLock::new() }
     }
 
     /// Reads from these files, one for each director, when attempts were sent.
     pub(crate) fn read_send_logs(&self, files: impl Iterator<Item = PathBuf>) {
-        *lock(&self.send_logs) = files.map(SendLog::new).collect();
+        self.send_logs.get_or_init(|| files.map(|file| Mutex::new(SendLog::new(file))).collect());
     }
 
     /// When an attempt was sent that came on a connection with this port at the director's end, if that is known.
     pub(crate) fn sent_at(&self, request: u64, port: u16) -> Option<Seconds> {
         let director = lock(&self.state).requests.get(&request)?.director;
-        let sent_ns = lock(&self.send_logs).get_mut(director)?.sent_ns(request, port)?;
+        let sent_ns = lock(self.send_logs.get()?.get(director)?).sent_ns(request, port)?;
         Some(self.seconds(sent_ns))
     }
 
     /// When a director shut a connection that began at `since` with this port at its client's end, if it did.
     pub(crate) fn shut_at(&self, director: usize, port: u16, since: Seconds) -> Option<Seconds> {
-        let shut_ns = lock(&self.send_logs).get_mut(director)?.shut_ns(port)?;
+        let shut_ns = lock(self.send_logs.get()?.get(director)?).shut_ns(port)?;
         Some(self.seconds(shut_ns)).filter(|at| *at > since)
     }
 
@@ -183,9 +184,17 @@
     /// The last byte of a request has been written.
     pub(crate) fn on_request_sent(&self, id: u64) {
         let now = self.now();
-        if let Some(request) = lock(&self.state).requests.get_mut(&id) {
-            request.written_by = Some(now);
-        }
+        let mut state = lock(&self.state);
+        let Some(request) = state.requests.get_mut(&id) else { return };
+        request.written_by = Some(now);
+        let lasted = now - request.written_at;
+        state.longest_write = state.longest_write.max(lasted);
+    }
+
+    /// The longest time that a client took to write the last piece of a request: far longer than usual if its thread was
+    /// not run.
+    pub(crate) fn longest_write(&self) -> f64 {
+        lock(&self.state).longest_write
     }
 
     /// The client of a request has closed its connection or cancelled the request.
--- a/crates/testbed/src/soak/judge/checks.rs
+++ b/crates/testbed/src/soak/judge/checks.rs
@@ -101,9 +101,11 @@
     }
 }
 
-/// That the node was told no longer wait than the client has left.
+/// That the node was told no longer wait than the client has left: its time counts from its last byte, which came by the
+/// end of its write at the latest.
 fn check_wait(request: &Request, attempt: &Attempt, now: Seconds) -> Option<Finding> {
-    let left = request.written_at + request.budget - now;
+    let written_by = request.written_by.unwrap_or(request.written_at);
+    let left = written_by + request.budget - now;
     let wait = attempt.wait_ms as f64 / 1_000.0;
     if wait <= left.max(0.0) + WAIT_TOLERANCE + OBSERVER_TOLERANCE {
         return None;
--- a/crates/testbed/src/soak/judge/tests.rs
+++ b/crates/testbed/src/soak/judge/tests.rs
@@ -221,3 +221,12 @@
         }
     }
 }
+
+#[test]
+fn a_request_counts_from_the_end_of_its_write() {
+    let mut state = JudgeState::default();
+    state.requests.insert(REQUEST, Request { written_by: Some(1.2), ..request(1.0, 1.0) });
+    // 0.7 s are left.
+    assert_eq!(rules(&state.check_attempt(&attempt(949), 1.5)), []);
+    assert_eq!(rules(&state.check_attempt(&attempt(951), 1.5)), [Rule::WaitTooLong]);
+}
--- a/crates/testbed/src/soak/lateness.rs
+++ b/crates/testbed/src/soak/lateness.rs
@@ -15,19 +15,31 @@
 const MAX_MICROS: u64 = 60_000_000;
 const PERCENTILE: f64 = 99.9;
 
-/// How late the samples were, in seconds.
+/// How late the samples and the clients were, in seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Lateness {
     /// The 99.9th percentile.
     pub p999: f64,
     /// The latest.
     pub worst: f64,
+    /// The longest time that a client took to write the last piece of a request.
+    pub longest_write: f64,
+}
+
+impl Lateness {
+    /// The latest of all.
+    pub fn latest(&self) -> f64 {
+        self.worst.max(self.longest_write)
+    }
 }
 
 impl fmt::Display for Lateness {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (p999, worst) = (self.p999 * 1e3, self.worst * 1e3);
-        write!(f, "own threads late by {p999:.1} ms at the 99.9th percentile, {worst:.1} ms at most")
+        let (p999, worst, write) = (self.p999 * 1e3, self.worst * 1e3, self.longest_write * 1e3);
+        write!(
+            f,
+            "own threads late by {p999:.1} ms at the 99.9th percentile, {worst:.1} ms at most; longest write {write:.1} ms"
+        )
     }
 }
 
@@ -64,5 +76,6 @@
         late.saturating_record(micros);
     }
     let seconds = |micros: u64| micros as f64 / 1e6;
-    Lateness { p999: seconds(late.value_at_percentile(PERCENTILE)), worst: seconds(late.max()) }
+    let (p999, worst) = (seconds(late.value_at_percentile(PERCENTILE)), seconds(late.max()));
+    Lateness { p999, worst, longest_write: 0.0 }
 }
--- a/crates/testbed/src/soak/report.rs
+++ b/crates/testbed/src/soak/report.rs
@@ -43,7 +43,7 @@
 impl SoakReport {
     /// What it says of the directors.
     pub fn verdict(&self) -> Verdict {
-        if self.lateness.worst > OBSERVER_TOLERANCE {
+        if self.lateness.latest() > OBSERVER_TOLERANCE {
             Verdict::NotJudged
         } else if self.violations.is_empty() {
             Verdict::Passed
--- a/crates/testbed/src/soak/report/tests.rs
+++ b/crates/testbed/src/soak/report/tests.rs
@@ -8,7 +8,7 @@
         counts: BTreeMap::new(),
         planned_faults: 0,
         faults: vec![FaultSpan { what: "a pause".into(), from: 1.0, to: 2.5 }],
-        lateness: Lateness { p999: 0.001, worst },
+        lateness: Lateness { p999: 0.001, worst, longest_write: 0.001 },
     }
 }
 
@@ -21,8 +21,11 @@
 fn a_soak_whose_own_threads_were_later_than_the_tolerance_is_not_judged() {
     assert_eq!(report(0.099, vec![]).verdict(), Verdict::Passed);
     assert_eq!(report(0.099, vec![violation(1.0)]).verdict(), Verdict::Failed);
-    for violations in [vec![], vec![violation(1.0)]] {
-        let report = report(0.101, violations);
+    for (violations, worst, longest_write) in
+        [(vec![], 0.101, 0.0), (vec![violation(1.0)], 0.101, 0.0), (vec![violation(1.0)], 0.0, 0.101)]
+    {
+        let lateness = Lateness { p999: 0.001, worst, longest_write };
+        let report = SoakReport { lateness, ..report(worst, violations) };
         assert_eq!(report.verdict(), Verdict::NotJudged);
         assert!(report.to_string().contains("not judged"), "{report}");
     }
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -15,7 +15,7 @@
 use super::fault_plan::plan_faults;
 use super::invariants::Rule;
 use super::judge::Judge;
-use super::lateness::LatenessSampler;
+use super::lateness::{Lateness, LatenessSampler};
 use super::node::{Node, Nodes};
 use super::report::SoakReport;
 use crate::director_process::{endpoint_json, members_event, wait_until_serving};
@@ -207,7 +207,7 @@
     }
     soak.stop_directors();
     soak.check_logs();
-    let lateness = lateness.finish();
+    let lateness = Lateness { longest_write: judge.longest_write(), ..lateness.finish() };
     let faults = soak.faults.spans();
     let (violations, counts) = judge.finish();
     Ok(SoakReport { violations, counts, planned_faults: plan_faults(options).len(), faults, lateness })
