Slow start: credit saved for long transfers is not spent on a rush of short ones

What callers saw: nothing yet in service or soak; a test of orders of events found it. A class that is seldom asked and has long transfers lets each director save credit at a cold node for one of them.

Cause: slow_start.rs measured what may be saved in the class with the longest transfers, whatever goes out.

Why this mends it: what may be saved is counted in mean requests now; what is earned beyond goes into a reserve that only requests with longer transfers than the mean may use, so that they still go out as before. All credit is still earned first.

--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -6,7 +6,7 @@
 use crate::load_shedding::ConcurrencyLimit;
 use crate::mode_change::ModeChange;
 use crate::outlier_ejection::EndpointHealth;
-use crate::slow_start::SlowStart;
+use crate::slow_start::Credit;
 use crate::transfer_time::RequestCounts;
 use crate::types::{EndpointState, EndpointUpdate, Ns, Settings};
 
@@ -58,8 +58,8 @@
     pub(crate) health: EndpointHealth,
     /// How many attempts may be outstanding straight at it.
     pub(crate) concurrency: ConcurrencyLimit,
-    /// Slow-start credit, in nanoseconds of transfer time.
-    pub(crate) credit: f64,
+    /// Slow-start credit.
+    pub(crate) credit: Credit,
     /// What it served, or filled, in the open window.
     pub(crate) served: RequestCounts,
     /// Of a parent: what a request has to be worth to be filled from it.
@@ -83,7 +83,7 @@
             outstanding_direct: 0,
             health: EndpointHealth::default(),
             concurrency: ConcurrencyLimit::new(sharing),
-            credit: SlowStart::initial_credit(settings, sharers, largest_transfer),
+            credit: Credit::initial(settings, sharers, largest_transfer),
             served: RequestCounts::default(),
             fill_price: FillPrice::default(),
             traffic: TrafficBaseline::default(),
--- a/src/router.rs
+++ b/src/router.rs
@@ -323,7 +323,6 @@
 
     /// Accounts for an attempt that is about to be made.
     fn record_attempt(&mut self, now: Ns, request: &Request, spec: &AttemptSpec) {
-        let cost = self.transfer_times.mean(request.class);
         if let Some(endpoint) = self.endpoints.get_mut(spec.node) {
             endpoint.outstanding_direct += 1;
             endpoint.health.on_direct_attempt(now);
@@ -331,7 +330,7 @@
         for node in self.involved(spec.node, spec.source) {
             if let Some(endpoint) = self.endpoints.get_mut(node) {
                 endpoint.outstanding += 1;
-                endpoint.credit -= cost;
+                self.slow_start.spend(endpoint, &self.transfer_times, request.class);
                 endpoint.health.on_attempt(now);
             }
         }
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -21,7 +21,8 @@
 /// How fast it follows a lower one: slowly, as a quiet time is no sign that nodes bear less.
 const LOAD_FALL_GAIN: f64 = 0.05;
 /// The credit that a director may save, in transfers: one, and so many more divided by the square root of the directors
-/// that share the node. Together they must not save up what makes a cold node collapse.
+/// that share the node. Together they must not save up what makes a cold node collapse, so that these are mean transfers;
+/// what is saved beyond them is for requests that take longer.
 const SAVED_TRANSFERS_SHARED: f64 = 2.0;
 
 /// The slow-start settings of one role.
@@ -64,7 +65,7 @@
 }
 
 /// Whether a node has its full capacity by now.
-pub(crate) fn is_warm(settings: &Settings, endpoint: &Endpoint, now: Ns) -> bool {
+fn is_warm(settings: &Settings, endpoint: &Endpoint, now: Ns) -> bool {
     warmth(settings, endpoint, now) >= 1.0
 }
 
@@ -74,6 +75,45 @@
     (SAFE_PART * multiple * warmth(settings, endpoint, now)).min(1.0)
 }
 
+/// The slow-start credit of a node, in nanoseconds of transfer time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Credit {
+    /// For any request. Below 0 for a node that was just listed.
+    ready: f64,
+    /// Beyond that, for requests whose transfers are longer than the mean: spent on many short ones at once it would be a
+    /// rush.
+    reserve: f64,
+}
+
+impl Credit {
+    /// The credit of a node that was just listed. Directors take turns at it by their index. `largest_transfer` is the
+    /// mean transfer time of the class with the longest.
+    pub(crate) fn initial(settings: &Settings, sharers: f64, largest_transfer: f64) -> Credit {
+        let turn = settings.director_index as f64 % sharers / sharers;
+        Credit { ready: -turn * largest_transfer, reserve: 0.0 }
+    }
+
+    /// Adds what was earned; what may not be saved is lost.
+    fn earn(&mut self, earned: f64, max_ready: f64, max_reserve: f64) {
+        let ready = self.ready + earned;
+        self.ready = ready.min(max_ready);
+        self.reserve = (self.reserve + ready - self.ready).min(max_reserve);
+    }
+
+    /// Whether a request with this transfer time may go out, where `mean_transfer` is that of all.
+    fn covers(&self, transfer_time: f64, mean_transfer: f64) -> bool {
+        let reserve = if transfer_time > mean_transfer { self.reserve } else { 0.0 };
+        self.ready + reserve >= transfer_time
+    }
+
+    /// Takes off what a request costs that goes out.
+    fn spend(&mut self, transfer_time: f64, mean_transfer: f64) {
+        let from_reserve = if transfer_time > mean_transfer { self.reserve.min(transfer_time) } else { 0.0 };
+        self.reserve -= from_reserve;
+        self.ready -= transfer_time - from_reserve;
+    }
+}
+
 /// The load that a warm node takes from this director, and the credit that cold ones earn by it.
 #[derive(Clone, Debug)]
 pub(crate) struct SlowStart {
@@ -98,11 +138,6 @@
         }
     }
 
-    /// The credit of a node that was just listed. Directors take turns at it by their index.
-    pub(crate) fn initial_credit(settings: &Settings, sharers: f64, largest_transfer: f64) -> f64 {
-        -(settings.director_index as f64 % sharers / sharers) * largest_transfer
-    }
-
     /// Notes how many parents are listed.
     pub(crate) fn record_parents(&mut self, listed: usize) {
         self.max_parents = self.max_parents.max(listed);
@@ -126,17 +161,41 @@
         let largest_transfer = transfer_times.largest_mean();
         for ring in [Ring::Caches, Ring::Parents] {
             let load = self.warm_load(ring).transfers_under_way(transfer_times);
+            let mean_transfer = self.warm_load(ring).mean_transfer(transfer_times);
             endpoints.for_each_member(ring, |_, endpoint| {
                 if is_warm(settings, endpoint, now) {
                     return;
                 }
                 let earned = elapsed * load * safe_part(settings, endpoint, now);
-                let max_credit = largest_transfer * (1.0 + SAVED_TRANSFERS_SHARED / endpoint.sharing);
-                endpoint.credit = (endpoint.credit + earned).min(max_credit);
+                let saved = 1.0 + SAVED_TRANSFERS_SHARED / endpoint.sharing;
+                let max_reserve = saved * (largest_transfer - mean_transfer).max(0.0);
+                endpoint.credit.earn(earned, saved * mean_transfer, max_reserve);
             });
         }
     }
 
+    /// Whether a node is warm or has credit for a request of this class.
+    pub(crate) fn has_credit(
+        &self,
+        settings: &Settings,
+        endpoint: &Endpoint,
+        transfer_times: &TransferTimes,
+        class: usize,
+        now: Ns,
+    ) -> bool {
+        if is_warm(settings, endpoint, now) {
+            return true;
+        }
+        let mean_transfer = self.load_of(endpoint.role).mean_transfer(transfer_times);
+        endpoint.credit.covers(transfer_times.mean(class), mean_transfer)
+    }
+
+    /// Takes a request of this class off a node's credit.
+    pub(crate) fn spend(&self, endpoint: &mut Endpoint, transfer_times: &TransferTimes, class: usize) {
+        let mean_transfer = self.load_of(endpoint.role).mean_transfer(transfer_times);
+        endpoint.credit.spend(transfer_times.mean(class), mean_transfer);
+    }
+
     /// Follows what warm nodes served in the window that closes. A loss of nodes leaves the estimates: those that are
     /// left must not be pushed for it.
     pub(crate) fn close_window(
@@ -166,6 +225,13 @@
         }
     }
 
+    fn load_of(&self, role: EndpointRole) -> &WarmLoad {
+        match role {
+            EndpointRole::Parent => &self.warm_parent_load,
+            EndpointRole::Cache | EndpointRole::Origin => &self.warm_cache_load,
+        }
+    }
+
     /// What stands in for the load of a warm node while none has been seen.
     fn unproven_load(&self, endpoints: &EndpointTable, ring: Ring) -> RequestCounts {
         let members = endpoints.ring(ring).members().len().max(1);
@@ -187,6 +253,14 @@
         self.served.transfer_time(transfer_times) / WINDOW as f64
     }
 
+    /// What one of the requests takes in the mean; before there are any, what the class with the longest transfers takes.
+    fn mean_transfer(&self, transfer_times: &TransferTimes) -> f64 {
+        if self.served.is_empty() {
+            return transfer_times.largest_mean();
+        }
+        self.served.transfer_time(transfer_times) / self.served.total()
+    }
+
     /// Follows what warm nodes served in a window; none: no warm node was up.
     fn close_window(
         &mut self,
--- a/src/transfer_time.rs
+++ b/src/transfer_time.rs
@@ -61,6 +61,11 @@
         self.by_class.iter().all(|&count| count == 0.0)
     }
 
+    /// How many there are of all classes.
+    pub(crate) fn total(&self) -> f64 {
+        self.by_class.iter().sum()
+    }
+
     /// Counts one request.
     pub(crate) fn record(&mut self, class: usize) {
         self.extend_to(class + 1);
--- a/tests/router/fleet.rs
+++ b/tests/router/fleet.rs
@@ -46,6 +46,8 @@
     pub(crate) list: Vec<EndpointUpdate>,
     pub(crate) now: Ns,
     pub(crate) calls: Vec<Call>,
+    /// The directors that requests come to.
+    pub(crate) serving: Vec<usize>,
     /// How the nodes answer that do not succeed.
     pub(crate) outcomes: BTreeMap<usize, Outcome>,
     rng: Pcg32,
@@ -65,6 +67,7 @@
             list,
             now: START,
             calls: Vec::new(),
+            serving: (0..size).collect(),
             outcomes: BTreeMap::new(),
             rng: Pcg32::seed_from_u64(SEED),
             open: BTreeMap::new(),
@@ -93,7 +96,7 @@
         }
     }
 
-    /// Plays requests that come at random to all directors for so long.
+    /// Plays requests that come at random to the directors that serve for so long.
     pub(crate) fn play(&mut self, duration: Ns, traffic: &[ClassTraffic]) {
         let end = self.now + duration;
         let total: f64 = traffic.iter().map(|class| class.per_second).sum();
@@ -116,7 +119,7 @@
             drawn < 0.0
         };
         let class = traffic.iter().position(is_drawn).unwrap_or(0);
-        let director = self.rng.random_range(0..self.directors.len());
+        let director = self.serving[self.rng.random_range(0..self.serving.len())];
         let object = self.rng.random_range(0..OBJECTS);
         let request = Request { class, size_kb: traffic[class].size_kb, ..new_request(object, self.now) };
         self.route(director, request, traffic);
--- a/tests/router/slow_start_order.rs
+++ b/tests/router/slow_start_order.rs
@@ -158,6 +158,55 @@
     assert_none_collapses(&fleet, &cold, &[1.0], "all cold and new");
 }
 
+// ---- saved credit ----
+
+/// Guards against credit that is saved for one request of a class with long transfers and spent on many short ones.
+#[test]
+fn a_class_with_long_transfers_saves_no_rush_of_short_ones() {
+    let (long, long_per_second) = (2_000 * MS, 1.0);
+    let (window, quiet) = (120 * SEC, 20 * SEC);
+    let settings = Settings {
+        slow_start_window: window,
+        parent_slow_start_window: window,
+        ..settings_with(&[OBJECTIVE, 2 * long])
+    };
+    let usual = [of_known_size(PER_SECOND, TRANSFER_TIME), of_known_size(long_per_second, long)];
+    let mut fleet = fleet_with(&settings);
+    fleet.play(10 * SEC, &usual);
+    let started_at = fleet.now;
+    replace_one_of_each(&mut fleet);
+    fleet.announce();
+    fleet.play(quiet, &[of_known_size(DIRECTORS as f64, TRANSFER_TIME)]);
+    fleet.play(5 * SEC, &usual);
+    let (short, long) = (TRANSFER_TIME as f64, long as f64);
+    let requests = PER_SECOND + long_per_second;
+    let mean = (PER_SECOND * short + long_per_second * long) / requests;
+    let cold = [
+        ColdNode::cache(&settings, FRESH_CACHE, started_at, requests / CACHES as f64),
+        ColdNode::parent(&settings, FRESH_PARENT, started_at, requests / PARENTS as f64),
+    ];
+    assert_none_collapses(&fleet, &cold, &[short / mean, long / mean], "after a quiet time");
+}
+
+// ---- demand that moves between directors ----
+
+/// Guards against directors that together remember more than nodes ever got, as each has served for others in turn.
+#[test]
+fn demand_that_moved_from_director_to_director_pushes_no_cold_node() {
+    let groups = 4;
+    let settings = settings_with(&[OBJECTIVE]);
+    let traffic = [of_known_size(PER_SECOND, TRANSFER_TIME)];
+    let mut fleet = fleet_with(&settings);
+    fleet.play(4 * SEC, &traffic);
+    for group in 0..groups {
+        fleet.serving = (group..DIRECTORS).step_by(groups).collect();
+        fleet.play(6 * SEC, &traffic);
+    }
+    fleet.serving = (0..DIRECTORS).collect();
+    fleet.play(2 * SEC, &traffic);
+    assert_both_get_warm(&mut fleet, &settings, &traffic, "all serve again");
+}
+
 // ---- orders of events with transfer times that stay as they are ----
 
 #[test]
