Slow start: each class has credit of its own, in requests

Credit that one class earned was spent by others at the rate of their mean transfer times, and these are wrong for a class that is new, slow or seldom asked.

Change: credit is counted in requests (slow_start/credit.rs): one part for all classes together, as before, and a limit for each class at one and a half times its own part. No transfer time is left in slow start. What a class weighs cannot matter more than that: if no class has more than 0.75 of what it may, their work has not either. The first turn of a director is a part of a request. The reserve is gone.

--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -1,13 +1,14 @@
 //! The nodes that this director knows and what it has measured of each.
 
 use crate::burst::TrafficBaseline;
+use crate::class_counts::ClassCounts;
 use crate::fill_price::FillPrice;
 use crate::hash_ring::{HashRing, RingMember};
 use crate::load_shedding::ConcurrencyLimit;
 use crate::mode_change::ModeChange;
 use crate::outlier_ejection::EndpointHealth;
 use crate::slow_start::Credit;
-use crate::transfer_time::RequestCounts;
+
 use crate::types::{EndpointState, EndpointUpdate, Ns, Settings};
 
 /// What a node does, by its machine kind.
@@ -61,7 +62,7 @@
     /// Slow-start credit.
     pub(crate) credit: Credit,
     /// What it served, or filled, in the open window.
-    pub(crate) served: RequestCounts,
+    pub(crate) served: ClassCounts,
     /// Of a parent: what a request has to be worth to be filled from it.
     pub(crate) fill_price: FillPrice,
     /// Of a cache: the ordinary traffic of the objects that it is primary for.
@@ -69,9 +70,8 @@
 }
 
 impl Endpoint {
-    /// A node that was just listed, of which nothing is known. `largest_transfer` is the mean transfer time of the class
-    /// with the longest.
-    fn new(settings: &Settings, listing: EndpointUpdate, largest_transfer: f64) -> Self {
+    /// A node that was just listed, of which nothing is known.
+    fn new(settings: &Settings, listing: EndpointUpdate) -> Self {
         let role = EndpointRole::of(settings, listing.machine_kind);
         let sharers = directors_sharing(settings, role);
         let sharing = sharers.sqrt();
@@ -83,8 +83,8 @@
             outstanding_direct: 0,
             health: EndpointHealth::default(),
             concurrency: ConcurrencyLimit::new(sharing),
-            credit: Credit::initial(settings, sharers, largest_transfer),
-            served: RequestCounts::default(),
+            credit: Credit::initial(settings, sharers),
+            served: ClassCounts::default(),
             fill_price: FillPrice::default(),
             traffic: TrafficBaseline::default(),
         }
@@ -200,7 +200,6 @@
         settings: &Settings,
         updates: &[EndpointUpdate],
         is_snapshot: bool,
-        largest_transfer: f64,
     ) -> Vec<ModeChange> {
         if is_snapshot {
             for endpoint in self.endpoints.iter_mut().flatten() {
@@ -208,18 +207,18 @@
             }
         }
         for update in updates {
-            self.apply(settings, *update, largest_transfer);
+            self.apply(settings, *update);
         }
         self.rebuild_rings(settings)
     }
 
     /// Takes one entry of the list.
-    fn apply(&mut self, settings: &Settings, update: EndpointUpdate, largest_transfer: f64) {
+    fn apply(&mut self, settings: &Settings, update: EndpointUpdate) {
         if self.endpoints.len() <= update.node {
             self.endpoints.resize(update.node + 1, None);
         }
         let slot = &mut self.endpoints[update.node];
-        let fresh = Endpoint::new(settings, update, largest_transfer);
+        let fresh = Endpoint::new(settings, update);
         match slot {
             Some(known) if known.is_same_process(&update) => known.listing = update,
             // Another process at the same index: its attempts are still accounted for there.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod burst;
 mod cache_policy;
+mod class_counts;
 mod deadline_margin;
 mod effects;
 mod endpoint;
--- a/src/router.rs
+++ b/src/router.rs
@@ -131,8 +131,7 @@
 
     /// Takes entries of the endpoint list. A snapshot removes the endpoints that it does not name.
     pub fn update_endpoints(&mut self, now: Ns, updates: &[EndpointUpdate], is_snapshot: bool) {
-        let largest_transfer = self.transfer_times.largest_mean();
-        let changes = self.endpoints.update(&self.settings, updates, is_snapshot, largest_transfer);
+        let changes = self.endpoints.update(&self.settings, updates, is_snapshot);
         self.mode_changes.extend(changes);
         self.slow_start.record_parents(self.endpoints.parents().members().len());
         self.close_windows(now);
@@ -292,7 +291,7 @@
         self.priorities.record(log_value);
         self.history.record_request(request);
         self.slow_start.record_request(request.class);
-        self.slow_start.earn(&self.settings, &mut self.endpoints, &self.transfer_times, now);
+        self.slow_start.earn(&self.settings, &mut self.endpoints, now);
         self.record_traffic(request);
     }
 
@@ -330,7 +329,7 @@
         for node in self.involved(spec.node, spec.source) {
             if let Some(endpoint) = self.endpoints.get_mut(node) {
                 endpoint.outstanding += 1;
-                self.slow_start.spend(endpoint, &self.transfer_times, request.class);
+                endpoint.credit.spend(request.class);
                 endpoint.health.on_attempt(now);
             }
         }
@@ -349,7 +348,7 @@
         self.window_ends_at += ended.saturating_sub(REMEMBERED_WINDOWS as Ns) * WINDOW;
         while now >= self.window_ends_at {
             self.window_ends_at += WINDOW;
-            self.slow_start.close_window(&self.settings, &self.endpoints, &self.transfer_times, now);
+            self.slow_start.close_window(&self.settings, &self.endpoints, now);
             self.endpoints.close_window();
             let objects = self.bursts.close_window();
             if objects > 0 {
--- a/src/router/outcome.rs
+++ b/src/router/outcome.rs
@@ -66,7 +66,7 @@
             if let Some(endpoint) = self.endpoints.get_mut(node) {
                 endpoint.outstanding = endpoint.outstanding.saturating_sub(1);
                 if ended.outcome == Outcome::Success {
-                    endpoint.served.record(ended.request.class);
+                    endpoint.served.add(ended.request.class, 1.0);
                 }
             }
         }
--- a/src/router/selection.rs
+++ b/src/router/selection.rs
@@ -7,6 +7,7 @@
 use crate::fill_price::OFFLOAD_CANDIDATES;
 use crate::hash_ring::{cache_position, parent_position, unit_fraction};
 use crate::load_shedding::{primary_share, spill_share};
+use crate::slow_start;
 use crate::transfer_time::BASE_LATENCY;
 use crate::types::{Attempt, AttemptSpec, Ns, Outcome, Request};
 
@@ -104,8 +105,7 @@
 
     /// Whether slow start allows the request: the node is warm or has earned enough credit.
     fn has_credit(&self, endpoint: &Endpoint) -> bool {
-        let Router { slow_start, settings, transfer_times, .. } = self.router;
-        slow_start.has_credit(settings, endpoint, transfer_times, self.request.class, self.now)
+        slow_start::has_credit(&self.router.settings, endpoint, self.request.class, self.now)
     }
 
     /// Only first attempts are trials.
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -1,15 +1,19 @@
-//! Slow start: a cold node earns credit for a growing part of the load that a warm one takes from this director.
+//! Slow start: a cold node earns credit for a growing part of the requests that a warm one serves for this director.
 //!
 //! Guards a fresh node against collapse under the load of all directors together. Demand does not count, so that
 //! retries, an overload or the loss of most nodes cannot raise it. Its cost: what warms up quickly is held back, and with
 //! no warm node left a part of the demand has to be the measure.
 
+mod credit;
+
 use crate::burst::WINDOW;
+use crate::class_counts::ClassCounts;
 use crate::endpoint::{Endpoint, EndpointRole, EndpointTable, Ring};
-use crate::transfer_time::{RequestCounts, TransferTimes};
 use crate::types::{Ns, SECOND, Settings};
 
-/// The part of the load at which a cold node would collapse that it is given. With 0.55 hunts came up to 81% of the rule.
+pub(crate) use credit::Credit;
+
+/// The part of the load at which a cold node would collapse that it is given.
 const SAFE_PART: f64 = 0.5;
 /// The part of the demand that stands in for the load of a warm node while none has been seen: demand may be far above
 /// what nodes bear.
@@ -20,10 +24,6 @@
 const LOAD_RISE_GAIN: f64 = 0.3;
 /// How fast it follows a lower one: slowly, as a quiet time is no sign that nodes bear less.
 const LOAD_FALL_GAIN: f64 = 0.05;
-/// The credit that a director may save, in transfers: one, and so many more divided by the square root of the directors
-/// that share the node. Together they must not save up what makes a cold node collapse, so that these are mean transfers;
-/// what is saved beyond them is for requests that take longer.
-const SAVED_TRANSFERS_SHARED: f64 = 2.0;
 
 /// The slow-start settings of one role.
 #[derive(Clone, Copy, Debug)]
@@ -69,58 +69,24 @@
     warmth(settings, endpoint, now) >= 1.0
 }
 
+/// Whether a node is warm or has credit for a request of this class.
+pub(crate) fn has_credit(settings: &Settings, endpoint: &Endpoint, class: usize, now: Ns) -> bool {
+    is_warm(settings, endpoint, now) || endpoint.credit.covers(class)
+}
+
 /// The part of a warm node's load that a cold one is given: safe against its collapse whatever the demand.
 fn safe_part(settings: &Settings, endpoint: &Endpoint, now: Ns) -> f64 {
     let multiple = SlowStartSettings::of(settings, endpoint.role).collapse_multiple;
     (SAFE_PART * multiple * warmth(settings, endpoint, now)).min(1.0)
 }
 
-/// The slow-start credit of a node, in nanoseconds of transfer time.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Credit {
-    /// For any request. Below 0 for a node that was just listed.
-    ready: f64,
-    /// Beyond that, for requests whose transfers are longer than the mean: spent on many short ones at once it would be a
-    /// rush.
-    reserve: f64,
-}
-
-impl Credit {
-    /// The credit of a node that was just listed. Directors take turns at it by their index. `largest_transfer` is the
-    /// mean transfer time of the class with the longest.
-    pub(crate) fn initial(settings: &Settings, sharers: f64, largest_transfer: f64) -> Credit {
-        let turn = settings.director_index as f64 % sharers / sharers;
-        Credit { ready: -turn * largest_transfer, reserve: 0.0 }
-    }
-
-    /// Adds what was earned; what may not be saved is lost.
-    fn earn(&mut self, earned: f64, max_ready: f64, max_reserve: f64) {
-        let ready = self.ready + earned;
-        self.ready = ready.min(max_ready);
-        self.reserve = (self.reserve + ready - self.ready).min(max_reserve);
-    }
-
-    /// Whether a request with this transfer time may go out, where `mean_transfer` is that of all.
-    fn covers(&self, transfer_time: f64, mean_transfer: f64) -> bool {
-        let reserve = if transfer_time > mean_transfer { self.reserve } else { 0.0 };
-        self.ready + reserve >= transfer_time
-    }
-
-    /// Takes off what a request costs that goes out.
-    fn spend(&mut self, transfer_time: f64, mean_transfer: f64) {
-        let from_reserve = if transfer_time > mean_transfer { self.reserve.min(transfer_time) } else { 0.0 };
-        self.reserve -= from_reserve;
-        self.ready -= transfer_time - from_reserve;
-    }
-}
-
 /// The load that a warm node takes from this director, and the credit that cold ones earn by it.
 #[derive(Clone, Debug)]
 pub(crate) struct SlowStart {
     warm_cache_load: WarmLoad,
     warm_parent_load: WarmLoad,
     /// The requests of the open window.
-    requested: RequestCounts,
+    requested: ClassCounts,
     /// The most parents that were listed.
     max_parents: usize,
     /// Until when cold nodes have earned their credit.
@@ -132,7 +98,7 @@
         SlowStart {
             warm_cache_load: WarmLoad::default(),
             warm_parent_load: WarmLoad::default(),
-            requested: RequestCounts::default(),
+            requested: ClassCounts::default(),
             max_parents: 0,
             earned_until: now,
         }
@@ -145,66 +111,28 @@
 
     /// Counts the demand of a request.
     pub(crate) fn record_request(&mut self, class: usize) {
-        self.requested.record(class);
+        self.requested.add(class, 1.0);
     }
 
     /// Lets cold nodes earn credit for the time since the last call.
-    pub(crate) fn earn(
-        &mut self,
-        settings: &Settings,
-        endpoints: &mut EndpointTable,
-        transfer_times: &TransferTimes,
-        now: Ns,
-    ) {
+    pub(crate) fn earn(&mut self, settings: &Settings, endpoints: &mut EndpointTable, now: Ns) {
         let elapsed = now.saturating_sub(self.earned_until).min(MAX_EARNING_TIME) as f64;
         self.earned_until = now;
-        let largest_transfer = transfer_times.largest_mean();
         for ring in [Ring::Caches, Ring::Parents] {
-            let load = self.warm_load(ring).transfers_under_way(transfer_times);
-            let mean_transfer = self.warm_load(ring).mean_transfer(transfer_times);
+            let load = self.warm_load(ring);
             endpoints.for_each_member(ring, |_, endpoint| {
                 if is_warm(settings, endpoint, now) {
                     return;
                 }
-                let earned = elapsed * load * safe_part(settings, endpoint, now);
-                let saved = 1.0 + SAVED_TRANSFERS_SHARED / endpoint.sharing;
-                let max_reserve = saved * (largest_transfer - mean_transfer).max(0.0);
-                endpoint.credit.earn(earned, saved * mean_transfer, max_reserve);
+                let part = elapsed / WINDOW as f64 * safe_part(settings, endpoint, now);
+                endpoint.credit.earn(&load.served, part, endpoint.sharing);
             });
         }
     }
 
-    /// Whether a node is warm or has credit for a request of this class.
-    pub(crate) fn has_credit(
-        &self,
-        settings: &Settings,
-        endpoint: &Endpoint,
-        transfer_times: &TransferTimes,
-        class: usize,
-        now: Ns,
-    ) -> bool {
-        if is_warm(settings, endpoint, now) {
-            return true;
-        }
-        let mean_transfer = self.load_of(endpoint.role).mean_transfer(transfer_times);
-        endpoint.credit.covers(transfer_times.mean(class), mean_transfer)
-    }
-
-    /// Takes a request of this class off a node's credit.
-    pub(crate) fn spend(&self, endpoint: &mut Endpoint, transfer_times: &TransferTimes, class: usize) {
-        let mean_transfer = self.load_of(endpoint.role).mean_transfer(transfer_times);
-        endpoint.credit.spend(transfer_times.mean(class), mean_transfer);
-    }
-
     /// Follows what warm nodes served in the window that closes. A loss of nodes leaves the estimates: those that are
     /// left must not be pushed for it.
-    pub(crate) fn close_window(
-        &mut self,
-        settings: &Settings,
-        endpoints: &EndpointTable,
-        transfer_times: &TransferTimes,
-        now: Ns,
-    ) {
+    pub(crate) fn close_window(&mut self, settings: &Settings, endpoints: &EndpointTable, now: Ns) {
         for ring in [Ring::Caches, Ring::Parents] {
             let shared_among = match ring {
                 Ring::Caches => None,
@@ -213,7 +141,7 @@
             };
             let seen = mean_warm_served(settings, endpoints, ring, shared_among, now);
             let unproven = self.unproven_load(endpoints, ring);
-            self.warm_load(ring).close_window(seen, unproven, transfer_times);
+            self.warm_load(ring).close_window(seen, unproven);
         }
         self.requested.clear();
     }
@@ -225,17 +153,10 @@
         }
     }
 
-    fn load_of(&self, role: EndpointRole) -> &WarmLoad {
-        match role {
-            EndpointRole::Parent => &self.warm_parent_load,
-            EndpointRole::Cache | EndpointRole::Origin => &self.warm_cache_load,
-        }
-    }
-
     /// What stands in for the load of a warm node while none has been seen.
-    fn unproven_load(&self, endpoints: &EndpointTable, ring: Ring) -> RequestCounts {
+    fn unproven_load(&self, endpoints: &EndpointTable, ring: Ring) -> ClassCounts {
         let members = endpoints.ring(ring).members().len().max(1);
-        let mut unproven = RequestCounts::default();
+        let mut unproven = ClassCounts::default();
         unproven.add_part(&self.requested, UNPROVEN_PART / members as f64);
         unproven
     }
@@ -244,37 +165,18 @@
 /// The estimate of what a warm node serves for this director in a window.
 #[derive(Clone, Debug, Default)]
 struct WarmLoad {
-    served: RequestCounts,
+    served: ClassCounts,
 }
 
 impl WarmLoad {
-    /// The mean number of transfers under way.
-    fn transfers_under_way(&self, transfer_times: &TransferTimes) -> f64 {
-        self.served.transfer_time(transfer_times) / WINDOW as f64
-    }
-
-    /// What one of the requests takes in the mean; before there are any, what the class with the longest transfers takes.
-    fn mean_transfer(&self, transfer_times: &TransferTimes) -> f64 {
-        if self.served.is_empty() {
-            return transfer_times.largest_mean();
-        }
-        self.served.transfer_time(transfer_times) / self.served.total()
-    }
-
     /// Follows what warm nodes served in a window; none: no warm node was up.
-    fn close_window(
-        &mut self,
-        seen: Option<RequestCounts>,
-        unproven: RequestCounts,
-        transfer_times: &TransferTimes,
-    ) {
-        if self.served.is_empty() {
-            self.served = seen.filter(|seen| !seen.is_empty()).unwrap_or(unproven);
+    fn close_window(&mut self, seen: Option<ClassCounts>, unproven: ClassCounts) {
+        if self.served.total() == 0.0 {
+            self.served = seen.filter(|seen| seen.total() > 0.0).unwrap_or(unproven);
             return;
         }
         let Some(seen) = seen else { return };
-        let is_higher = self.served.transfer_time(transfer_times) < seen.transfer_time(transfer_times);
-        let gain = if is_higher { LOAD_RISE_GAIN } else { LOAD_FALL_GAIN };
+        let gain = if self.served.total() < seen.total() { LOAD_RISE_GAIN } else { LOAD_FALL_GAIN };
         self.served.follow(&seen, gain);
     }
 }
@@ -287,14 +189,14 @@
     ring: Ring,
     shared_among: Option<usize>,
     now: Ns,
-) -> Option<RequestCounts> {
+) -> Option<ClassCounts> {
     let is_counted = |endpoint: &&Endpoint| endpoint.is_up() && is_warm(settings, endpoint, now);
     let warm: Vec<&Endpoint> = endpoints.members(ring).filter(is_counted).collect();
     if warm.is_empty() {
         return None;
     }
     let part = 1.0 / shared_among.unwrap_or(warm.len()) as f64;
-    let mut mean = RequestCounts::default();
+    let mut mean = ClassCounts::default();
     warm.iter().for_each(|endpoint| mean.add_part(&endpoint.served, part));
     Some(mean)
 }
--- a/src/transfer_time.rs
+++ b/src/transfer_time.rs
@@ -1,5 +1,4 @@
-//! How long it takes to send an answer: by its size where it is known, else by what was seen before. Numbers of requests
-//! are weighed by it.
+//! How long it takes to send an answer: by its size where it is known, else by what was seen before.
 
 use crate::types::{MILLISECOND, Ns, Request, SECOND, Settings};
 
@@ -36,68 +35,8 @@
         self.mean_by_class[class]
     }
 
-    /// The mean of the class with the longest.
-    pub(crate) fn largest_mean(&self) -> f64 {
-        self.mean_by_class.iter().copied().fold(0.0, f64::max)
-    }
-
     pub(crate) fn record(&mut self, class: usize, transfer_time: f64) {
         let mean = &mut self.mean_by_class[class];
         *mean += MEAN_GAIN * (transfer_time - *mean);
     }
 }
-
-/// Numbers of requests by class; parts of requests where they are means.
-///
-/// What is kept for longer than a moment is kept so, not in transfer time: the mean of a class may move by orders of
-/// magnitude while it follows its first requests.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct RequestCounts {
-    by_class: Vec<f64>,
-}
-
-impl RequestCounts {
-    pub(crate) fn is_empty(&self) -> bool {
-        self.by_class.iter().all(|&count| count == 0.0)
-    }
-
-    /// How many there are of all classes.
-    pub(crate) fn total(&self) -> f64 {
-        self.by_class.iter().sum()
-    }
-
-    /// Counts one request.
-    pub(crate) fn record(&mut self, class: usize) {
-        self.extend_to(class + 1);
-        self.by_class[class] += 1.0;
-    }
-
-    /// Counts a part of all that another one has.
-    pub(crate) fn add_part(&mut self, other: &RequestCounts, part: f64) {
-        self.extend_to(other.by_class.len());
-        for (count, added) in self.by_class.iter_mut().zip(&other.by_class) {
-            *count += part * added;
-        }
-    }
-
-    /// Moves towards another one by this part of the difference.
-    pub(crate) fn follow(&mut self, target: &RequestCounts, gain: f64) {
-        self.by_class.iter_mut().for_each(|count| *count *= 1.0 - gain);
-        self.add_part(target, gain);
-    }
-
-    pub(crate) fn clear(&mut self) {
-        self.by_class.fill(0.0);
-    }
-
-    /// What they take in all, in nanoseconds, by the means of the classes as they are now.
-    pub(crate) fn transfer_time(&self, transfer_times: &TransferTimes) -> f64 {
-        self.by_class.iter().zip(&transfer_times.mean_by_class).map(|(count, mean)| count * mean).sum()
-    }
-
-    fn extend_to(&mut self, classes: usize) {
-        if self.by_class.len() < classes {
-            self.by_class.resize(classes, 0.0);
-        }
-    }
-}
--- a/tests/router/fleet.rs
+++ b/tests/router/fleet.rs
@@ -34,6 +34,13 @@
     class: usize,
 }
 
+impl Call {
+    /// Whether it went to this node or named it as its source.
+    pub(crate) fn involves(&self, node: usize) -> bool {
+        self.node == node || self.source == Some(node)
+    }
+}
+
 struct OpenRequest {
     director: usize,
     request: Request,
@@ -215,7 +222,7 @@
     /// What the rule has to say of the second that came nearest to a collapse; none if it holds. `work` is that of a
     /// request of each class, relative to the mean.
     pub(crate) fn find_collapse(&self, calls: &[Call], work: &[f64]) -> Option<String> {
-        let is_own = |call: &&Call| call.node == self.node || call.source == Some(self.node);
+        let is_own = |call: &&Call| call.involves(self.node);
         let is_cold = |call: &&Call| (self.started_at..self.started_at + self.window).contains(&call.at);
         let own: Vec<&Call> = calls.iter().filter(is_own).filter(is_cold).collect();
         if own.is_empty() {
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -8,6 +8,7 @@
 mod outlier_ejection;
 mod ring;
 mod slow_start;
+mod slow_start_classes;
 mod slow_start_order;
 #[path = "../support/mod.rs"]
 mod support;
--- a/tests/router/slow_start_order.rs
+++ b/tests/router/slow_start_order.rs
@@ -5,26 +5,26 @@
 use crate::fleet::*;
 use crate::support::*;
 
-const DIRECTORS: usize = 24;
-const CACHES: usize = 6;
-const PARENTS: usize = 3;
-const PER_SECOND: f64 = 1_200.0;
+pub(crate) const DIRECTORS: usize = 24;
+pub(crate) const CACHES: usize = 6;
+pub(crate) const PARENTS: usize = 3;
+pub(crate) const PER_SECOND: f64 = 1_200.0;
 const CACHE_BEARS: f64 = PER_SECOND / CACHES as f64;
 const PARENT_BEARS: f64 = PER_SECOND / PARENTS as f64;
 
 const OLD_CACHE: usize = 2;
-const FRESH_CACHE: usize = 20;
+pub(crate) const FRESH_CACHE: usize = 20;
 const OLD_PARENT: usize = 51;
-const FRESH_PARENT: usize = 70;
+pub(crate) const FRESH_PARENT: usize = 70;
 const SLOW_START_WINDOW: Ns = 6 * SEC;
 
 /// A transfer of a hundred kilobytes, by the settings.
-const TRANSFER_TIME: Ns = 100 * MS;
+pub(crate) const TRANSFER_TIME: Ns = 100 * MS;
 const STREAM_KB_PER_MS: f64 = 1.0;
 /// A class whose transfers take as long as directors assume before they see any: half of its objective.
-const OBJECTIVE: Ns = 2 * TRANSFER_TIME;
+pub(crate) const OBJECTIVE: Ns = 2 * TRANSFER_TIME;
 
-fn settings_with(objectives: &[Ns]) -> Settings {
+pub(crate) fn settings_with(objectives: &[Ns]) -> Settings {
     let class =
         |&latency_objective: &Ns| RequestClass { latency_objective, ..class_with_effect(Effect::Idempotent) };
     Settings {
@@ -40,22 +40,22 @@
     }
 }
 
-fn fleet_with(settings: &Settings) -> Fleet {
+pub(crate) fn fleet_with(settings: &Settings) -> Fleet {
     Fleet::start(DIRECTORS, settings.clone(), endpoint_list(CACHES, PARENTS))
 }
 
 /// Requests whose clients name their size.
-fn of_known_size(per_second: f64, transfer_time: Ns) -> ClassTraffic {
+pub(crate) fn of_known_size(per_second: f64, transfer_time: Ns) -> ClassTraffic {
     let size_kb = transfer_time as f64 / MS as f64 * STREAM_KB_PER_MS;
     ClassTraffic { per_second, size_kb, transfer_time }
 }
 
-fn of_unknown_size(per_second: f64, transfer_time: Ns) -> ClassTraffic {
+pub(crate) fn of_unknown_size(per_second: f64, transfer_time: Ns) -> ClassTraffic {
     ClassTraffic { per_second, size_kb: 0.0, transfer_time }
 }
 
 /// Puts a cold cache and a cold parent in the places of warm ones.
-fn replace_one_of_each(fleet: &mut Fleet) {
+pub(crate) fn replace_one_of_each(fleet: &mut Fleet) {
     fleet.replace(OLD_CACHE, FRESH_CACHE);
     fleet.replace(OLD_PARENT, FRESH_PARENT);
 }
@@ -73,7 +73,7 @@
     assert_none_collapses(fleet, &cold, &vec![1.0; traffic.len()], case);
 }
 
-fn assert_none_collapses(fleet: &Fleet, cold: &[ColdNode], work: &[f64], case: &str) {
+pub(crate) fn assert_none_collapses(fleet: &Fleet, cold: &[ColdNode], work: &[f64], case: &str) {
     let collapses: Vec<String> =
         cold.iter().filter_map(|node| node.find_collapse(&fleet.calls, work)).collect();
     assert!(collapses.is_empty(), "{case}: {}", collapses.join("; "));
