Soak: stand-in discovery has two addresses of its own for each director

Cause: all directors called the same two addresses, so that the stand-in could not say to which director it wrote an event. Change: each director is configured with two addresses of its own.

--- a/crates/testbed/src/soak/director.rs
+++ b/crates/testbed/src/soak/director.rs
@@ -101,7 +101,7 @@
             collapse_multiple: COLLAPSE_MULTIPLE,
             stream_kb_per_s: STREAM_KB_PER_S,
         };
-        let feed = discovery.addresses[lock(&self.state).discovery_address];
+        let feed = discovery.addresses[self.number][lock(&self.state).discovery_address];
         let seed = options.seed.wrapping_mul(1_000).wrapping_add(self.judge.now() as u64) >> 1;
         let mut config =
             director_config(self.number, options.directors, seed, self.address, (feed, &[]), &model);
--- a/crates/testbed/src/soak/discovery.rs
+++ b/crates/testbed/src/soak/discovery.rs
@@ -44,20 +44,24 @@
     connections: Vec<Arc<TcpStream>>,
 }
 
-/// One source of events with two addresses.
+/// One source of events with two addresses for each director.
 pub(crate) struct Discovery {
-    pub(crate) addresses: [SocketAddr; 2],
+    pub(crate) addresses: Vec<[SocketAddr; 2]>,
     judge: Arc<Judge>,
     state: Mutex<DiscoveryState>,
 }
 
 impl Discovery {
-    /// Listens on both addresses.
-    pub(crate) fn start(judge: &Arc<Judge>) -> io::Result<Arc<Discovery>> {
-        let listeners = [TcpListener::bind("127.0.0.1:0")?, TcpListener::bind("127.0.0.1:0")?];
-        let addresses = [listeners[0].local_addr()?, listeners[1].local_addr()?];
+    /// Listens on both addresses of each director.
+    pub(crate) fn start(judge: &Arc<Judge>, directors: usize) -> io::Result<Arc<Discovery>> {
+        let listen = || TcpListener::bind("127.0.0.1:0");
+        let listeners: Vec<[TcpListener; 2]> =
+            (0..directors).map(|_| Ok([listen()?, listen()?])).collect::<io::Result<_>>()?;
+        let addresses =
+            listeners.iter().map(|[first, second]| Ok([first.local_addr()?, second.local_addr()?]));
+        let addresses = addresses.collect::<io::Result<_>>()?;
         let discovery = Arc::new(Discovery { addresses, judge: Arc::clone(judge), state: Mutex::default() });
-        for listener in listeners {
+        for listener in listeners.into_iter().flatten() {
             let own = Arc::clone(&discovery);
             spawn(move || own.accept_connections(&listener));
         }
