Soak: caches have a capacity, a cold one that is pushed over collapses

Cause: the judge took 100 calls a second as what a warm cache bears, but stand-ins bore anything, so that directors never saw a limit, and a mark of SlowStart was a figure that harmed no node. It said nothing of how near a play came.

Change: a cache bears 100 calls a second, a cold one a quarter of that, rising in a line over 6 s; what comes above waits 0.1 s at most or is answered AGAIN and noted as not run. Misbehavior keeps its full force: a node that fails everything fails those as well that it has no capacity for. A cold cache that gets more than twice what it bears and the scatter in a second, turned away or not, collapses: its connections are reset, new ones ended, nothing runs there. That is the mark, once a node, if over two thirds of the calls came from directors that had been told. The stand-in discovery notes this before it writes an event to a director's connection, and before a configuration with it is written, at a start and at a reload. A call counts as told unless it was sent before the record has its director told: nodes have new ports, so that the call itself shows that the node is known.

A call counts when it was sent by the send log, else when it was read. The check before counted reads alone; where more than the bound is read in a second and the send logs show that it came over a longer time, a counter says so. All other bounds are the same: 2 x share x 100, 2 root + 2 (3 root + 3 under 30), one second.

The report names the nearest cold node in each play, and how many attempts were turned away as full. The unit test of the bound keeps its literals; its calls name a director now.

--- a/crates/testbed/src/soak/director.rs
+++ b/crates/testbed/src/soak/director.rs
@@ -110,6 +110,7 @@
         config["settings"]["ceilings"]["dialTimeoutUs"] = json!(1_500_000);
         config["limits"]["sockets"] = json!(256);
         set_classes(&mut config);
+        discovery.note_configured(self.number, known.len());
         // Replaced in one step: a reload may read it at any time.
         let new = self.config.with_extension("new");
         std::fs::write(&new, config.to_string()).map_err(io_error(new.display().to_string()))?;
--- a/crates/testbed/src/soak/discovery.rs
+++ b/crates/testbed/src/soak/discovery.rs
@@ -44,7 +44,7 @@
     connections: Vec<Arc<TcpStream>>,
 }
 
-/// One source of events with two addresses for each director.
+/// One source of events with two addresses for each director, by which it tells them apart.
 pub(crate) struct Discovery {
     pub(crate) addresses: Vec<[SocketAddr; 2]>,
     judge: Arc<Judge>,
@@ -61,19 +61,21 @@
             listeners.iter().map(|[first, second]| Ok([first.local_addr()?, second.local_addr()?]));
         let addresses = addresses.collect::<io::Result<_>>()?;
         let discovery = Arc::new(Discovery { addresses, judge: Arc::clone(judge), state: Mutex::default() });
-        for listener in listeners.into_iter().flatten() {
-            let own = Arc::clone(&discovery);
-            spawn(move || own.accept_connections(&listener));
+        for (director, of_director) in listeners.into_iter().enumerate() {
+            for listener in of_director {
+                let own = Arc::clone(&discovery);
+                spawn(move || own.accept_connections(&listener, director));
+            }
         }
         Ok(discovery)
     }
 
-    fn accept_connections(self: &Arc<Discovery>, listener: &TcpListener) {
+    fn accept_connections(self: &Arc<Discovery>, listener: &TcpListener, director: usize) {
         for stream in listener.incoming().map_while(Result::ok) {
             let (own, stream) = (Arc::clone(self), Arc::new(stream));
             spawn(move || {
                 // A director that goes ends its connection.
-                let _ = own.serve(&stream);
+                let _ = own.serve(&stream, director);
             });
         }
     }
@@ -99,6 +101,12 @@
         }
     }
 
+    /// A director is about to get a configuration with the first `count` events.
+    pub(crate) fn note_configured(&self, director: usize, count: usize) {
+        let events = lock(&self.state).events.clone();
+        events.iter().take(count).for_each(|event| self.note_told(director, event));
+    }
+
     /// Ends all connections and accepts none for so many seconds.
     pub(crate) fn interrupt(&self, seconds: f64) {
         let mut state = lock(&self.state);
@@ -124,17 +132,24 @@
         }
     }
 
-    fn serve(&self, stream: &Arc<TcpStream>) -> io::Result<()> {
+    /// Notes for the judge that a director is about to be told of this event, if it is the start of a node.
+    fn note_told(&self, director: usize, event: &Event) {
+        if let Some(Notification::Ready(node)) = event.notification {
+            self.judge.on_told_of_start(director, node);
+        }
+    }
+
+    fn serve(&self, stream: &Arc<TcpStream>, director: usize) -> io::Result<()> {
         if self.judge.now() < lock(&self.state).down_until {
             return stream.shutdown(Shutdown::Both);
         }
         lock(&self.state).connections.push(Arc::clone(stream));
         let Some(last_event) = read_request(stream)? else { return Ok(()) };
-        self.send_events(stream, last_event)
+        self.send_events(stream, director, last_event)
     }
 
     /// Sends the events after `last_event` as they are published, until the connection ends.
-    fn send_events(&self, mut stream: &TcpStream, last_event: usize) -> io::Result<()> {
+    fn send_events(&self, mut stream: &TcpStream, director: usize, last_event: usize) -> io::Result<()> {
         stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
         let mut sent = last_event;
         let mut kept_alive_at = 0.0;
@@ -147,6 +162,7 @@
             if !is_silent {
                 for event in events {
                     sent += 1;
+                    self.note_told(director, &event);
                     stream.write_all(format!("id: {sent}\ndata: {}\n\n", event.text).as_bytes())?;
                 }
                 if now > kept_alive_at + KEEPALIVE_INTERVAL {
--- a/crates/testbed/src/soak/fault_injection.rs
+++ b/crates/testbed/src/soak/fault_injection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::Seconds;
+use super::capacity::{CACHE_CAPACITY, Capacity};
 use super::director::Director;
 use super::discovery::Notification;
 use super::fault_plan::{Fault, breaks_connections, plan_faults};
@@ -14,8 +15,6 @@
 use crate::process::TrialError;
 use crate::threads::lock;
 
-/// Requests a second that a cold cache bears once it is warm.
-const CACHE_CAPACITY: f64 = 100.0;
 /// A node goes so long after it was listed as draining, and its successor comes then.
 const DRAIN_SECONDS: f64 = 2.5;
 const CLOCK_STEP_LASTS: Duration = Duration::from_millis(1_500);
@@ -130,8 +129,10 @@
         thread::sleep(Duration::from_secs_f64(DRAIN_SECONDS));
         self.announce(&old, "gone", 0);
         let number = lock(&self.nodes_by_number).len();
-        let new = self.add_node(&format!("cache-{number}"), "small")?;
-        self.judge.on_cold_start(new.number, CACHE_CAPACITY);
+        let since = self.judge.now();
+        let capacity = Capacity { warm: CACHE_CAPACITY, cold_since: Some(since) };
+        let new = self.add_node(&format!("cache-{number}"), "small", Some(capacity))?;
+        self.judge.on_cold_start(new.number, since, CACHE_CAPACITY);
         lock(&self.places)[place] = new.number;
         self.announce(&new, "ready", unix_ms());
         thread::sleep(Duration::from_secs_f64(DRAIN_GRACE));
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -15,13 +15,16 @@
 
 mod attempt;
 mod checks;
+mod slow_start;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use attempt::{Attempt, NodeLink};
+pub use slow_start::NearestColdNode;
 
 use attempt::SentAttempt;
 use checks::Finding;
+use slow_start::ColdNode;
 
 /// A request, as its client sent it, and what became of it.
 #[derive(Clone, Debug)]
@@ -69,13 +72,12 @@
     purged: HashMap<u64, NotifiedPurge>,
 }
 
-/// A node in slow start.
-#[derive(Clone, Debug, Default)]
-struct ColdNode {
-    since: Seconds,
-    capacity: f64,
-    calls: Vec<Seconds>,
-    reported: bool,
+/// Whether a node works.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NodeCondition {
+    Up,
+    /// It was cold and was pushed over.
+    Down,
 }
 
 #[derive(Default)]
@@ -83,6 +85,7 @@
     requests: HashMap<u64, Request>,
     directors: HashMap<usize, DirectorView>,
     cold_nodes: HashMap<usize, ColdNode>,
+    nearest_cold_node: Option<NearestColdNode>,
     violations: Vec<Violation>,
     longest_write: f64,
     counts: BTreeMap<&'static str, u64>,
@@ -145,6 +148,11 @@
         lock(&self.state).violations.push(Violation { rule, at, detail });
     }
 
+    /// The cold node that came nearest to its collapse; none if no cold node was called.
+    pub(crate) fn nearest_cold_node(&self) -> Option<NearestColdNode> {
+        lock(&self.state).nearest_cold_node
+    }
+
     /// Takes out what was found and counted.
     pub(crate) fn finish(&self) -> (Vec<Violation>, BTreeMap<&'static str, u64>) {
         let mut state = lock(&self.state);
@@ -248,6 +256,14 @@
         state.directors.entry(director).or_default().drained.remove(&node);
     }
 
+    /// The director is about to be told of a node's start.
+    pub(crate) fn on_told_of_start(&self, director: usize, node: usize) {
+        let now = self.now();
+        if let Some(cold) = lock(&self.state).cold_nodes.get_mut(&node) {
+            cold.told.entry(director).or_insert(now);
+        }
+    }
+
     /// The director knows now of a purge that was made at this Unix time.
     pub(crate) fn on_notified_purge(&self, director: usize, object: u64, made_ms: u64) {
         let purge = NotifiedPurge { notified_at: self.now(), made_ms };
@@ -260,20 +276,23 @@
 
     // ---- reports of nodes ----
 
-    /// A node begins its slow start; `capacity` is in requests a second.
-    pub(crate) fn on_cold_start(&self, node: usize, capacity: f64) {
-        let since = self.now();
+    /// A node has begun its slow start; `capacity` is what it bears once it is warm, in calls a second.
+    pub(crate) fn on_cold_start(&self, node: usize, since: Seconds, capacity: f64) {
         let cold = ColdNode { since, capacity, ..ColdNode::default() };
         lock(&self.state).cold_nodes.insert(node, cold);
     }
 
-    /// An attempt has come to a node.
-    pub(crate) fn on_attempt(&self, attempt: &Attempt) {
+    /// An attempt has come to a node. Returns the node's condition with it.
+    pub(crate) fn on_attempt(&self, attempt: &Attempt) -> NodeCondition {
         let now = self.now();
-        let findings = lock(&self.state).check_attempt(attempt, now);
+        let (findings, has_collapsed) = {
+            let mut state = lock(&self.state);
+            (state.check_attempt(attempt, now), state.has_collapsed(attempt.node))
+        };
         for Finding { rule, detail } in findings {
             self.record_violation(rule, detail);
         }
+        if has_collapsed { NodeCondition::Down } else { NodeCondition::Up }
     }
 
     /// A node has proven that an attempt, which came on this connection, never ran.
--- a/crates/testbed/src/soak/judge/checks.rs
+++ b/crates/testbed/src/soak/judge/checks.rs
@@ -1,12 +1,10 @@
 //! What is checked of each attempt.
 
 use super::attempt::{Attempt, SentAttempt};
+use super::slow_start::ColdCall;
 use super::{JudgeState, Request};
 use crate::soak::Seconds;
-use crate::soak::invariants::{
-    CLIENT_GONE_TOLERANCE, COLLAPSE_MULTIPLE, DRAIN_GRACE, OBSERVER_TOLERANCE, Rule,
-    SLOW_START_INITIAL_SHARE, SLOW_START_WINDOW, WAIT_TOLERANCE,
-};
+use crate::soak::invariants::{CLIENT_GONE_TOLERANCE, DRAIN_GRACE, OBSERVER_TOLERANCE, Rule, WAIT_TOLERANCE};
 
 /// A violation before its time is noted.
 pub(super) struct Finding {
@@ -18,7 +16,9 @@
     pub(super) fn check_attempt(&mut self, attempt: &Attempt, now: Seconds) -> Vec<Finding> {
         let mut findings = Vec::new();
         self.count("attempts");
-        findings.extend(self.check_slow_start(attempt.node, now));
+        let director = self.requests.get(&attempt.request).map(|request| request.director);
+        let call = ColdCall { director, at: attempt.sent_at.unwrap_or(now), read_at: now };
+        findings.extend(self.check_slow_start(attempt.node, call));
         match self.requests.get(&attempt.request) {
             None => {
                 let detail = format!("request {:016x}", attempt.request);
@@ -60,27 +60,6 @@
         Some(Finding { rule: Rule::EffectTwice, detail })
     }
 
-    /// Calls to a cold node in the last second, against what slow start allows.
-    pub(super) fn check_slow_start(&mut self, node: usize, now: Seconds) -> Option<Finding> {
-        let cold = self.cold_nodes.get_mut(&node)?;
-        let age = now - cold.since;
-        if age > SLOW_START_WINDOW {
-            return None;
-        }
-        cold.calls.push(now);
-        let calls = cold.calls.iter().filter(|at| **at > now - 1.0).count() as f64;
-        let share = SLOW_START_INITIAL_SHARE + (1.0 - SLOW_START_INITIAL_SHARE) * age / SLOW_START_WINDOW;
-        let allowed = COLLAPSE_MULTIPLE * share * cold.capacity;
-        // Small counts scatter more.
-        let deviations = if allowed < 30.0 { 3.0 } else { 2.0 };
-        if calls <= allowed + deviations * allowed.sqrt() + deviations || cold.reported {
-            return None;
-        }
-        cold.reported = true;
-        let detail = format!("node {node}: {calls} calls in a second, {allowed:.1} allowed");
-        Some(Finding { rule: Rule::SlowStart, detail })
-    }
-
     /// That the director did not know for longer than the grace that this node drains.
     fn check_drained(
         &self,
--- /dev/null
+++ b/crates/testbed/src/soak/judge/slow_start.rs
@@ -0,0 +1,203 @@
+//! Slow start: the calls that come to cold nodes, the collapse of a node that gets too many, and how near to it the
+//! nearest node came.
+//!
+//! Every call that reaches a cold node counts, also one that it turns away, and all classes weigh the same. A call counts
+//! at the time at which it was sent, where the send log of its director has it, else at which it was read: a node that
+//! reads late finds at once what came over a longer time.
+
+use std::collections::{HashMap, HashSet};
+use std::fmt;
+
+use super::JudgeState;
+use super::checks::Finding;
+use crate::soak::Seconds;
+use crate::soak::capacity::share;
+use crate::soak::invariants::{COLLAPSE_MULTIPLE, Rule, SLOW_START_WINDOW};
+
+#[cfg(test)]
+mod tests;
+
+/// The time, in seconds, over which calls to a cold node are counted.
+const COLLAPSE_WINDOW: f64 = 1.0;
+/// Of fewer calls than this the scatter is larger.
+const SMALL_COUNT: f64 = 30.0;
+/// The scatter of small and of other counts, in standard deviations.
+const SMALL_COUNT_DEVIATIONS: f64 = 3.0;
+const DEVIATIONS: f64 = 2.0;
+
+/// The calls that may come in a window for which so many are allowed: chance adds some.
+fn with_scatter(allowed: f64) -> f64 {
+    let deviations = if allowed < SMALL_COUNT { SMALL_COUNT_DEVIATIONS } else { DEVIATIONS };
+    allowed + deviations * allowed.sqrt() + deviations
+}
+
+/// A call to a cold node.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ColdCall {
+    /// Whose it is; none if no client sent its request.
+    pub(super) director: Option<usize>,
+    /// When it was sent or, where that is not known, read.
+    pub(super) at: Seconds,
+    pub(super) read_at: Seconds,
+}
+
+/// A node in slow start.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ColdNode {
+    pub(super) since: Seconds,
+    /// Calls a second that it bears once it is warm.
+    pub(super) capacity: f64,
+    /// The calls to it, ordered by `at`.
+    pub(super) calls: Vec<ColdCall>,
+    /// When each director was told of its start.
+    pub(super) told: HashMap<usize, Seconds>,
+    pub(super) has_collapsed: bool,
+    /// More calls were read than it bears, of which the send logs show that they came over a longer time.
+    pub(super) is_late_rush_noted: bool,
+}
+
+/// The calls to a cold node in one window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct ColdWindow {
+    ends_at: Seconds,
+    calls: usize,
+    /// Without the scatter.
+    allowed: f64,
+    /// How many directors made the calls.
+    directors: usize,
+    /// How many calls came from directors that had been told of the start.
+    told: usize,
+}
+
+impl ColdWindow {
+    fn part(&self) -> f64 {
+        self.calls as f64 / with_scatter(self.allowed)
+    }
+
+    fn is_collapse(&self) -> bool {
+        self.part() > 1.0
+    }
+
+    /// Whether over two thirds of the calls came from directors that had been told.
+    fn breaks_rule(&self) -> bool {
+        self.is_collapse() && 3 * self.told > 2 * self.calls
+    }
+}
+
+impl ColdNode {
+    /// The calls that collapse it within a window that ends then, without the scatter.
+    fn allowed(&self, at: Seconds) -> f64 {
+        COLLAPSE_MULTIPLE * share(at - self.since) * self.capacity
+    }
+
+    /// Whether a call counts as one of a director that had been told of the start. A call is the proof that its director
+    /// knows the node, whose port is new, unless it was sent before the record has it told.
+    fn is_told(&self, call: &ColdCall) -> bool {
+        let told_at = call.director.and_then(|director| self.told.get(&director));
+        told_at.is_none_or(|told_at| *told_at <= call.at)
+    }
+
+    /// Notes a call. Returns the fullest of the windows that hold it; none if the node is warm or down.
+    fn on_call(&mut self, call: ColdCall) -> Option<ColdWindow> {
+        if self.has_collapsed || call.at - self.since > SLOW_START_WINDOW {
+            return None;
+        }
+        let place = self.calls.partition_point(|earlier| earlier.at <= call.at);
+        self.calls.insert(place, call);
+        let ends = self.calls[place..].iter().map(|later| later.at);
+        let windows = ends.take_while(|end| *end < call.at + COLLAPSE_WINDOW).map(|end| self.window(end));
+        windows.max_by(|a, b| a.part().total_cmp(&b.part()))
+    }
+
+    fn window(&self, ends_at: Seconds) -> ColdWindow {
+        let first = self.calls.partition_point(|call| call.at <= ends_at - COLLAPSE_WINDOW);
+        let end = self.calls.partition_point(|call| call.at <= ends_at);
+        let calls = &self.calls[first..end];
+        ColdWindow {
+            ends_at,
+            calls: calls.len(),
+            allowed: self.allowed(ends_at),
+            directors: calls.iter().map(|call| call.director).collect::<HashSet<_>>().len(),
+            told: calls.iter().filter(|call| self.is_told(call)).count(),
+        }
+    }
+
+    /// Whether by their times of reading too many calls came before this time. Returns it once.
+    fn is_late_rush(&mut self, read_at: Seconds) -> bool {
+        let is_in_window = |call: &&ColdCall| (0.0..COLLAPSE_WINDOW).contains(&(read_at - call.read_at));
+        let calls = self.calls.iter().filter(is_in_window).count();
+        let is_rush = calls as f64 > with_scatter(self.allowed(read_at));
+        is_rush && !std::mem::replace(&mut self.is_late_rush_noted, true)
+    }
+}
+
+/// The cold node that came nearest to its collapse, when it did.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NearestColdNode {
+    /// Its number.
+    pub node: usize,
+    /// When the fullest second ended.
+    pub at: Seconds,
+    /// How long after its start that was.
+    pub age: f64,
+    /// The calls in that second.
+    pub calls: usize,
+    /// The calls above which it collapses, with the scatter.
+    pub allowed: f64,
+    /// How many directors made them.
+    pub directors: usize,
+}
+
+impl NearestColdNode {
+    /// The calls as a part of what is allowed; over 1 it collapsed.
+    pub fn part(&self) -> f64 {
+        self.calls as f64 / self.allowed
+    }
+}
+
+impl fmt::Display for NearestColdNode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let NearestColdNode { node, at, age, calls, allowed, directors } = self;
+        let part = self.part();
+        write!(
+            f,
+            "node {node}, {age:.2} s old at {at:.3} s: {calls} calls in a second, {allowed:.1} allowed with the scatter \
+             ({part:.2}), from {directors} directors"
+        )
+    }
+}
+
+impl JudgeState {
+    /// Calls to a cold node in a second, against what collapses it. Notes the call, and the collapse of the node.
+    pub(super) fn check_slow_start(&mut self, node: usize, call: ColdCall) -> Option<Finding> {
+        let cold = self.cold_nodes.get_mut(&node)?;
+        let window = cold.on_call(call)?;
+        let nearest = NearestColdNode {
+            node,
+            at: window.ends_at,
+            age: window.ends_at - cold.since,
+            calls: window.calls,
+            allowed: with_scatter(window.allowed),
+            directors: window.directors,
+        };
+        if self.nearest_cold_node.is_none_or(|earlier| nearest.part() > earlier.part()) {
+            self.nearest_cold_node = Some(nearest);
+        }
+        if !window.is_collapse() {
+            if cold.is_late_rush(call.read_at) {
+                self.count("cold nodes that read late what came over a longer time");
+            }
+            return None;
+        }
+        cold.has_collapsed = true;
+        self.count("cold nodes that collapsed");
+        let ColdWindow { allowed, told, .. } = window;
+        let detail = format!("{nearest}, {allowed:.1} without it; {told} calls of directors that were told");
+        window.breaks_rule().then_some(Finding { rule: Rule::SlowStart, detail })
+    }
+
+    /// Whether a node was pushed over, so that nothing runs there any more.
+    pub(super) fn has_collapsed(&self, node: usize) -> bool {
+        self.cold_nodes.get(&node).is_some_and(|cold| cold.has_collapsed)
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/soak/judge/slow_start/tests.rs
@@ -0,0 +1,132 @@
+//! When a cold node collapses, whose calls break the rule, and which node came nearest, with each bound as a literal.
+
+use super::*;
+
+const NODE: usize = 12;
+
+/// A cold node that started at second 10.
+fn started(capacity: f64) -> JudgeState {
+    let mut state = JudgeState::default();
+    state.cold_nodes.insert(NODE, ColdNode { since: 10.0, capacity, ..ColdNode::default() });
+    state
+}
+
+fn call(director: usize, at: Seconds) -> ColdCall {
+    ColdCall { director: Some(director), at, read_at: at }
+}
+
+/// Reports so many calls of a director. Returns whether one of them broke the rule.
+fn report(state: &mut JudgeState, director: usize, at: Seconds, count: usize) -> bool {
+    (0..count).filter_map(|_| state.check_slow_start(NODE, call(director, at))).count() > 0
+}
+
+#[test]
+fn a_cold_node_collapses_at_twice_what_it_bears_and_the_scatter() {
+    // 50 + 2 * sqrt(50) + 2, 125 + 2 * sqrt(125) + 2, 200 + 2 * sqrt(200) + 2; below 30: 20 + 3 * sqrt(20) + 3.
+    for (capacity, at, borne) in [(100.0, 10.0, 66), (100.0, 13.0, 149), (100.0, 16.0, 230), (40.0, 10.0, 36)]
+    {
+        let mut state = started(capacity);
+        assert!(!report(&mut state, 1, at, borne) && !state.has_collapsed(NODE), "{borne} at {at}");
+        assert!(report(&mut state, 1, at, 1) && state.has_collapsed(NODE), "one more at {at}");
+        // It stays down, and is reported once.
+        assert!(!report(&mut state, 1, at, 500) && state.has_collapsed(NODE));
+        assert_eq!(state.counts["cold nodes that collapsed"], 1);
+    }
+}
+
+#[test]
+fn a_node_that_is_warm_or_never_was_cold_does_not_collapse() {
+    let mut state = started(1.0);
+    assert!(!report(&mut state, 1, 16.01, 500) && !state.has_collapsed(NODE));
+    let mut state = JudgeState::default();
+    assert!(!report(&mut state, 1, 10.0, 500) && !state.has_collapsed(NODE));
+}
+
+#[test]
+fn calls_count_for_a_second() {
+    let mut state = started(100.0);
+    assert!(!report(&mut state, 1, 10.0, 66));
+    // 2 * 0.375 * 100 are allowed at 11 s, and 2 * sqrt(75) + 2 of scatter.
+    assert!(!report(&mut state, 1, 11.0, 60));
+    assert_eq!(state.nearest_cold_node.map(|nearest| nearest.calls), Some(66));
+    assert!(!report(&mut state, 1, 11.0, 34));
+    assert!(report(&mut state, 1, 11.0, 1));
+    let mut state = started(100.0);
+    assert!(!report(&mut state, 1, 10.01, 66));
+    assert!(!report(&mut state, 1, 11.0, 28));
+    assert!(report(&mut state, 1, 11.0, 1));
+}
+
+#[test]
+fn the_rule_is_broken_if_over_two_thirds_of_the_calls_came_from_directors_that_were_told() {
+    // Director 2 was told only after its calls.
+    for (of_untold, is_broken) in [(22, true), (23, false)] {
+        // 45 and 44 of 67.
+        let mut state = started(100.0);
+        let cold = state.cold_nodes.get_mut(&NODE).unwrap();
+        cold.told.extend([(1, 9.0), (2, 10.5)]);
+        assert!(!report(&mut state, 2, 10.0, of_untold));
+        assert_eq!(report(&mut state, 1, 10.0, 67 - of_untold), is_broken, "{of_untold}");
+        assert!(state.has_collapsed(NODE));
+        // It fell once, whoever comes then.
+        assert!(!report(&mut state, 1, 10.6, 500));
+    }
+}
+
+#[test]
+fn a_call_counts_as_told_unless_the_record_shows_otherwise() {
+    let mut state = started(100.0);
+    let cold = state.cold_nodes.get_mut(&NODE).unwrap();
+    cold.told.insert(1, 10.5);
+    assert!(!cold.is_told(&call(1, 10.49)));
+    assert!(cold.is_told(&call(1, 10.5)));
+    // No record of this director, and a request that no client sent.
+    assert!(cold.is_told(&call(2, 10.0)));
+    assert!(cold.is_told(&ColdCall { director: None, ..call(1, 10.0) }));
+}
+
+#[test]
+fn calls_count_when_they_were_sent_in_whatever_order_they_are_read() {
+    // Sent over three seconds and read at once, by a node that was stuck.
+    let mut state = started(100.0);
+    for number in 0..150 {
+        let sent = ColdCall { read_at: 13.0, ..call(1, 10.0 + f64::from(number) / 50.0) };
+        assert!(state.check_slow_start(NODE, sent).is_none());
+    }
+    assert!(!state.has_collapsed(NODE));
+    assert_eq!(state.counts["cold nodes that read late what came over a longer time"], 1);
+    // Sent at once and read over two seconds, the last ones first.
+    let mut state = started(100.0);
+    let sent = |number: u32| ColdCall { read_at: 12.0 - f64::from(number) / 40.0, ..call(1, 10.0) };
+    assert_eq!((0..67).rev().filter_map(|number| state.check_slow_start(NODE, sent(number))).count(), 1);
+    // A call that is read late completes a window that ended before: 55 + 2 * sqrt(55) + 2 at 10.2 s.
+    let mut state = started(100.0);
+    assert!(!report(&mut state, 1, 10.0, 33));
+    assert!(!report(&mut state, 1, 10.2, 35));
+    assert!(!report(&mut state, 1, 14.0, 9));
+    assert!(!report(&mut state, 1, 10.1, 3));
+    assert!(report(&mut state, 1, 10.1, 1));
+}
+
+#[test]
+fn the_nearest_cold_node_is_the_one_with_the_largest_part_of_what_is_allowed() {
+    let mut state = started(100.0);
+    assert_eq!(state.nearest_cold_node, None);
+    let other = ColdNode { since: 12.0, capacity: 100.0, ..ColdNode::default() };
+    state.cold_nodes.insert(NODE + 1, other);
+    report(&mut state, 1, 13.0, 40);
+    report(&mut state, 2, 13.0, 40);
+    // Fewer calls, and a larger part of what a colder node bears: 66.1 with the scatter, not 149.4.
+    for director in [1, 2, 3] {
+        for _ in 0..13 {
+            state.check_slow_start(NODE + 1, call(director, 12.0));
+        }
+    }
+    report(&mut state, 1, 15.0, 10);
+    let nearest = state.nearest_cold_node.unwrap();
+    assert_eq!((nearest.node, nearest.calls, nearest.directors), (13, 39, 3));
+    assert_eq!((nearest.at, nearest.age), (12.0, 0.0));
+    let printed = "node 13, 0.00 s old at 12.000 s: 39 calls in a second, 66.1 allowed with the scatter (0.59), \
+                   from 3 directors";
+    assert_eq!(nearest.to_string(), printed);
+}
--- a/crates/testbed/src/soak/judge/tests.rs
+++ b/crates/testbed/src/soak/judge/tests.rs
@@ -1,5 +1,6 @@
 //! What the judge finds and what it lets pass, with each bound as a literal.
 
+use super::slow_start::ColdCall;
 use super::*;
 
 const REQUEST: u64 = 7;
@@ -35,6 +36,10 @@
     }
 }
 
+fn cold_call(at: Seconds) -> ColdCall {
+    ColdCall { director: Some(DIRECTOR), at, read_at: at }
+}
+
 fn rules(findings: &[Finding]) -> Vec<Rule> {
     findings.iter().map(|finding| finding.rule).collect()
 }
@@ -96,7 +101,7 @@
     state.cold_nodes.insert(NODE, cold);
     // 2 * 0.25 * 100 calls are allowed at first, with a scatter of 2 * sqrt(50) + 2.
     let calls = |state: &mut JudgeState, count: usize| -> usize {
-        (0..count).filter_map(|_| state.check_slow_start(NODE, 10.0)).count()
+        (0..count).filter_map(|_| state.check_slow_start(NODE, cold_call(10.0))).count()
     };
     assert_eq!(calls(&mut state, 66), 0);
     assert_eq!(calls(&mut state, 1), 1);
@@ -104,7 +109,7 @@
     assert_eq!(calls(&mut state, 100), 0);
     let warm = ColdNode { since: 10.0, capacity: 1.0, ..ColdNode::default() };
     state.cold_nodes.insert(NODE, warm);
-    assert_eq!((0..100).filter_map(|_| state.check_slow_start(NODE, 16.1)).count(), 0);
+    assert_eq!((0..100).filter_map(|_| state.check_slow_start(NODE, cold_call(16.1))).count(), 0);
 }
 
 #[test]
--- a/crates/testbed/src/soak/node.rs
+++ b/crates/testbed/src/soak/node.rs
@@ -10,17 +10,23 @@
 use socket2::{Domain, SockRef, Socket, Type};
 
 use super::Seconds;
-use super::judge::{Attempt, Judge, NodeLink};
+use super::capacity::{Admission, AdmissionQueue, Capacity};
+use super::judge::{Attempt, Judge, NodeCondition, NodeLink};
 use crate::clock::unix_ms;
 use crate::pull_request::PullRequest;
 use crate::threads::{lock, spawn};
 
+#[cfg(test)]
+mod tests;
+
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 128;
 /// The same while connections are accepted late: so few that others find no room.
 const DELAYED_BACKLOG: i32 = 0;
 /// How long after it read or accepted nothing a node may find bytes that lay unread.
 const LATE_READS_AFTER: f64 = 1.0;
+/// How often a node that reads nothing looks whether it is down.
+const STUCK_POLL: Duration = Duration::from_millis(20);
 /// What a node answers that is no answer.
 const GARBAGE: &[u8] = b"what is this\r\n";
 const SECOND_ANSWER_AFTER: Duration = Duration::from_millis(3);
@@ -49,6 +55,14 @@
     WrongTag,
 }
 
+impl Misbehavior {
+    /// Whether requests are served, so that the node's capacity counts. One that fails all of them fails those as well
+    /// that it has no capacity for.
+    fn serves(self) -> bool {
+        matches!(self, Misbehavior::Normal | Misbehavior::Twice | Misbehavior::WrongTag)
+    }
+}
+
 #[derive(Default)]
 struct NodeState {
     behavior: Misbehavior,
@@ -60,6 +74,10 @@
     stuck_until: Seconds,
     /// No connection is accepted until then.
     accepts_from: Seconds,
+    /// The calls that it has accepted; none if it bears anything.
+    admissions: Option<AdmissionQueue>,
+    /// It was cold and was pushed over: it stays down.
+    has_collapsed: bool,
 }
 
 /// One node.
@@ -125,6 +143,7 @@
 struct QueuedPull {
     pull: Pull,
     received_at: Seconds,
+    admission: Admission,
 }
 
 /// What a director has given up on a connection: a `KILL` names one attempt, the end of the connection means all.
@@ -159,12 +178,19 @@
     Ok(socket.into())
 }
 
+/// Ends the reads of a connection, which is reset once nothing uses it any more.
+fn reset_when_dropped(connection: &TcpStream) {
+    let _ = SockRef::from(connection).set_linger(Some(Duration::ZERO));
+    let _ = connection.shutdown(Shutdown::Read);
+}
+
 impl Node {
-    /// Listens on a port of its own and joins the nodes.
+    /// Listens on a port of its own and joins the nodes. Without a capacity it bears anything.
     pub(crate) fn start(
         number: usize,
         name: &str,
         kind: &'static str,
+        capacity: Option<Capacity>,
         judge: &Arc<Judge>,
         nodes: &Nodes,
     ) -> io::Result<Arc<Node>> {
@@ -175,7 +201,10 @@
             kind,
             address: listener.local_addr()?,
             judge: Arc::clone(judge),
-            state: Mutex::default(),
+            state: Mutex::new(NodeState {
+                admissions: capacity.map(AdmissionQueue::new),
+                ..NodeState::default()
+            }),
         });
         lock(nodes).insert(name.to_owned(), Arc::clone(&node));
         let (own, nodes) = (Arc::clone(&node), Arc::clone(nodes));
@@ -210,6 +239,42 @@
         }
     }
 
+    /// Goes down for good: resets all its connections, ends new ones at once and runs nothing any more.
+    fn collapse(&self) {
+        let connections = {
+            let mut state = lock(&self.state);
+            state.has_collapsed = true;
+            std::mem::take(&mut state.connections)
+        };
+        connections.iter().for_each(|connection| reset_when_dropped(connection));
+    }
+
+    fn has_collapsed(&self) -> bool {
+        lock(&self.state).has_collapsed
+    }
+
+    /// Keeps a connection that was accepted; false if the node is down.
+    fn keep_connection(&self, stream: &Arc<TcpStream>) -> bool {
+        let mut state = lock(&self.state);
+        if !state.has_collapsed {
+            state.connections.push(Arc::clone(stream));
+        }
+        !state.has_collapsed
+    }
+
+    /// How long it still reads nothing, for a short while at most.
+    fn stuck_for(&self) -> Option<Duration> {
+        let state = lock(&self.state);
+        let stuck = state.stuck_until - self.judge.now();
+        (stuck > 0.0 && !state.has_collapsed).then(|| Duration::from_secs_f64(stuck).min(STUCK_POLL))
+    }
+
+    /// What it does with a call that has come.
+    fn admit(&self) -> Admission {
+        let now = self.judge.now();
+        lock(&self.state).admissions.as_mut().map_or(Admission::From(now), |queue| queue.admit(now))
+    }
+
     /// Whether what it reads now may have lain unread for a while, through no fault of its sender.
     fn is_reading_late(&self) -> bool {
         let state = lock(&self.state);
@@ -233,7 +298,10 @@
             let (own, nodes, stream) = (Arc::clone(self), Arc::clone(nodes), Arc::new(stream));
             let port = stream.peer_addr().map_or(0, |address| address.port());
             let link = NodeLink { port, accepted_at: self.judge.now() };
-            lock(&self.state).connections.push(Arc::clone(&stream));
+            if !self.keep_connection(&stream) {
+                reset_when_dropped(&stream);
+                continue;
+            }
             spawn(move || {
                 // A director that goes ends its connection.
                 let _ = own.serve(&stream, link, &nodes);
@@ -273,12 +341,11 @@
         let mut reader = BufReader::new(stream);
         let mut line = String::new();
         loop {
-            let stuck = lock(&self.state).stuck_until - self.judge.now();
-            if stuck > 0.0 {
-                std::thread::sleep(Duration::from_secs_f64(stuck));
+            while let Some(pause) = self.stuck_for() {
+                std::thread::sleep(pause);
             }
             line.clear();
-            if reader.read_line(&mut line)? == 0 {
+            if self.has_collapsed() || reader.read_line(&mut line)? == 0 {
                 return Ok(());
             }
             if let Some(request) = killed_request(&line) {
@@ -289,22 +356,27 @@
             let pull = Pull::from_request(&request);
             request.skip_body(&mut reader)?;
             let Some(pull) = pull else { continue };
-            let received_at = self.report_attempt(&pull, link, nodes);
-            if queue.send(QueuedPull { pull, received_at }).is_err() {
+            let Some(received_at) = self.report_attempt(&pull, link, nodes) else {
+                self.collapse();
+                return Ok(());
+            };
+            let admission = self.admit();
+            if queue.send(QueuedPull { pull, received_at, admission }).is_err() {
                 return Ok(());
             }
         }
     }
 
     /// Reports an attempt to the judge. Returns when it was sent or, where that is not known, when it came: 0 if it may
-    /// have come at any time, as nothing was read.
-    fn report_attempt(&self, pull: &Pull, link: NodeLink, nodes: &Nodes) -> Seconds {
+    /// have come at any time, as nothing was read. None: the node is down.
+    fn report_attempt(&self, pull: &Pull, link: NodeLink, nodes: &Nodes) -> Option<Seconds> {
         let source = pull.source.as_ref().and_then(|name| lock(nodes).get(name).map(|node| node.number));
         let read_late = self.is_reading_late();
         let (request, node, wait_ms) = (pull.request, self.number, pull.wait_ms);
         let sent_at = self.judge.sent_at(request, link.port);
-        self.judge.on_attempt(&Attempt { request, node, source, wait_ms, read_late, link, sent_at });
-        sent_at.unwrap_or(if read_late { 0.0 } else { self.judge.now() })
+        let attempt = Attempt { request, node, source, wait_ms, read_late, link, sent_at };
+        let is_up = self.judge.on_attempt(&attempt) == NodeCondition::Up;
+        is_up.then(|| sent_at.unwrap_or(if read_late { 0.0 } else { self.judge.now() }))
     }
 
     /// Executes one attempt and answers it, as the behavior of this moment has it.
@@ -316,14 +388,18 @@
         mut stream: &TcpStream,
         nodes: &Nodes,
     ) -> io::Result<Connection> {
-        let QueuedPull { pull, received_at } = queued;
+        let QueuedPull { pull, received_at, admission } = queued;
         let source = pull.source.as_ref().and_then(|name| lock(nodes).get(name).cloned());
+        self.wait_for_turn(*admission);
         std::thread::sleep(Duration::from_micros(1_000 + pull.object % 7_000));
+        if self.has_collapsed() {
+            return Ok(Connection::Closed);
+        }
         if lock(given_up).contains(pull.request) {
             self.judge.count("attempts given up before they were begun");
             return Ok(Connection::Open);
         }
-        let behavior = self.behavior();
+        let behavior = self.behavior_by(*admission);
         if behavior == Misbehavior::Full {
             self.judge.on_not_run(pull.request, link.port);
         }
@@ -349,6 +425,24 @@
         Ok(Connection::Open)
     }
 
+    fn wait_for_turn(&self, admission: Admission) {
+        let Admission::From(begins_at) = admission else { return };
+        let wait = begins_at - self.judge.now();
+        if wait > 0.0 {
+            std::thread::sleep(Duration::from_secs_f64(wait));
+        }
+    }
+
+    /// The behavior of this moment towards an attempt that was admitted or not.
+    fn behavior_by(&self, admission: Admission) -> Misbehavior {
+        let behavior = self.behavior();
+        if admission == Admission::Full && behavior.serves() {
+            self.judge.count("attempts turned away as full");
+            return Misbehavior::Full;
+        }
+        behavior
+    }
+
     /// When the copy that is served was made (Unix milliseconds): its own if it is young enough, or one that it fills.
     fn copy(&self, pull: &Pull, source: Option<&Node>) -> Option<u64> {
         let now = unix_ms();
--- /dev/null
+++ b/crates/testbed/src/soak/node/tests.rs
@@ -0,0 +1,89 @@
+//! Stand-in caches at and above their capacity.
+
+use std::io::Read;
+
+use super::*;
+use crate::soak::invariants::{Effect, Rule};
+
+/// The calls a second that the node bears once it is warm.
+const CAPACITY: f64 = 100.0;
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// A cache and its judge; it has no source, so that what it serves is a miss.
+fn start_cache(cold_since: Option<Seconds>) -> (Arc<Node>, Arc<Judge>) {
+    let (judge, nodes) = (Arc::new(Judge::new()), Nodes::default());
+    let capacity = Capacity { warm: CAPACITY, cold_since };
+    let node = Node::start(0, "cache-0", "small", Some(capacity), &judge, &nodes).unwrap();
+    if let Some(since) = cold_since {
+        judge.on_cold_start(0, since, CAPACITY);
+    }
+    (node, judge)
+}
+
+fn connect(node: &Node) -> TcpStream {
+    let stream = TcpStream::connect(node.address).unwrap();
+    stream.set_read_timeout(Some(LIMIT)).unwrap();
+    stream
+}
+
+/// Writes the attempts of these requests at once.
+fn send_attempts(judge: &Judge, mut stream: &TcpStream, requests: std::ops::Range<u64>) {
+    let mut lines = String::new();
+    for request in requests {
+        judge.on_request(request, 0, Effect::Idempotent, 1, 9.0);
+        lines += &format!("PULL {request:016x} key=1,wait=100 0\r\n\r\n");
+    }
+    stream.write_all(lines.as_bytes()).unwrap();
+}
+
+/// The words of so many answers.
+fn read_answers(stream: &TcpStream, count: usize) -> Vec<String> {
+    let answers = BufReader::new(stream).lines().map(|line| line.unwrap());
+    let words = answers.filter_map(|line| line.split(' ').nth(1).map(str::to_owned));
+    words.take(count).collect()
+}
+
+fn is_ended(mut stream: &TcpStream) -> bool {
+    match stream.read_to_end(&mut Vec::new()) {
+        Ok(_) => true,
+        Err(e) => matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe),
+    }
+}
+
+#[test]
+fn a_warm_cache_turns_away_what_it_has_no_capacity_for() {
+    let (node, judge) = start_cache(None);
+    let stream = connect(&node);
+    send_attempts(&judge, &stream, 1..101);
+    let answers = read_answers(&stream, 100);
+    let turned_away = answers.iter().filter(|word| *word == "AGAIN").count();
+    // What has its turn within a tenth of a second; more if the reads of the hundred lasted longer.
+    assert!((1..=89).contains(&turned_away), "{turned_away}");
+    assert_eq!(answers.iter().filter(|word| *word == "NOENT").count(), 100 - turned_away);
+    assert_eq!(judge.finish().1["attempts turned away as full"], turned_away as u64);
+}
+
+#[test]
+fn a_cold_cache_that_is_pushed_over_resets_its_connections_and_stays_down() {
+    let (node, judge) = start_cache(Some(0.0));
+    let (idle, busy) = (connect(&node), connect(&node));
+    // Both are in use.
+    send_attempts(&judge, &idle, 1..2);
+    assert_eq!(read_answers(&idle, 1), ["NOENT"]);
+    send_attempts(&judge, &busy, 2..402);
+    assert!(is_ended(&busy) && is_ended(&idle));
+    assert!(is_ended(&connect(&node)), "a new connection");
+    let (violations, counts) = judge.finish();
+    let rules: Vec<Rule> = violations.iter().map(|violation| violation.rule).collect();
+    assert_eq!((rules, counts["cold nodes that collapsed"]), (vec![Rule::SlowStart], 1));
+}
+
+#[test]
+fn a_node_without_a_bound_turns_nothing_away() {
+    let (judge, nodes) = (Arc::new(Judge::new()), Nodes::default());
+    let node = Node::start(0, "parent-0", "parent", None, &judge, &nodes).unwrap();
+    let stream = connect(&node);
+    send_attempts(&judge, &stream, 1..201);
+    let answers = read_answers(&stream, 200);
+    assert!(answers.iter().all(|word| word == "ACK"), "{answers:?}");
+}
--- a/crates/testbed/src/soak/report.rs
+++ b/crates/testbed/src/soak/report.rs
@@ -5,6 +5,7 @@
 
 use super::fault_log::FaultSpan;
 use super::invariants::{OBSERVER_TOLERANCE, Rule, Violation};
+use super::judge::NearestColdNode;
 use super::lateness::Lateness;
 
 #[cfg(test)]
@@ -32,6 +33,8 @@
     pub violations: Vec<Violation>,
     /// What was counted, by name.
     pub counts: BTreeMap<&'static str, u64>,
+    /// How near a cold node came to its collapse; none if no cold node was called.
+    pub nearest_cold_node: Option<NearestColdNode>,
     /// The number of planned faults.
     pub planned_faults: usize,
     /// What was injected, and when.
@@ -70,6 +73,10 @@
         for (name, count) in &self.counts {
             writeln!(f, "{count:>9} {name}")?;
         }
+        match &self.nearest_cold_node {
+            Some(nearest) => writeln!(f, "nearest cold node: {nearest}")?,
+            None => writeln!(f, "nearest cold node: none was called")?,
+        }
         let mut by_rule: BTreeMap<Rule, usize> = BTreeMap::new();
         for violation in &self.violations {
             *by_rule.entry(violation.rule).or_default() += 1;
--- a/crates/testbed/src/soak/report/tests.rs
+++ b/crates/testbed/src/soak/report/tests.rs
@@ -6,6 +6,7 @@
     SoakReport {
         violations,
         counts: BTreeMap::new(),
+        nearest_cold_node: None,
         planned_faults: 0,
         faults: vec![FaultSpan { what: "a pause".into(), from: 1.0, to: 2.5 }],
         lateness: Lateness { p999: 0.001, worst, longest_write: 0.001 },
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use super::Options;
+use super::capacity::{CACHE_CAPACITY, Capacity};
 use super::client::Client;
 use super::director::Director;
 use super::discovery::{Discovery, Notification, note_events_for_all};
@@ -49,10 +50,16 @@
 }
 
 impl Soak<'_> {
-    /// Starts a node with the next number.
-    pub(super) fn add_node(&self, name: &str, kind: &'static str) -> Result<Arc<Node>, TrialError> {
+    /// Starts a node with the next number. Without a capacity it bears anything.
+    pub(super) fn add_node(
+        &self,
+        name: &str,
+        kind: &'static str,
+        capacity: Option<Capacity>,
+    ) -> Result<Arc<Node>, TrialError> {
         let number = lock(&self.nodes_by_number).len();
-        let node = Node::start(number, name, kind, &self.judge, &self.nodes).map_err(io_error("a node"))?;
+        let node = Node::start(number, name, kind, capacity, &self.judge, &self.nodes)
+            .map_err(io_error("a node"))?;
         lock(&self.nodes_by_number).push(Arc::clone(&node));
         Ok(node)
     }
@@ -83,11 +90,12 @@
     /// Starts the first nodes and publishes the list of them.
     fn start_nodes(&self) -> Result<(), TrialError> {
         let caches = self.options.caches;
+        let warm_cache = Capacity { warm: CACHE_CAPACITY, cold_since: None };
         for number in 0..caches {
-            self.add_node(&format!("cache-{number}"), "small")?;
+            self.add_node(&format!("cache-{number}"), "small", Some(warm_cache))?;
         }
-        self.add_node("parent-0", "parent")?;
-        self.add_node("origin-0", "origin")?;
+        self.add_node("parent-0", "parent", None)?;
+        self.add_node("origin-0", "origin", None)?;
         *lock(&self.places) = (0..caches + 2).collect();
         let endpoints: Vec<_> =
             lock(&self.nodes_by_number).iter().map(|node| endpoint_of(node, "ready", 0)).collect();
@@ -209,6 +217,8 @@
     soak.check_logs();
     let lateness = Lateness { longest_write: judge.longest_write(), ..lateness.finish() };
     let faults = soak.faults.spans();
+    let nearest_cold_node = judge.nearest_cold_node();
     let (violations, counts) = judge.finish();
-    Ok(SoakReport { violations, counts, planned_faults: plan_faults(options).len(), faults, lateness })
+    let planned_faults = plan_faults(options).len();
+    Ok(SoakReport { violations, counts, nearest_cold_node, planned_faults, faults, lateness })
 }
