Soak: one configuration of a director is written at a time

Change: a lock is held while a configuration is made and put in place, so that an older list of events does not replace a newer one either.

--- a/crates/testbed/src/soak/director.rs
+++ b/crates/testbed/src/soak/director.rs
@@ -74,6 +74,8 @@
     pub(crate) send_log: PathBuf,
     _port: ReservedPort,
     judge: Arc<Judge>,
+    /// Held while its configuration is written: a restart and a reload may meet.
+    configuring: Mutex<()>,
     state: Mutex<DirectorState>,
 }
 
@@ -89,12 +91,14 @@
             fault_rules: file("plan"),
             send_log: file("sends"),
             judge: Arc::clone(judge),
+            configuring: Mutex::default(),
             state: Mutex::default(),
         }
     }
 
     /// Writes its configuration, which holds all events up to now, and returns their number.
     fn configure(&self, options: &Options, discovery: &Discovery) -> Result<usize, TrialError> {
+        let _turn = lock(&self.configuring);
         let model = NodeModel {
             slow_start_initial_share: SLOW_START_INITIAL_SHARE,
             slow_start_us: (SLOW_START_WINDOW * 1e6) as u64,
