--- a/crates/testbed/src/soak/director.rs
+++ b/crates/testbed/src/soak/director.rs
@@ -74,6 +74,8 @@
     pub(crate) send_log: PathBuf,
     _port: ReservedPort,
     judge: Arc<Judge>,
+    /// Held while its configuration is written: a restart and a reload may meet.
+    configuring: Mutex<()>,
     state: Mutex<DirectorState>,
 }
 
@@ -89,19 +91,21 @@
             fault_rules: file("plan"),
             send_log: file("sends"),
             judge: Arc::clone(judge),
+            configuring: Mutex::default(),
             state: Mutex::default(),
         }
     }
 
     /// Writes its configuration, which holds all events up to now, and returns their number.
     fn configure(&self, options: &Options, discovery: &Discovery) -> Result<usize, TrialError> {
+        let _turn = lock(&self.configuring);
         let model = NodeModel {
             slow_start_initial_share: SLOW_START_INITIAL_SHARE,
             slow_start_us: (SLOW_START_WINDOW * 1e6) as u64,
             collapse_multiple: COLLAPSE_MULTIPLE,
             stream_kb_per_s: STREAM_KB_PER_S,
         };
-        let feed = discovery.addresses[lock(&self.state).discovery_address];
+        let feed = discovery.addresses[self.number][lock(&self.state).discovery_address];
         let seed = options.seed.wrapping_mul(1_000).wrapping_add(self.judge.now() as u64) >> 1;
         let mut config =
             director_config(self.number, options.directors, seed, self.address, (feed, &[]), &model);
@@ -110,6 +114,7 @@
         config["settings"]["ceilings"]["dialTimeoutUs"] = json!(1_500_000);
         config["limits"]["sockets"] = json!(256);
         set_classes(&mut config);
+        discovery.note_configured(self.number, known.len());
         // Replaced in one step: a reload may read it at any time.
         let new = self.config.with_extension("new");
         std::fs::write(&new, config.to_string()).map_err(io_error(new.display().to_string()))?;
