Soak: a verdict for each violation, by whether a late own thread can have made it

Cause: one moment in which a thread of the soak ran more than 0.1 s late turned the whole run into "not judged" (exit code 3), whatever was seen: an effect that was sent twice, wrong bytes, a panic of a director.

Change: each violation carries its evidence (soak/evidence.rs has the table of all rules): exact where no late thread of the soak can have made it (bytes, counts, logs, exits, the send log's times against times that lateness can only move in the director's favor), else the span of the times that threads of the soak stamped. The sampler and the clients' long writes are kept as spans. A violation is not judged if such a span overlaps its evidence. Failed if any is judged; else not judged if own threads were late past the tolerance, with or without violations; else passed. The report prints [judged] or [not judged] at each, names the late spans, counts the two kinds apart and prints the judged ones first. The sampler measures by the soak's clock. No bound or tolerance changes.

--- a/crates/testbed/src/soak/client.rs
+++ b/crates/testbed/src/soak/client.rs
@@ -384,7 +384,7 @@
         let detail = format!(
             "request {id:016x} at director {number}: {why}, {after:.3} s after it was written, budget {budget:.3}"
         );
-        self.judge.record_violation(Rule::Lost, detail);
+        self.judge.record_observed(Rule::Lost, request.written_at, detail);
     }
 }
 
--- a/crates/testbed/src/soak/director.rs
+++ b/crates/testbed/src/soak/director.rs
@@ -225,6 +225,7 @@
     /// Waits for its exit as long as a platform does that kills it at the earliest, not counted the time for which it
     /// was held; a failure or none is a crash. What it had taken and did not answer is lost.
     pub(crate) fn wait_for_exit(&self) {
+        let since = self.stopping_since();
         while self.judge.now() < self.kill_time() {
             let exited = lock(&self.state).process.as_mut().map(|process| process.0.try_wait());
             match exited {
@@ -232,30 +233,33 @@
                 Some(Ok(Some(status))) => {
                     lock(&self.state).process = None;
                     if !status.success() {
-                        self.record_crash(&format!(": {status}"));
+                        let detail = format!("director {}: {status}", self.number);
+                        self.judge.record_violation(Rule::Crash, detail);
                     }
                     return;
                 }
                 Some(_) => std::thread::sleep(EXIT_POLL),
             }
         }
-        self.record_crash(" did not exit when it was asked to");
+        let detail = format!("director {} did not exit when it was asked to", self.number);
+        self.judge.record_observed(Rule::Crash, since, detail);
         // Dropping a process kills it.
         lock(&self.state).process = None;
     }
 
+    /// When it was asked to stop; now if it was not.
+    fn stopping_since(&self) -> Seconds {
+        lock(&self.state).stopping_since.unwrap_or_else(|| self.judge.now())
+    }
+
     /// When a platform kills it, after it was asked to stop.
     fn kill_time(&self) -> Seconds {
+        let since = self.stopping_since();
         let state = lock(&self.state);
-        let since = state.stopping_since.unwrap_or_else(|| self.judge.now());
         let held: f64 = state.held.iter().map(|span| (span.to - span.from.max(since)).max(0.0)).sum();
         since + STOP_TIMEOUT + held
     }
 
-    fn record_crash(&self, what: &str) {
-        self.judge.record_violation(Rule::Crash, format!("director {}{what}", self.number));
-    }
-
     /// Whether it has exited by itself.
     pub(crate) fn has_crashed(&self) -> bool {
         lock(&self.state).process.as_mut().is_some_and(ChildProcess::has_exited)
--- a/crates/testbed/src/soak/fault_injection.rs
+++ b/crates/testbed/src/soak/fault_injection.rs
@@ -112,8 +112,9 @@
 
     /// Starts a director that has ended.
     pub(super) fn start_again(&self, director: &Director) {
+        let since = self.judge.now();
         if let Err(e) = self.start_director(director) {
-            self.judge.record_violation(Rule::Crash, e.to_string());
+            self.judge.record_observed(Rule::Crash, since, e.to_string());
         }
     }
 
--- a/crates/testbed/src/soak/invariants.rs
+++ b/crates/testbed/src/soak/invariants.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use super::Seconds;
+use super::evidence::Evidence;
 
 /// How much more time than is left a node may be told to wait.
 pub(crate) const WAIT_TOLERANCE: f64 = 0.15;
@@ -65,6 +66,8 @@
     pub rule: Rule,
     /// When it was noticed, in seconds since the soak began.
     pub at: Seconds,
+    /// What it rests on.
+    pub evidence: Evidence,
     /// What was seen.
     pub detail: String,
 }
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -7,9 +7,11 @@
 use rustix::time::{ClockId, clock_gettime};
 
 use super::Seconds;
+use super::evidence::{Evidence, TimeSpan};
 use super::invariants::{
     DEDUPLICATION_WINDOW, Effect, LOST_AFTER, OBSERVER_TOLERANCE, PURGE_GRACE, Rule, Violation,
 };
+use super::lateness::Delays;
 use super::send_log::SendLog;
 use crate::threads::lock;
 
@@ -84,7 +86,7 @@
     directors: HashMap<usize, DirectorView>,
     cold_nodes: HashMap<usize, ColdNode>,
     violations: Vec<Violation>,
-    longest_write: f64,
+    writes: Delays,
     counts: BTreeMap<&'static str, u64>,
 }
 
@@ -140,9 +142,21 @@
         lock(&self.state).count(counter);
     }
 
+    /// Records a violation that no late thread of the soak can have made (the table in `evidence` says which).
     pub(crate) fn record_violation(&self, rule: Rule, detail: String) {
+        self.record(Finding { rule, evidence: Evidence::Exact, detail });
+    }
+
+    /// Records a violation that rests on times which threads of the soak stamped from `since` until now.
+    pub(crate) fn record_observed(&self, rule: Rule, since: Seconds, detail: String) {
+        let evidence = Evidence::Observed(TimeSpan { from: since, to: self.now() });
+        self.record(Finding { rule, evidence, detail });
+    }
+
+    fn record(&self, finding: Finding) {
         let at = self.now();
-        lock(&self.state).violations.push(Violation { rule, at, detail });
+        let Finding { rule, evidence, detail } = finding;
+        lock(&self.state).violations.push(Violation { rule, at, evidence, detail });
     }
 
     /// Takes out what was found and counted.
@@ -187,14 +201,13 @@
         let mut state = lock(&self.state);
         let Some(request) = state.requests.get_mut(&id) else { return };
         request.written_by = Some(now);
-        let lasted = now - request.written_at;
-        state.longest_write = state.longest_write.max(lasted);
+        let write = TimeSpan { from: request.written_at, to: now };
+        state.writes.record(write);
     }
 
-    /// The longest time that a client took to write the last piece of a request: far longer than usual if its thread was
-    /// not run.
-    pub(crate) fn longest_write(&self) -> f64 {
-        lock(&self.state).longest_write
+    /// What clients took to write the last piece of a request: far longer than usual if their threads were not run.
+    pub(crate) fn writes(&self) -> Delays {
+        lock(&self.state).writes.clone()
     }
 
     /// The client of a request has closed its connection or cancelled the request.
@@ -271,9 +284,7 @@
     pub(crate) fn on_attempt(&self, attempt: &Attempt) {
         let now = self.now();
         let findings = lock(&self.state).check_attempt(attempt, now);
-        for Finding { rule, detail } in findings {
-            self.record_violation(rule, detail);
-        }
+        findings.into_iter().for_each(|finding| self.record(finding));
     }
 
     /// A node has proven that an attempt, which came on this connection, never ran.
@@ -298,17 +309,10 @@
             (request.effect, earlier)
         };
         let Some(first) = earlier else { return };
-        let runs_twice = match effect {
-            Effect::Idempotent => false,
-            Effect::AtMostOnce => true,
-            Effect::Deduplicated => now > first + DEDUPLICATION_WINDOW + OBSERVER_TOLERANCE,
-        };
-        if runs_twice {
-            let request = self.request(id);
-            let sent = request.map(|request| request.describe_sent()).unwrap_or_default();
-            let detail = format!("request {id:016x} ran at {first:.3} and now{sent}");
-            self.record_violation(Rule::EffectTwice, detail);
-        }
+        let Some(evidence) = second_execution(effect, first, now) else { return };
+        let sent = self.request(id).map(|request| request.describe_sent()).unwrap_or_default();
+        let detail = format!("request {id:016x} ran at {first:.3} and now{sent}");
+        self.record(Finding { rule: Rule::EffectTwice, evidence, detail });
     }
 
     /// A copy that was made at `issued_ms` (Unix time) was served for an attempt that came at `received_at`.
@@ -328,11 +332,24 @@
             let detail = format!(
                 "request {id:016x}: a copy {older} ms older than a purge, notified at {notified_at:.3}"
             );
-            self.record_violation(Rule::Purged, detail);
+            let evidence = Evidence::Observed(TimeSpan { from: notified_at, to: received_at });
+            self.record(Finding { rule: Rule::Purged, evidence, detail });
         }
     }
 }
 
+/// The evidence that an effect ran once more now, if it did: nodes recognize a repeat within the deduplication window.
+fn second_execution(effect: Effect, first: Seconds, now: Seconds) -> Option<Evidence> {
+    let window_end = first + DEDUPLICATION_WINDOW;
+    match effect {
+        Effect::Idempotent => None,
+        Effect::AtMostOnce => Some(Evidence::Exact),
+        // Nodes that are on time before the window ends run a repeat by then.
+        Effect::Deduplicated => (now > window_end + OBSERVER_TOLERANCE)
+            .then_some(Evidence::Observed(TimeSpan { from: window_end, to: now })),
+    }
+}
+
 impl JudgeState {
     fn count(&mut self, counter: &'static str) {
         *self.counts.entry(counter).or_default() += 1;
--- a/crates/testbed/src/soak/judge/checks.rs
+++ b/crates/testbed/src/soak/judge/checks.rs
@@ -3,6 +3,7 @@
 use super::attempt::{Attempt, SentAttempt};
 use super::{JudgeState, Request};
 use crate::soak::Seconds;
+use crate::soak::evidence::{Evidence, TimeSpan};
 use crate::soak::invariants::{
     CLIENT_GONE_TOLERANCE, COLLAPSE_MULTIPLE, DRAIN_GRACE, OBSERVER_TOLERANCE, Rule,
     SLOW_START_INITIAL_SHARE, SLOW_START_WINDOW, WAIT_TOLERANCE,
@@ -11,6 +12,7 @@
 /// A violation before its time is noted.
 pub(super) struct Finding {
     pub(super) rule: Rule,
+    pub(super) evidence: Evidence,
     pub(super) detail: String,
 }
 
@@ -22,7 +24,7 @@
         match self.requests.get(&attempt.request) {
             None => {
                 let detail = format!("request {:016x}", attempt.request);
-                findings.push(Finding { rule: Rule::Unknown, detail });
+                findings.push(Finding { rule: Rule::Unknown, evidence: Evidence::Exact, detail });
             }
             Some(request) => {
                 if let Some(begun_at) = attempt.begun_at(now) {
@@ -57,7 +59,8 @@
             "request {:016x} at director {}: sent at {:.3} and again: {attempt}",
             attempt.request, request.director, other.sent_at
         );
-        Some(Finding { rule: Rule::EffectTwice, detail })
+        // Both times are the send log's, and proofs are noted before the director can have them.
+        Some(Finding { rule: Rule::EffectTwice, evidence: Evidence::Exact, detail })
     }
 
     /// Calls to a cold node in the last second, against what slow start allows.
@@ -78,7 +81,8 @@
         }
         cold.reported = true;
         let detail = format!("node {node}: {calls} calls in a second, {allowed:.1} allowed");
-        Some(Finding { rule: Rule::SlowStart, detail })
+        let evidence = Evidence::Observed(TimeSpan { from: now - 1.0, to: now });
+        Some(Finding { rule: Rule::SlowStart, evidence, detail })
     }
 
     /// That the director did not know for longer than the grace that this node drains.
@@ -97,7 +101,9 @@
             "request {:016x} at director {} to node {node}, notified at {notified_at:.3}: {attempt}",
             attempt.request, request.director
         );
-        Some(Finding { rule: Rule::Drained, detail })
+        // When the director must know holds only if discovery told it in time.
+        let evidence = Evidence::Observed(TimeSpan { from: *notified_at, to: now });
+        Some(Finding { rule: Rule::Drained, evidence, detail })
     }
 }
 
@@ -117,7 +123,12 @@
         request.written_at,
         request.written_by.unwrap_or(now)
     );
-    Some(Finding { rule: Rule::WaitTooLong, detail })
+    let evidence = match (attempt.sent_at, request.written_by) {
+        // The end of its write is stamped after it, so that a late client only leaves the director more time.
+        (Some(_), Some(_)) => Evidence::Exact,
+        _ => Evidence::Observed(TimeSpan { from: request.written_at, to: now }),
+    };
+    Some(Finding { rule: Rule::WaitTooLong, evidence, detail })
 }
 
 /// That the client has not been gone for longer than the bound.
@@ -131,5 +142,10 @@
         "request {:016x} at director {}: {late:.3} s after its client had gone: {attempt}",
         attempt.request, request.director
     );
-    Some(Finding { rule: Rule::ClientGone, detail })
+    let evidence = match attempt.sent_at {
+        // Its end is stamped after it, so that a late client only leaves the director more time.
+        Some(_) => Evidence::Exact,
+        None => Evidence::Observed(TimeSpan { from: gone_at, to: now }),
+    };
+    Some(Finding { rule: Rule::ClientGone, evidence, detail })
 }
--- a/crates/testbed/src/soak/judge/tests.rs
+++ b/crates/testbed/src/soak/judge/tests.rs
@@ -39,10 +39,22 @@
     findings.iter().map(|finding| finding.rule).collect()
 }
 
+fn evidence(findings: &[Finding]) -> Vec<Evidence> {
+    findings.iter().map(|finding| finding.evidence).collect()
+}
+
+fn observed(from: Seconds, to: Seconds) -> Evidence {
+    Evidence::Observed(TimeSpan { from, to })
+}
+
 fn found(judge: &Judge) -> Vec<Rule> {
     judge.finish().0.iter().map(|violation| violation.rule).collect()
 }
 
+fn found_evidence(judge: &Judge) -> Vec<Evidence> {
+    judge.finish().0.iter().map(|violation| violation.evidence).collect()
+}
+
 #[test]
 fn an_attempt_for_no_request_is_unknown() {
     let findings = JudgeState::default().check_attempt(&attempt(0), 1.0);
@@ -230,3 +242,100 @@
     assert_eq!(rules(&state.check_attempt(&attempt(949), 1.5)), []);
     assert_eq!(rules(&state.check_attempt(&attempt(951), 1.5)), [Rule::WaitTooLong]);
 }
+
+#[test]
+fn an_attempt_by_the_send_log_is_exact_evidence_where_clients_stamp_afterwards() {
+    let mut state = JudgeState::default();
+    let gone = Request { client_gone_at: Some(2.0), written_by: Some(1.1), ..request(1.0, 9.0) };
+    state.requests.insert(REQUEST, gone.clone());
+    let sent = |wait_ms, sent_at| Attempt { sent_at: Some(sent_at), read_late: true, ..attempt(wait_ms) };
+    // After its client had gone, read at 9 s.
+    assert_eq!(evidence(&state.check_attempt(&sent(0, 2.3), 9.0)), [Evidence::Exact]);
+    assert_eq!(evidence(&state.check_attempt(&attempt(0), 2.3)), [observed(2.0, 2.3)]);
+    // Too long a wait: 8.6 s are left of the time.
+    let present = Request { client_gone_at: None, ..gone };
+    state.requests.insert(REQUEST, present.clone());
+    assert_eq!(evidence(&state.check_attempt(&sent(9_000, 1.5), 9.0)), [Evidence::Exact]);
+    assert_eq!(evidence(&state.check_attempt(&attempt(9_000), 1.5)), [observed(1.0, 1.5)]);
+    // Its write may not be over: what is known is when it began.
+    state.requests.insert(REQUEST, Request { written_by: None, ..present });
+    assert_eq!(evidence(&state.check_attempt(&sent(9_000, 1.5), 9.0)), [observed(1.0, 1.5)]);
+}
+
+#[test]
+fn what_discovery_told_is_evidence_from_then_on() {
+    let mut state = JudgeState::default();
+    state.requests.insert(REQUEST, request(1.0, 9.0));
+    state.directors.entry(DIRECTOR).or_default().drained.insert(NODE, 1.0);
+    let sent = Attempt { sent_at: Some(3.2), read_late: true, ..attempt(0) };
+    assert_eq!(evidence(&state.check_attempt(&sent, 9.0)), [observed(1.0, 3.2)]);
+    assert_eq!(evidence(&state.check_attempt(&attempt(0), 3.3)), [observed(1.0, 3.3)]);
+
+    let judge = Judge::new();
+    judge.on_request(REQUEST, DIRECTOR, Effect::Idempotent, OBJECT, 1.0);
+    let purge = NotifiedPurge { notified_at: 5.0, made_ms: 1_000 };
+    lock(&judge.state).directors.entry(DIRECTOR).or_default().purged.insert(OBJECT, purge);
+    judge.on_served(REQUEST, 6.2, 999);
+    assert_eq!(found_evidence(&judge), [observed(5.0, 6.2)]);
+}
+
+#[test]
+fn calls_of_a_second_are_evidence_of_that_second() {
+    let mut state = JudgeState::default();
+    let cold = ColdNode { since: 10.0, capacity: 1.0, ..ColdNode::default() };
+    state.cold_nodes.insert(NODE, cold);
+    let findings: Vec<Finding> = (0..100).filter_map(|_| state.check_slow_start(NODE, 12.0)).collect();
+    assert_eq!(evidence(&findings), [observed(11.0, 12.0)]);
+}
+
+#[test]
+fn effects_sent_or_counted_twice_are_exact_and_a_second_run_by_time_is_observed_from_the_end_of_the_window() {
+    assert_eq!(second_execution(Effect::AtMostOnce, 1.0, 1.1), Some(Evidence::Exact));
+    assert_eq!(second_execution(Effect::Deduplicated, 1.0, 2.59), None);
+    assert_eq!(second_execution(Effect::Deduplicated, 1.0, 2.61), Some(observed(2.5, 2.61)));
+    assert_eq!(second_execution(Effect::Idempotent, 1.0, 9.0), None);
+
+    let judge = Judge::new();
+    judge.on_request(REQUEST, DIRECTOR, Effect::AtMostOnce, OBJECT, 9.0);
+    for port in [1, 2] {
+        let link = NodeLink { port, accepted_at: 0.0 };
+        judge.on_attempt(&Attempt { sent_at: Some(0.1 * f64::from(port)), link, ..attempt(0) });
+    }
+    assert_eq!(found_evidence(&judge), [Evidence::Exact]);
+}
+
+#[test]
+fn what_was_answered_or_never_asked_is_exact() {
+    let judge = Judge::new();
+    judge.on_request(REQUEST, DIRECTOR, Effect::Idempotent, OBJECT, 1.0);
+    judge.on_answer(REQUEST, Some(OBJECT + 1));
+    judge.on_answer(REQUEST, None);
+    judge.on_attempt(&Attempt { request: REQUEST + 1, ..attempt(0) });
+    judge.record_violation(Rule::Inside, String::new());
+    assert_eq!(found_evidence(&judge), [Evidence::Exact; 4]);
+}
+
+#[test]
+fn what_was_observed_since_then_is_evidence_until_now() {
+    let judge = Judge::new();
+    let before = judge.now();
+    judge.record_observed(Rule::Lost, -3.0, String::new());
+    let [Evidence::Observed(span)] = found_evidence(&judge)[..] else { panic!("one that was observed") };
+    assert_eq!(span.from, -3.0);
+    assert!((before..=judge.now()).contains(&span.to), "{span:?}");
+}
+
+#[test]
+fn the_writes_of_clients_are_kept_with_their_times() {
+    let judge = Judge::new();
+    judge.on_request(REQUEST, DIRECTOR, Effect::Idempotent, OBJECT, 1.0);
+    judge.on_request_sent(REQUEST);
+    assert!(judge.writes().longest() < 0.1, "{:?}", judge.writes());
+    // Its thread was not run for 0.2 s.
+    let written_at = judge.now() - 0.2;
+    lock(&judge.state).requests.insert(REQUEST, request(written_at, 1.0));
+    judge.on_request_sent(REQUEST);
+    let lateness = crate::soak::Lateness { writes: judge.writes(), ..Default::default() };
+    let spans: Vec<TimeSpan> = lateness.past_tolerance().copied().collect();
+    assert!(spans.len() == 1 && spans[0].from == written_at && spans[0].duration() >= 0.2, "{spans:?}");
+}
--- a/crates/testbed/src/soak/lateness.rs
+++ b/crates/testbed/src/soak/lateness.rs
@@ -1,41 +1,81 @@
-//! How late this program's own threads are woken: a machine that is too busy makes the stand-ins late, and what they saw
-//! then says nothing of the directors.
+//! How late this program's own threads are, and when: a machine that is too busy makes the stand-ins late, and the times
+//! that they noted then say nothing of the directors.
 
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hdrhistogram::Histogram;
 
+use super::Seconds;
+use super::evidence::{Evidence, TimeSpan};
+use super::invariants::OBSERVER_TOLERANCE;
+
+#[cfg(test)]
+mod tests;
+
 /// The pause between two samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(2);
-/// The longest lateness that is told apart, in microseconds.
+/// The longest lateness that is told apart in the percentile, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
 const PERCENTILE: f64 = 99.9;
 
-/// How late the samples and the clients were, in seconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+/// Delays of one kind: the longest of all, and when they were longer than the tolerance.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Delays {
+    longest: f64,
+    past_tolerance: Vec<TimeSpan>,
+}
+
+impl Delays {
+    /// Adds a delay, from when something was due to when it was done.
+    pub(crate) fn record(&mut self, delay: TimeSpan) {
+        self.longest = self.longest.max(delay.duration());
+        if delay.duration() > OBSERVER_TOLERANCE {
+            self.past_tolerance.push(delay);
+        }
+    }
+
+    /// The longest, in seconds.
+    pub fn longest(&self) -> f64 {
+        self.longest
+    }
+}
+
+/// How late the samples and the clients were.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Lateness {
-    /// The 99.9th percentile.
+    /// The 99.9th percentile of the samples, in seconds.
     pub p999: f64,
-    /// The latest.
-    pub worst: f64,
-    /// The longest time that a client took to write the last piece of a request.
-    pub longest_write: f64,
+    /// The delays of the samples.
+    pub samples: Delays,
+    /// What clients took to write the last piece of a request.
+    pub writes: Delays,
 }
 
 impl Lateness {
-    /// The latest of all.
-    pub fn latest(&self) -> f64 {
-        self.worst.max(self.longest_write)
+    /// When own threads were later than the tolerance.
+    pub fn past_tolerance(&self) -> impl Iterator<Item = &TimeSpan> {
+        self.samples.past_tolerance.iter().chain(&self.writes.past_tolerance)
+    }
+
+    /// Whether own threads were later than the tolerance at any time.
+    pub fn is_past_tolerance(&self) -> bool {
+        self.past_tolerance().next().is_some()
+    }
+
+    /// When own threads were so late that this evidence does not hold.
+    pub fn refuting(&self, evidence: &Evidence) -> impl Iterator<Item = &TimeSpan> {
+        self.past_tolerance().filter(|late| !evidence.holds_despite(late))
     }
 }
 
 impl fmt::Display for Lateness {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (p999, worst, write) = (self.p999 * 1e3, self.worst * 1e3, self.longest_write * 1e3);
+        let (p999, worst, write) =
+            (self.p999 * 1e3, self.samples.longest() * 1e3, self.writes.longest() * 1e3);
         write!(
             f,
             "own threads late by {p999:.1} ms at the 99.9th percentile, {worst:.1} ms at most; longest write {write:.1} ms"
@@ -50,11 +90,11 @@
 }
 
 impl LatenessSampler {
-    /// Starts sampling.
-    pub(crate) fn start() -> LatenessSampler {
+    /// Starts sampling, by this clock of the soak.
+    pub(crate) fn start(clock: impl Fn() -> Seconds + Send + 'static) -> LatenessSampler {
         let over = Arc::new(AtomicBool::new(false));
         let is_over = Arc::clone(&over);
-        LatenessSampler { over, thread: thread::spawn(move || sample(&is_over)) }
+        LatenessSampler { over, thread: thread::spawn(move || sample(&clock, &is_over)) }
     }
 
     /// Ends sampling.
@@ -64,18 +104,19 @@
     }
 }
 
-fn sample(is_over: &AtomicBool) -> Lateness {
+fn sample(clock: &impl Fn() -> Seconds, is_over: &AtomicBool) -> Lateness {
     // The bounds are valid; without a histogram nothing would be measured.
     let Ok(mut late) = Histogram::<u64>::new_with_bounds(1, MAX_MICROS, 3) else {
         return Lateness::default();
     };
+    let mut samples = Delays::default();
     while !is_over.load(Ordering::Relaxed) {
-        let due = Instant::now() + SAMPLE_INTERVAL;
+        let due = clock() + SAMPLE_INTERVAL.as_secs_f64();
         thread::sleep(SAMPLE_INTERVAL);
-        let micros = u64::try_from(due.elapsed().as_micros()).unwrap_or(MAX_MICROS);
-        late.saturating_record(micros);
+        let delay = TimeSpan { from: due, to: clock() };
+        late.saturating_record((delay.duration() * 1e6) as u64);
+        samples.record(delay);
     }
-    let seconds = |micros: u64| micros as f64 / 1e6;
-    let (p999, worst) = (seconds(late.value_at_percentile(PERCENTILE)), seconds(late.max()));
-    Lateness { p999, worst, longest_write: 0.0 }
+    let p999 = late.value_at_percentile(PERCENTILE) as f64 / 1e6;
+    Lateness { p999, samples, writes: Delays::default() }
 }
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod client;
 mod director;
 mod discovery;
+mod evidence;
 mod fault_injection;
 mod fault_log;
 mod fault_plan;
@@ -24,10 +25,11 @@
 
 use std::path::PathBuf;
 
+pub use evidence::{Evidence, TimeSpan};
 pub use fault_log::FaultSpan;
 pub use fault_plan::{Fault, ScheduledFault, plan_faults};
 pub use invariants::{Rule, Violation};
-pub use lateness::Lateness;
+pub use lateness::{Delays, Lateness};
 pub use node::Misbehavior;
 pub use report::{SoakReport, Verdict};
 pub use run::run;
--- a/crates/testbed/src/soak/report.rs
+++ b/crates/testbed/src/soak/report.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use super::evidence::TimeSpan;
 use super::fault_log::FaultSpan;
-use super::invariants::{OBSERVER_TOLERANCE, Rule, Violation};
+use super::invariants::{Rule, Violation};
 use super::lateness::Lateness;
 
 #[cfg(test)]
@@ -18,15 +19,17 @@
 /// What a soak says of the directors.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// No rule was broken.
+    /// No rule was broken, and no thread of the soak was later than the tolerance that each bound has for them.
     Passed,
-    /// A rule was broken.
+    /// A rule was broken, and no thread of the soak that was late can have made that.
     Failed,
-    /// The soak's own threads were later than the tolerance that each bound has for them.
+    /// Threads of the soak were later than the tolerance. All violations that were seen may come from that, and others may
+    /// not have been seen.
     NotJudged,
 }
 
-/// What a soak found. Printed, it has the counters, the violations by rule and the first of them in full.
+/// What a soak found. Printed, it has the counters, the violations by rule and the first of them in full, those that are
+/// judged before those that are not.
 pub struct SoakReport {
     /// The violations, in the order in which they were found.
     pub violations: Vec<Violation>,
@@ -43,17 +46,40 @@
 impl SoakReport {
     /// What it says of the directors.
     pub fn verdict(&self) -> Verdict {
-        if self.lateness.latest() > OBSERVER_TOLERANCE {
+        if self.violations.iter().any(|violation| self.is_judged(violation)) {
+            Verdict::Failed
+        } else if self.lateness.is_past_tolerance() {
             Verdict::NotJudged
-        } else if self.violations.is_empty() {
-            Verdict::Passed
         } else {
-            Verdict::Failed
+            Verdict::Passed
+        }
+    }
+
+    /// Whether a violation is the directors': no thread of the soak that was late can have made it.
+    pub fn is_judged(&self, violation: &Violation) -> bool {
+        self.lateness.refuting(&violation.evidence).next().is_none()
+    }
+
+    /// The violations that are judged, or those that are not, in the order in which they were found.
+    fn violations_by(&self, judged: bool) -> impl Iterator<Item = &Violation> {
+        self.violations.iter().filter(move |violation| self.is_judged(violation) == judged)
+    }
+
+    /// Writes how many violations there are of each rule; `note` follows its name.
+    fn write_counts(&self, f: &mut fmt::Formatter<'_>, judged: bool, note: &str) -> fmt::Result {
+        let mut by_rule: BTreeMap<Rule, usize> = BTreeMap::new();
+        for violation in self.violations_by(judged) {
+            *by_rule.entry(violation.rule).or_default() += 1;
         }
+        by_rule.iter().try_for_each(|(rule, count)| writeln!(f, "violations of {rule:?}{note}: {count}"))
     }
 
     fn write_violation(&self, f: &mut fmt::Formatter<'_>, violation: &Violation) -> fmt::Result {
-        writeln!(f, "{violation}")?;
+        let judged = if self.is_judged(violation) { "judged" } else { "not judged" };
+        writeln!(f, "{violation} [{judged}]")?;
+        for TimeSpan { from, to } in self.lateness.refuting(&violation.evidence) {
+            writeln!(f, "            {from:.3} to {to:.3} s: own threads late")?;
+        }
         let is_near =
             |fault: &&FaultSpan| fault.from <= violation.at && fault.to >= violation.at - FAULT_AFTERMATH;
         for fault in self.faults.iter().filter(is_near) {
@@ -70,16 +96,12 @@
         for (name, count) in &self.counts {
             writeln!(f, "{count:>9} {name}")?;
         }
-        let mut by_rule: BTreeMap<Rule, usize> = BTreeMap::new();
-        for violation in &self.violations {
-            *by_rule.entry(violation.rule).or_default() += 1;
-        }
-        for (rule, count) in by_rule {
-            writeln!(f, "violations of {rule:?}: {count}")?;
-        }
+        self.write_counts(f, true, "")?;
+        self.write_counts(f, false, ", not judged")?;
         if self.verdict() == Verdict::NotJudged {
             writeln!(f, "not judged: the machine was too busy")?;
         }
-        self.violations.iter().take(PRINTED_VIOLATIONS).try_for_each(|v| self.write_violation(f, v))
+        let judged_first = self.violations_by(true).chain(self.violations_by(false));
+        judged_first.take(PRINTED_VIOLATIONS).try_for_each(|violation| self.write_violation(f, violation))
     }
 }
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -188,7 +188,8 @@
     soak.start_directors()?;
 
     let over = Arc::new(AtomicBool::new(false));
-    let lateness = LatenessSampler::start();
+    let clock = Arc::clone(&judge);
+    let lateness = LatenessSampler::start(move || clock.now());
     let clients = soak.start_clients(&over);
     let started = Instant::now();
     let restarts: Vec<Mutex<()>> = soak.directors.iter().map(|_| Mutex::default()).collect();
@@ -207,7 +208,7 @@
     }
     soak.stop_directors();
     soak.check_logs();
-    let lateness = Lateness { longest_write: judge.longest_write(), ..lateness.finish() };
+    let lateness = Lateness { writes: judge.writes(), ..lateness.finish() };
     let faults = soak.faults.spans();
     let (violations, counts) = judge.finish();
     Ok(SoakReport { violations, counts, planned_faults: plan_faults(options).len(), faults, lateness })
