Soak: one configuration of a director at a time, so that a slow reload replaces no newer one

Cause: a reload and a start of one director may make its configuration at the same time. The thread that is slower replaces the file by one with fewer events, and the director is noted to know events that it was not given; both also write the same file beside, so that one may find it gone.

Change: a lock for each director, held from the look at the events to the replacement. No check changes.

Measured: the test goes red without the lock (a file that is gone, in 0.1 s) and is green with it in 0.02 s.

--- a/crates/testbed/src/soak/director.rs
+++ b/crates/testbed/src/soak/director.rs
@@ -21,6 +21,9 @@
 use crate::process::{ChildProcess, TrialError, io_error};
 use crate::threads::lock;
 
+#[cfg(test)]
+mod tests;
+
 /// How long clients still connect after the director was asked to stop.
 const STOP_ACCEPTS_FOR: f64 = 0.4;
 /// How long a platform waits for the exit of a director that was asked to stop: the longest deadline and 0.7 s.
@@ -67,6 +70,8 @@
     /// Where it listens.
     pub(crate) address: SocketAddr,
     config: PathBuf,
+    /// Held while the configuration is made: a slow thread must not replace it by one with fewer events.
+    configuring: Mutex<()>,
     pub(crate) log: PathBuf,
     /// The file of its rules for the fault library.
     fault_rules: PathBuf,
@@ -85,6 +90,7 @@
             address: port.address,
             _port: port,
             config: file("json"),
+            configuring: Mutex::default(),
             log: file("log"),
             fault_rules: file("plan"),
             send_log: file("sends"),
@@ -95,6 +101,7 @@
 
     /// Writes its configuration, which holds all events up to now, and returns their number.
     fn configure(&self, options: &Options, discovery: &Discovery) -> Result<usize, TrialError> {
+        let _turn = lock(&self.configuring);
         let model = NodeModel {
             slow_start_initial_share: SLOW_START_INITIAL_SHARE,
             slow_start_us: (SLOW_START_WINDOW * 1e6) as u64,
--- /dev/null
+++ b/crates/testbed/src/soak/director/tests.rs
@@ -0,0 +1,52 @@
+//! Configurations that are made at the same time.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use super::*;
+use crate::ports::PortAllocator;
+
+const CONFIGURATIONS: usize = 20;
+const THREADS: usize = 4;
+
+fn options() -> Options {
+    Options { seed: 1, seconds: 5, directors: 1, caches: 1, clients_per_director: 1, fault_library: None }
+}
+
+/// How many events a configuration file holds.
+fn known_events(director: &Director) -> usize {
+    let text = std::fs::read_to_string(&director.config).unwrap();
+    let config: Value = serde_json::from_str(&text).unwrap();
+    config["known"]["events"].as_array().unwrap().len()
+}
+
+/// A director is noted to know what its configuration held; one that a reload replaced by an older one would accuse it.
+#[test]
+fn no_configuration_is_replaced_by_one_with_fewer_events() {
+    let folder = tempfile::tempdir().unwrap();
+    let judge = Arc::new(Judge::new());
+    let port = PortAllocator::new().allocate().unwrap();
+    let director = Director::new(0, port, folder.path(), &judge);
+    let discovery = Discovery::start(&judge).unwrap();
+    let over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while !over.load(Ordering::Relaxed) {
+                discovery.publish("\"purge\":{\"key\":\"1\",\"at\":1}", None);
+                std::thread::sleep(Duration::from_millis(1));
+            }
+        });
+        let workers: Vec<_> = (0..THREADS)
+            .map(|_| {
+                scope.spawn(|| {
+                    for _ in 0..CONFIGURATIONS {
+                        let written = director.configure(&options(), &discovery).unwrap();
+                        assert!(known_events(&director) >= written);
+                    }
+                })
+            })
+            .collect();
+        let results: Vec<_> = workers.into_iter().map(|worker| worker.join()).collect();
+        over.store(true, Ordering::Relaxed);
+        assert!(results.iter().all(Result::is_ok), "a configuration with fewer events, or none");
+    });
+}
