--- a/crates/testbed/src/soak/director.rs
+++ b/crates/testbed/src/soak/director.rs
@@ -21,6 +21,9 @@
 use crate::process::{ChildProcess, TrialError, io_error};
 use crate::threads::lock;
 
+#[cfg(test)]
+mod tests;
+
 /// How long clients still connect after the director was asked to stop.
 const STOP_ACCEPTS_FOR: f64 = 0.4;
 /// How long a platform waits for the exit of a director that was asked to stop: the longest deadline and 0.7 s.
@@ -67,6 +70,8 @@
     /// Where it listens.
     pub(crate) address: SocketAddr,
     config: PathBuf,
+    /// Held while the configuration is made: a slow thread must not replace it by one with fewer events.
+    configuring: Mutex<()>,
     pub(crate) log: PathBuf,
     /// The file of its rules for the fault library.
     fault_rules: PathBuf,
@@ -74,8 +79,6 @@
     pub(crate) send_log: PathBuf,
     _port: ReservedPort,
     judge: Arc<Judge>,
-    /// Held while its configuration is written: a restart and a reload may meet.
-    configuring: Mutex<()>,
     state: Mutex<DirectorState>,
 }
 
@@ -87,11 +90,11 @@
             address: port.address,
             _port: port,
             config: file("json"),
+            configuring: Mutex::default(),
             log: file("log"),
             fault_rules: file("plan"),
             send_log: file("sends"),
             judge: Arc::clone(judge),
-            configuring: Mutex::default(),
             state: Mutex::default(),
         }
     }
@@ -230,6 +233,7 @@
     /// Waits for its exit as long as a platform does that kills it at the earliest, not counted the time for which it
     /// was held; a failure or none is a crash. What it had taken and did not answer is lost.
     pub(crate) fn wait_for_exit(&self) {
+        let since = self.stopping_since();
         while self.judge.now() < self.kill_time() {
             let exited = lock(&self.state).process.as_mut().map(|process| process.0.try_wait());
             match exited {
@@ -237,30 +241,33 @@
                 Some(Ok(Some(status))) => {
                     lock(&self.state).process = None;
                     if !status.success() {
-                        self.record_crash(&format!(": {status}"));
+                        let detail = format!("director {}: {status}", self.number);
+                        self.judge.record_violation(Rule::Crash, detail);
                     }
                     return;
                 }
                 Some(_) => std::thread::sleep(EXIT_POLL),
             }
         }
-        self.record_crash(" did not exit when it was asked to");
+        let detail = format!("director {} did not exit when it was asked to", self.number);
+        self.judge.record_observed(Rule::Crash, since, detail);
         // Dropping a process kills it.
         lock(&self.state).process = None;
     }
 
+    /// When it was asked to stop; now if it was not.
+    fn stopping_since(&self) -> Seconds {
+        lock(&self.state).stopping_since.unwrap_or_else(|| self.judge.now())
+    }
+
     /// When a platform kills it, after it was asked to stop.
     fn kill_time(&self) -> Seconds {
+        let since = self.stopping_since();
         let state = lock(&self.state);
-        let since = state.stopping_since.unwrap_or_else(|| self.judge.now());
         let held: f64 = state.held.iter().map(|span| (span.to - span.from.max(since)).max(0.0)).sum();
         since + STOP_TIMEOUT + held
     }
 
-    fn record_crash(&self, what: &str) {
-        self.judge.record_violation(Rule::Crash, format!("director {}{what}", self.number));
-    }
-
     /// Whether it has exited by itself.
     pub(crate) fn has_crashed(&self) -> bool {
         lock(&self.state).process.as_mut().is_some_and(ChildProcess::has_exited)
--- a/crates/testbed/src/soak/judge/slow_start.rs
+++ b/crates/testbed/src/soak/judge/slow_start.rs
@@ -12,6 +12,7 @@
 use super::checks::Finding;
 use crate::soak::Seconds;
 use crate::soak::capacity::share;
+use crate::soak::evidence::{Evidence, TimeSpan};
 use crate::soak::invariants::{COLLAPSE_MULTIPLE, Rule, SLOW_START_WINDOW};
 
 #[cfg(test)]
@@ -39,6 +40,8 @@
     /// When it was sent or, where that is not known, read.
     pub(super) at: Seconds,
     pub(super) read_at: Seconds,
+    /// Whether the send log has its time.
+    pub(super) is_in_send_log: bool,
 }
 
 /// A node in slow start.
@@ -67,6 +70,8 @@
     directors: usize,
     /// How many calls came from directors that had been told of the start.
     told: usize,
+    /// Whether the send logs have the times of all calls.
+    is_in_send_logs: bool,
 }
 
 impl ColdWindow {
@@ -78,6 +83,14 @@
         self.part() > 1.0
     }
 
+    /// The start of the node was noted before it could be told, so that only times of reading can be late.
+    fn evidence(&self) -> Evidence {
+        if self.is_in_send_logs {
+            return Evidence::Exact;
+        }
+        Evidence::Observed(TimeSpan { from: self.ends_at - COLLAPSE_WINDOW, to: self.ends_at })
+    }
+
     /// Whether over two thirds of the calls came from directors that had been told.
     fn breaks_rule(&self) -> bool {
         self.is_collapse() && 3 * self.told > 2 * self.calls
@@ -119,6 +132,7 @@
             allowed: self.allowed(ends_at),
             directors: calls.iter().map(|call| call.director).collect::<HashSet<_>>().len(),
             told: calls.iter().filter(|call| self.is_told(call)).count(),
+            is_in_send_logs: calls.iter().all(|call| call.is_in_send_log),
         }
     }
 
@@ -193,7 +207,7 @@
         self.count("cold nodes that collapsed");
         let ColdWindow { allowed, told, .. } = window;
         let detail = format!("{nearest}, {allowed:.1} without it; {told} calls of directors that were told");
-        window.breaks_rule().then_some(Finding { rule: Rule::SlowStart, detail })
+        window.breaks_rule().then(|| Finding { rule: Rule::SlowStart, evidence: window.evidence(), detail })
     }
 
     /// Whether a node was pushed over, so that nothing runs there any more.
--- a/crates/testbed/src/soak/judge/slow_start/tests.rs
+++ b/crates/testbed/src/soak/judge/slow_start/tests.rs
@@ -12,7 +12,7 @@
 }
 
 fn call(director: usize, at: Seconds) -> ColdCall {
-    ColdCall { director: Some(director), at, read_at: at }
+    ColdCall { director: Some(director), at, read_at: at, is_in_send_log: true }
 }
 
 /// Reports so many calls of a director. Returns whether one of them broke the rule.
@@ -130,3 +130,16 @@
                    from 3 directors";
     assert_eq!(nearest.to_string(), printed);
 }
+
+/// Guards against a busy machine that hides a collapse of which the send logs have all calls.
+#[test]
+fn a_collapse_rests_on_the_send_logs_where_they_have_all_calls() {
+    let observed = Evidence::Observed(TimeSpan { from: 9.0, to: 10.0 });
+    for (is_in_send_log, expected) in [(true, Evidence::Exact), (false, observed)] {
+        let mut state = started(100.0);
+        report(&mut state, 1, 10.0, 66);
+        let last = ColdCall { is_in_send_log, ..call(1, 10.0) };
+        let finding = state.check_slow_start(NODE, last).expect("one more than the node bears");
+        assert_eq!(finding.evidence, expected);
+    }
+}
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod client;
 mod director;
 mod discovery;
+mod evidence;
 mod fault_injection;
 mod fault_log;
 mod fault_plan;
@@ -25,11 +26,12 @@
 
 use std::path::PathBuf;
 
+pub use evidence::{Evidence, TimeSpan};
 pub use fault_log::FaultSpan;
 pub use fault_plan::{Fault, ScheduledFault, plan_faults};
 pub use invariants::{Rule, Violation};
 pub use judge::NearestColdNode;
-pub use lateness::Lateness;
+pub use lateness::{Delays, Lateness};
 pub use node::Misbehavior;
 pub use report::{SoakReport, Verdict};
 pub use run::run;
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -196,7 +196,8 @@
     soak.start_directors()?;
 
     let over = Arc::new(AtomicBool::new(false));
-    let lateness = LatenessSampler::start();
+    let clock = Arc::clone(&judge);
+    let lateness = LatenessSampler::start(move || clock.now());
     let clients = soak.start_clients(&over);
     let started = Instant::now();
     let restarts: Vec<Mutex<()>> = soak.directors.iter().map(|_| Mutex::default()).collect();
@@ -215,7 +216,7 @@
     }
     soak.stop_directors();
     soak.check_logs();
-    let lateness = Lateness { longest_write: judge.longest_write(), ..lateness.finish() };
+    let lateness = Lateness { writes: judge.writes(), ..lateness.finish() };
     let faults = soak.faults.spans();
     let nearest_cold_node = judge.nearest_cold_node();
     let (violations, counts) = judge.finish();
