--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -3,8 +3,9 @@
 //! Stand-in clients, nodes and discovery speak the operators' published protocol and report what they see to the
 //! `Judge`, which holds the invariants. Signals and a preloaded fault library cause the faults, two or three at a
 //! time, as the seed draws them; beside them directors get signals in series and, with some seeds, a crowd of idle
-//! clients. Caches bear so many calls a second, and a cold one that is pushed over collapses and stays down. Clients use their connections until the director ends them. What the directors count themselves (violations, panics) is read from their logs at
-//! the end.
+//! clients. Caches bear so many calls a second, and a cold one that is pushed over collapses and stays down. Clients use
+//! their connections until the director ends them. What the directors count themselves (violations, panics) is read from
+//! their logs at the end.
 
 mod capacity;
 mod client;
--- a/tests/router/slow_start_classes.rs
+++ b/tests/router/slow_start_classes.rs
@@ -114,18 +114,23 @@
 
 // ---- saved credit ----
 
+/// Lets cold nodes start into a quiet time of 20 s, in which only a few requests of the first class come.
+fn assert_both_stand_after_a_quiet_time(settings: &Settings, traffic: &[ClassTraffic]) {
+    let quiet = [ClassTraffic { per_second: DIRECTORS as f64, ..traffic[0] }];
+    let mut fleet = fleet_with(settings);
+    fleet.play(10 * SEC, traffic);
+    let played = [(20 * SEC, quiet.as_slice()), (5 * SEC, traffic)];
+    assert_both_stand(&mut fleet, settings, &played, traffic, "after a quiet time");
+}
+
 /// Guards against a reserve for the longest transfers that a usual class spends as it is above the mean.
 #[test]
 fn a_usual_class_above_the_mean_spends_no_reserve_of_a_longer_one() {
     let (short, long) = (20 * MS, 2_000 * MS);
     let settings = settings_with_window(&[2 * short, OBJECTIVE, 2 * long], ENDLESS_WINDOW);
-    let traffic =
-        [of_known_size(300.0, short), of_known_size(900.0, TRANSFER_TIME), of_known_size(1.0, long)];
-    let quiet = [of_known_size(DIRECTORS as f64, short)];
-    let mut fleet = fleet_with(&settings);
-    fleet.play(10 * SEC, &traffic);
-    let played = [(20 * SEC, quiet.as_slice()), (5 * SEC, traffic.as_slice())];
-    assert_both_stand(&mut fleet, &settings, &played, &traffic, "after a quiet time");
+    let usual = of_known_size(900.0, TRANSFER_TIME);
+    let traffic = [of_known_size(300.0, short), usual, of_known_size(1.0, long)];
+    assert_both_stand_after_a_quiet_time(&settings, &traffic);
 }
 
 #[test]
@@ -133,11 +138,7 @@
     let (short, long) = (10 * MS, 1_000 * MS);
     let settings = settings_with_window(&[2 * short, 2 * long], ENDLESS_WINDOW);
     let traffic = [of_known_size(1_000.0, short), of_known_size(100.0, long)];
-    let quiet = [of_known_size(DIRECTORS as f64, short)];
-    let mut fleet = fleet_with(&settings);
-    fleet.play(10 * SEC, &traffic);
-    let played = [(20 * SEC, quiet.as_slice()), (5 * SEC, traffic.as_slice())];
-    assert_both_stand(&mut fleet, &settings, &played, &traffic, "after a quiet time");
+    assert_both_stand_after_a_quiet_time(&settings, &traffic);
 }
 
 #[test]
@@ -145,11 +146,7 @@
     let (shorter, longer) = (90 * MS, 110 * MS);
     let settings = settings_with_window(&[2 * shorter, 2 * longer], ENDLESS_WINDOW);
     let traffic = [of_known_size(600.0, shorter), of_known_size(600.0, longer)];
-    let quiet = [of_known_size(DIRECTORS as f64, shorter)];
-    let mut fleet = fleet_with(&settings);
-    fleet.play(10 * SEC, &traffic);
-    let played = [(20 * SEC, quiet.as_slice()), (5 * SEC, traffic.as_slice())];
-    assert_both_stand(&mut fleet, &settings, &played, &traffic, "after a quiet time");
+    assert_both_stand_after_a_quiet_time(&settings, &traffic);
 }
 
 // ---- demand that moves between directors ----
