Soak: attempts of one request are told apart by both ports of their connections

Cause, the soak's: its send log knew a connection by the port at the director's end. The second attempt counted with the time of the first, and the proof that the first one never ran was held against neither. It was so before; that nodes turn requests away makes second attempts more common.

Change: the fault library notes the ports of both ends in each line, and the judge knows a connection by both. No bound changes; the check is stricter, as the second attempt now has its own time.

--- a/crates/fault-injection/src/send_log.rs
+++ b/crates/fault-injection/src/send_log.rs
@@ -5,10 +5,11 @@
 //! The environment variable `SABLECROSS_SEND_LOG` names the file; without it nothing is noted. One line each:
 //!
 //! ```text
-//! NANOSECONDS LOCAL_PORT FIRST_LINE    the time, the port of this process's end, what is written up to its first line end
-//! NANOSECONDS LOCAL_PORT SHUT PORT     the same of a socket that is shut, and the port of the other end
-//! NANOSECONDS LOCAL_PORT READ PORT AGE the same of a request that is read, and for how many milliseconds the kernel has had
-//!                                      the last byte on that socket
+//! NANOSECONDS LOCAL_PORT PEER_PORT FIRST_LINE  the time, the ports of this process's end and of the other one, what is written
+//!                                              up to its first line end
+//! NANOSECONDS LOCAL_PORT PEER_PORT SHUT        the same of a socket that is shut
+//! NANOSECONDS LOCAL_PORT PEER_PORT READ AGE    the same of a request that is read, and for how many milliseconds the kernel has
+//!                                              had the last byte on that socket
 //! ```
 
 use std::io::Write;
@@ -59,7 +60,8 @@
 fn write_line(file: c_int, socket: c_int, text: &[u8]) {
     let mut line = [0u8; MAX_LINE_BYTES];
     let mut rest = &mut line[..MAX_LINE_BYTES - 1];
-    let _ = write!(rest, "{} {} ", monotonic_ns(), port(socket, libc::SYS_getsockname));
+    let (local, peer) = (port(socket, libc::SYS_getsockname), port(socket, libc::SYS_getpeername));
+    let _ = write!(rest, "{} {local} {peer} ", monotonic_ns());
     let _ = rest.write(text);
     let used = MAX_LINE_BYTES - 1 - rest.len();
     line[used] = b'\n';
@@ -70,11 +72,7 @@
 /// Notes that a socket is about to be shut.
 pub(crate) fn note_shutdown(socket: c_int) {
     let Some(file) = *FILE.get_or_init(open) else { return };
-    let mut text = [0u8; MAX_LINE_BYTES];
-    let mut rest = &mut text[..];
-    let _ = write!(rest, "SHUT {}", port(socket, libc::SYS_getpeername));
-    let used = MAX_LINE_BYTES - rest.len();
-    write_line(file, socket, &text[..used]);
+    write_line(file, socket, b"SHUT");
 }
 
 /// How long ago the kernel received the last byte on a socket, in milliseconds.
@@ -102,8 +100,7 @@
     let Some(file) = *FILE.get_or_init(open) else { return };
     let mut text = [0u8; MAX_LINE_BYTES];
     let mut rest = &mut text[..];
-    let peer = port(socket, libc::SYS_getpeername);
-    let _ = write!(rest, "READ {peer} {}", last_received_age_ms(socket));
+    let _ = write!(rest, "READ {}", last_received_age_ms(socket));
     let used = MAX_LINE_BYTES - rest.len();
     write_line(file, socket, &text[..used]);
 }
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -12,7 +12,7 @@
     DEDUPLICATION_WINDOW, Effect, LOST_AFTER, OBSERVER_TOLERANCE, PURGE_GRACE, Rule, Violation,
 };
 use super::lateness::Delays;
-use super::send_log::SendLog;
+use super::send_log::{LinkPorts, SendLog};
 use crate::threads::lock;
 
 mod attempt;
@@ -118,10 +118,10 @@
         self.send_logs.get_or_init(|| files.map(|file| Mutex::new(SendLog::new(file))).collect());
     }
 
-    /// When an attempt was sent that came on a connection with this port at the director's end, if that is known.
-    pub(crate) fn sent_at(&self, request: u64, port: u16) -> Option<Seconds> {
+    /// When an attempt was sent that came on this connection, if that is known.
+    pub(crate) fn sent_at(&self, request: u64, ports: LinkPorts) -> Option<Seconds> {
         let director = lock(&self.state).requests.get(&request)?.director;
-        let sent_ns = lock(self.send_logs.get()?.get(director)?).sent_ns(request, port)?;
+        let sent_ns = lock(self.send_logs.get()?.get(director)?).sent_ns(request, ports)?;
         Some(self.seconds(sent_ns))
     }
 
@@ -307,11 +307,11 @@
     }
 
     /// A node has proven that an attempt, which came on this connection, never ran.
-    pub(crate) fn on_not_run(&self, id: u64, port: u16) {
+    pub(crate) fn on_not_run(&self, id: u64, ports: LinkPorts) {
         let now = self.now();
         let mut state = lock(&self.state);
         let attempts = state.requests.get_mut(&id).map(|request| request.sent.iter_mut());
-        if let Some(attempt) = attempts.and_then(|mut sent| sent.find(|attempt| attempt.port == port)) {
+        if let Some(attempt) = attempts.and_then(|mut sent| sent.find(|attempt| attempt.ports == ports)) {
             attempt.not_run_at.get_or_insert(now);
         }
     }
--- a/crates/testbed/src/soak/judge/attempt.rs
+++ b/crates/testbed/src/soak/judge/attempt.rs
@@ -3,12 +3,13 @@
 use std::fmt;
 
 use crate::soak::Seconds;
+use crate::soak::send_log::LinkPorts;
 
 /// An attempt whose time of sending is known.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SentAttempt {
-    /// The port of the director's end of its connection.
-    pub(super) port: u16,
+    /// Its connection.
+    pub(super) ports: LinkPorts,
     pub(super) sent_at: Seconds,
     /// When its node proved that it never ran.
     pub(super) not_run_at: Option<Seconds>,
@@ -17,8 +18,7 @@
 /// A connection of a director to a node, as the node sees it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct NodeLink {
-    /// The port of the director's end.
-    pub(crate) port: u16,
+    pub(crate) ports: LinkPorts,
     pub(crate) accepted_at: Seconds,
 }
 
@@ -50,7 +50,7 @@
 impl fmt::Display for Attempt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Attempt { node, link, .. } = self;
-        write!(f, "node {node}, connection {} accepted at {:.3}, ", link.port, link.accepted_at)?;
+        write!(f, "node {node}, connection {} accepted at {:.3}, ", link.ports.director, link.accepted_at)?;
         match self.sent_at {
             Some(sent_at) => write!(f, "sent at {sent_at:.3}"),
             None => write!(f, "time of sending unknown"),
--- a/crates/testbed/src/soak/judge/checks.rs
+++ b/crates/testbed/src/soak/judge/checks.rs
@@ -50,7 +50,7 @@
     fn check_repeat(&mut self, attempt: &Attempt) -> Option<Finding> {
         let sent_at = attempt.sent_at?;
         let request = self.requests.get_mut(&attempt.request)?;
-        let own = SentAttempt { port: attempt.link.port, sent_at, not_run_at: None };
+        let own = SentAttempt { ports: attempt.link.ports, sent_at, not_run_at: None };
         // A node that stands still reads late, so that a later attempt may be known already.
         let repeats = |other: &SentAttempt| {
             let (first, second) = if other.sent_at < sent_at { (*other, own) } else { (own, *other) };
--- a/crates/testbed/src/soak/judge/tests.rs
+++ b/crates/testbed/src/soak/judge/tests.rs
@@ -40,6 +40,11 @@
     ColdCall { director: Some(DIRECTOR), at, read_at: at, is_in_send_log: true }
 }
 
+/// A connection with this port at the director's end.
+fn on_port(director: u16) -> LinkPorts {
+    LinkPorts { director, ..LinkPorts::default() }
+}
+
 fn rules(findings: &[Finding]) -> Vec<Rule> {
     findings.iter().map(|finding| finding.rule).collect()
 }
@@ -204,7 +209,7 @@
 #[test]
 fn an_effect_is_sent_again_only_while_nodes_recognise_it_or_after_proof_that_it_never_ran() {
     let second = |judge: &Judge, sent_at: Seconds| {
-        let link = NodeLink { port: 2, accepted_at: 0.0 };
+        let link = NodeLink { ports: on_port(2), accepted_at: 0.0 };
         judge.on_attempt(&Attempt { sent_at: Some(sent_at), link, ..attempt(0) });
     };
     for (effect, apart, is_proven, expected) in [
@@ -219,13 +224,16 @@
             let judge = Judge::new();
             judge.on_request(REQUEST, DIRECTOR, effect, OBJECT, 9.0);
             // Proofs count from now on.
-            let first =
-                Attempt { sent_at: Some(0.0), link: NodeLink { port: 1, accepted_at: 0.0 }, ..attempt(0) };
+            let first = Attempt {
+                sent_at: Some(0.0),
+                link: NodeLink { ports: on_port(1), accepted_at: 0.0 },
+                ..attempt(0)
+            };
             if is_read_in_order {
                 judge.on_attempt(&first);
             }
             if is_proven {
-                judge.on_not_run(REQUEST, 1);
+                judge.on_not_run(REQUEST, on_port(1));
             }
             second(&judge, apart);
             if !is_read_in_order {
@@ -304,7 +312,7 @@
     let judge = Judge::new();
     judge.on_request(REQUEST, DIRECTOR, Effect::AtMostOnce, OBJECT, 9.0);
     for port in [1, 2] {
-        let link = NodeLink { port, accepted_at: 0.0 };
+        let link = NodeLink { ports: on_port(port), accepted_at: 0.0 };
         judge.on_attempt(&Attempt { sent_at: Some(0.1 * f64::from(port)), link, ..attempt(0) });
     }
     assert_eq!(found_evidence(&judge), [Evidence::Exact]);
--- a/crates/testbed/src/soak/node.rs
+++ b/crates/testbed/src/soak/node.rs
@@ -12,6 +12,7 @@
 use super::Seconds;
 use super::capacity::{Admission, AdmissionQueue, Capacity};
 use super::judge::{Attempt, Judge, NodeCondition, NodeLink};
+use super::send_log::LinkPorts;
 use crate::clock::unix_ms;
 use crate::pull_request::PullRequest;
 use crate::threads::{lock, spawn};
@@ -297,7 +298,8 @@
             }
             let (own, nodes, stream) = (Arc::clone(self), Arc::clone(nodes), Arc::new(stream));
             let port = stream.peer_addr().map_or(0, |address| address.port());
-            let link = NodeLink { port, accepted_at: self.judge.now() };
+            let ports = LinkPorts { director: port, node: self.address.port() };
+            let link = NodeLink { ports, accepted_at: self.judge.now() };
             if !self.keep_connection(&stream) {
                 reset_when_dropped(&stream);
                 continue;
@@ -373,7 +375,7 @@
         let source = pull.source.as_ref().and_then(|name| lock(nodes).get(name).map(|node| node.number));
         let read_late = self.is_reading_late();
         let (request, node, wait_ms) = (pull.request, self.number, pull.wait_ms);
-        let sent_at = self.judge.sent_at(request, link.port);
+        let sent_at = self.judge.sent_at(request, link.ports);
         let attempt = Attempt { request, node, source, wait_ms, read_late, link, sent_at };
         let is_up = self.judge.on_attempt(&attempt) == NodeCondition::Up;
         is_up.then(|| sent_at.unwrap_or(if read_late { 0.0 } else { self.judge.now() }))
@@ -401,13 +403,13 @@
         }
         let behavior = self.behavior_by(*admission);
         if behavior == Misbehavior::Full {
-            self.judge.on_not_run(pull.request, link.port);
+            self.judge.on_not_run(pull.request, link.ports);
         }
         if let Some(connection) = misbehave_before_work(behavior, pull, stream)? {
             return Ok(connection);
         }
         let Some(issued_ms) = self.copy(pull, source.as_deref()) else {
-            self.judge.on_not_run(pull.request, link.port);
+            self.judge.on_not_run(pull.request, link.ports);
             stream.write_all(pull.empty_answer("NOENT").as_bytes())?;
             return Ok(Connection::Open);
         };
--- a/crates/testbed/src/soak/send_log.rs
+++ b/crates/testbed/src/soak/send_log.rs
@@ -9,9 +9,16 @@
 #[cfg(test)]
 mod tests;
 
-/// An attempt by its request and the port of the director's end of the connection. No connection carries two attempts of
-/// one request.
-type AttemptKey = (u64, u16);
+/// The ports of a connection of a director to a node. The kernel may give connections to two nodes one port at the
+/// director's end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct LinkPorts {
+    pub(crate) director: u16,
+    pub(crate) node: u16,
+}
+
+/// An attempt by its request and connection. No connection carries two attempts of one request.
+type AttemptKey = (u64, LinkPorts);
 
 /// The send log of one director, over all its processes.
 pub(crate) struct SendLog {
@@ -39,8 +46,8 @@
     }
 
     /// When an attempt was sent, in nanoseconds of the monotonic clock; none if the log does not have it.
-    pub(crate) fn sent_ns(&mut self, request: u64, port: u16) -> Option<u64> {
-        let key = (request, port);
+    pub(crate) fn sent_ns(&mut self, request: u64, ports: LinkPorts) -> Option<u64> {
+        let key = (request, ports);
         if !self.sent.contains_key(&key) {
             // A log that can't be read has nothing new.
             let _ = self.read_more();
@@ -75,14 +82,19 @@
     }
 }
 
-/// A line of the log, if it is one of these: `NANOSECONDS PORT PULL REQUEST ...`, `NANOSECONDS PORT SHUT PEER_PORT`.
+/// A line of the log, if it is one of these: `NANOSECONDS PORT PEER_PORT PULL REQUEST ...`,
+/// `NANOSECONDS PORT PEER_PORT SHUT`.
 fn parse_line(line: &str) -> Option<(u64, Record)> {
     let mut words = line.split(' ');
     let at_ns = words.next()?.parse().ok()?;
-    let port = words.next()?.parse().ok()?;
-    let record = match (words.next()?, words.next()?) {
-        ("PULL", request) => Record::Sent((u64::from_str_radix(request, 16).ok()?, port)),
-        ("SHUT", peer_port) => Record::Shut { peer_port: peer_port.parse().ok()? },
+    let own_port = words.next()?.parse().ok()?;
+    let peer_port = words.next()?.parse().ok()?;
+    let record = match words.next()? {
+        "PULL" => {
+            let request = u64::from_str_radix(words.next()?, 16).ok()?;
+            Record::Sent((request, LinkPorts { director: own_port, node: peer_port }))
+        }
+        "SHUT" => Record::Shut { peer_port },
         _ => return None,
     };
     Some((at_ns, record))
