--- a/crates/director/tests/syscalls.rs
+++ b/crates/director/tests/syscalls.rs
@@ -284,7 +284,8 @@
     let client_port = client.0.local_addr().expect("bound").port();
     client.ask(1, 0x77, 2_000);
     let pull = w.cache.pull();
-    let node_port = pull.stream.peer_addr().expect("connected").port();
+    let own_port = pull.stream.peer_addr().expect("connected").port();
+    let node_port = pull.stream.local_addr().expect("connected").port();
     pull.answer("ACK", "how=HIT,entity=t1,issued=1", b"whole");
     client.satisfied(1, b"whole");
     // Bytes that are no message end the connection.
@@ -294,6 +295,6 @@
     std::fs::remove_file(&log).expect("removed");
     let without_time = |line: &str| line.split_once(' ').map(|(_, rest)| rest.to_owned());
     let lines: Vec<String> = text.lines().filter_map(without_time).collect();
-    assert!(lines.contains(&format!("{node_port} {}", pull.line)), "{text}");
-    assert!(lines.contains(&format!("{} SHUT {client_port}", w.address.port())), "{text}");
+    assert!(lines.contains(&format!("{own_port} {node_port} {}", pull.line)), "{text}");
+    assert!(lines.contains(&format!("{} {client_port} SHUT", w.address.port())), "{text}");
 }
