A full memory budget costs a waiting message its memory, not a client its open calls

Cause: a read buffer that finds no room in the memory budget was a fault of its client, whoever held the memory, and a fault closes the connection with all open calls. Change: what pays is the message that holds the most memory and has waited for bytes for longest, or the one that asks if no other waits. Its bytes are discarded as they come, and it is rejected once it is whole. Connection and calls stay. A counter, skipped_messages, and a line of the log show it. The reading of messages has a file of its own, message_reader.rs.

--- a/crates/director/src/counters.rs
+++ b/crates/director/src/counters.rs
@@ -72,6 +72,8 @@
     pub body_bytes: AtomicU64,
     /// Unusable messages of clients, and faults of clients that caused their connection to be closed.
     pub bad_messages: AtomicU64,
+    /// Incomplete messages of clients whose bytes were discarded because the memory was needed for others.
+    pub skipped_messages: AtomicU64,
     /// Faults of nodes that caused their connection to be closed.
     pub bad_lines: AtomicU64,
     /// Client connections accepted since the start, without those in `rejected_connections`.
@@ -199,7 +201,7 @@
             f,
             "answers={} answer_bytes={} unsent={} body_bytes={} bad_messages={} bad_lines={} clients={} \
              idle_closed={} made_room={} turned_away={} shortages={} stalls={} expired={} retracted={} client_gone={} unconfirmed={} \
-             feed_calls={} feed_gaps={} feed_skipped={}",
+             feed_calls={} feed_gaps={} feed_skipped={} skipped_messages={}",
             count(&self.answers),
             count(&self.answer_bytes),
             count(&self.unsent_answers),
@@ -219,6 +221,7 @@
             count(&self.feed_calls),
             count(&self.feed_gaps),
             count(&self.feed_skipped),
+            count(&self.skipped_messages),
         )
     }
 }
--- a/crates/director/src/wire/client_connection.rs
+++ b/crates/director/src/wire/client_connection.rs
@@ -10,9 +10,9 @@
 use sablecross::invariants::{ClientConnectionState, CloseDenied};
 use thiserror::Error;
 
-use super::read_buffer::ReadBuffer;
+use super::message_reader::MessageReader;
 use super::response::{PendingResponse, ResponseWriter};
-use super::rpc::{self, DecodeError, Message, MessageError};
+use super::rpc::{DecodeError, Message, MessageError};
 use crate::clock::NS_PER_MS;
 use crate::counters;
 use crate::events::{CallId, CancellationFlag, ClientId, Event, IncomingRequest};
@@ -20,15 +20,13 @@
 use crate::os_error::is_retryable;
 use crate::shared::SharedContext;
 
-/// A fault of a client, or a lack of room for it, for which its connection is closed.
+/// A fault of a client, or a lack of connections, for which its connection is closed.
 #[derive(Clone, Copy, Debug, Error, PartialEq)]
 pub(super) enum ClientFault {
     #[error(transparent)]
     Message(MessageError),
     #[error("a message is longer than the limit")]
     MessageTooLong,
-    #[error("the memory budget has no room for its message")]
-    MessageMemoryExhausted,
     #[error("too many unusable messages")]
     TooManyUnusableMessages,
     #[error("the number of a new call belongs to a call that is still open")]
@@ -52,6 +50,17 @@
     Fault(ClientFault),
 }
 
+/// How far reading from a connection has come.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum ReadProgress {
+    /// More may be readable at once.
+    MoreReadable,
+    /// Nothing is to be read until the client sends more, or until fewer calls are open.
+    Done,
+    /// The memory budget has no room for the incomplete message.
+    OutOfMemory,
+}
+
 /// A call that is not answered yet.
 pub(super) struct OpenCall {
     /// Distinguishes this use of the call's number from earlier and later ones.
@@ -79,10 +88,8 @@
     /// until this time or until the client closes. Closing a socket with unread bytes would reset the connection and lose
     /// the responses that are still in transit.
     pub(super) closing_until: Option<Ns>,
-    read_buffer: ReadBuffer,
+    reader: MessageReader,
     next_generation: u64,
-    /// The time by which a partly received message must be complete.
-    message_deadline: Option<Ns>,
     unusable_messages: usize,
 }
 
@@ -94,8 +101,6 @@
         unread_since: Option<Ns>,
         shared: &SharedContext,
     ) -> ClientConnection {
-        let limits = &shared.limits;
-        let max_message = limits.max_head_bytes + limits.max_body_bytes;
         ClientConnection {
             stream,
             peer,
@@ -107,9 +112,8 @@
             unread_since,
             is_throttled: false,
             closing_until: None,
-            read_buffer: ReadBuffer::new(limits.initial_read_bytes, max_message, &shared.memory_budget),
+            reader: MessageReader::new(shared),
             next_generation: 0,
-            message_deadline: None,
             unusable_messages: 0,
         }
     }
@@ -120,8 +124,7 @@
         self.open_calls.clear();
         self.queued_responses.clear();
         self.current_response = None;
-        self.message_deadline = None;
-        self.read_buffer = ReadBuffer::new(0, 0, &shared.memory_budget);
+        self.reader.close(shared);
         self.closing_until = Some(until);
     }
 
@@ -129,7 +132,7 @@
         let state = ClientConnectionState {
             open_requests: self.open_calls.len(),
             unwritten_responses: self.unwritten_responses(),
-            has_partial_request: !self.read_buffer.unread().is_empty(),
+            has_partial_request: self.reader.has_partial_message(),
         };
         state.may_close()
     }
@@ -157,38 +160,51 @@
         self.open_calls.values().for_each(|call| call.cancellation.cancel());
     }
 
-    /// Reads messages and passes them to the dispatcher, in at most `max_messages_per_turn` steps. Returns whether more
-    /// may be readable at once. Fails if the client has closed the connection or has caused a `ClientFault`.
+    /// How much memory the connection holds for a message that waits for further bytes of the client, and since when it
+    /// does.
+    pub(super) fn reclaimable_memory(&self) -> Option<(usize, Ns)> {
+        self.reader.reclaimable()
+    }
+
+    /// Discards the bytes of the incomplete message. When its last byte has come, the message is rejected.
+    pub(super) fn skip_message(&mut self, shared: &SharedContext) -> Result<(), CloseReason> {
+        counters::add(&shared.counters.skipped_messages, 1);
+        let skipped = self.reader.skip_message(&shared.limits);
+        skipped.map_err(|error| CloseReason::Fault(ClientFault::Message(error)))
+    }
+
+    /// Reads messages and passes them to the dispatcher, in at most `max_messages_per_turn` steps. Fails if the client has
+    /// closed the connection or has caused a `ClientFault`.
     pub(super) fn read(
         &mut self,
         client: ClientId,
         shared: &SharedContext,
         log: &mut LogRateLimiter,
-    ) -> Result<bool, CloseReason> {
+    ) -> Result<ReadProgress, CloseReason> {
         if self.closing_until.is_some() {
             return self.discard_input(shared);
         }
         for _ in 0..shared.limits.max_messages_per_turn {
             self.is_throttled = self.open_calls.len() >= shared.limits.max_unanswered_per_client;
             if self.is_throttled {
-                return Ok(false);
+                return Ok(ReadProgress::Done);
             }
-            if !self.read_message(client, shared, log)? {
-                return Ok(false);
+            let progress = self.read_message(client, shared, log)?;
+            if progress != ReadProgress::MoreReadable {
+                return Ok(progress);
             }
         }
-        Ok(true)
+        Ok(ReadProgress::MoreReadable)
     }
 
-    /// Passes one message to the dispatcher if it is complete, otherwise reads more bytes. Returns false if no more bytes
-    /// are available.
+    /// Passes one message to the dispatcher if it is complete, otherwise reads more bytes.
     fn read_message(
         &mut self,
         client: ClientId,
         shared: &SharedContext,
         log: &mut LogRateLimiter,
-    ) -> Result<bool, CloseReason> {
-        let (message, length) = match rpc::decode(self.read_buffer.unread(), &shared.names, &shared.limits) {
+    ) -> Result<ReadProgress, CloseReason> {
+        let (message, length) = match self.reader.decode(&shared.names, &shared.limits) {
             Ok(decoded) => decoded,
             Err(DecodeError::Incomplete) => return self.read_more(shared),
             Err(DecodeError::Invalid(error)) => return Err(CloseReason::Fault(ClientFault::Message(error))),
@@ -205,10 +221,9 @@
             _ => None,
         };
         let event = source.event(message, shared);
-        self.read_buffer.consume(length);
+        self.reader.consume(length);
         self.last_activity = shared.clock.now();
         self.has_sent_message = true;
-        self.message_deadline = None;
         if let Some((call, cause)) = unusable {
             counters::add(&shared.counters.bad_messages, 1);
             log.warn(self.last_activity, || format!("client {}, call {call}: {cause}", self.peer));
@@ -216,45 +231,39 @@
         self.update_open_calls(&event, cancellation, shared)?;
         // The dispatcher outlives all connections, except when the program is ending.
         shared.events.send(event).map_err(|_| CloseReason::Disconnected)?;
-        Ok(true)
+        Ok(ReadProgress::MoreReadable)
     }
 
-    /// Reads more bytes of an incomplete message. Returns false if no more bytes are available.
-    fn read_more(&mut self, shared: &SharedContext) -> Result<bool, CloseReason> {
-        if self.message_deadline.is_none() && !self.read_buffer.unread().is_empty() {
-            self.message_deadline = Some(shared.clock.now() + shared.limits.partial_message_timeout);
-        }
-        match self.read_buffer.fill(&self.stream) {
-            Ok(true) => Ok(true),
+    /// Reads more bytes of an incomplete message.
+    fn read_more(&mut self, shared: &SharedContext) -> Result<ReadProgress, CloseReason> {
+        match self.reader.fill(&self.stream, shared.clock.now(), &shared.limits) {
+            Ok(true) => Ok(ReadProgress::MoreReadable),
             Ok(false) => Err(CloseReason::Disconnected),
-            Err(e) if e.kind() == ErrorKind::Interrupted => Ok(true),
+            Err(e) if e.kind() == ErrorKind::Interrupted => Ok(ReadProgress::MoreReadable),
             Err(e) if is_retryable(&e) => {
                 self.unread_since = None;
-                Ok(false)
+                Ok(ReadProgress::Done)
             }
             Err(e) if e.kind() == ErrorKind::InvalidData => {
                 Err(CloseReason::Fault(ClientFault::MessageTooLong))
             }
-            Err(e) if e.kind() == ErrorKind::OutOfMemory => {
-                Err(CloseReason::Fault(ClientFault::MessageMemoryExhausted))
-            }
+            Err(e) if e.kind() == ErrorKind::OutOfMemory => Ok(ReadProgress::OutOfMemory),
             Err(_) => Err(CloseReason::Disconnected),
         }
     }
 
     /// Reads and discards what the client of a closing connection still sends, with at most `max_messages_per_turn` reads.
-    /// Returns whether more may be readable at once.
-    fn discard_input(&mut self, shared: &SharedContext) -> Result<bool, CloseReason> {
+    fn discard_input(&mut self, shared: &SharedContext) -> Result<ReadProgress, CloseReason> {
         let mut bytes = [0; 4 << 10];
         for _ in 0..shared.limits.max_messages_per_turn {
             match (&self.stream).read(&mut bytes) {
                 Ok(n) if n > 0 => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if is_retryable(&e) => return Ok(false),
+                Err(e) if is_retryable(&e) => return Ok(ReadProgress::Done),
                 _ => return Err(CloseReason::Disconnected),
             }
         }
-        Ok(true)
+        Ok(ReadProgress::MoreReadable)
     }
 
     /// Updates the open calls for a message that was received.
@@ -344,7 +353,7 @@
         if let Some(until) = self.closing_until {
             return (now >= until).then_some(CloseReason::Disconnected);
         }
-        if self.message_deadline.is_some_and(|deadline| now >= deadline) {
+        if self.reader.is_overdue(now) {
             return Some(CloseReason::Fault(ClientFault::PartialMessageTimedOut));
         }
         let idle_timeout =
@@ -369,6 +378,8 @@
         match message {
             Message::HealthCheck { call } => Event::HealthCheck { client, call: call_id(call) },
             Message::Cancel { call } => Event::Cancelled { client, call },
+            // As for a body that finds no room: the request had no effect and may be repeated.
+            Message::Skipped { call } => Event::Unusable { client, call: call_id(call), is_overload: true },
             Message::PeerCall { call, body } => {
                 Event::PeerCalled { client, call: call_id(call), body: body.to_vec() }
             }
--- a/crates/director/src/wire/client_server.rs
+++ b/crates/director/src/wire/client_server.rs
@@ -1,6 +1,7 @@
 //! The thread that serves all client connections. It polls all connections together for readability and writability, and
 //! never blocks on a single one.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{Shutdown, SocketAddr};
@@ -14,7 +15,7 @@
 use sablecross::Ns;
 
 use super::client_acceptor::ClientAcceptor;
-use super::client_connection::{ClientConnection, ClientFault, CloseReason};
+use super::client_connection::{ClientConnection, ClientFault, CloseReason, ReadProgress};
 use super::response::PendingResponse;
 use super::response_sender::ResponseSender;
 use crate::clock::NS_PER_MS;
@@ -328,12 +329,35 @@
         let Some(connection) = self.connections.get_mut(&client) else { return };
         connection.unread_since.get_or_insert(self.unread_since);
         match connection.read(client, &self.shared, &mut self.log) {
-            Ok(true) => self.readable.push(client),
-            Ok(false) => {}
+            Ok(ReadProgress::MoreReadable) => self.readable.push(client),
+            Ok(ReadProgress::Done) => {}
+            Ok(ReadProgress::OutOfMemory) => {
+                self.reclaim_memory(client);
+                self.readable.push(client);
+            }
             Err(reason) => self.close(client, reason),
         }
     }
 
+    /// Frees memory for the incomplete message of a client, at the cost of one that waits for bytes of its own client: of
+    /// those that hold the most memory, the one that has waited for longest. If there is none, at the cost of the client's
+    /// own message. What pays is the message alone, never the connection and its open calls.
+    fn reclaim_memory(&mut self, client: ClientId) {
+        let others = self.connections.iter().filter(|(id, _)| **id != client);
+        let holders = others.filter_map(|(id, connection)| {
+            let (bytes, waiting_since) = connection.reclaimable_memory()?;
+            Some((bytes, Reverse(waiting_since), *id))
+        });
+        let payer = holders.max().map_or(client, |(_, _, id)| id);
+        let Some(connection) = self.connections.get_mut(&payer) else { return };
+        self.log.warn(self.shared.clock.now(), || {
+            format!("client {}: its incomplete message is discarded for lack of memory", connection.peer)
+        });
+        if let Err(reason) = connection.skip_message(&self.shared) {
+            self.close(payer, reason);
+        }
+    }
+
     fn write(&mut self, client: ClientId) {
         let Some(connection) = self.connections.get_mut(&client) else { return };
         if let Err(reason) = connection.write(&self.shared) {
--- a/crates/director/src/wire/mod.rs
+++ b/crates/director/src/wire/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod client_server;
 pub(crate) mod discovery_client;
 mod incoming_answer;
+mod message_reader;
 mod node_connection;
 pub mod node_connections;
 pub mod node_pool;
--- a/crates/director/src/wire/read_buffer.rs
+++ b/crates/director/src/wire/read_buffer.rs
@@ -3,7 +3,7 @@
 use std::io::{self, ErrorKind, Read};
 use std::sync::Arc;
 
-use crate::memory_budget::{MemoryBudget, Reservation};
+use crate::memory_budget::{BufferReservation, MemoryBudget};
 
 /// A buffer that grows while a message is incomplete.
 pub(crate) struct ReadBuffer {
@@ -12,10 +12,8 @@
     end: usize,
     initial_length: usize,
     max_length: usize,
-    /// A grown buffer reserves its length here, together with the bodies, so that many partial messages can't exhaust the
-    /// memory.
-    memory_budget: Arc<MemoryBudget>,
-    reservation: Option<Reservation>,
+    /// The memory of a grown buffer, so that many partial messages can't exhaust the memory.
+    reservation: BufferReservation,
 }
 
 impl ReadBuffer {
@@ -31,8 +29,7 @@
             end: 0,
             initial_length,
             max_length,
-            memory_budget: Arc::clone(memory_budget),
-            reservation: None,
+            reservation: BufferReservation::new(memory_budget),
         }
     }
 
@@ -41,15 +38,24 @@
         &self.bytes[self.start..self.end]
     }
 
-    /// Consumes the first `count` unread bytes. An empty buffer shrinks back to its initial length.
+    /// How much of the memory budget the buffer holds.
+    pub(crate) fn reserved_bytes(&self) -> usize {
+        self.reservation.bytes()
+    }
+
+    /// Consumes the first `count` unread bytes. A buffer that has grown shrinks back to its initial length as soon as the
+    /// other ones fit into that.
     pub(crate) fn consume(&mut self, count: usize) {
         self.start = (self.start + count).min(self.end);
-        if self.start == self.end {
+        let unread = self.end - self.start;
+        if self.bytes.len() > self.initial_length && unread <= self.initial_length {
+            let mut bytes = vec![0; self.initial_length];
+            bytes[..unread].copy_from_slice(self.unread());
+            self.bytes = bytes;
+            (self.start, self.end) = (0, unread);
+            self.reservation.release();
+        } else if unread == 0 {
             (self.start, self.end) = (0, 0);
-            if self.bytes.len() > self.initial_length {
-                self.bytes = vec![0; self.initial_length];
-                self.reservation = None;
-            }
         }
     }
 
@@ -57,7 +63,8 @@
     ///
     /// # Errors
     /// Returns `InvalidData` if the message is longer than the maximum length, `OutOfMemory` if the memory
-    /// budget has no room for it, and otherwise the error of the source if reading fails.
+    /// budget has no room for it, which leaves the unread bytes as they are, and otherwise the error of the source if
+    /// reading fails.
     pub(crate) fn fill(&mut self, mut source: impl Read) -> io::Result<bool> {
         if self.end == self.bytes.len() {
             self.bytes.copy_within(self.start..self.end, 0);
@@ -79,9 +86,9 @@
             ));
         }
         let length = (2 * self.end).min(self.max_length);
-        // The old reservation is released first, so that only the new length counts against the budget.
-        self.reservation = None;
-        self.reservation = Some(self.memory_budget.reserve(length).ok_or(ErrorKind::OutOfMemory)?);
+        if !self.reservation.grow_to(length) {
+            return Err(ErrorKind::OutOfMemory.into());
+        }
         self.bytes.resize(length, 0);
         Ok(())
     }
--- a/crates/director/src/wire/rpc/decode.rs
+++ b/crates/director/src/wire/rpc/decode.rs
@@ -12,6 +12,9 @@
 
 const MAX_WORD_BYTES: usize = 64;
 
+/// The number of parts of a message that is a call, and its type.
+const CALL: (u32, u8) = (4, 0);
+
 impl<E: RmpReadErr> From<ValueReadError<E>> for MessageError {
     fn from(_: ValueReadError<E>) -> MessageError {
         MessageError::WrongType
@@ -44,11 +47,10 @@
     names: &NameTable,
     limits: &Limits,
 ) -> Result<Message<'a>, MessageError> {
-    const REQUEST: (u32, u8) = (4, 0);
     const NOTIFICATION: (u32, u8) = (3, 2);
     let parts = decode::read_array_len(&mut bytes)?;
     match (parts, decode::read_int::<u8, _>(&mut bytes)?) {
-        REQUEST => {
+        CALL => {
             let call = decode::read_int(&mut bytes)?;
             // From here on the number of the call is known, so an error can be answered.
             Ok(decode_call(bytes, call, names, limits)
@@ -65,6 +67,15 @@
     }
 }
 
+/// Reads the number of a call, with which the call begins.
+pub(super) fn read_call_number(bytes: &mut &[u8]) -> Result<u32, MessageError> {
+    let start = (decode::read_array_len(bytes)?, decode::read_int::<u8, _>(bytes)?);
+    if start != CALL {
+        return Err(MessageError::UnknownKind);
+    }
+    Ok(decode::read_int(bytes)?)
+}
+
 fn decode_call<'a>(
     mut bytes: &'a [u8],
     call: u32,
--- a/crates/director/src/wire/rpc/mod.rs
+++ b/crates/director/src/wire/rpc/mod.rs
@@ -2,12 +2,14 @@
 
 mod decode;
 mod encode;
+mod skipped_call;
 mod value_length;
 
 use thiserror::Error;
 
 pub use decode::{decode, decode_response};
 pub use encode::{ResponseFrame, encode_call, encode_error, encode_health, encode_success};
+pub use skipped_call::SkippedCall;
 
 /// A message from a client or from another director.
 #[derive(Debug, PartialEq)]
@@ -38,6 +40,11 @@
         /// The encoded coordination messages.
         body: &'a [u8],
     },
+    /// A complete call whose bytes were discarded.
+    Skipped {
+        /// The number of the call.
+        call: u32,
+    },
     /// A call whose number is known, but whose content is invalid.
     Unusable {
         /// The number of the call.
--- a/crates/director/src/wire/rpc/value_length.rs
+++ b/crates/director/src/wire/rpc/value_length.rs
@@ -26,29 +26,39 @@
     depth: usize,
     value_count: &mut usize,
 ) -> Result<(), DecodeError> {
-    *value_count += 1;
     if depth > limits.max_nesting_depth {
         return Err(MessageError::TooDeep.into());
     }
-    let marker = decode::read_marker(bytes).map_err(|e| match e.0.kind() {
-        ErrorKind::UnexpectedEof => DecodeError::Incomplete,
-        _ => MessageError::Unreadable.into(),
-    })?;
-    let Extent { payload, nested } = read_extent(marker, bytes)?;
-    // The lengths are checked before the bytes arrive, so that an oversized message is rejected from its first bytes on.
-    if payload > limits.max_body_bytes || *value_count + nested > limits.max_values {
-        return Err(MessageError::ValueTooLong.into());
-    }
+    let Extent { payload, nested } = read_value_head(bytes, limits, value_count)?;
     read_bytes(bytes, payload)?;
     (0..nested).try_for_each(|_| skip_nested(bytes, limits, depth + 1, value_count))
 }
 
 /// What follows the marker and length of a value.
-struct Extent {
+pub(super) struct Extent {
     /// The number of payload bytes.
-    payload: usize,
+    pub(super) payload: usize,
     /// The number of nested values.
-    nested: usize,
+    pub(super) nested: usize,
+}
+
+/// Reads the marker and length of a value, and counts the value.
+pub(super) fn read_value_head(
+    bytes: &mut &[u8],
+    limits: &Limits,
+    value_count: &mut usize,
+) -> Result<Extent, DecodeError> {
+    let marker = decode::read_marker(bytes).map_err(|e| match e.0.kind() {
+        ErrorKind::UnexpectedEof => DecodeError::Incomplete,
+        _ => MessageError::Unreadable.into(),
+    })?;
+    let extent = read_extent(marker, bytes)?;
+    *value_count += 1;
+    // The lengths are checked before the bytes arrive, so that an oversized message is rejected from its first bytes on.
+    if extent.payload > limits.max_body_bytes || *value_count + extent.nested > limits.max_values {
+        return Err(MessageError::ValueTooLong.into());
+    }
+    Ok(extent)
 }
 
 fn read_extent(marker: Marker, bytes: &mut &[u8]) -> Result<Extent, DecodeError> {
--- a/crates/director/tests/help/mod.rs
+++ b/crates/director/tests/help/mod.rs
@@ -42,6 +42,13 @@
         .replace("\"dialTimeoutUs\": 400000", "\"dialTimeoutUs\": 4000000")
 }
 
+/// The configuration with five caches at the address of its one.
+pub(crate) fn with_more_caches(config: &str) -> String {
+    let cache = config.lines().find(|line| line.contains("cache-a")).expect("listed");
+    let caches = ["a", "b", "c", "d", "e"].map(|name| cache.replace("cache-a", &format!("cache-{name}")));
+    config.replace(cache, &caches.concat())
+}
+
 /// A line that a node received, or the end of a connection as the line `closed`.
 pub(crate) struct NodeMessage {
     pub line: String,
@@ -109,6 +116,17 @@
         }
     }
 
+    /// The next attempt for this object; other messages before it are skipped.
+    pub(crate) fn pull_of(&self, object: u64) -> NodeMessage {
+        let key = format!("{object:016x}");
+        loop {
+            let pull = self.next_pull();
+            if pull.field("key") == Some(&key) {
+                return pull;
+            }
+        }
+    }
+
     pub(crate) fn assert_no_message(&self) {
         let line = self.messages.recv_timeout(SHORT_TIMEOUT).map(|message| message.line);
         assert_eq!(line.err(), Some(RecvTimeoutError::Timeout));
@@ -386,8 +404,22 @@
     assert!(status.success());
 }
 
-/// An encoded request with these additional fields.
+/// An encoded request with these additional fields and an empty body.
 pub(crate) fn request_bytes(call: u8, object: u64, budget_ms: u64, extra_fields: &[(&str, &str)]) -> Vec<u8> {
+    let mut out = request_head(call, object, budget_ms, extra_fields);
+    out.extend([0xc4, 0]);
+    out
+}
+
+/// An encoded request with a body.
+pub(crate) fn request_with_body(call: u8, object: u64, budget_ms: u64, body: &[u8]) -> Vec<u8> {
+    let mut out = request_head(call, object, budget_ms, &[]);
+    rmp::encode::write_bin(&mut out, body).expect("written");
+    out
+}
+
+/// An encoded request up to its body, which is to follow.
+fn request_head(call: u8, object: u64, budget_ms: u64, extra_fields: &[(&str, &str)]) -> Vec<u8> {
     let (request_id, budget) = (format!("{:08x}{object:08x}", u32::from(call)), budget_ms.to_string());
     let object = format!("{object:016x}");
     let mut fields = vec![("rid", &*request_id), ("budget", &*budget), ("obj", &*object), ("piece", "0")];
@@ -399,7 +431,6 @@
     for text in fields.iter().flat_map(|(name, value)| [name, value]) {
         rmp::encode::write_str(&mut out, text).expect("written");
     }
-    out.extend([0xc4, 0]);
     out
 }
 
