A half request is read once more before its connection makes room for another

What callers saw: a client that had sent a part of its first request, and then the rest, could lose it: its connection was closed unanswered, as all places were taken and its half request was the oldest. Cause: make_room reads an idle connection before it closes it, but not one with a half request; new connections are accepted before the others are read. Test: a_request_completed_on_a_connection_chosen_for_eviction_is_answered stops the director, writes the rest, connects, and lets it go on.

--- a/crates/director/src/wire/client_server.rs
+++ b/crates/director/src/wire/client_server.rs
@@ -216,6 +216,15 @@
         }
     }
 
+    /// Closes a connection that has sent only a part of its first message. The connection is read first: it stays open if
+    /// the rest has arrived, which must be answered.
+    fn close_if_still_partial(&mut self, client: ClientId) {
+        self.read(client);
+        if self.connections.get(&client).is_some_and(ClientConnection::has_only_partial_message) {
+            self.close(client, CloseReason::Fault(ClientFault::PartialMessageEvicted));
+        }
+    }
+
     /// Accepts all waiting connections. A connection for which there is no room is closed at once.
     fn accept(&mut self) {
         self.acceptor.begin_accepting();
@@ -263,12 +272,12 @@
     /// request.
     fn make_room(&mut self, now: Ns) -> bool {
         while self.connections.len() - self.closing_count >= self.shared.limits.max_client_connections {
+            // If the client has just sent something, its connection stays open and the loop tries the next one.
             let evicted = if let Some(idle) = self.longest_idle(now) {
-                // If the client has just sent something, its connection stays open and the loop tries the next one.
                 self.close_if_idle(idle);
                 idle
             } else if let Some(partial) = self.oldest_partial() {
-                self.close(partial, CloseReason::Fault(ClientFault::PartialMessageEvicted));
+                self.close_if_still_partial(partial);
                 partial
             } else {
                 return false;
--- a/crates/director/tests/races.rs
+++ b/crates/director/tests/races.rs
@@ -199,6 +199,27 @@
     assert_eq!(harness.current_counters()["made_room"], 3);
 }
 
+/// Guards against losing a request whose last byte lies unread while its connection, which has sent a part of it before, is
+/// chosen to make room.
+#[test]
+fn a_request_completed_on_a_connection_chosen_for_eviction_is_answered() {
+    let harness = Harness::with_config(|config| config.replace("\"sockets\": 1024", "\"sockets\": 64"));
+    let request = request_bytes(1, 0x77, 4_000, &[]);
+    let (first, rest) = request.split_at(20);
+    let mut clients: Vec<Client> = (0..29).map(|_| harness.client()).collect();
+    clients.iter_mut().for_each(|client| client.write(first));
+    harness.wait_for_counter("clients", 29);
+    harness.signal("STOP");
+    clients[0].write(rest);
+    let mut new = harness.client();
+    harness.signal("CONT");
+    harness.cache.expect_pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"owed");
+    clients[0].assert_success(1, b"owed");
+    assert!(new.is_healthy());
+    clients[1].assert_closed();
+    assert_eq!(harness.current_counters()["made_room"], 1);
+}
+
 #[test]
 fn closing_with_unread_bytes_resets_no_response() {
     let harness = Harness::start();
