A call that its feed has not accepted keeps its place, and another is made beside it

Cause: 2 s of silence ended a call whether the stream was open, where comments come each second, or the call waited for its turn. Giving it up loses its place, and the next one waits from the beginning. Change: a call that is not accepted after 2 s is set aside and stays connected while other calls are made, at the next feed if there is one. The first that is answered is followed. A call that the feed may have lost gives way to a newer one after 8 s, then 16, 32 and 64 s (CallPatience). Two connections at most; an open stream is given up after 2 s of silence as before. The calls have a file of their own, feed_call.rs; the line "feed late" and the counter feed_late show it.

--- a/crates/director/src/counters.rs
+++ b/crates/director/src/counters.rs
@@ -100,6 +100,8 @@
     pub shortages: AtomicU64,
     /// Calls of the discovery feed.
     pub feed_calls: AtomicU64,
+    /// Calls of the discovery feed that were answered after another call had been made beside them.
+    pub feed_late_answers: AtomicU64,
     /// Missing or unreadable events, after which the feed was called again.
     pub feed_gaps: AtomicU64,
     /// Events that could not be used.
@@ -201,7 +203,7 @@
             f,
             "answers={} answer_bytes={} unsent={} body_bytes={} bad_messages={} bad_lines={} clients={} \
              idle_closed={} made_room={} turned_away={} shortages={} stalls={} expired={} retracted={} client_gone={} unconfirmed={} \
-             feed_calls={} feed_gaps={} feed_skipped={} skipped_messages={}",
+             feed_calls={} feed_gaps={} feed_skipped={} skipped_messages={} feed_late={}",
             count(&self.answers),
             count(&self.answer_bytes),
             count(&self.unsent_answers),
@@ -222,6 +224,7 @@
             count(&self.feed_gaps),
             count(&self.feed_skipped),
             count(&self.skipped_messages),
+            count(&self.feed_late_answers),
         )
     }
 }
--- a/crates/director/src/limits.rs
+++ b/crates/director/src/limits.rs
@@ -91,8 +91,11 @@
     /// How long after its deadline a message that was begun in time may still be completed. Cutting it short would end
     /// everything else that is open on the connection.
     pub write_finish_grace: Ns,
-    /// The duration of silence after which the event stream counts as dead.
+    /// The duration of silence after which the event stream counts as dead, and after which another call is made beside one
+    /// that the feed has not accepted.
     pub feed_silence_timeout: Duration,
+    /// How long a call that the feed has not accepted is kept at first, while others are made beside it.
+    pub feed_call_patience: Duration,
     /// How often the discovery thread checks whether the feeds have changed, while the stream is silent.
     pub feed_poll_interval: Duration,
     /// The delay after a call of the feed that ended within this time without a new event.
@@ -153,6 +156,8 @@
             max_answer_lateness: 400 * NS_PER_MS,
             write_finish_grace: 40 * NS_PER_MS,
             feed_silence_timeout: Duration::from_secs(2),
+            // What the feed has to tell counts as known to the director after 7 s.
+            feed_call_patience: Duration::from_secs(8),
             feed_poll_interval: Duration::from_millis(100),
             feed_retry_delay: Duration::from_millis(100),
             shutdown_delay: 700 * NS_PER_MS,
--- a/crates/director/src/wire/discovery_client.rs
+++ b/crates/director/src/wire/discovery_client.rs
@@ -1,29 +1,24 @@
 //! The client of discovery's event stream: numbered events over HTTP, each applied once and in order. This module does the
 //! socket I/O; `sablecross-discovery` parses the stream, decides which events are new and selects the feed.
 
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crossbeam_channel::Receiver;
-use sablecross_discovery::{
-    EventCursor, EventStreamParser, EventVerdict, FeedSelector, StreamError, StreamItem, events_request,
-};
+use sablecross_discovery::{CallPatience, EventCursor, EventVerdict, FeedSelector, StreamError, StreamItem};
 use serde_json::Value;
 use thiserror::Error;
 
 use super::applied_version_reporter::AppliedVersionReporter;
+use super::feed_call::{FeedCall, FeedRead};
 use crate::counters;
 use crate::discovery_event::{DiscoveryEvent, KnownEvents, NumberedEvent};
 use crate::events::Event;
-use crate::os_error::is_retryable;
 use crate::parent_hierarchy::AppliedVersion;
 use crate::shared::SharedContext;
 
-/// The size of one read from the stream.
-const READ_BUFFER_BYTES: usize = 16 << 10;
-
 /// The feeds and events of a reloaded configuration, which may be the same as before.
 pub(crate) struct FeedChange {
     /// The feeds, with the home feed first.
@@ -74,6 +69,11 @@
     shared: Arc<SharedContext>,
     cursor: EventCursor,
     feeds: FeedSelector,
+    /// A call that waits for its turn at its feed and was set aside, because the feed has not accepted it in time. Other
+    /// calls are made beside it. The first of them that is answered is followed.
+    waiting_call: Option<FeedCall>,
+    /// How long a call is set aside.
+    patience: CallPatience,
     feed_changes: Receiver<FeedChange>,
     reporter: AppliedVersionReporter,
     /// Whether no call has failed, and no event was missing or unreadable, since the last connect. Only changes of this
@@ -96,6 +96,8 @@
         DiscoveryClient {
             cursor: EventCursor::after_number(after),
             feeds,
+            waiting_call: None,
+            patience: CallPatience::new(shared.limits.feed_call_patience),
             feed_changes,
             reporter: AppliedVersionReporter::new(director_name, applied_versions, Arc::clone(&shared)),
             is_up: true,
@@ -144,6 +146,8 @@
     }
 
     fn mark_up(&mut self) {
+        self.waiting_call = None;
+        self.patience.reset();
         self.feeds.on_connected();
         let was_up = std::mem::replace(&mut self.is_up, true);
         let had_been_up = std::mem::replace(&mut self.has_been_up, true);
@@ -159,6 +163,8 @@
         let from = self.feeds.current();
         tracing::info!("feed moved after={} from={from} to={home}", self.cursor.last_number());
         self.feeds = FeedSelector::new(self.reporter.director_name(), *home, others);
+        self.waiting_call = None;
+        self.patience.reset();
         for event in feed_change.known.events {
             if self.cursor.advance_if_next(event.number) {
                 self.forward(event.event)?;
@@ -176,54 +182,85 @@
         self.feed_changes.try_recv().map_or(Ok(()), |feed_change| Err(CallEnd::FeedsChanged(feed_change)))
     }
 
-    /// Opens one connection to the feed and reads it until its end.
+    /// Calls the feed and follows it until the end of the stream.
     fn call(&mut self) -> Result<(), CallEnd> {
         self.check_feed_change()?;
-        counters::add(&self.shared.counters.feed_calls, 1);
-        let socket = self.connect()?;
-        let mut parser = EventStreamParser::new(self.shared.limits.max_feed_event_bytes);
+        let mut call = match self.take_answered_call() {
+            Some(answered) => answered,
+            None => self.open_call()?,
+        };
         loop {
-            while let Some(item) = parser.next_item()? {
+            while let Some(item) = call.next_item()? {
                 match item {
                     StreamItem::Connected => self.mark_up(),
                     StreamItem::Event { id, data } => self.on_event(id, &data)?,
                     StreamItem::Comment(_) => {}
                 }
             }
-            if !self.read(&mut parser, &socket)? {
-                return Ok(parser.finish()?);
+            match self.wait_for_bytes(&mut call) {
+                Ok(true) => {}
+                Ok(false) => return Ok(call.finish()?),
+                Err(CallEnd::Failed(CallError::Silent)) if !call.is_accepted() => {
+                    self.set_aside(call);
+                    return Err(CallEnd::Failed(CallError::Silent));
+                }
+                Err(end) => return Err(end),
             }
         }
     }
 
-    fn connect(&self) -> io::Result<TcpStream> {
-        let (feed, limits) = (self.feeds.current(), &self.shared.limits);
-        let socket = TcpStream::connect_timeout(&feed, Duration::from_nanos(limits.connect_timeout))?;
-        socket.set_read_timeout(Some(limits.feed_poll_interval))?;
-        socket.set_write_timeout(Some(limits.feed_silence_timeout))?;
-        (&socket).write_all(events_request(feed, self.cursor.last_number()).as_bytes())?;
-        Ok(socket)
+    fn open_call(&self) -> io::Result<FeedCall> {
+        counters::add(&self.shared.counters.feed_calls, 1);
+        FeedCall::open(self.feeds.current(), self.cursor.last_number(), &self.shared.limits)
+    }
+
+    /// Sets aside a call that waits for its turn. Of this call and one that was set aside before, one is kept.
+    fn set_aside(&mut self, call: FeedCall) {
+        let earlier_age = self.waiting_call.as_ref().map(FeedCall::age);
+        let is_earlier_kept = earlier_age.is_some_and(|age| self.patience.keeps(age));
+        if !is_earlier_kept && call.set_aside(true).is_ok() {
+            self.waiting_call = Some(call);
+        }
+    }
+
+    /// Takes up the call that was set aside, if its feed has sent something.
+    fn take_answered_call(&mut self) -> Option<FeedCall> {
+        let mut call = self.waiting_call.take()?;
+        match call.read() {
+            Ok(FeedRead::Nothing) => {
+                self.waiting_call = Some(call);
+                None
+            }
+            Ok(FeedRead::Received) if call.set_aside(false).is_ok() => {
+                counters::add(&self.shared.counters.feed_late_answers, 1);
+                tracing::info!("feed late from={} waited_ms={}", call.feed(), call.age().as_millis());
+                self.feeds.on_late_answer(call.feed());
+                Some(call)
+            }
+            _ => None,
+        }
     }
 
-    /// Reads more bytes of the stream; false at its end. Fails if no data comes for `feed_silence_timeout`, or if the
-    /// configuration was reloaded. Sends pending reports of the applied version while it waits.
-    fn read(&mut self, parser: &mut EventStreamParser, mut socket: &TcpStream) -> Result<bool, CallEnd> {
-        let (began, mut bytes) = (Instant::now(), [0; READ_BUFFER_BYTES]);
+    /// Waits for more bytes of the stream; false at its end. If the call that was set aside is answered first, that one
+    /// takes the place of `call`. Sends pending reports of the applied version meanwhile.
+    ///
+    /// Fails if no data comes for `feed_silence_timeout`, or if the configuration was reloaded.
+    fn wait_for_bytes(&mut self, call: &mut FeedCall) -> Result<bool, CallEnd> {
+        let began = Instant::now();
         loop {
             self.reporter.report_if_due(self.feeds.current());
             self.check_feed_change()?;
-            match socket.read(&mut bytes) {
-                Err(e) if is_retryable(&e) => {
-                    if began.elapsed() >= self.shared.limits.feed_silence_timeout {
-                        return Err(CallEnd::Failed(CallError::Silent));
-                    }
-                }
-                Err(e) => return Err(e.into()),
-                Ok(0) => return Ok(false),
-                Ok(count) => {
-                    parser.push(&bytes[..count]);
-                    return Ok(true);
-                }
+            match call.read()? {
+                FeedRead::Received => return Ok(true),
+                FeedRead::End => return Ok(false),
+                FeedRead::Nothing => {}
+            }
+            if let Some(answered) = self.take_answered_call() {
+                *call = answered;
+                return Ok(true);
+            }
+            if began.elapsed() >= self.shared.limits.feed_silence_timeout {
+                return Err(CallEnd::Failed(CallError::Silent));
             }
         }
     }
--- a/crates/director/src/wire/mod.rs
+++ b/crates/director/src/wire/mod.rs
@@ -5,6 +5,7 @@
 mod client_connection;
 pub(crate) mod client_server;
 pub(crate) mod discovery_client;
+mod feed_call;
 mod incoming_answer;
 mod message_reader;
 mod node_connection;
--- a/crates/director/tests/wire_format.rs
+++ b/crates/director/tests/wire_format.rs
@@ -423,12 +423,13 @@
         &shared.feed_gaps,
         &shared.feed_skipped,
         &shared.skipped_messages,
+        &shared.feed_late_answers,
     ];
     all.into_iter().zip(1..).for_each(|(counter, n)| counter.store(n, Ordering::Relaxed));
     assert_eq!(
         shared.to_string(),
         "answers=1 answer_bytes=2 unsent=3 body_bytes=4 bad_messages=5 bad_lines=6 clients=7 idle_closed=8 \
          made_room=9 turned_away=10 shortages=11 stalls=12 expired=13 retracted=14 client_gone=15 \
-         unconfirmed=16 feed_calls=17 feed_gaps=18 feed_skipped=19 skipped_messages=20"
+         unconfirmed=16 feed_calls=17 feed_gaps=18 feed_skipped=19 skipped_messages=20 feed_late=21"
     );
 }
--- a/crates/discovery/src/feed_selector.rs
+++ b/crates/discovery/src/feed_selector.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// Switches to a feed that has answered an earlier call, after another one was selected. A feed that is not one of the
+    /// selector's changes nothing.
+    pub fn on_late_answer(&mut self, feed: SocketAddr) {
+        self.current = self.feeds.iter().position(|known| *known == feed).unwrap_or(self.current);
+    }
+
     /// Records that the current feed has accepted the call, and keeps following it.
     pub fn on_connected(&mut self) {
         self.fallback = None;
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -1,13 +1,15 @@
 //! The client side of the control feed, for directors, relays and tests. The crate does no I/O: it takes bytes and
 //! returns events.
 //!
-//! [`EventStreamParser`] parses the response to one call, [`EventCursor`] decides which events are new, and
-//! [`FeedSelector`] selects the feed to call next.
+//! [`EventStreamParser`] parses the response to one call, [`EventCursor`] decides which events are new,
+//! [`FeedSelector`] selects the feed to call next, and [`CallPatience`] says how long a call waits to be accepted.
 
+mod call_patience;
 mod event_cursor;
 mod event_stream;
 mod feed_selector;
 
+pub use call_patience::CallPatience;
 pub use event_cursor::{EventCursor, EventVerdict, ResubscribeReason};
 pub use event_stream::{EventStreamParser, StreamError, StreamItem};
 pub use feed_selector::FeedSelector;
--- a/crates/discovery/tests/feed.rs
+++ b/crates/discovery/tests/feed.rs
@@ -7,8 +7,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use sablecross_discovery::{
-    EventCursor, EventStreamParser, EventVerdict, FeedSelector, ResubscribeReason, StreamError, StreamItem,
-    events_request,
+    CallPatience, EventCursor, EventStreamParser, EventVerdict, FeedSelector, ResubscribeReason, StreamError,
+    StreamItem, events_request,
 };
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
@@ -201,3 +201,30 @@
     single.on_failed(sec(1));
     assert_eq!(single.current(), feed(1));
 }
+
+/// Guards against calling a feed that was not followed: an answer to an earlier call selects its feed again.
+#[test]
+fn a_late_answer_selects_its_feed() {
+    let feeds: Vec<SocketAddr> = (1..=3).map(|port| ([127, 0, 0, 1], port).into()).collect();
+    let mut selector = FeedSelector::new("a", feeds[0], &feeds[1..]);
+    selector.on_failed(Duration::ZERO);
+    assert_ne!(selector.current(), feeds[0]);
+    selector.on_late_answer(feeds[0]);
+    selector.on_connected();
+    assert_eq!(selector.current(), feeds[0]);
+    selector.on_late_answer(([127, 0, 0, 1], 9).into());
+    assert_eq!(selector.current(), feeds[0], "not one of its feeds");
+}
+
+/// Guards against a feed that is never heard as its calls wait for long, and against calls that are kept for good.
+#[test]
+fn the_patience_doubles_up_to_its_maximum_until_a_call_is_accepted() {
+    let second = Duration::from_secs(1);
+    let mut patience = CallPatience::new(8 * second);
+    for limit in [8, 16, 32, 64, 64] {
+        assert!(patience.keeps(limit * second - Duration::from_millis(1)), "{limit} s");
+        assert!(!patience.keeps(limit * second), "{limit} s");
+    }
+    patience.reset();
+    assert!(!patience.keeps(8 * second));
+}
