A slowly written message ends no open call, and is read while it goes on

Cause: a message had 2 s from its first byte, whatever came of it, and the end of that time closed the connection whatever was owed on it. Change: a half message closes a connection only when no response is owed on it. A client that has sent a complete message before may take 2 s without bytes and, in all, the time that the bytes take at 16 KiB a second; after SIGTERM 2 s in all, as a first message always has. A connection is read once more before one of its timeouts closes it. Tests: a_message_that_stops_ends_no_open_call and a_message_that_goes_on_is_served failed on the old text ("Broken pipe"); the other two of slow_clients.rs hold what it protected from.

--- a/crates/director/src/clock.rs
+++ b/crates/director/src/clock.rs
@@ -7,6 +7,9 @@
 /// The number of nanoseconds in a millisecond.
 pub const NS_PER_MS: Ns = 1_000_000;
 
+/// The number of nanoseconds in a second.
+pub const NS_PER_S: Ns = 1_000 * NS_PER_MS;
+
 /// The local time at which the program starts: two years, so that times before the start stay in range.
 const START: Ns = 2 * 366 * 86_400 * 1_000 * NS_PER_MS;
 
--- a/crates/director/src/limits.rs
+++ b/crates/director/src/limits.rs
@@ -71,8 +71,10 @@
     pub max_size_kb: f64,
     /// The time within which a message without a deadline of its own must be written.
     pub default_write_timeout: Ns,
-    /// The time within which a client must complete a message, and within which it must send its first one.
+    /// The time within which a client must send its first message completely, and go on with a later one.
     pub partial_message_timeout: Ns,
+    /// The mean rate at which later messages must be received, so that a client can't keep one incomplete for long.
+    pub min_message_bytes_per_s: u64,
     /// How long a client connection may be idle before it is closed.
     pub client_idle_timeout: Ns,
     /// The time after which an idle client connection that has sent no message since it was accepted is evicted before
@@ -147,6 +149,7 @@
             max_size_kb: 1e6,
             default_write_timeout: 1_000 * NS_PER_MS,
             partial_message_timeout: 2_000 * NS_PER_MS,
+            min_message_bytes_per_s: 16 << 10,
             client_idle_timeout: 8_000 * NS_PER_MS,
             new_client_grace: 200 * NS_PER_MS,
             shortage_retry_interval: 10 * NS_PER_MS,
--- a/crates/director/src/wire/client_connection.rs
+++ b/crates/director/src/wire/client_connection.rs
@@ -10,7 +10,7 @@
 use sablecross::invariants::{ClientConnectionState, CloseDenied};
 use thiserror::Error;
 
-use super::message_reader::MessageReader;
+use super::message_reader::{MessageReader, MessageTimeout};
 use super::response::{PendingResponse, ResponseWriter};
 use super::rpc::{DecodeError, Message, MessageError};
 use crate::clock::NS_PER_MS;
@@ -236,7 +236,7 @@
 
     /// Reads more bytes of an incomplete message.
     fn read_more(&mut self, shared: &SharedContext) -> Result<ReadProgress, CloseReason> {
-        match self.reader.fill(&self.stream, shared.clock.now(), &shared.limits) {
+        match self.reader.fill(&self.stream, shared.clock.now()) {
             Ok(true) => Ok(ReadProgress::MoreReadable),
             Ok(false) => Err(CloseReason::Disconnected),
             Err(e) if e.kind() == ErrorKind::Interrupted => Ok(ReadProgress::MoreReadable),
@@ -347,13 +347,26 @@
         }
     }
 
-    /// Why the connection has to be closed now, if one of its timeouts has passed.
-    pub(super) fn overdue_reason(&self, now: Ns, shared: &SharedContext) -> Option<CloseReason> {
+    /// Why the connection has to be closed now, if one of its timeouts has passed. An incomplete message is no reason while
+    /// a response is owed, which would be lost.
+    ///
+    /// A client that has sent a complete message before may take longer for the next one as long as that goes on, except
+    /// when the program is stopping.
+    pub(super) fn overdue_reason(
+        &self,
+        now: Ns,
+        is_stopping: bool,
+        shared: &SharedContext,
+    ) -> Option<CloseReason> {
         let limits = &shared.limits;
         if let Some(until) = self.closing_until {
             return (now >= until).then_some(CloseReason::Disconnected);
         }
-        if self.reader.is_overdue(now) {
+        let may_go_on = self.has_sent_message && !is_stopping;
+        let timeout = if may_go_on { MessageTimeout::Progress } else { MessageTimeout::Total };
+        if self.reader.is_overdue(now, timeout, limits)
+            && self.may_close() != Err(CloseDenied::ResponsePending)
+        {
             return Some(CloseReason::Fault(ClientFault::PartialMessageTimedOut));
         }
         let idle_timeout =
--- a/crates/director/src/wire/client_server.rs
+++ b/crates/director/src/wire/client_server.rs
@@ -377,24 +377,34 @@
     /// Closes connections whose message is not complete in time, that are idle for too long or that do not take their
     /// responses.
     fn sweep(&mut self, now: Ns) {
-        let overdue = self
-            .connections
-            .iter()
-            .filter_map(|(id, connection)| Some((*id, connection.overdue_reason(now, &self.shared)?)));
-        for (client, reason) in overdue.collect::<Vec<(ClientId, CloseReason)>>() {
-            if reason == CloseReason::Idle {
-                self.close_if_idle(client);
-            } else {
-                self.close(client, reason);
-            }
-            let is_counted = !self.is_open(client) && reason != CloseReason::Disconnected;
-            counters::add(&self.shared.counters.idle_closed, usize::from(is_counted));
+        let overdue = self.connections.keys().filter(|id| self.overdue_reason(**id, now).is_some());
+        for client in overdue.copied().collect::<Vec<ClientId>>() {
+            self.close_if_overdue(client, now);
         }
         let writing = self.connections.iter().filter(|(_, connection)| connection.current_response.is_some());
         let writing: Vec<ClientId> = writing.map(|(id, _)| *id).collect();
         writing.into_iter().for_each(|client| self.write(client));
     }
 
+    fn overdue_reason(&self, client: ClientId, now: Ns) -> Option<CloseReason> {
+        let is_stopping = self.is_shutting_down.load(Ordering::Acquire);
+        self.connections.get(&client)?.overdue_reason(now, is_stopping, &self.shared)
+    }
+
+    /// Closes a connection one of whose timeouts has passed. One that is not closing yet is read first: it stays open if what
+    /// has arrived is enough, or if more may have arrived than was read.
+    fn close_if_overdue(&mut self, client: ClientId, now: Ns) {
+        if self.is_open(client) {
+            self.read(client);
+            if self.readable.contains(&client) {
+                return;
+            }
+        }
+        let Some(reason) = self.overdue_reason(client, now) else { return };
+        self.close(client, reason);
+        counters::add(&self.shared.counters.idle_closed, usize::from(reason != CloseReason::Disconnected));
+    }
+
     /// Closes a connection. If its client may still be there, the write side is shut down, and the client has
     /// `closing_timeout` to receive the bytes in transit. If more than `max_closing_clients` connections are closing, the
     /// one whose time ends first is dropped. A connection that is closing already is dropped at once.
--- a/crates/director/src/wire/rpc/skipped_call.rs
+++ b/crates/director/src/wire/rpc/skipped_call.rs
@@ -34,6 +34,11 @@
         self.number
     }
 
+    /// The number of bytes that were skipped.
+    pub fn skipped_bytes(&self) -> usize {
+        self.skipped_bytes
+    }
+
     /// Whether all bytes of the call are skipped.
     pub fn is_complete(&self) -> bool {
         self.pending_values == 0 && self.pending_bytes == 0
--- /dev/null
+++ b/crates/director/tests/slow_clients.rs
@@ -0,0 +1,97 @@
+//! Clients that write their messages slowly. The real director on sockets.
+
+mod help;
+
+use std::io::Write;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use help::{Client, Harness, request_bytes, request_with_body, with_more_caches};
+
+/// The time within which a client must go on with a message, and the time between two checks of that.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+fn start() -> Harness {
+    Harness::with_config(|config| with_more_caches(&config))
+}
+
+/// Writes pieces in regular intervals. Returns whether all of them were written.
+fn write_slowly(client: &mut Client, bytes: &[u8], piece: usize, interval: Duration) -> bool {
+    bytes.chunks(piece).all(|piece| {
+        thread::sleep(interval);
+        client.0.write_all(piece).is_ok()
+    })
+}
+
+/// Guards against the end of a connection with an open call because its next message is not complete in time. Once nothing
+/// is owed, the connection is closed.
+#[test]
+fn a_message_that_stops_ends_no_open_call() {
+    let harness = start();
+    let mut client = harness.client();
+    client.send_request(1, 0x77, 6_000);
+    let open = harness.cache.expect_pull();
+    client.write(&request_bytes(2, 0x78, 6_000, &[])[..20]);
+    thread::sleep(MESSAGE_TIMEOUT + 2 * CHECK_INTERVAL);
+    open.answer("ACK", "how=HIT,entity=t1,issued=1", b"owed");
+    client.assert_success(1, b"owed");
+    let answered_at = Instant::now();
+    client.assert_closed();
+    assert!(answered_at.elapsed() < MESSAGE_TIMEOUT, "{:?}", answered_at.elapsed());
+    harness.wait_for_log("closed: a message was not complete in time");
+}
+
+/// Guards against losing a message that is written slowly but without a pause, here for 3 s, behind other messages.
+#[test]
+fn a_message_that_goes_on_is_served() {
+    let harness = start();
+    let mut client = harness.client();
+    assert!(client.is_healthy());
+    let message = request_with_body(1, 0x77, 4_000, &[b'q'; 120_000]);
+    assert!(write_slowly(&mut client, &message, 4_000, Duration::from_millis(100)));
+    harness.cache.expect_pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"served");
+    client.assert_success(1, b"served");
+}
+
+/// Guards against clients that keep a message incomplete: one that sends nothing more, or hardly anything, and one that has
+/// never sent a complete message, whatever it sends.
+#[test]
+fn a_message_that_does_not_go_on_ends_its_connection() {
+    let harness = start();
+    let message = request_with_body(1, 0x77, 4_000, &[b'q'; 120_000]);
+    let message = &message;
+    let play = move |mut client: Client, is_known: bool, first: usize, piece: usize| {
+        assert!(!is_known || client.is_healthy());
+        let start = Instant::now();
+        client.write(&message[..first]);
+        let rest = if piece == 0 { &[] } else { &message[first..] };
+        write_slowly(&mut client, rest, piece.max(1), Duration::from_millis(100));
+        client.assert_closed();
+        let allowed = MESSAGE_TIMEOUT..Duration::from_secs(3);
+        assert!(allowed.contains(&start.elapsed()), "{:?} {is_known} {piece}", start.elapsed());
+    };
+    thread::scope(|scope| {
+        for (is_known, first, piece) in [(true, 20, 0), (true, 20, 1), (false, 4_000, 4_000)] {
+            let client = harness.client();
+            scope.spawn(move || play(client, is_known, first, piece));
+        }
+    });
+}
+
+/// Guards against a stop that is held up by a client that goes on writing a message.
+#[test]
+fn a_message_that_goes_on_does_not_hold_up_a_stop() {
+    let mut harness = start();
+    let mut client = harness.client();
+    assert!(client.is_healthy());
+    let message = request_with_body(1, 0x77, 4_000, &[b'q'; 240_000]);
+    client.write(&message[..4_000]);
+    harness.signal("TERM");
+    let stopping_at = Instant::now();
+    thread::spawn(move || write_slowly(&mut client, &message[4_000..], 2_000, Duration::from_millis(100)));
+    while harness.child.try_wait().expect("waited").is_none() {
+        assert!(stopping_at.elapsed() < Duration::from_secs(3), "{:?}", stopping_at.elapsed());
+        thread::sleep(Duration::from_millis(10));
+    }
+}
