A response that is read slowly does not end the other calls of its connection

What callers saw: a client that was slow to read a response lost its other open calls; 40 ms after the deadline of the response its connection was closed. All tests of the director passed.

--- a/crates/director/src/limits.rs
+++ b/crates/director/src/limits.rs
@@ -88,10 +88,10 @@
     pub max_poll_wait: Ns,
     /// The interval between periodic checks of all connections, in addition to checks that an event triggers.
     pub sweep_interval: Ns,
-    /// How long after its client's deadline a response may still begin to be written. Later it is dropped.
+    /// How long after its client's deadline a response may still begin to be written, and one that was begun may be
+    /// completed if others are owed on the connection. Later it is dropped.
     pub max_answer_lateness: Ns,
-    /// How long after its deadline a message that was begun in time may still be completed. Cutting it short would end
-    /// everything else that is open on the connection.
+    /// How long after its deadline a message that was begun in time may still be completed.
     pub write_finish_grace: Ns,
     /// The duration of silence after which the event stream counts as dead, and after which another call is made beside one
     /// that the feed has not accepted.
--- a/crates/director/src/wire/client_connection.rs
+++ b/crates/director/src/wire/client_connection.rs
@@ -314,10 +314,12 @@
     /// A response past its deadline is still written, because a client's budget may be as short as 1 ms, less than a
     /// request takes to pass through the director. It is left out once it is late by `max_answer_lateness`. A response
     /// that is begun must be complete within `write_finish_grace` of its deadline, or of the time at which it was begun
-    /// if that is later, because cutting it short would end all other calls on the connection.
+    /// if that is later. If other responses are owed on the connection, which cutting it short would lose, it has
+    /// `max_answer_lateness` instead.
     pub(super) fn write(&mut self, shared: &SharedContext) -> Result<(), CloseReason> {
         loop {
             let now = shared.clock.now();
+            let are_others_owed = !self.open_calls.is_empty() || !self.queued_responses.is_empty();
             let Some(writer) = self.current_response.as_mut() else {
                 let Some(response) = self.queued_responses.pop_front() else { return Ok(()) };
                 if now < response.deadline.saturating_add(shared.limits.max_answer_lateness) {
@@ -329,7 +331,9 @@
                 }
                 continue;
             };
-            if now >= writer.deadline + shared.limits.write_finish_grace {
+            let limits = &shared.limits;
+            let grace = if are_others_owed { limits.max_answer_lateness } else { limits.write_finish_grace };
+            if now >= writer.deadline + grace {
                 return Err(CloseReason::Fault(ClientFault::ResponseWriteTimedOut));
             }
             match writer.write_to(&self.stream) {
