A relay's call that its upstream has not accepted keeps its place

What subscribers saw: behind an upstream that answered each call after longer than stale-ms, a relay heard no event. Cause: silence ended a call whether it was accepted or not, and the next one waited from the start. Change: which call is kept is decided by WaitingCall in crates/discovery, for directors and relays alike; it takes the place of CallPatience. A relay takes up the call that waits if the upstream answers it while the relay subscribes to the same events. The follower has a file of its own, upstream_follower.rs (peers.rs had three jobs). Tests: events_are_heard_from_an_upstream_that_answers_late failed on the old text ("the first call is kept: Broken pipe"); WaitingCall has two tests. All tests of the relay server, and slow_discovery, sockets, syscalls and races of the director, passed.

--- a/crates/director/src/wire/discovery_client.rs
+++ b/crates/director/src/wire/discovery_client.rs
@@ -7,7 +7,9 @@
 use std::time::Instant;
 
 use crossbeam_channel::Receiver;
-use sablecross_discovery::{CallPatience, EventCursor, EventVerdict, FeedSelector, StreamError, StreamItem};
+use sablecross_discovery::{
+    CallState, EventCursor, EventVerdict, FeedSelector, StreamError, StreamItem, WaitingCall,
+};
 use serde_json::Value;
 use thiserror::Error;
 
@@ -71,9 +73,7 @@
     feeds: FeedSelector,
     /// A call that waits for its turn at its feed and was set aside, because the feed has not accepted it in time. Other
     /// calls are made beside it. The first of them that is answered is followed.
-    waiting_call: Option<FeedCall>,
-    /// How long a call is set aside.
-    patience: CallPatience,
+    waiting_call: WaitingCall<FeedCall>,
     feed_changes: Receiver<FeedChange>,
     reporter: AppliedVersionReporter,
     /// Whether no call has failed, and no event was missing or unreadable, since the last connect. Only changes of this
@@ -96,8 +96,7 @@
         DiscoveryClient {
             cursor: EventCursor::after_number(after),
             feeds,
-            waiting_call: None,
-            patience: CallPatience::new(shared.limits.feed_call_patience),
+            waiting_call: WaitingCall::new(shared.limits.feed_call_patience),
             feed_changes,
             reporter: AppliedVersionReporter::new(director_name, applied_versions, Arc::clone(&shared)),
             is_up: true,
@@ -146,8 +145,7 @@
     }
 
     fn mark_up(&mut self) {
-        self.waiting_call = None;
-        self.patience.reset();
+        self.waiting_call.reset();
         self.feeds.on_connected();
         let was_up = std::mem::replace(&mut self.is_up, true);
         let had_been_up = std::mem::replace(&mut self.has_been_up, true);
@@ -163,8 +161,7 @@
         let from = self.feeds.current();
         tracing::info!("feed moved after={} from={from} to={home}", self.cursor.last_number());
         self.feeds = FeedSelector::new(self.reporter.director_name(), *home, others);
-        self.waiting_call = None;
-        self.patience.reset();
+        self.waiting_call.reset();
         for event in feed_change.known.events {
             if self.cursor.advance_if_next(event.number) {
                 self.forward(event.event)?;
@@ -214,31 +211,26 @@
         FeedCall::open(self.feeds.current(), self.cursor.last_number(), &self.shared.limits)
     }
 
-    /// Sets aside a call that waits for its turn. Of this call and one that was set aside before, one is kept.
+    /// Sets aside a call that waits for its turn.
     fn set_aside(&mut self, call: FeedCall) {
-        let earlier_age = self.waiting_call.as_ref().map(FeedCall::age);
-        let is_earlier_kept = earlier_age.is_some_and(|age| self.patience.keeps(age));
-        if !is_earlier_kept && call.set_aside(true).is_ok() {
-            self.waiting_call = Some(call);
+        if call.set_aside(true).is_ok() {
+            let began_at = call.began_at();
+            self.waiting_call.set_aside(call, began_at, Instant::now());
         }
     }
 
     /// Takes up the call that was set aside, if its feed has sent something.
     fn take_answered_call(&mut self) -> Option<FeedCall> {
-        let mut call = self.waiting_call.take()?;
-        match call.read() {
-            Ok(FeedRead::Nothing) => {
-                self.waiting_call = Some(call);
-                None
-            }
-            Ok(FeedRead::Received) if call.set_aside(false).is_ok() => {
-                counters::add(&self.shared.counters.feed_late_answers, 1);
-                tracing::info!("feed late from={} waited_ms={}", call.feed(), call.age().as_millis());
-                self.feeds.on_late_answer(call.feed());
-                Some(call)
-            }
-            _ => None,
-        }
+        let call = self.waiting_call.take_answered(|call| match call.read() {
+            Ok(FeedRead::Nothing) => CallState::Waiting,
+            Ok(FeedRead::Received) if call.set_aside(false).is_ok() => CallState::Answered,
+            _ => CallState::Lost,
+        })?;
+        counters::add(&self.shared.counters.feed_late_answers, 1);
+        let waited_ms = call.began_at().elapsed().as_millis();
+        tracing::info!("feed late from={} waited_ms={waited_ms}", call.feed());
+        self.feeds.on_late_answer(call.feed());
+        Some(call)
     }
 
     /// Waits for more bytes of the stream; false at its end. If the call that was set aside is answered first, that one
--- a/crates/director/src/wire/feed_call.rs
+++ b/crates/director/src/wire/feed_call.rs
@@ -49,9 +49,8 @@
         self.feed
     }
 
-    /// The time since the call was begun.
-    pub(super) fn age(&self) -> Duration {
-        self.began_at.elapsed()
+    pub(super) fn began_at(&self) -> Instant {
+        self.began_at
     }
 
     pub(super) fn is_accepted(&self) -> bool {
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -2,17 +2,17 @@
 //! returns events.
 //!
 //! [`EventStreamParser`] parses the response to one call, [`EventCursor`] decides which events are new,
-//! [`FeedSelector`] selects the feed to call next, and [`CallPatience`] says how long a call waits to be accepted.
+//! [`FeedSelector`] selects the feed to call next, and [`WaitingCall`] keeps a call that is not accepted yet.
 
-mod call_patience;
 mod event_cursor;
 mod event_stream;
 mod feed_selector;
+mod waiting_call;
 
-pub use call_patience::CallPatience;
 pub use event_cursor::{EventCursor, EventVerdict, ResubscribeReason};
 pub use event_stream::{EventStreamParser, StreamError, StreamItem};
 pub use feed_selector::FeedSelector;
+pub use waiting_call::{CallState, WaitingCall};
 
 use std::net::SocketAddr;
 
--- a/crates/discovery/tests/feed.rs
+++ b/crates/discovery/tests/feed.rs
@@ -2,13 +2,13 @@
 //! selection.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use sablecross_discovery::{
-    CallPatience, EventCursor, EventStreamParser, EventVerdict, FeedSelector, ResubscribeReason, StreamError,
-    StreamItem, events_request,
+    CallState, EventCursor, EventStreamParser, EventVerdict, FeedSelector, ResubscribeReason, StreamError,
+    StreamItem, WaitingCall, events_request,
 };
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
@@ -216,15 +216,50 @@
     assert_eq!(selector.current(), feeds[0], "not one of its feeds");
 }
 
-/// Guards against a feed that is never heard as its calls wait for long, and against calls that are kept for good.
+/// Guards against a feed that is never heard as its calls wait for long, and against calls that are kept for good: the older
+/// call keeps its place for a time that doubles up to 64 s, until one is accepted.
 #[test]
-fn the_patience_doubles_up_to_its_maximum_until_a_call_is_accepted() {
-    let second = Duration::from_secs(1);
-    let mut patience = CallPatience::new(8 * second);
-    for limit in [8, 16, 32, 64, 64] {
-        assert!(patience.keeps(limit * second - Duration::from_millis(1)), "{limit} s");
-        assert!(!patience.keeps(limit * second), "{limit} s");
+fn an_older_call_gives_way_after_a_time_that_doubles() {
+    let (start, second) = (Instant::now(), Duration::from_secs(1));
+    let shortly = Duration::from_millis(1);
+    let mut waiting = WaitingCall::new(8 * second);
+    let kept = |waiting: &mut WaitingCall<u64>| {
+        let mut kept = None;
+        assert_eq!(
+            waiting.take_answered(|call| {
+                kept = Some(*call);
+                CallState::Waiting
+            }),
+            None
+        );
+        kept
+    };
+    assert_eq!(kept(&mut waiting), None);
+    let mut began_at = start;
+    waiting.set_aside(0, began_at, start);
+    for (limit, number) in [8, 16, 32, 64, 64].into_iter().zip(1..) {
+        let over = began_at + limit * second;
+        waiting.set_aside(100, over, over - shortly);
+        assert_eq!(kept(&mut waiting), Some(number - 1), "before {limit} s");
+        waiting.set_aside(number, over, over);
+        assert_eq!(kept(&mut waiting), Some(number), "after {limit} s");
+        began_at = over;
     }
-    patience.reset();
-    assert!(!patience.keeps(8 * second));
+    waiting.reset();
+    assert_eq!(kept(&mut waiting), None);
+    waiting.set_aside(6, began_at, began_at);
+    waiting.set_aside(7, began_at, began_at + 8 * second);
+    assert_eq!(kept(&mut waiting), Some(7), "the patience is the first one again");
+}
+
+#[test]
+fn a_waiting_call_is_taken_once_when_it_is_answered_and_dropped_when_it_is_lost() {
+    let now = Instant::now();
+    let mut waiting = WaitingCall::new(Duration::from_secs(8));
+    waiting.set_aside('a', now, now);
+    assert_eq!(waiting.take_answered(|_| CallState::Answered), Some('a'));
+    assert_eq!(waiting.take_answered(|_| CallState::Answered), None);
+    waiting.set_aside('b', now, now);
+    assert_eq!(waiting.take_answered(|_| CallState::Lost), None);
+    assert_eq!(waiting.take_answered(|_| CallState::Answered), None);
 }
--- a/crates/relay-server/src/lib.rs
+++ b/crates/relay-server/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod publisher;
 mod server;
 pub mod settings;
+mod upstream_follower;
 
 pub use server::ServerError;
 pub use settings::RelayServerConfig;
--- a/crates/relay-server/src/peers.rs
+++ b/crates/relay-server/src/peers.rs
@@ -1,32 +1,25 @@
 //! Threads that do blocking I/O with other processes on behalf of the event loop: one for each other voter, one that
-//! follows the upstream, and one that forwards subscribers' reports.
+//! follows the upstream (`upstream_follower.rs`), and one that forwards subscribers' reports.
 
-use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use crossbeam_channel::{Receiver, Sender, bounded};
+use crossbeam_channel::{Sender, bounded};
 use mio::Waker;
-use sablecross_discovery::{EventStreamParser, StreamError, StreamItem};
+use sablecross_discovery::StreamItem;
 use sablecross_relay::{PeerReply, PeerRequest};
 use thiserror::Error;
 
 use crate::peer_client::{CallError, PeerClient};
+use crate::upstream_follower::UpstreamError;
 
 /// How many calls may be queued for one voter. Further calls are dropped; the relay repeats those that matter.
 const CALL_QUEUE_CAPACITY: usize = 16;
 /// How many reports may be queued to be forwarded.
 const REPORT_QUEUE_CAPACITY: usize = 64;
 const MAX_REPORT_RESPONSE_BYTES: usize = 4_096;
-/// How often the follower checks for a new subscription while it reads a stream.
-const SUBSCRIPTION_POLL_INTERVAL: Duration = Duration::from_millis(100);
-const MAX_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Delay before the next subscription after one that failed, or that within this time was replaced or ended without any
-/// item.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
 const THREAD_STACK_BYTES: usize = 256 << 10;
-const READ_CHUNK_BYTES: usize = 16_384;
 
 /// An event that a thread reports to the event loop.
 #[derive(Debug)]
@@ -131,168 +124,6 @@
     Ok(rmp_serde::from_slice(&response.body)?)
 }
 
-/// A subscription to an upstream's events.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct UpstreamSubscription {
-    /// Identifies the subscription in events to the event loop.
-    pub(crate) id: u64,
-    pub(crate) address: SocketAddr,
-    /// The stream starts after the event with this number.
-    pub(crate) after: u64,
-    /// The number that this relay and all its subscribers have applied, if it is sent in a header of its own.
-    pub(crate) applied_number: Option<u64>,
-}
-
-/// Reads the event streams of upstreams for the event loop. A new subscription replaces the open one.
-pub(crate) struct UpstreamFollower {
-    /// Number of this relay, sent to the upstream.
-    pub(crate) relay_number: u32,
-    /// The stream fails if the upstream sends nothing for longer than this.
-    pub(crate) silence_timeout: Duration,
-    /// Largest event in bytes.
-    pub(crate) max_event_bytes: usize,
-    pub(crate) subscriptions: Receiver<UpstreamSubscription>,
-    pub(crate) inbox: Inbox,
-}
-
-/// Why the stream from an upstream broke.
-#[derive(Debug, Error)]
-pub(crate) enum UpstreamError {
-    #[error(transparent)]
-    Io(#[from] std::io::Error),
-    #[error(transparent)]
-    Stream(#[from] StreamError),
-    #[error("nothing received in time")]
-    Silent,
-}
-
-/// How the stream from an upstream ended, if it did not fail.
-enum StreamEnd {
-    Completed,
-    /// A new subscription replaces this one.
-    Replaced(UpstreamSubscription),
-    /// The event loop has ended.
-    EventLoopEnded,
-}
-
-impl UpstreamFollower {
-    /// Serves subscriptions until the event loop has ended.
-    pub(crate) fn run(self) {
-        let mut next = self.subscriptions.recv().ok();
-        while let Some(subscription) = next.take() {
-            let begun = Instant::now();
-            let mut item_count = 0;
-            let result = match self.read_stream(subscription, &mut item_count) {
-                Ok(StreamEnd::EventLoopEnded) => return,
-                Ok(StreamEnd::Replaced(replacement)) => {
-                    if begun.elapsed() < RETRY_DELAY {
-                        std::thread::sleep(RETRY_DELAY);
-                    }
-                    next = Some(replacement);
-                    continue;
-                }
-                Ok(StreamEnd::Completed) => Ok(()),
-                Err(error) => Err(error),
-            };
-            // An upstream that fails or ends streams at once must not cause a busy loop.
-            if result.is_err() || (item_count == 0 && begun.elapsed() < RETRY_DELAY) {
-                std::thread::sleep(RETRY_DELAY);
-            }
-            if !self.inbox.send(ServerEvent::UpstreamEnded { subscription_id: subscription.id, result }) {
-                return;
-            }
-            next = self.subscriptions.recv().ok();
-        }
-    }
-
-    /// Reads the stream of one subscription to its end and counts the items in `item_count`.
-    fn read_stream(
-        &self,
-        subscription: UpstreamSubscription,
-        item_count: &mut usize,
-    ) -> Result<StreamEnd, UpstreamError> {
-        let mut stream = self.connect(subscription)?;
-        let mut parser = EventStreamParser::new(self.max_event_bytes);
-        let mut chunk = [0; READ_CHUNK_BYTES];
-        let mut last_read = Instant::now();
-        loop {
-            if let Ok(replacement) = self.subscriptions.try_recv() {
-                return Ok(StreamEnd::Replaced(replacement));
-            }
-            match stream.read(&mut chunk) {
-                Ok(0) => {
-                    parser.finish()?;
-                    return Ok(StreamEnd::Completed);
-                }
-                Ok(n) => {
-                    last_read = Instant::now();
-                    parser.push(&chunk[..n]);
-                    if let Some(end) = self.forward_items(subscription.id, &mut parser, item_count)? {
-                        return Ok(end);
-                    }
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                    if last_read.elapsed() > self.silence_timeout {
-                        return Err(UpstreamError::Silent);
-                    }
-                }
-                Err(e) => return Err(e.into()),
-            }
-        }
-    }
-
-    fn connect(&self, subscription: UpstreamSubscription) -> std::io::Result<TcpStream> {
-        let mut stream =
-            TcpStream::connect_timeout(&subscription.address, self.silence_timeout.min(MAX_CONNECT_TIMEOUT))?;
-        stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(SUBSCRIPTION_POLL_INTERVAL))?;
-        stream.set_write_timeout(Some(self.silence_timeout))?;
-        stream.write_all(self.request(subscription).as_bytes())?;
-        Ok(stream)
-    }
-
-    /// Builds the request for events, with the headers that identify the caller as a relay.
-    fn request(&self, subscription: UpstreamSubscription) -> String {
-        let applied =
-            subscription.applied_number.map_or(String::new(), |n| format!("Sablecross-In-Force: {n}\r\n"));
-        let headers = format!("\r\nSablecross-Relay: {}\r\n{applied}\r\n", self.relay_number);
-        sablecross_discovery::events_request(subscription.address, subscription.after)
-            .replacen("\r\n\r\n", &headers, 1)
-    }
-
-    /// Sends all complete items to the event loop. Returns how the stream ended, if it did.
-    fn forward_items(
-        &self,
-        subscription_id: u64,
-        parser: &mut EventStreamParser,
-        item_count: &mut usize,
-    ) -> Result<Option<StreamEnd>, StreamError> {
-        let (items, error) = parse_complete_items(parser);
-        *item_count += items.len();
-        if !items.is_empty() && !self.inbox.send(ServerEvent::UpstreamItems { subscription_id, items }) {
-            return Ok(Some(StreamEnd::EventLoopEnded));
-        }
-        match error {
-            None => Ok(None),
-            Some(StreamError::Ended) => Ok(Some(StreamEnd::Completed)),
-            Some(error) => Err(error),
-        }
-    }
-}
-
-/// Returns all complete items, and the error in the input after them, if any.
-fn parse_complete_items(parser: &mut EventStreamParser) -> (Vec<StreamItem>, Option<StreamError>) {
-    let mut items = Vec::new();
-    loop {
-        match parser.next_item() {
-            Ok(Some(item)) => items.push(item),
-            Ok(None) => return (items, None),
-            Err(error) => return (items, Some(error)),
-        }
-    }
-}
-
 /// A subscriber's report of the hierarchy that it has applied, to be forwarded to the upstream.
 #[derive(Debug)]
 pub(crate) struct AppliedReport {
--- a/crates/relay-server/src/server/events.rs
+++ b/crates/relay-server/src/server/events.rs
@@ -6,7 +6,8 @@
 use sablecross_relay::{Action, ApplyOutcome};
 
 use super::{INBOX_CAPACITY, Server, unix_ms};
-use crate::peers::{QueuedCall, ServerEvent, UpstreamError, UpstreamSubscription};
+use crate::peers::{QueuedCall, ServerEvent};
+use crate::upstream_follower::{UpstreamError, UpstreamSubscription};
 
 impl Server {
     /// Handles the events that the threads have sent.
--- a/crates/relay-server/src/server/mod.rs
+++ b/crates/relay-server/src/server/mod.rs
@@ -26,8 +26,9 @@
 
 use crate::connection::Connection;
 use crate::log_rate_limiter::LogRateLimiter;
-use crate::peers::{AppliedReport, QueuedCall, ServerEvent, UpstreamSubscription};
+use crate::peers::{AppliedReport, QueuedCall, ServerEvent};
 use crate::settings::{DescriptorLimitError, RelayServerConfig};
+use crate::upstream_follower::UpstreamSubscription;
 use accept::Listener;
 use streams::SharedBatch;
 
--- a/crates/relay-server/src/server/startup.rs
+++ b/crates/relay-server/src/server/startup.rs
@@ -18,8 +18,9 @@
     ServerError, unix_ms,
 };
 use crate::log_rate_limiter::LogRateLimiter;
-use crate::peers::{self, Inbox, QueuedCall, UpstreamFollower};
+use crate::peers::{self, Inbox, QueuedCall};
 use crate::settings::RelayServerConfig;
+use crate::upstream_follower::{UpstreamFollower, UpstreamFollowerConfig};
 
 /// The leader calls a voter at most this often, so that events published at about the same time go in one call.
 const BATCH_INTERVAL: Ns = 5 * NS_PER_MS;
@@ -52,13 +53,13 @@
         let (upstream_subscriptions, subscriptions) = bounded(SUBSCRIPTION_QUEUE_CAPACITY);
         if !upstreams.is_empty() {
             let max_event_bytes = max_reply_bytes(&config);
-            let follower = UpstreamFollower {
+            let follower = UpstreamFollower::new(UpstreamFollowerConfig {
                 relay_number: form.number,
                 silence_timeout,
                 max_event_bytes,
                 subscriptions,
                 inbox: inbox.clone(),
-            };
+            });
             let run = move || follower.run();
             peers::spawn("upstream".into(), run).map_err(ServerError::io("starting a thread"))?;
         }
--- a/crates/relay-server/tests/http_format.rs
+++ b/crates/relay-server/tests/http_format.rs
@@ -313,3 +313,35 @@
     stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"n\":42}").expect("written");
     assert_eq!(publish.join().expect("published"), Ok(42));
 }
+
+/// Guards against never hearing from an upstream that answers each call after longer than `stale-ms`, because each call is
+/// given up before its turn and the next one waits from the beginning.
+#[test]
+fn events_are_heard_from_an_upstream_that_answers_late() {
+    let (at, upstream) = (address(6, 1), address(6, 2));
+    let listener = TcpListener::bind(upstream).expect("an upstream");
+    let settings = format!(
+        "(relay (number . 3) (listen . \"{at}\") (stale-ms . 500))\n(member (number . 3) (address . \"{at}\"))\n\
+         (upstream (address . \"{upstream}\"))\n"
+    );
+    let relay = Process::start(at, &settings);
+    let (mut first, _) = receive_request(&listener);
+    let (second, _) = receive_request(&listener);
+    let event = r#"{"n":1,"members":{"index":0,"snapshot":true,"endpoints":[]}}"#;
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\nid: 1\ndata: {event}\n\n"
+    );
+    first.write_all(answer.as_bytes()).expect("the first call is kept");
+    let begun = Instant::now();
+    while !relay.exchange("GET /v1/events HTTP/1.1\r\nLast-Event-ID: 0\r\n\r\n").contains(event) {
+        assert!(begun.elapsed() < TIMEOUT, "the event is not passed on");
+        // An upstream that is alive sends comments.
+        first.write_all(b": here\n\n").expect("the first call is kept");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(
+        (&second).read(&mut [0; 8]).expect("an end"),
+        0,
+        "the call that was answered is followed alone"
+    );
+}
