Tests of waiting messages see each fault put in by hand, and end by themselves

Cause: with the longest and the latest waiting message mixed up no test failed, and without the mean rate a test wrote for hours. Change: three messages wait before the one that goes on, and one comes after it; slow writers stop after 10 s.

--- a/crates/director/tests/client_memory.rs
+++ b/crates/director/tests/client_memory.rs
@@ -82,7 +82,7 @@
 #[test]
 fn the_message_that_waits_for_longest_gives_up_its_memory() {
     let harness = start(8);
-    let bad = partial_clients(&harness, 2, MAX_BODY);
+    let bad = partial_clients(&harness, 3, MAX_BODY);
     let mut good = harness.client();
     let message = request_with_body(1, 0x77, 4_000, &[b'q'; MAX_BODY]);
     let (last, pieces) = message.split_last().expect("bytes");
@@ -90,9 +90,9 @@
         good.write(piece);
         std::thread::sleep(Duration::from_millis(20));
     }
-    // Four such messages find room. These three take that of the two that have waited for longer.
-    let _more_bad = partial_clients(&harness, 3, MAX_BODY);
-    harness.wait_for_counter("skipped_messages", 2);
+    // Four such messages find room. The fifth takes that of the first, not of the one that came last.
+    let _fifth = partial_clients(&harness, 1, MAX_BODY);
+    harness.wait_for_counter("skipped_messages", 1);
     good.write(&[*last]);
     let pull = harness.cache.expect_pull();
     pull.answer("ACK", "how=HIT,entity=t1,issued=1", b"served");
--- a/crates/director/tests/slow_clients.rs
+++ b/crates/director/tests/slow_clients.rs
@@ -21,12 +21,15 @@
     Harness::with_config(|config| with_more_caches(&config))
 }
 
-/// Writes pieces in regular intervals. Returns whether all of them were written.
+/// Writes pieces in regular intervals, for 10 s at most. Returns whether all of them were written.
 fn write_slowly(client: &mut Client, bytes: &[u8], piece: usize, interval: Duration) -> bool {
-    bytes.chunks(piece).all(|piece| {
+    let pieces_in_10_s = (Duration::from_secs(10).as_millis() / interval.as_millis()) as usize;
+    let mut pieces = bytes.chunks(piece);
+    let are_written = pieces.by_ref().take(pieces_in_10_s).all(|piece| {
         thread::sleep(interval);
         client.0.write_all(piece).is_ok()
-    })
+    });
+    are_written && pieces.next().is_none()
 }
 
 /// Guards against the end of a connection with an open call because its next message is not complete in time. Once nothing
