Call ppoll in the fault library, as arm64 has no system call poll

Change: poll is passed on as ppoll without a signal mask, a negative time-out as a null pointer. SYS_ppoll exists on x86-64 and arm64. The faults due for Call::Wait are the same. It is a library for tests: no product code, test, check or time bound changes.

--- a/crates/fault-injection/src/calls.rs
+++ b/crates/fault-injection/src/calls.rs
@@ -139,7 +139,6 @@
 forwarded!(eventfd, Call::EventFd, libc::SYS_eventfd2, (value: c_uint, flags: c_int));
 forwarded!(socketpair, Call::SocketPair, libc::SYS_socketpair,
     (domain: c_int, kind: c_int, protocol: c_int, pair: *mut c_int));
-forwarded!(poll, Call::Wait, libc::SYS_poll, (watched: *mut c_void, count: c_uint, timeout: c_int));
 forwarded!(fsync, Call::Sync, libc::SYS_fsync, (file: c_int));
 forwarded!(fdatasync, Call::Sync, libc::SYS_fdatasync, (file: c_int));
 
@@ -176,6 +175,23 @@
     result(unsafe { libc::syscall(libc::SYS_accept4, listener, address, length, flags) })
 }
 
+/// Made as `ppoll` without a signal mask: not every kind of machine has the system call `poll`.
+#[unsafe(no_mangle)]
+pub(crate) unsafe extern "C" fn poll(watched: *mut c_void, count: libc::nfds_t, timeout_ms: c_int) -> c_int {
+    if let Some(errno) = due_error(Call::Wait) {
+        return state::fail(errno);
+    }
+    let mut limit = libc::timespec {
+        tv_sec: libc::time_t::from(timeout_ms / 1_000),
+        tv_nsec: libc::c_long::from(timeout_ms % 1_000) * 1_000_000,
+    };
+    // A negative time-out waits without end, as does a null pointer.
+    let limit = if timeout_ms < 0 { std::ptr::null_mut() } else { &raw mut limit };
+    let mask = std::ptr::null::<c_void>();
+    // SAFETY: the caller's arguments are passed on unchanged; the kernel writes to `limit` only during the call.
+    result(unsafe { libc::syscall(libc::SYS_ppoll, watched, count, limit, mask, 8) })
+}
+
 #[unsafe(no_mangle)]
 pub(crate) unsafe extern "C" fn epoll_wait(
     epoll: c_int,
