Review case 10: a hedge is sent after the final answer

Cause: without the right to cancel, the router ends no outstanding attempt at an answer, also none that still waits for its connection and has not been begun.

The stand-ins of cases 6 and 8 count the most memory that the process had, so that a short peak is not missed.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 
 mod common;
 mod crowd;
+mod late_connection;
 mod many_nodes;
 mod same_id;
 
@@ -17,6 +18,7 @@
             common::begin(record);
             match case {
                 "crowd" => crowd::run(),
+                "late-connection" => late_connection::run(),
                 "many-nodes" => many_nodes::run(),
                 "memory" => many_nodes::run_memory(),
                 "same-id" => same_id::run(),
--- a/review/standins-2/many_nodes.rs
+++ b/review/standins-2/many_nodes.rs
@@ -282,11 +282,14 @@
     play(&MEMORY)
 }
 
-/// The memory of a process in kB, without what it maps of files.
+/// The most memory that a process has had, in kB, without what it maps of files.
 fn memory_kb(pid: u32) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = status.lines().find(|line| line.starts_with("RssAnon:"))?;
-    line.split_whitespace().nth(1)?.parse().ok()
+    let field = |name: &str| -> Option<u64> {
+        let line = status.lines().find(|line| line.starts_with(name))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    };
+    Some(field("VmHWM:")?.saturating_sub(field("RssFile:")?))
 }
 
 /// Stands for the platform: kills the director once it is over its memory. Returns the most memory, in kB.
