Give case 8 parents and keep the stand-ins' ports and ids apart

Cause: case 8 passed its limit by 4 kB in some runs; beside other cases a director's port could be taken; the id of an ended director was signalled once more at the end.

Change: review/8 has 200 parents beside its 3,200 cache nodes; the director listens on a loopback host of the case's own; the id of an ended process is dropped.

--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -157,9 +157,14 @@
     listener.local_addr().unwrap_or_else(|e| cannot_run(&format!("local address: {e}")))
 }
 
-/// A loopback address on which nobody listens now.
+/// A loopback address on which nobody listens now. Its host part is that of this process alone, so that no other listener or
+/// connection takes the port meanwhile.
 pub fn free_address() -> SocketAddr {
-    address_of(&listen())
+    let own = std::process::id();
+    let host = std::net::Ipv4Addr::new(127, 1 + (own >> 8) as u8 % 250, own as u8, 2);
+    let listener =
+        TcpListener::bind((host, 0)).unwrap_or_else(|e| cannot_run(&format!("listen on {host}: {e}")));
+    address_of(&listener)
 }
 
 // ---- the director as a process ----
@@ -225,7 +230,15 @@
     }
 
     pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+        let has_ended = matches!(self.child.try_wait(), Ok(Some(_)));
+        if has_ended {
+            // Its id may be another process's from now on.
+            let pid = self.child.id();
+            if let Ok(mut children) = CHILDREN.lock() {
+                children.retain(|other| *other != pid);
+            }
+        }
+        has_ended
     }
 
     pub fn signal(&self, name: &str) {
--- a/review/standins-2/many_nodes.rs
+++ b/review/standins-2/many_nodes.rs
@@ -22,6 +22,8 @@
     changes_an_event: usize,
     load_for: f64,
     memory_mb: u64,
+    /// How many parents there are beside the cache nodes.
+    parents: usize,
 }
 
 /// Half of the largest fleet that the page names; each change is an event.
@@ -32,6 +34,7 @@
     changes_an_event: 1,
     load_for: 20.0,
     memory_mb: 192,
+    parents: 1,
 };
 
 /// The largest fleet that the page names, with the least memory; the feed tells changes together, a few times a second.
@@ -42,6 +45,7 @@
     changes_an_event: 32,
     load_for: 30.0,
     memory_mb: 32,
+    parents: 200,
 };
 
 /// How many nodes one process of the stand-in has, so that it stays under the usual limit on descriptors.
@@ -118,12 +122,13 @@
     commands: ChildStdin,
 }
 
-fn start_nodes(nodes: usize) -> (Vec<NodeProcess>, Vec<SocketAddr>) {
+fn start_nodes(nodes: usize, parents: usize) -> (Vec<NodeProcess>, Vec<SocketAddr>) {
     let (mut processes, mut addresses) = (Vec::new(), Vec::new());
     let program = std::env::current_exe().unwrap_or_else(|e| cannot_run(&format!("own program: {e}")));
-    for _ in 0..nodes / NODES_A_PROCESS {
+    let counts = std::iter::repeat_n(NODES_A_PROCESS, nodes / NODES_A_PROCESS).chain([parents]);
+    for count in counts {
         let child = Command::new(&program)
-            .args(["nodes", &NODES_A_PROCESS.to_string()])
+            .args(["nodes", &count.to_string()])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn();
@@ -132,11 +137,11 @@
         let (Some(commands), Some(out)) = (child.stdin.take(), child.stdout.take()) else {
             cannot_run("nodes: no pipes")
         };
-        let lines = BufReader::new(out).lines().take(NODES_A_PROCESS);
+        let lines = BufReader::new(out).lines().take(count);
         addresses.extend(lines.filter_map(|line| line.ok()?.parse::<SocketAddr>().ok()));
         processes.push(NodeProcess { child, commands });
     }
-    if addresses.len() != nodes {
+    if addresses.len() != nodes + parents {
         cannot_run("the nodes can't listen");
     }
     (processes, addresses)
@@ -316,17 +321,15 @@
 }
 
 fn play(of: &Play) -> ! {
-    let (mut processes, addresses) = start_nodes(of.nodes);
-    let parent = listen();
+    let (mut processes, addresses) = start_nodes(of.nodes, of.parents);
     let origin = listen();
-    let (parent_at, origin_at) = (address_of(&parent), address_of(&origin));
+    let origin_at = address_of(&origin);
     let answer = |input: NodeInput, connection: &NodeConnection| {
         if let NodeInput::Pull(pull) = input {
             let fields = format!("how=HIT,entity=e{},issued={}", &pull.field("key")[..8], unix_ms());
             connection.answer(&pull.id, "ACK", &fields, object_bytes(pull.field("key")).as_bytes());
         }
     };
-    serve_node(parent, answer);
     serve_node(origin, answer);
 
     let feed = Feed::start();
@@ -343,7 +346,10 @@
         since_ms,
     };
     let mut list: Vec<Listed> = (0..of.nodes).map(|i| listed(i, i, "ready", 0)).collect();
-    for (name, address, kind) in [("parent-1", parent_at, "parent"), ("origin", origin_at, "origin")] {
+    let parent_names: Vec<String> = (0..of.parents).map(|i| format!("parent-{i}")).collect();
+    let parents =
+        parent_names.iter().zip(&addresses[of.nodes..]).map(|(name, address)| (&**name, *address, "parent"));
+    for (name, address, kind) in parents.chain([("origin", origin_at, "origin")]) {
         list.push(Listed { name, address, zone: "hub", kind, group: 65_000, status: "ready", since_ms: 0 });
     }
     feed.push_list(&list, true);
