Change a ring by the members that change, not by a build of all

Cause: each change of a ring's members built a second ring of 256 virtual nodes a member and sorted all of them.

Change: virtual nodes lie in buckets of equal ranges of positions, 12 bytes each; a member is put in or taken out at its 256 places. An update looks at the nodes that it names only. Where over a quarter of the members change, the ring is built anew after the old one is dropped. Owners are as before: the nearest virtual node of all members.

--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -1,5 +1,7 @@
 //! The table of the nodes that this director knows, with what it has measured of each.
 
+use std::collections::BTreeSet;
+
 use crate::burst::TrafficBaseline;
 use crate::class_counts::ClassCounts;
 use crate::fill_price::FillPrice;
@@ -133,9 +135,19 @@
     caches: HashRing,
     /// The ring of all listed parents.
     parents: HashRing,
+    /// The listed origins, sorted.
+    origins: Vec<RingMember>,
+    /// The first origin that is ready.
     origin: Option<usize>,
 }
 
+/// Where a node stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Membership {
+    role: EndpointRole,
+    member: RingMember,
+}
+
 impl EndpointTable {
     pub(crate) fn get(&self, node: usize) -> Option<&Endpoint> {
         self.endpoints.get(node)?.as_ref()
@@ -198,13 +210,20 @@
         self.endpoints.iter_mut().flatten().for_each(Endpoint::close_window);
     }
 
-    /// Applies entries of the endpoint list. A snapshot removes the nodes that it does not name.
+    /// Applies entries of the endpoint list. A snapshot removes the nodes that it does not name. Only the nodes that the
+    /// entries name, or that a snapshot removes, are looked at.
     pub(crate) fn update(
         &mut self,
         settings: &Settings,
         updates: &[EndpointUpdate],
         is_snapshot: bool,
     ) -> Vec<ModeChange> {
+        let known = if is_snapshot { 0..self.endpoints.len() } else { 0..0 };
+        let touched: BTreeSet<usize> = known.chain(updates.iter().map(|update| update.node)).collect();
+        let memberships = |table: &Self| -> Vec<Option<Membership>> {
+            touched.iter().map(|&node| table.membership(settings, node)).collect()
+        };
+        let before = memberships(self);
         if is_snapshot {
             for endpoint in self.endpoints.iter_mut().flatten() {
                 endpoint.listing.state = EndpointState::Gone;
@@ -213,7 +232,25 @@
         for update in updates {
             self.apply(settings, *update);
         }
-        self.rebuild_rings(settings)
+        let after = memberships(self);
+        let changes = self.update_rings(&before, &after);
+        self.origin = self.origins.iter().map(|member| member.node).find(|&node| self.is_ready(node));
+        changes
+    }
+
+    /// Where a node stands according to its present entry; none if it is not listed, or is a cache of another zone.
+    fn membership(&self, settings: &Settings, node: usize) -> Option<Membership> {
+        let Endpoint { listing, role, .. } = self.get(node)?;
+        let is_elsewhere = *role == EndpointRole::Cache && listing.zone != settings.zone;
+        if listing.state == EndpointState::Gone || is_elsewhere {
+            return None;
+        }
+        let EndpointUpdate { rank, withheld_virtual_nodes, .. } = *listing;
+        Some(Membership { role: *role, member: RingMember { rank, node, withheld_virtual_nodes } })
+    }
+
+    fn is_ready(&self, node: usize) -> bool {
+        self.get(node).is_some_and(|endpoint| endpoint.listing.state == EndpointState::Ready)
     }
 
     /// Applies one entry of the endpoint list.
@@ -238,47 +275,50 @@
         }
     }
 
-    /// Finds the origin and rebuilds the rings whose members have changed.
-    fn rebuild_rings(&mut self, settings: &Settings) -> Vec<ModeChange> {
-        let caches = self.listed_members(EndpointRole::Cache, Some(settings.zone));
-        let parents = self.listed_members(EndpointRole::Parent, None);
-        let origins = self.listed_members(EndpointRole::Origin, None);
-        let is_ready = |member: &&RingMember| {
-            self.get(member.node).is_some_and(|endpoint| endpoint.listing.state == EndpointState::Ready)
-        };
-        self.origin = origins.iter().find(is_ready).map(|member| member.node);
-        let changes = [replace_ring(&mut self.caches, caches), replace_ring(&mut self.parents, parents)];
+    /// Updates the rings where the memberships of some nodes have changed, and returns the changes to log.
+    fn update_rings(
+        &mut self,
+        before: &[Option<Membership>],
+        after: &[Option<Membership>],
+    ) -> Vec<ModeChange> {
+        let origins = MemberChanges::between(before, after, EndpointRole::Origin);
+        self.origins.retain(|member| !origins.removed.contains(member));
+        self.origins.extend(origins.added);
+        self.origins.sort_unstable();
+        let caches = MemberChanges::between(before, after, EndpointRole::Cache);
+        let parents = MemberChanges::between(before, after, EndpointRole::Parent);
+        let changes = [caches.apply(&mut self.caches), parents.apply(&mut self.parents)];
         changes.into_iter().flatten().collect()
     }
+}
 
-    /// The listed nodes of a role, in one zone or in all, in the order that all directors use.
-    fn listed_members(&self, role: EndpointRole, zone: Option<usize>) -> Vec<RingMember> {
-        let mut members: Vec<RingMember> = self
-            .endpoints
-            .iter()
-            .enumerate()
-            .filter_map(|(node, endpoint)| Some((node, endpoint.as_ref()?)))
-            .filter(|(_, endpoint)| endpoint.role == role && endpoint.listing.state != EndpointState::Gone)
-            .filter(|(_, endpoint)| zone.is_none_or(|zone| zone == endpoint.listing.zone))
-            .map(|(node, endpoint)| RingMember {
-                rank: endpoint.listing.rank,
-                node,
-                withheld_virtual_nodes: endpoint.listing.withheld_virtual_nodes,
-            })
-            .collect();
-        members.sort_unstable();
-        members
-    }
+/// The listed nodes of one role that have left, that have come, or both because their entry has changed.
+struct MemberChanges {
+    removed: Vec<RingMember>,
+    added: Vec<RingMember>,
 }
 
-/// Rebuilds a ring if its members have changed. Members added to an empty ring are not reported as a change
-/// of mode.
-fn replace_ring(ring: &mut HashRing, members: Vec<RingMember>) -> Option<ModeChange> {
-    if members == ring.members() {
-        return None;
+impl MemberChanges {
+    /// Compares the memberships of the same nodes before and after an update.
+    fn between(before: &[Option<Membership>], after: &[Option<Membership>], role: EndpointRole) -> Self {
+        let mut changes = MemberChanges { removed: Vec::new(), added: Vec::new() };
+        let member_of = |membership: &Option<Membership>| {
+            membership.filter(|membership| membership.role == role).map(|membership| membership.member)
+        };
+        for (before, after) in before.iter().zip(after).filter(|(before, after)| before != after) {
+            changes.removed.extend(member_of(before));
+            changes.added.extend(member_of(after));
+        }
+        changes
+    }
+
+    /// Updates a ring, and returns the change to log. Members added to an empty ring are not reported.
+    fn apply(&self, ring: &mut HashRing) -> Option<ModeChange> {
+        if self.removed.is_empty() && self.added.is_empty() {
+            return None;
+        }
+        let before = ring.members().len();
+        ring.update(&self.removed, &self.added);
+        (before > 0).then_some(ModeChange::Members { now: ring.members().len(), before })
     }
-    let before = ring.members().len();
-    let change = ModeChange::Members { now: members.len(), before };
-    *ring = HashRing::build(members);
-    (before > 0).then_some(change)
 }
--- a/src/hash_ring.rs
+++ b/src/hash_ring.rs
@@ -1,11 +1,22 @@
 //! Consistent hashing: which member of a ring owns an object.
 //!
-//! All functions here are pure, so all directors agree on the owners, and a restart of a director changes none.
+//! The owners depend on the members alone and not on the order in which they came, so all directors agree on them,
+//! and a restart of a director changes none.
+
+mod virtual_nodes;
+
+use std::collections::BTreeSet;
+
+use virtual_nodes::{VirtualNode, VirtualNodes};
 
 /// The number of virtual nodes of a member that withholds none. The segments of a member are then small and border on
 /// segments of all other members, so that its loss burdens all others alike and a new member takes its share from all.
 pub const VIRTUAL_NODES: u16 = 256;
 
+/// A ring is built anew if more members change than its members divided by this number, since a member costs less
+/// in a whole build than in a change.
+const REBUILD_DIVISOR: usize = 4;
+
 /// The number of distinct values of [`unit_fraction`]. All versions have to use the same number.
 const FRACTION_STEPS: u64 = 1024;
 
@@ -51,38 +62,64 @@
     pub withheld_virtual_nodes: u16,
 }
 
-/// One of the positions of a member on the ring.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct VirtualNode {
-    position: u64,
-    node: usize,
-}
-
 /// A ring of members, each with many virtual nodes. A position belongs to the member whose virtual node is nearest,
 /// in either direction. If a member is lost, each of its segments is therefore divided between the two neighbours. The
 /// neighbours are the same whether the member is ejected, cold or removed from the list, so a loss moves a position
 /// only once.
 #[derive(Clone, Debug, Default)]
 pub struct HashRing {
+    /// Sorted.
     members: Vec<RingMember>,
-    virtual_nodes: Vec<VirtualNode>,
+    virtual_nodes: VirtualNodes,
 }
 
 impl HashRing {
-    /// Builds the ring of these members. Callers that have to agree on the owners pass the members in the same order
-    /// or give them distinct ranks.
-    pub fn build(members: Vec<RingMember>) -> HashRing {
-        let mut virtual_nodes: Vec<VirtualNode> = members.iter().flat_map(virtual_nodes_of).collect();
-        virtual_nodes.sort_unstable();
+    /// Builds the ring of these members. Callers that have to agree on the owners give the members distinct ranks, or
+    /// the same indices.
+    pub fn build(mut members: Vec<RingMember>) -> HashRing {
+        members.sort_unstable();
+        let virtual_nodes = VirtualNodes::build(members.iter().flat_map(virtual_nodes_of));
         HashRing { members, virtual_nodes }
     }
 
-    /// The members as they were given to [`HashRing::build`].
+    /// Removes and adds members. The cost depends on their number, and hardly on the number of those that stay. The
+    /// ring is the same as one that is built of the resulting members.
+    pub fn update(&mut self, removed: &[RingMember], added: &[RingMember]) {
+        if REBUILD_DIVISOR * (removed.len() + added.len()) > self.members.len() {
+            return self.rebuild(removed, added);
+        }
+        removed.iter().for_each(|member| self.remove(member));
+        added.iter().for_each(|member| self.insert(*member));
+    }
+
+    /// Builds the ring anew, in the memory of the present one.
+    fn rebuild(&mut self, removed: &[RingMember], added: &[RingMember]) {
+        let HashRing { mut members, virtual_nodes } = std::mem::take(self);
+        drop(virtual_nodes);
+        let removed: BTreeSet<&RingMember> = removed.iter().collect();
+        members.retain(|member| !removed.contains(member));
+        members.extend(added);
+        *self = HashRing::build(members);
+    }
+
+    fn insert(&mut self, member: RingMember) {
+        let place = self.members.partition_point(|other| *other < member);
+        self.members.insert(place, member);
+        virtual_nodes_of(&member).for_each(|virtual_node| self.virtual_nodes.insert(virtual_node));
+    }
+
+    fn remove(&mut self, member: &RingMember) {
+        let Ok(place) = self.members.binary_search(member) else { return };
+        self.members.remove(place);
+        virtual_nodes_of(member).for_each(|virtual_node| self.virtual_nodes.remove(virtual_node));
+    }
+
+    /// The members, sorted.
     pub fn members(&self) -> &[RingMember] {
         &self.members
     }
 
-    /// The indices of the members, in the order in which they were given to [`HashRing::build`].
+    /// The indices of the members, in the order of [`HashRing::members`].
     pub(crate) fn nodes(&self) -> impl Iterator<Item = usize> {
         self.members.iter().map(|member| member.node)
     }
@@ -90,20 +127,7 @@
     /// The members by the distance of their virtual nodes from a position, the nearest first. Each member appears
     /// once for each of its virtual nodes.
     pub fn walk_from(&self, position: u64) -> impl Iterator<Item = usize> {
-        let count = self.virtual_nodes.len();
-        let mut right = self.virtual_nodes.partition_point(|v| v.position < position);
-        let mut left = right + count;
-        (0..count).map(move |_| {
-            let ahead = self.virtual_nodes[right % count].position.wrapping_sub(position);
-            let behind = position.wrapping_sub(self.virtual_nodes[(left - 1) % count].position);
-            if ahead < behind {
-                right += 1;
-                self.virtual_nodes[(right - 1) % count].node
-            } else {
-                left -= 1;
-                self.virtual_nodes[left % count].node
-            }
-        })
+        self.virtual_nodes.walk_from(position)
     }
 
     /// The member that owns a position, whatever its state.
@@ -118,9 +142,9 @@
     }
 }
 
-fn virtual_nodes_of(member: &RingMember) -> impl Iterator<Item = VirtualNode> + use<> {
+fn virtual_nodes_of(member: &RingMember) -> impl Iterator<Item = VirtualNode> + Clone + use<> {
     let &RingMember { rank, node, withheld_virtual_nodes } = member;
     let count = VIRTUAL_NODES.saturating_sub(withheld_virtual_nodes);
-    (0..u64::from(count))
-        .map(move |index| VirtualNode { position: split_mix64(split_mix64(rank) ^ index), node })
+    let (start, node) = (split_mix64(rank), node as u32);
+    (0..u64::from(count)).map(move |index| VirtualNode { position: split_mix64(start ^ index), node })
 }
--- a/tests/router/cache_policy.rs
+++ b/tests/router/cache_policy.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use rustix::time::{ClockId, clock_gettime};
 use sablecross::*;
 
 use crate::support::*;
+use crate::thread_cpu_time;
 
 #[test]
 fn no_answer_is_older_than_a_known_purge() {
@@ -51,12 +51,6 @@
     }
 }
 
-/// The processor time of this thread. Unlike wall-clock time, it does not advance while other threads run.
-fn thread_cpu_time() -> Ns {
-    let time = clock_gettime(ClockId::ThreadCPUTime);
-    time.tv_sec as Ns * SEC + time.tv_nsec as Ns
-}
-
 #[test]
 fn cost_of_a_purge_does_not_grow_with_known_purges() {
     // Examining all known purges at each purge made 350 purges per second cost a hundred times as much as 35.
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -13,6 +13,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+use rustix::time::{ClockId, clock_gettime};
 use sablecross::*;
 use support::*;
 
@@ -22,3 +23,9 @@
         |o| route_and_finish(router, START, o, 10 * MS, Outcome::Success).map(|s| (s.node, s.source));
     (0..objects).map(|object| route(object).expect("the request is attempted")).collect()
 }
+
+/// The processor time of this thread. Unlike wall-clock time, it does not advance while other threads run.
+fn thread_cpu_time() -> Ns {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    time.tv_sec as Ns * SEC + time.tv_nsec as Ns
+}
--- a/tests/router/ring.rs
+++ b/tests/router/ring.rs
@@ -1,11 +1,14 @@
 //! The owners of objects on the rings, and what moves when the endpoint list changes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 use sablecross::*;
 
 use crate::support::*;
-use crate::targets;
+use crate::{targets, thread_cpu_time};
 
 #[test]
 fn directors_agree_on_owners_across_restarts_and_zones() {
@@ -182,3 +185,102 @@
         }
     }
 }
+
+/// Some members, drawn from a hundred: also such that withhold virtual nodes, and such that share a rank.
+fn drawn_members(rng: &mut Pcg32, count: usize) -> Vec<RingMember> {
+    let nodes: BTreeSet<usize> = (0..count).map(|_| rng.random_range(0..100)).collect();
+    let member = |node: usize| RingMember {
+        rank: if node % 10 == 9 { 5 } else { split_mix64(node as u64) },
+        node,
+        withheld_virtual_nodes: [0, 0, 0, 192][rng.random_range(0..4)],
+    };
+    nodes.into_iter().map(member).collect()
+}
+
+/// Whether two rings have the same members, and the same order of their virtual nodes from a few positions.
+fn assert_same_ring(ring: &HashRing, expected: &HashRing, rng: &mut Pcg32) {
+    assert_eq!(ring.members(), expected.members());
+    for position in [0, rng.random()] {
+        assert!(ring.walk_from(position).eq(expected.walk_from(position)), "from {position}");
+    }
+}
+
+/// Guards against directors that disagree on owners because they have heard of the same changes one by one, together
+/// or in another order.
+#[test]
+fn a_ring_depends_on_its_members_and_not_on_the_order_of_changes() {
+    for seed in 0..40 {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut ring = HashRing::default();
+        for _ in 0..12 {
+            let count = [0, 1, 3, 30, 90][rng.random_range(0..5)];
+            let members = drawn_members(&mut rng, count);
+            let known: BTreeSet<RingMember> = ring.members().iter().copied().collect();
+            let mut removed: Vec<RingMember> =
+                known.iter().filter(|member| !members.contains(member)).copied().collect();
+            let mut added: Vec<RingMember> =
+                members.iter().filter(|member| !known.contains(member)).copied().collect();
+            removed.shuffle(&mut rng);
+            added.shuffle(&mut rng);
+            if rng.random() {
+                ring.update(&removed, &added);
+            } else {
+                removed.iter().for_each(|member| ring.update(&[*member], &[]));
+                added.iter().for_each(|member| ring.update(&[], &[*member]));
+            }
+            assert_same_ring(&ring, &HashRing::build(members), &mut rng);
+        }
+    }
+}
+
+/// The owner of a position by a search of all virtual nodes: the nearest one, the earlier one of two at the same
+/// distance.
+fn nearest_by_search(members: &[RingMember], position: u64) -> Option<usize> {
+    let virtual_nodes = members.iter().flat_map(|member| {
+        let count = u64::from(VIRTUAL_NODES - member.withheld_virtual_nodes);
+        (0..count).map(|index| (split_mix64(split_mix64(member.rank) ^ index), member.node))
+    });
+    let distance = |at: u64| (at.wrapping_sub(position)).min(position.wrapping_sub(at));
+    virtual_nodes.min_by_key(|&(at, _)| distance(at)).map(|(_, node)| node)
+}
+
+/// Guards against owners that differ from those of all earlier versions.
+#[test]
+fn a_position_belongs_to_the_nearest_virtual_node() {
+    let mut rng = Pcg32::seed_from_u64(3);
+    for count in [1, 2, 5, 40] {
+        let mut members = drawn_members(&mut rng, count);
+        members.retain(|member| member.node % 10 != 9);
+        let mut ring = HashRing::build(members[..members.len() / 2].to_vec());
+        members[members.len() / 2..].iter().for_each(|member| ring.update(&[], &[*member]));
+        for _ in 0..500 {
+            let position = rng.random();
+            assert_eq!(ring.walk_from(position).next(), nearest_by_search(&members, position));
+            assert_eq!(ring.owner(position, |_| true), nearest_by_search(&members, position));
+        }
+    }
+}
+
+/// The processor time of 200 replacements of one cache among this many.
+fn time_to_replace_caches(caches: usize) -> Ns {
+    let cache = |node: usize| EndpointUpdate { rank: split_mix64(node as u64), ..endpoint(node, 0) };
+    let list: Vec<EndpointUpdate> = (100..100 + caches).map(cache).chain(endpoint_list(0, 2)).collect();
+    let mut router = router_with(settings(), &list);
+    let gone = EndpointState::Gone;
+    let start = thread_cpu_time();
+    for node in 100..300 {
+        router.update_endpoints(START, &[EndpointUpdate { state: gone, ..cache(node) }], false);
+        router.update_endpoints(START, &[cache(node + caches)], false);
+        router.take_log_lines();
+    }
+    thread_cpu_time() - start
+}
+
+/// Guards against changes of the list that cost by all members, so that requests wait while a large fleet is replaced. A
+/// larger ring may cost more by misses of the processor caches.
+#[test]
+fn cost_of_a_change_of_members_does_not_grow_with_the_fleet() {
+    let least = |caches| (0..3).map(|_| time_to_replace_caches(caches)).min().unwrap_or(0);
+    let (few, many) = (least(200), least(3_200));
+    assert!(many < few * 8, "{few} ns among 200, {many} ns among 3,200");
+}
