Handle discovery events in a queue of their own, beside requests and answers

Cause: one queue to the dispatcher, in the order of arrival. Each event also walked all nodes of the registry, twice.

Change: EventQueues gives a discovery event when nothing else waits and after a turn of 64 other events, so neither waits for the other's queue to empty. The node registry looks at the nodes that an event names, keeps those that are gone in a set, and withdraws attempts only where a node has left.

--- a/crates/director/src/dispatch/dispatcher.rs
+++ b/crates/director/src/dispatch/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::{RecvTimeoutError, Sender};
 use sablecross::{Ns, Outcome, Router};
 use sablecross_inflight::{AttemptResult, InflightTable};
 use thiserror::Error;
@@ -11,6 +11,7 @@
 use super::timers::Timer;
 use crate::coordination::CoordinationHandle;
 use crate::counters;
+use crate::event_queues::EventQueues;
 use crate::events::{Event, RequestKey};
 use crate::parent_hierarchy::{AppliedVersion, ParentHierarchy};
 use crate::shared::SharedContext;
@@ -78,7 +79,7 @@
     }
 
     /// Handles events until a shutdown is complete. Returns an error if an essential thread ends before that.
-    pub(crate) fn run(&mut self, events: &Receiver<Event>) -> Result<(), DispatchError> {
+    pub(crate) fn run(&mut self, events: &mut EventQueues) -> Result<(), DispatchError> {
         loop {
             self.executor.update_time();
             self.take_wakeup_delay();
@@ -111,11 +112,8 @@
     }
 
     /// Waits for the next event, at most until work is due without one.
-    fn next_event(&self, events: &Receiver<Event>) -> Result<Event, RecvTimeoutError> {
-        match self.next_wakeup() {
-            None => events.recv().map_err(|_| RecvTimeoutError::Disconnected),
-            Some(at) => events.recv_timeout(self.executor.shared.clock.until(at)),
-        }
+    fn next_event(&self, events: &mut EventQueues) -> Result<Event, RecvTimeoutError> {
+        events.next(self.next_wakeup().map(|at| self.executor.shared.clock.until(at)))
     }
 
     fn next_wakeup(&self) -> Option<Ns> {
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod counters;
 pub mod discovery_event;
 mod dispatch;
+pub mod event_queues;
 pub mod events;
 pub mod limits;
 mod log_rate_limiter;
--- a/crates/director/src/limits.rs
+++ b/crates/director/src/limits.rs
@@ -45,8 +45,10 @@
     /// The maximum number of messages that are read from one connection, or of events that are handled, before others
     /// have their turn.
     pub max_messages_per_turn: usize,
-    /// The capacity of the queue of events to the dispatcher.
+    /// The capacity of the queue of events to the dispatcher, without those of discovery.
     pub event_queue_length: usize,
+    /// The capacity of the queue of discovery events to the dispatcher.
+    pub discovery_event_queue_length: usize,
     /// The capacity of the queue of responses to the client thread.
     pub response_queue_length: usize,
     /// The capacity of the queue of commands to the node thread.
@@ -140,6 +142,7 @@
             initial_read_bytes: 2 << 10,
             max_messages_per_turn: 64,
             event_queue_length: 4_096,
+            discovery_event_queue_length: 64,
             response_queue_length: 8_192,
             command_queue_length: 8_192,
             discovery_queue_length: 4,
--- a/crates/director/src/node_registry.rs
+++ b/crates/director/src/node_registry.rs
@@ -2,7 +2,7 @@
 //! identified by its name: its address differs from director to director, and a new node may get the address of one
 //! that has gone.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use sablecross::{EndpointState, EndpointUpdate, Ns, rank};
 
@@ -36,6 +36,8 @@
     /// The nodes, by the router's index.
     nodes: Vec<KnownNode>,
     indexes: HashMap<String, usize>,
+    /// The indexes of nodes that are gone, and are not free yet.
+    gone: BTreeSet<usize>,
     free_indexes: Vec<usize>,
     source_clock: SourceClock,
 }
@@ -58,12 +60,17 @@
 
     /// Frees the indexes of nodes that were gone before the oldest request in flight arrived, and that are not in use.
     pub fn release_unused(&mut self, oldest: RequestKey, is_unused: impl Fn(usize) -> bool) {
-        for (node, known) in self.nodes.iter_mut().enumerate() {
-            if is_unused(node) && known.first_request_after_gone.take_if(|first| *first <= oldest).is_some() {
-                self.indexes.remove(&std::mem::take(&mut known.name));
-                self.free_indexes.push(node);
+        let NodeRegistry { nodes, indexes, free_indexes, .. } = self;
+        self.gone.retain(|&node| {
+            let known = &mut nodes[node];
+            let is_free =
+                is_unused(node) && known.first_request_after_gone.take_if(|first| *first <= oldest).is_some();
+            if is_free {
+                indexes.remove(&std::mem::take(&mut known.name));
+                free_indexes.push(node);
             }
-        }
+            !is_free
+        });
     }
 
     /// Observes the start times of all endpoints of one or more events. This must be done before any of them is
@@ -128,29 +135,31 @@
     }
 
     /// Records the states of nodes. Nodes that a snapshot leaves out are gone. `next` is the key of the next request.
-    /// Returns the nodes that this list declares as gone, including those that were gone before.
+    /// Returns the nodes that this list declares as gone, including those that were gone before. Only the nodes that the
+    /// updates name, or that a snapshot may leave out, are looked at.
     pub fn record_states(
         &mut self,
         updates: &[EndpointUpdate],
         is_snapshot: bool,
         next: RequestKey,
     ) -> Vec<usize> {
-        let states: HashMap<usize, EndpointState> =
-            updates.iter().map(|update| (update.node, update.state)).collect();
+        let left_out = if is_snapshot { 0..self.nodes.len() } else { 0..0 };
+        let mut states: BTreeMap<usize, EndpointState> =
+            left_out.map(|node| (node, EndpointState::Gone)).collect();
+        states.extend(updates.iter().map(|update| (update.node, update.state)));
         let mut gone = Vec::new();
-        for (node, known) in self.nodes.iter_mut().enumerate() {
-            let listed = states.get(&node).copied();
-            if let Some(state) = listed {
-                known.state = state;
-            }
-            if listed.map_or(is_snapshot, |state| state == EndpointState::Gone) {
-                known.state = EndpointState::Gone;
-                gone.push(node);
-                if !known.name.is_empty() {
-                    known.first_request_after_gone.get_or_insert(next);
-                }
-            } else if listed.is_some() {
+        for (node, state) in states {
+            let Some(known) = self.nodes.get_mut(node) else { continue };
+            known.state = state;
+            if state != EndpointState::Gone {
                 known.first_request_after_gone = None;
+                self.gone.remove(&node);
+                continue;
+            }
+            gone.push(node);
+            if !known.name.is_empty() {
+                known.first_request_after_gone.get_or_insert(next);
+                self.gone.insert(node);
             }
         }
         gone
--- a/crates/director/src/process/director.rs
+++ b/crates/director/src/process/director.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::thread;
 
-use crossbeam_channel::{Receiver, bounded};
+use crossbeam_channel::bounded;
 use sablecross::Router;
 use sablecross_discovery::FeedSelector;
 use signal_hook::iterator::Signals;
@@ -19,7 +19,7 @@
 use crate::coordination_settings::CoordinationSettings;
 use crate::discovery_event::{DiscoveryEvent, KnownEvents};
 use crate::dispatch::{DispatchError, Dispatcher};
-use crate::events::Event;
+use crate::event_queues::EventQueues;
 use crate::name_table::NameTable;
 use crate::parent_hierarchy::{ParentHierarchy, VersionAnnouncement};
 use crate::shared::SharedContext;
@@ -58,7 +58,7 @@
     name: String,
     listen: SocketAddr,
     shared: Arc<SharedContext>,
-    events: Receiver<Event>,
+    events: EventQueues,
     dispatcher: Dispatcher,
     signals: SignalHandler,
     discovery: DiscoveryClient,
@@ -150,7 +150,7 @@
     }
 
     fn serve(self, startup: &StartupRetry) -> Result<(), RunError> {
-        let Director { shared, signals, discovery, nodes, clients, mut dispatcher, .. } = self;
+        let Director { shared, signals, discovery, nodes, clients, mut dispatcher, mut events, .. } = self;
         let spawn = |name: &'static str, run: Box<dyn FnOnce() + Send>| {
             let stack_bytes = shared.limits.thread_stack_bytes;
             let spawned = startup.spawn_essential(name, stack_bytes, &shared.events, run);
@@ -169,7 +169,7 @@
         dispatcher.apply_known_events(self.known.events);
         tracing::info!("serving name={} listen={}", self.name, self.listen);
 
-        let served = dispatcher.run(&self.events);
+        let served = dispatcher.run(&mut events);
         dispatcher.log_counters();
         Ok(served?)
     }
--- a/crates/director/src/shared.rs
+++ b/crates/director/src/shared.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use crossbeam_channel::{Receiver, Sender, bounded};
+use crossbeam_channel::Sender;
 use sablecross::Ns;
 
 use crate::clock::Clock;
 use crate::counters::ConnectionCounters;
+use crate::discovery_event::DiscoveryEvent;
+use crate::event_queues::{EventQueues, EventSenders};
 use crate::events::Event;
 use crate::limits::Limits;
 use crate::memory_budget::MemoryBudget;
@@ -25,8 +27,10 @@
     pub counters: ConnectionCounters,
     /// The memory for bodies and grown read buffers.
     pub memory_budget: Arc<MemoryBudget>,
-    /// The queue of events to the dispatcher.
+    /// The queue of events to the dispatcher, without those of the discovery stream.
     pub events: Sender<Event>,
+    /// The queue of the events of the discovery stream to the dispatcher.
+    pub discovery_events: Sender<DiscoveryEvent>,
     /// The local time, in nanoseconds, up to which everything that clients had sent has been read.
     clients_checked_at: AtomicU64,
     /// The longest delay of a thread's wakeup since the dispatcher last took this value, in nanoseconds.
@@ -34,20 +38,21 @@
 }
 
 impl SharedContext {
-    /// Creates the state, and the dispatcher's end of the event queue.
-    pub fn new(names: NameTable, limits: Limits) -> (Arc<SharedContext>, Receiver<Event>) {
-        let (events, to_dispatcher) = bounded(limits.event_queue_length);
+    /// Creates the state, and the dispatcher's ends of the event queues.
+    pub fn new(names: NameTable, limits: Limits) -> (Arc<SharedContext>, EventQueues) {
+        let (EventSenders { events, discovery_events }, queues) = EventQueues::new(&limits);
         let shared = SharedContext {
             names,
             clock: Clock::start(),
             counters: ConnectionCounters::default(),
             memory_budget: MemoryBudget::new(limits.body_memory_bytes),
             events,
+            discovery_events,
             clients_checked_at: AtomicU64::new(0),
             wakeup_delay: AtomicU64::new(0),
             limits,
         };
-        (Arc::new(shared), to_dispatcher)
+        (Arc::new(shared), queues)
     }
 
     /// Records that everything that clients had sent by the time `at` has been read, including the ends of their
--- a/crates/director/src/wire/discovery_client.rs
+++ b/crates/director/src/wire/discovery_client.rs
@@ -17,7 +17,6 @@
 use super::feed_call::{FeedCall, FeedRead};
 use crate::counters;
 use crate::discovery_event::{DiscoveryEvent, KnownEvents, NumberedEvent};
-use crate::events::Event;
 use crate::parent_hierarchy::AppliedVersion;
 use crate::shared::SharedContext;
 
@@ -171,7 +170,7 @@
     }
 
     fn forward(&mut self, event: DiscoveryEvent) -> Result<(), CallEnd> {
-        self.shared.events.send(Event::Discovery(event)).map_err(|_| CallEnd::DispatcherGone)
+        self.shared.discovery_events.send(event).map_err(|_| CallEnd::DispatcherGone)
     }
 
     /// Fails with `CallEnd::FeedsChanged` if the configuration was reloaded.
--- a/crates/director/src/wire/node_pool.rs
+++ b/crates/director/src/wire/node_pool.rs
@@ -149,9 +149,12 @@
         // late its connection is established.
         let remains_ready =
             |node| states.get(&node).map_or(!is_snapshot, |state| *state == EndpointState::Ready);
-        self.withdraw(|candidate| {
-            !remains_ready(candidate.node) || candidate.source.is_some_and(|source| !remains_ready(source))
-        });
+        if is_snapshot || states.values().any(|state| *state != EndpointState::Ready) {
+            self.withdraw(|candidate| {
+                !remains_ready(candidate.node)
+                    || candidate.source.is_some_and(|source| !remains_ready(source))
+            });
+        }
         for node in self.registry.record_states(&updates, is_snapshot, next) {
             self.retire_all(node);
         }
