Know all open requests of an id, and the connections that may still answer it

Cause: by_request_id named the first request of an id alone; when that ended, the others counted as not there.

Change: the entry holds all requests in flight of an id. The connections of all of them are left out for an attempt, and a connection remembers the attempts that were begun on it and abandoned until their answers come, so that a late one is given to no later request of the same id. It is not used again once it has 256 of them.

--- a/crates/director/src/dispatch/action_executor.rs
+++ b/crates/director/src/dispatch/action_executor.rs
@@ -181,6 +181,8 @@
         if let Err(violation) = self.check_attempt(id, spec, prior) {
             return self.reject_attempt(id, attempt, violation);
         }
+        let Some(request) = self.requests.get(id) else { return };
+        let used = self.requests.used_connections(&request.incoming.request_id);
         let Some(request) = self.requests.get_mut(id) else { return };
         tracing::debug!(
             "request {} attempt {attempt} to {} from {}",
@@ -194,8 +196,7 @@
             hierarchy.fill_path(self.nodes.name(source), request.incoming.object)
         });
         let inflight = InflightAttempt { key: id, attempt, sent_at: self.now };
-        let used = request.used_connections();
-        let sent = self.nodes.send(inflight, &request.incoming, spec, fill_path.as_deref(), used);
+        let sent = self.nodes.send(inflight, &request.incoming, spec, fill_path.as_deref(), &used);
         request.record_attempt(sent.ok());
         match sent {
             Ok(_) => {
--- a/crates/director/src/dispatch/inflight_requests.rs
+++ b/crates/director/src/dispatch/inflight_requests.rs
@@ -1,6 +1,6 @@
 //! The dispatcher's state of the requests in flight, in addition to the state that the router keeps.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use sablecross::Ns;
@@ -20,8 +20,9 @@
     pub(super) hierarchy: Option<Arc<ActiveHierarchy>>,
     /// The connection on which each attempt is outstanding; `None` if the attempt has ended or was never sent.
     connections_by_attempt: Vec<Option<NodeConnectionId>>,
-    /// All connections that have carried an attempt of this request. None of them carries a second one, because a late
-    /// answer to the first attempt could be mistaken for an answer to the second.
+    /// All connections that have carried an attempt of this request. None of them carries a second one, also not of
+    /// another request with the same id, because a late answer to the first attempt could be mistaken for an answer to
+    /// the second.
     used_connections: Vec<NodeConnectionId>,
 }
 
@@ -46,10 +47,6 @@
         request_id_text(&self.incoming.request_id)
     }
 
-    pub(super) fn used_connections(&self) -> &[NodeConnectionId] {
-        &self.used_connections
-    }
-
     pub(super) fn attempt_count(&self) -> usize {
         self.connections_by_attempt.len()
     }
@@ -82,9 +79,8 @@
     requests: BTreeMap<RequestKey, InflightRequest>,
     /// The requests of each client's open calls, by the number of the call.
     by_call: HashMap<ClientId, HashMap<u32, RequestKey>>,
-    /// The first request in flight for each request id. Later requests with the same id get no entry, not even when the
-    /// first one is removed before them.
-    by_request_id: HashMap<RequestId, RequestKey>,
+    /// The ids of all requests in flight, with the keys of the requests. Several may have the same id.
+    by_request_id: BTreeSet<(RequestId, RequestKey)>,
     next_key: RequestKey,
 }
 
@@ -130,8 +126,18 @@
     /// Whether a request for a different object, part or class is in flight under the same request id. An answer to one
     /// of them could be mistaken for an answer to the other.
     pub(super) fn has_conflicting_id(&self, incoming: &IncomingRequest) -> bool {
-        let first = self.by_request_id.get(&incoming.request_id).and_then(|key| self.requests.get(key));
-        first.is_some_and(|request| !request.has_same_target(incoming))
+        self.with_id(&incoming.request_id).any(|request| !request.has_same_target(incoming))
+    }
+
+    /// The connections that have carried attempts of requests in flight with this id.
+    pub(super) fn used_connections(&self, request_id: &RequestId) -> Vec<NodeConnectionId> {
+        self.with_id(request_id).flat_map(|request| &request.used_connections).copied().collect()
+    }
+
+    /// All requests in flight with this id, oldest first.
+    fn with_id(&self, request_id: &RequestId) -> impl Iterator<Item = &InflightRequest> {
+        let all_keys = (*request_id, RequestKey::MIN)..=(*request_id, RequestKey::MAX);
+        self.by_request_id.range(all_keys).filter_map(|(_, key)| self.requests.get(key))
     }
 
     /// Inserts a request under a new key.
@@ -144,17 +150,15 @@
         let key = self.next_key;
         self.next_key += 1;
         self.by_call.entry(incoming.client).or_default().insert(incoming.call.number, key);
-        self.by_request_id.entry(incoming.request_id).or_insert(key);
+        self.by_request_id.insert((incoming.request_id, key));
         self.requests.insert(key, InflightRequest::new(incoming, deadline, hierarchy));
         key
     }
 
     /// Removes a request that the router has released.
     pub(super) fn remove(&mut self, key: RequestKey) {
-        if let Some(request) = self.requests.remove(&key)
-            && self.by_request_id.get(&request.incoming.request_id) == Some(&key)
-        {
-            self.by_request_id.remove(&request.incoming.request_id);
+        if let Some(request) = self.requests.remove(&key) {
+            self.by_request_id.remove(&(request.incoming.request_id, key));
         }
     }
 
--- a/crates/director/src/limits.rs
+++ b/crates/director/src/limits.rs
@@ -22,6 +22,9 @@
     pub max_unanswered_per_client: usize,
     /// The maximum number of attempts that are outstanding on one connection to a node.
     pub max_open_per_connection: usize,
+    /// The number of abandoned attempts on one connection to a node, whose answers may still come, at which the connection
+    /// is not used again.
+    pub max_abandoned_per_connection: usize,
     /// The maximum number of requests in flight.
     pub max_requests: usize,
     /// The maximum number of objects, and of parts of objects, of which the router remembers requests that have ended.
@@ -129,6 +132,7 @@
             max_open_per_client: 32,
             max_unanswered_per_client: 64,
             max_open_per_connection: 32,
+            max_abandoned_per_connection: 256,
             max_requests: 16 * memory_mb.max(1),
             // Both tables of the router together take about 180 bytes for each.
             max_remembered_objects: 512 * memory_mb.max(1),
--- a/crates/director/src/wire/node_pool.rs
+++ b/crates/director/src/wire/node_pool.rs
@@ -1,7 +1,7 @@
 //! The dispatcher's view of the nodes: a small pool of connections to each node, opened on demand. No call here waits for
 //! a socket; `node_connections` serves the sockets on its own thread.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -39,6 +39,9 @@
 struct PooledConnection {
     node: usize,
     outstanding: BTreeMap<RequestId, OutstandingAttempt>,
+    /// The requests whose attempts on the connection were begun and then abandoned. A late answer to one of them could be
+    /// mistaken for an answer to another attempt under the same id, so the connection carries none.
+    abandoned: BTreeSet<RequestId>,
     /// When the connection was opened or last received an answer.
     last_received: Ns,
     /// When the last attempt on the connection was sent or answered.
@@ -266,6 +269,7 @@
             }
             let is_usable = outstanding < limits.max_open_per_connection
                 && !connection.outstanding.contains_key(request_id)
+                && !connection.abandoned.contains(request_id)
                 && !used.contains(&id);
             let rank = (outstanding, now.saturating_sub(connection.last_used), id);
             if is_usable && best.is_none_or(|best| rank < best) {
@@ -294,6 +298,7 @@
         let connection = PooledConnection {
             node,
             outstanding: BTreeMap::new(),
+            abandoned: BTreeSet::new(),
             last_received: now,
             last_used: now,
             is_retired: false,
@@ -319,6 +324,9 @@
         connection.last_received = connection.last_received.max(at);
         connection.last_used = connection.last_used.max(at);
         let answered = connection.outstanding.remove(request_id).map(|outstanding| outstanding.attempt);
+        if answered.is_none() {
+            connection.abandoned.remove(request_id);
+        }
         if connection.is_retired && connection.outstanding.is_empty() {
             self.remove(id);
         }
@@ -334,14 +342,20 @@
         now: Ns,
     ) -> Option<InflightAttempt> {
         let connection = self.connections.get_mut(&id)?;
-        let OutstandingAttempt { attempt, withdrawal, .. } = connection.outstanding.remove(request_id)?;
+        let OutstandingAttempt { attempt, withdrawal, begin, .. } =
+            connection.outstanding.remove(request_id)?;
         // An attempt that is not begun must never reach the node once the client may have its answer.
         withdrawal.cancel();
+        if begin.is_set() {
+            connection.abandoned.insert(*request_id);
+        }
+        let has_many_abandoned =
+            connection.abandoned.len() >= self.shared.limits.max_abandoned_per_connection;
         let kill = ConnectionCommand::Kill { connection: id, request_id: *request_id };
         let is_kill_queued = self.commands.send(kill);
         let is_silent = connection.last_received <= attempt.sent_at
             && now >= attempt.sent_at + self.shared.limits.silence_threshold;
-        if !is_kill_queued || is_silent || connection.is_retired {
+        if !is_kill_queued || is_silent || has_many_abandoned || connection.is_retired {
             self.retire(id);
         }
         Some(attempt)
--- a/crates/director/tests/help/mod.rs
+++ b/crates/director/tests/help/mod.rs
@@ -404,7 +404,8 @@
     assert!(status.success());
 }
 
-/// An encoded request with these additional fields and an empty body.
+/// An encoded request with these additional fields and an empty body. Its id is made of the call and the object, unless
+/// the fields name one.
 pub(crate) fn request_bytes(call: u8, object: u64, budget_ms: u64, extra_fields: &[(&str, &str)]) -> Vec<u8> {
     let mut out = request_head(call, object, budget_ms, extra_fields);
     out.extend([0xc4, 0]);
@@ -422,7 +423,10 @@
 fn request_head(call: u8, object: u64, budget_ms: u64, extra_fields: &[(&str, &str)]) -> Vec<u8> {
     let (request_id, budget) = (format!("{:08x}{object:08x}", u32::from(call)), budget_ms.to_string());
     let object = format!("{object:016x}");
-    let mut fields = vec![("rid", &*request_id), ("budget", &*budget), ("obj", &*object), ("piece", "0")];
+    let mut fields = vec![("budget", &*budget), ("obj", &*object), ("piece", "0")];
+    if extra_fields.iter().all(|(name, _)| *name != "rid") {
+        fields.insert(0, ("rid", &*request_id));
+    }
     fields.extend([("lot", "17"), ("mem", "10.5")].iter().chain(extra_fields));
     let mut out = vec![0x94, 0, 0xcc, call];
     rmp::encode::write_str(&mut out, "footage").expect("written");
