Send nothing that was unread when its client closed the connection

What callers saw: a client closed its connection with much unread, and its requests were sent on afterwards, past the 0.1 s that are allowed.

Cause: the end of a connection was seen only when all before it had been read, 64 messages a turn. Until then the client counted as known to be there.

Change: the socket's own word that the client has closed or reset it ends its calls at once; unread bytes are discarded.

--- a/crates/director/src/wire/client_connection.rs
+++ b/crates/director/src/wire/client_connection.rs
@@ -44,6 +44,8 @@
 pub(super) enum CloseReason {
     /// The client has closed or reset the connection, or the director drops a connection that was closing.
     Disconnected,
+    /// The client has closed or reset the connection. What it sent before that may still be unread.
+    Left,
     /// Nothing is pending on the connection, and it was idle for too long, has to make room for others, or is closed
     /// because the program is stopping.
     Idle,
--- a/crates/director/src/wire/client_server.rs
+++ b/crates/director/src/wire/client_server.rs
@@ -174,16 +174,27 @@
                 LISTENER => self.accept(),
                 RESPONSES => {}
                 Token(client) => {
-                    if event.is_writable() {
-                        self.write(client as ClientId);
+                    let client = client as ClientId;
+                    if event.is_read_closed() {
+                        self.on_client_left(client);
+                    } else if event.is_writable() {
+                        self.write(client);
                     }
-                    readable.push(client as ClientId);
+                    readable.push(client);
                 }
             }
         }
         readable
     }
 
+    /// Handles a client that has closed or reset its connection, even if bytes that it sent before are still unread: they
+    /// are discarded, since nobody waits for an answer to them.
+    fn on_client_left(&mut self, client: ClientId) {
+        if self.is_open(client) {
+            self.close(client, CloseReason::Left);
+        }
+    }
+
     fn read_all(&mut self, mut clients: Vec<ClientId>) {
         clients.sort_unstable();
         clients.dedup();
--- a/crates/director/tests/races.rs
+++ b/crates/director/tests/races.rs
@@ -279,6 +279,38 @@
     }
 }
 
+/// Guards against attempts for a client that has left, of requests that were unread then: it sends them, and more than is
+/// read in one turn, and closes its connection while the process is stopped.
+#[test]
+fn unread_requests_of_a_client_that_has_left_are_not_sent() {
+    type Leave = fn(&Client);
+    let ways_to_leave: [Leave; 2] =
+        [|_| {}, |client| SockRef::from(&client.0).set_linger(Some(Duration::ZERO)).expect("set")];
+    for leave in ways_to_leave {
+        for is_known in [true, false] {
+            let harness = Harness::start();
+            let mut client = harness.client();
+            if is_known {
+                assert!(client.is_healthy());
+            }
+            harness.signal("STOP");
+            (1..=20).for_each(|call| client.send_request(call, u64::from(call), 4_000));
+            client.write(&b"\x93\x02\xadcancelRequest\x91\x63".repeat(1_000));
+            leave(&client);
+            drop(client);
+            std::thread::sleep(Duration::from_millis(300));
+            harness.signal("CONT");
+            harness.cache.assert_no_message();
+            let mut usual = harness.client();
+            usual.send_request(1, 0x77, 4_000);
+            harness.cache.expect_pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"served");
+            usual.assert_success(1, b"served");
+            let counters = harness.current_counters();
+            assert_eq!((counters["sends"], counters["in_hand"]), (1, 0), "{is_known}");
+        }
+    }
+}
+
 #[test]
 fn a_reused_call_number_gets_the_response_of_its_own_request() {
     let harness = Harness::start();
