Send no id again whose request may have taken effect

What callers saw: an id ran twice when it came again after its client had left.

Cause: what may have run was known of a request and forgotten with it; its id was compared for another object only, so that a second request with the id of an open one was sent as well.

Change: the transport is told at a request's release whether a node may have executed it. The director remembers such ids of classes with an effect for 60 s, 256 for each MB, and fails a request with one of them or with the id of an open one. Usual clients give each request a new id.

--- a/crates/director/src/dispatch/action_executor.rs
+++ b/crates/director/src/dispatch/action_executor.rs
@@ -8,11 +8,12 @@
 use sablecross::{Attempt, AttemptSpec, Effect, Ns, Outcome};
 use sablecross_inflight::{AttemptResult, Transport};
 
+use super::executed_ids::ExecutedIds;
 use super::inflight_requests::InflightRequests;
 use super::timers::{Timer, TimerQueue};
 use crate::clock::NS_PER_MS;
 use crate::counters::Counters;
-use crate::events::{CallId, ClientId, RequestKey};
+use crate::events::{CallId, ClientId, IncomingRequest, RequestKey};
 use crate::shared::SharedContext;
 use crate::wire::node_pool::{InflightAttempt, NodePool};
 use crate::wire::response::{PendingResponse, Response};
@@ -42,6 +43,8 @@
     unsent_responses: VecDeque<PendingResponse>,
     /// The effect of each request class, by the router's index of the class.
     effects: Vec<Effect>,
+    /// The ids of requests with an effect that have ended and may have been executed.
+    executed_ids: ExecutedIds,
 }
 
 impl ActionExecutor {
@@ -61,6 +64,10 @@
             responses,
             unsent_responses: VecDeque::new(),
             effects,
+            executed_ids: ExecutedIds::new(
+                shared.limits.max_executed_ids,
+                shared.limits.executed_id_lifetime,
+            ),
             shared,
         }
     }
@@ -147,11 +154,23 @@
         self.end_attempt(key, attempt, outcome, elapsed);
     }
 
+    /// Whether an earlier request with the same id is in flight, or may have been executed, so that this one could repeat
+    /// its effect.
+    pub(super) fn may_repeat_effect(&self, incoming: &IncomingRequest) -> bool {
+        let id = &incoming.request_id;
+        self.effect_of(incoming) != Effect::Idempotent
+            && (self.requests.is_open(id) || self.executed_ids.contains(id))
+    }
+
+    fn effect_of(&self, incoming: &IncomingRequest) -> Effect {
+        self.effects.get(incoming.class).copied().unwrap_or(Effect::SideEffecting)
+    }
+
     /// Checks whether the invariants allow this attempt now.
     fn check_attempt(&self, key: RequestKey, spec: &AttemptSpec, prior: &[Attempt]) -> Result<(), Violation> {
         let request = self.requests.get(key).ok_or(Violation::AttemptAfterAnswer)?;
         let proposed = ProposedAttempt {
-            effect: self.effects.get(request.incoming.class).copied().unwrap_or(Effect::SideEffecting),
+            effect: self.effect_of(&request.incoming),
             is_answered: request.is_answered,
             is_client_gone: request.incoming.cancellation.is_cancelled(),
             deadline: request.deadline,
@@ -240,7 +259,10 @@
         self.timers.schedule(self.now + after, timer, |key| requests.contains(key));
     }
 
-    fn release(&mut self, id: u64) {
-        self.requests.remove(id);
+    fn release(&mut self, id: u64, may_have_executed: bool) {
+        let Some(request) = self.requests.remove(id) else { return };
+        if may_have_executed && self.effect_of(&request.incoming) != Effect::Idempotent {
+            self.executed_ids.record(request.incoming.request_id, self.now);
+        }
     }
 }
--- a/crates/director/src/dispatch/event_handlers.rs
+++ b/crates/director/src/dispatch/event_handlers.rs
@@ -68,7 +68,8 @@
         if self.lacks_capacity_for(client) {
             return self.refuse_call(client, call, true);
         }
-        if self.executor.requests.has_conflicting_id(&incoming) {
+        if self.executor.requests.has_conflicting_id(&incoming) || self.executor.may_repeat_effect(&incoming)
+        {
             return self.refuse_call(client, call, false);
         }
         self.executor.counters.received += 1;
--- a/crates/director/src/dispatch/inflight_requests.rs
+++ b/crates/director/src/dispatch/inflight_requests.rs
@@ -134,6 +134,11 @@
         self.with_id(request_id).flat_map(|request| &request.used_connections).copied().collect()
     }
 
+    /// Whether a request with this id is in flight.
+    pub(super) fn is_open(&self, request_id: &RequestId) -> bool {
+        self.with_id(request_id).next().is_some()
+    }
+
     /// All requests in flight with this id, oldest first.
     fn with_id(&self, request_id: &RequestId) -> impl Iterator<Item = &InflightRequest> {
         let all_keys = (*request_id, RequestKey::MIN)..=(*request_id, RequestKey::MAX);
@@ -155,11 +160,11 @@
         key
     }
 
-    /// Removes a request that the router has released.
-    pub(super) fn remove(&mut self, key: RequestKey) {
-        if let Some(request) = self.requests.remove(&key) {
-            self.by_request_id.remove(&(request.incoming.request_id, key));
-        }
+    /// Removes and returns a request that the router has released.
+    pub(super) fn remove(&mut self, key: RequestKey) -> Option<InflightRequest> {
+        let request = self.requests.remove(&key)?;
+        self.by_request_id.remove(&(request.incoming.request_id, key));
+        Some(request)
     }
 
     /// Closes a call that was answered or cancelled, and returns its request if the call has one.
--- a/crates/director/src/dispatch/mod.rs
+++ b/crates/director/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod discovery;
 mod dispatcher;
 mod event_handlers;
+mod executed_ids;
 mod inflight_requests;
 mod timers;
 
--- a/crates/director/src/limits.rs
+++ b/crates/director/src/limits.rs
@@ -48,6 +48,10 @@
     /// The maximum number of messages that are read from one connection, or of events that are handled, before others
     /// have their turn.
     pub max_messages_per_turn: usize,
+    /// The maximum number of ids of ended requests that may have taken effect, which must not be sent again.
+    pub max_executed_ids: usize,
+    /// How long such an id is remembered.
+    pub executed_id_lifetime: Ns,
     /// The capacity of the queue of events to the dispatcher, without those of discovery.
     pub event_queue_length: usize,
     /// The capacity of the queue of discovery events to the dispatcher.
@@ -136,6 +140,8 @@
             max_requests: 16 * memory_mb.max(1),
             // Both tables of the router together take about 180 bytes for each.
             max_remembered_objects: 512 * memory_mb.max(1),
+            max_executed_ids: 256 * memory_mb.max(1),
+            executed_id_lifetime: 60_000 * NS_PER_MS,
             max_body_bytes: 240_000,
             body_memory_bytes: (memory_mb << 20) / 4,
             max_head_bytes: 16 << 10,
--- a/crates/inflight/src/inflight_table.rs
+++ b/crates/inflight/src/inflight_table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use sablecross::invariants::may_have_executed;
 use sablecross::{Attempt, AttemptSpec, NextStep, Ns, Outcome, Request, RouteDecision, Router};
 
 /// Carries out the router's decisions. Every call identifies the request by the `id` under which it was admitted.
@@ -23,7 +24,8 @@
     /// Schedules a call of [`InflightTable::check`] with this generation in `after` nanoseconds.
     fn schedule_check(&mut self, id: u64, generation: u32, after: Ns);
     /// Releases a request that is answered and has no outstanding attempts. No further calls are made for it.
-    fn release(&mut self, id: u64);
+    /// `may_have_executed` tells whether a node may have executed one of its attempts.
+    fn release(&mut self, id: u64, may_have_executed: bool);
 }
 
 /// How an attempt ended.
@@ -51,6 +53,10 @@
         self.is_answered && self.request.attempts.iter().all(|attempt| attempt.outcome.is_some())
     }
 
+    fn may_have_executed(&self) -> bool {
+        self.request.attempts.iter().any(|attempt| may_have_executed(attempt.outcome))
+    }
+
     fn outstanding_attempts(&self) -> impl Iterator<Item = usize> {
         let attempts = self.request.attempts.iter().enumerate();
         attempts.filter(|(_, attempt)| attempt.outcome.is_none()).map(|(index, _)| index)
@@ -156,9 +162,10 @@
     }
 
     fn release_if_complete(&mut self, id: u64, transport: &mut impl Transport) {
-        if self.requests.get(&id).is_some_and(InflightRequest::is_complete) {
-            self.requests.remove(&id);
-            transport.release(id);
+        if self.requests.get(&id).is_some_and(InflightRequest::is_complete)
+            && let Some(inflight) = self.requests.remove(&id)
+        {
+            transport.release(id, inflight.may_have_executed());
         }
     }
 }
--- a/crates/sim-adapter/src/instance.rs
+++ b/crates/sim-adapter/src/instance.rs
@@ -78,7 +78,7 @@
         self.reply.defer(self.director, after, u64::from(generation) << GENERATION_SHIFT | id);
     }
 
-    fn release(&mut self, _id: u64) {}
+    fn release(&mut self, _id: u64, _may_have_executed: bool) {}
 }
 
 impl Instance {
--- a/src/invariants.rs
+++ b/src/invariants.rs
@@ -94,7 +94,7 @@
 }
 
 /// Whether an attempt with this outcome, or with none yet, may have been executed.
-pub(crate) fn may_have_executed(outcome: Option<Outcome>) -> bool {
+pub fn may_have_executed(outcome: Option<Outcome>) -> bool {
     use Outcome::{ConnectFailed, Miss, NotSent, Overloaded};
     !matches!(outcome, Some(Overloaded | ConnectFailed | NotSent | Miss))
 }
