Take a new process at a known address for what it is, not for the old one

What callers saw: a new process came up at the address of one that had gone, and work went to the wrong place.

Cause: a pool of connections belongs to a name and an address. That a new name is listed at the address was not looked at until the end of the old one was told, and a changed start time of the same name not at all.

Change: the last node that became ready at an address has it. The one before counts as gone, in the registry and the router, until it becomes ready again. Nodes that one event lists at one address share it. A changed start time retires the connections.

Measured: a_new_node_at_the_address_of_a_listed_one_takes_its_place and a_node_that_has_started_again_gets_new_connections fail on the old text and pass; the director's sockets and races pass.

--- a/crates/director/src/wire/node_pool.rs
+++ b/crates/director/src/wire/node_pool.rs
@@ -1,7 +1,7 @@
 //! The dispatcher's view of the nodes: a small pool of connections to each node, opened on demand. No call here waits for
 //! a socket; `node_connections` serves the sockets on its own thread.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -51,7 +51,11 @@
 }
 
 struct Pool {
+    /// The latest entry of the node, with its address.
+    listing: EndpointUpdate,
     address: SocketAddr,
+    /// Whether the node was listed as ready at this address, and has not gone from there since.
+    is_listed: bool,
     connections: Vec<NodeConnectionId>,
 }
 
@@ -75,6 +79,8 @@
     shared: Arc<SharedContext>,
     /// Indexed by the router's index of the node.
     pools: Vec<Pool>,
+    /// The node that was the last one to become ready at each address.
+    nodes_by_address: HashMap<SocketAddr, usize>,
     registry: NodeRegistry,
     connections: HashMap<NodeConnectionId, PooledConnection>,
     next_id: NodeConnectionId,
@@ -89,6 +95,7 @@
         NodePool {
             shared,
             pools: Vec::new(),
+            nodes_by_address: HashMap::new(),
             registry: NodeRegistry::default(),
             connections: HashMap::new(),
             next_id: 0,
@@ -144,8 +151,14 @@
         self.registry.observe_starts(endpoints, now);
         let pools = &self.pools;
         self.registry.release_unused(oldest, |node| pools[node].connections.is_empty());
-        let updates: Vec<EndpointUpdate> =
-            endpoints.iter().filter_map(|endpoint| self.update_endpoint(endpoint, now)).collect();
+        let mut displaced = Vec::new();
+        let mut updates: Vec<EndpointUpdate> = endpoints
+            .iter()
+            .filter_map(|endpoint| self.update_endpoint(endpoint, now, &mut displaced))
+            .collect();
+        let named: HashSet<usize> = updates.iter().map(|update| update.node).collect();
+        displaced.retain(|node| !named.contains(node));
+        updates.extend(displaced.into_iter().map(|node| self.gone_update(node)));
         let states: HashMap<usize, EndpointState> =
             updates.iter().map(|update| (update.node, update.state)).collect();
         // An attempt that still waits to be written must not begin after the node's grace period for draining, however
@@ -160,21 +173,58 @@
         }
         for node in self.registry.record_states(&updates, is_snapshot, next) {
             self.retire_all(node);
+            self.release_address(node);
         }
         updates
     }
 
-    fn update_endpoint(&mut self, endpoint: &Endpoint, now: Ns) -> Option<EndpointUpdate> {
+    /// Applies one entry of an endpoint list. Connections to another process than the listed one are retired. If the node
+    /// becomes ready at an address that is new for it, the node that was there before is added to `displaced`.
+    fn update_endpoint(
+        &mut self,
+        endpoint: &Endpoint,
+        now: Ns,
+        displaced: &mut Vec<usize>,
+    ) -> Option<EndpointUpdate> {
         let update = self.registry.endpoint_update(&self.shared.names, endpoint, now)?;
-        if update.node == self.pools.len() {
-            self.pools.push(Pool { address: endpoint.address, connections: Vec::new() });
-        } else if self.pools[update.node].address != endpoint.address {
-            self.retire_all(update.node);
-            self.pools[update.node].address = endpoint.address;
+        let (node, address) = (update.node, endpoint.address);
+        if node == self.pools.len() {
+            let connections = Vec::new();
+            self.pools.push(Pool { listing: update, address, is_listed: false, connections });
+        }
+        let pool = &self.pools[node];
+        let is_same_process = (pool.address, pool.listing.started_at) == (address, update.started_at);
+        if !is_same_process {
+            self.retire_all(node);
+        }
+        let pool = &self.pools[node];
+        if update.state == EndpointState::Ready && (!pool.is_listed || pool.address != address) {
+            self.release_address(node);
+            let earlier = self.nodes_by_address.insert(address, node);
+            displaced.extend(earlier.filter(|&earlier| earlier != node));
+            self.pools[node].is_listed = true;
         }
+        self.pools[node].address = address;
+        self.pools[node].listing = update;
         Some(update)
     }
 
+    /// The entry that declares a node as gone because another one has its address now. Whatever is sent to that address
+    /// reaches the other one.
+    fn gone_update(&self, node: usize) -> EndpointUpdate {
+        tracing::info!("node {node} is gone: another one has its address {}", self.pools[node].address);
+        EndpointUpdate { state: EndpointState::Gone, ..self.pools[node].listing }
+    }
+
+    /// Records that a node is not listed at its address any more.
+    fn release_address(&mut self, node: usize) {
+        let pool = &mut self.pools[node];
+        pool.is_listed = false;
+        if self.nodes_by_address.get(&pool.address) == Some(&node) {
+            self.nodes_by_address.remove(&pool.address);
+        }
+    }
+
     fn retire_all(&mut self, node: usize) {
         for id in self.pools[node].connections.clone() {
             self.retire(id);
--- a/crates/director/tests/sockets.rs
+++ b/crates/director/tests/sockets.rs
@@ -566,6 +566,61 @@
     client.assert_success(2, b"new");
 }
 
+/// Guards against work for a node that goes to another one: a new node is listed at the address of one whose end has not
+/// been told yet.
+#[test]
+fn a_new_node_at_the_address_of_a_listed_one_takes_its_place() {
+    let harness = Harness::start();
+    let (_, stream) = harness.feed.accept_call();
+    let mut client = harness.client();
+    client.send_request(1, 0x77, 2_000);
+    let old = harness.cache.expect_pull();
+    old.answer("ACK", "how=HIT,entity=t1,issued=1", b"old");
+    client.assert_success(1, b"old");
+    send_event(&stream, 2, &endpoint_event(2, "cache-b", harness.cache.address, "ready"));
+    harness.wait_for_log("node 0 is gone");
+    assert_eq!(harness.cache.next_message().line, "closed");
+    for object in 0..20 {
+        client.send_request(2, object, 2_000);
+        let new = harness.cache.expect_pull();
+        assert_ne!(new.connection, old.connection);
+        new.answer("ACK", "how=HIT,entity=t1,issued=1", b"new");
+        client.assert_success(2, b"new");
+    }
+    assert_eq!(harness.current_counters()["links"], 2, "no further node is at that address");
+    // The end of the old node is told late, and the old one comes back elsewhere.
+    send_event(&stream, 3, &endpoint_event(3, "cache-a", harness.cache.address, "draining"));
+    harness.wait_for_discovery_events(3);
+    client.send_request(2, 0x99, 2_000);
+    harness.cache.expect_pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"new");
+    client.assert_success(2, b"new");
+    let elsewhere = NodeStub::start();
+    send_event(&stream, 4, &endpoint_event(4, "cache-a", elsewhere.address, "ready"));
+    harness.wait_for_discovery_events(4);
+    (0..20).for_each(|object| client.send_request(object as u8 + 3, object, 2_000));
+    let is_pull = |line: &str| line.starts_with("PULL ");
+    assert!(is_pull(&elsewhere.next_message().line) && is_pull(&harness.cache.next_message().line));
+}
+
+/// Guards against work for a new process that goes out on a connection to the old one, which may be silent for ever.
+#[test]
+fn a_node_that_has_started_again_gets_new_connections() {
+    let harness = Harness::start();
+    let (_, stream) = harness.feed.accept_call();
+    let mut client = harness.client();
+    client.send_request(1, 0x77, 2_000);
+    harness.cache.expect_pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"old");
+    client.assert_success(1, b"old");
+    let event = endpoint_event(2, "cache-a", harness.cache.address, "ready");
+    send_event(&stream, 2, &event);
+    harness.wait_for_discovery_events(2);
+    harness.cache.assert_no_message();
+    let started_again =
+        event.replace("\"n\":2", "\"n\":3").replace("\"since_ms\":0", &format!("\"since_ms\":{}", unix_ms()));
+    send_event(&stream, 3, &started_again);
+    assert_eq!(harness.cache.next_message().line, "closed");
+}
+
 #[test]
 fn shutdown_waits_for_open_requests() {
     let mut harness = Harness::start();
