Drop what waits for a connection once its request is answered, without a cancel too

Cause: attempts that were out at the answer were ended only where the settings allow a cancel, also those not begun.

Change: Transport::drop_unbegun. What was begun runs on and gets no KILL, as before.

--- a/crates/director/src/dispatch/action_executor.rs
+++ b/crates/director/src/dispatch/action_executor.rs
@@ -249,6 +249,13 @@
         }
     }
 
+    fn drop_unbegun(&mut self, id: u64, attempt: usize) {
+        let Some(request) = self.requests.get(id) else { return };
+        if let Some(connection) = request.connection_of(attempt) {
+            self.nodes.withdraw_unbegun(connection, &request.incoming.request_id);
+        }
+    }
+
     fn time_out(&mut self, id: u64, attempt: usize) {
         self.abandon_attempt(id, attempt, Outcome::TimedOut);
     }
--- a/crates/director/tests/races.rs
+++ b/crates/director/tests/races.rs
@@ -351,6 +351,36 @@
     }
 }
 
+/// Guards against an attempt that begins after the final answer, where the settings allow hedges but no cancellation: the
+/// connection of the hedge comes up late. An attempt that was begun gets no `KILL`.
+#[test]
+fn a_hedge_that_waits_for_its_connection_does_not_begin_after_the_answer() {
+    let delayed_node = DelayedNodeStub::start();
+    let harness = Harness::with_config(|config| {
+        let cache = config.lines().find(|line| line.contains("cache-a")).expect("listed").to_owned();
+        let two_caches = format!("{cache}{}", cache.replace("cache-a", "cache-b"));
+        with_delayed_node(&config.replace(&cache, &two_caches), "cache-b", &delayed_node)
+            .replace("\"mayCancel\": true", "\"mayCancel\": false")
+            .replace("\"aimUs\": 3000000", "\"aimUs\": 200000")
+    });
+    let mut client = harness.client();
+    // An object whose primary cache is the one that answers, so that its hedge goes to the other.
+    let pull = (1..=20).find_map(|call| {
+        client.send_request(call, u64::from(call), 4_000);
+        let pull = harness.cache.messages.recv_timeout(SHORT_TIMEOUT).ok();
+        pull.filter(|_| {
+            harness.wait_for_counter("further", 1);
+            true
+        })
+    });
+    let pull = pull.expect("a primary");
+    let call = pull.field("key").and_then(|key| u8::from_str_radix(key, 16).ok()).expect("a key");
+    pull.answer("ACK", "how=HIT,entity=t1,issued=1", b"answered");
+    client.assert_success(call, b"answered");
+    let line = stop_and_read_connection(harness, &delayed_node);
+    assert_eq!(line, "");
+}
+
 #[test]
 fn a_reused_call_number_gets_the_response_of_its_own_request() {
     let harness = Harness::start();
--- a/crates/inflight/src/inflight_table.rs
+++ b/crates/inflight/src/inflight_table.rs
@@ -19,6 +19,9 @@
     /// Withdraws an outstanding attempt: cancels it, or drops it unsent if it still waits for a connection. Its result
     /// must still be reported.
     fn withdraw(&mut self, id: u64, attempt: usize);
+    /// Drops an outstanding attempt if it still waits for a connection. If it was dropped, its result must still be
+    /// reported.
+    fn drop_unbegun(&mut self, id: u64, attempt: usize);
     /// Ends an outstanding attempt as timed out. Its result must still be reported.
     fn time_out(&mut self, id: u64, attempt: usize);
     /// Schedules a call of [`InflightTable::check`] with this generation in `after` nanoseconds.
@@ -116,8 +119,15 @@
         let was_answered = inflight.is_answered;
         inflight.is_answered |= result.is_final;
         match next {
-            NextStep::Done { cancel_outstanding } if cancel_outstanding && !was_answered => {
-                inflight.outstanding_attempts().for_each(|outstanding| transport.cancel(id, outstanding));
+            NextStep::Done { cancel_outstanding } if !was_answered => {
+                for outstanding in inflight.outstanding_attempts() {
+                    if cancel_outstanding {
+                        transport.cancel(id, outstanding);
+                    } else {
+                        // Nothing begins after the answer, also where what is begun must not be cancelled.
+                        transport.drop_unbegun(id, outstanding);
+                    }
+                }
             }
             NextStep::Retry => self.route(id, now, transport),
             NextStep::Done { .. } | NextStep::Wait => {}
--- a/crates/sim-adapter/src/instance.rs
+++ b/crates/sim-adapter/src/instance.rs
@@ -78,6 +78,9 @@
         self.reply.defer(self.director, after, u64::from(generation) << GENERATION_SHIFT | id);
     }
 
+    // The simulator begins an attempt as soon as it is sent.
+    fn drop_unbegun(&mut self, _id: u64, _attempt: usize) {}
+
     fn release(&mut self, _id: u64, _may_have_executed: bool) {}
 }
 
