Compare authorities, chain and revocation lists apart when keys are reloaded

Cause: one set held the certificates of all three, so a move between them was no change.

Change: roots and revocation lists are sets of their own, the chain a list.

Measured: an_authority_that_is_removed_is_trusted_no_longer fails on the old text (Unchanged) and passes; the order of the roots alone is still no change.

--- a/crates/tls-keys/src/generation.rs
+++ b/crates/tls-keys/src/generation.rs
@@ -57,9 +57,17 @@
     pub revocation_lists: Vec<CertificateRevocationListDer<'static>>,
     /// Validity period of each certificate.
     pub validities: Vec<CertificateValidity>,
-    /// Encoded certificates and revocation lists, to detect whether a reload changes anything. Private keys are not
-    /// included: a new key comes with a new certificate.
-    content: BTreeSet<Vec<u8>>,
+    content: GenerationContent,
+}
+
+/// Encoded certificates and revocation lists by what they are for, to detect whether a reload changes anything. Private
+/// keys are not included: a new key comes with a new certificate.
+#[derive(Default, PartialEq, Eq)]
+struct GenerationContent {
+    trusted_roots: BTreeSet<Vec<u8>>,
+    /// In the order of the chain.
+    chain: Vec<Vec<u8>>,
+    revocation_lists: BTreeSet<Vec<u8>>,
 }
 
 impl fmt::Debug for Generation {
@@ -84,7 +92,7 @@
             identity: None,
             revocation_lists: Vec::new(),
             validities: Vec::new(),
-            content: BTreeSet::new(),
+            content: GenerationContent::default(),
         };
         generation.add_trusted_roots(&material.trusted_roots, now)?;
         if let Some(identity) = &material.identity {
@@ -114,7 +122,7 @@
         for certificate in read_certificates(file)? {
             let details = CertificateDetails::parse(&file.file, &certificate)?;
             any_valid |= details.validity.includes(now);
-            self.content.insert(certificate.to_vec());
+            self.content.trusted_roots.insert(certificate.to_vec());
             roots.add(certificate).map_err(|error| {
                 KeyError::new(&file.file, KeyProblem::NotAnAuthority { cause: error.to_string() })
             })?;
@@ -131,7 +139,7 @@
         let certificates = read_certificates(chain)?;
         self.check_chain(chain, &certificates, now)?;
         let identity = build_certified_key(chain, key, certificates)?;
-        self.content.extend(identity.cert.iter().map(|certificate| certificate.to_vec()));
+        self.content.chain.extend(identity.cert.iter().map(|certificate| certificate.to_vec()));
         self.identity = Some(Arc::new(identity));
         Ok(())
     }
@@ -166,7 +174,7 @@
         if lists.is_empty() {
             return Err(KeyError::new(&file.file, KeyProblem::NoRevocationList));
         }
-        self.content.extend(lists.iter().map(|list| list.as_ref().to_vec()));
+        self.content.revocation_lists.extend(lists.iter().map(|list| list.as_ref().to_vec()));
         self.revocation_lists.extend(lists);
         Ok(())
     }
--- a/crates/tls-keys/tests/tls_keys.rs
+++ b/crates/tls-keys/tests/tls_keys.rs
@@ -136,6 +136,23 @@
     assert_eq!(store.current().number, 2);
 }
 
+/// Guards against an authority that stays trusted after its removal, because its certificate still stands in the own chain.
+#[test]
+fn an_authority_that_is_removed_is_trusted_no_longer() {
+    let test_files = TestFiles::new();
+    let files = test_files.write_key_files(VALID_YEARS);
+    let other_authority =
+        certificate_params("other", VALID_YEARS, true).self_signed(&KeyPair::generate().unwrap()).unwrap();
+    let own = text(&files.trusted_roots);
+    std::fs::write(&files.trusted_roots, own.clone() + &other_authority.pem()).unwrap();
+    let store = KeyStore::new(&files.read().unwrap(), now()).unwrap();
+    std::fs::write(&files.trusted_roots, other_authority.pem() + &own).unwrap();
+    assert_eq!(store.reload(&files.read().unwrap(), now()), Ok(ReloadOutcome::Unchanged));
+    std::fs::write(&files.trusted_roots, other_authority.pem()).unwrap();
+    assert_eq!(store.reload(&files.read().unwrap(), now()), Ok(ReloadOutcome::Installed(2)));
+    assert_eq!(store.current().trusted_roots.len(), 1);
+}
+
 #[test]
 fn validity_is_checked_against_the_clock() {
     let test_files = TestFiles::new();
