Compare the scale trial's purges with the clock that stamps them

The trial compared their Unix stamps with the time of the director's own clock, which begins two years after 0, so that each of them counted as missed.

The words on the ring of parents in the capacity page and the design note are those of a ring that changes by member; no figure is changed.

--- a/crates/capacity/src/report/sections/workload.rs
+++ b/crates/capacity/src/report/sections/workload.rs
@@ -119,7 +119,7 @@
         let virtual_nodes = "virtual nodes on the ring of parents, a quarter of the nodes";
         rows.extend([
             slope_row_at(
-                "a change of a parent: the hash ring of parents is rebuilt",
+                "a change of a parent on the hash ring of parents",
                 t.nodes,
                 "us",
                 "module-change-parent",
--- a/crates/testbed/src/scale/simulated_director.rs
+++ b/crates/testbed/src/scale/simulated_director.rs
@@ -20,6 +20,7 @@
 };
 use serde_json::Value;
 
+use crate::clock::unix_ms;
 use crate::fleet::link_proxy::connect_from;
 
 use super::pool_messages::{
@@ -93,13 +94,33 @@
     contiguous_number: u64,
     /// A bit for each content: whether its event was applied.
     applied_contents: Vec<u64>,
-    /// Snapshots that replaced events: the number before the first replaced event, the number of the snapshot, and
-    /// when it was applied, in milliseconds of the director's clock.
-    replaced_ranges: Vec<(u64, u64, u64)>,
+    /// Snapshots that replaced events.
+    replaced_ranges: Vec<ReplacedRange>,
     /// The content of each node's last change, by the number of the node.
     last_changes: Vec<u32>,
 }
 
+/// The events that a snapshot replaced.
+struct ReplacedRange {
+    /// The number before the first of them.
+    after: u64,
+    /// The number of the snapshot.
+    snapshot: u64,
+    /// When the snapshot was applied, in Unix milliseconds, as purges are stamped.
+    applied_ms: u64,
+}
+
+impl ReplacedRange {
+    fn contains(&self, number: u64) -> bool {
+        (self.after + 1..=self.snapshot).contains(&number)
+    }
+
+    /// Whether the snapshot stands for the event: for a change of the list always, for a purge once it is kept no more.
+    fn may_leave_out(&self, event: &ConfirmedEvent, purge_retention_ms: u64) -> bool {
+        event.purged_ms == 0 || event.purged_ms + purge_retention_ms <= self.applied_ms
+    }
+}
+
 /// One simulated director with its connection.
 pub(crate) struct SimulatedDirector {
     pub(crate) identity: DirectorIdentity,
@@ -199,7 +220,11 @@
         let is_snapshot = members.is_some_and(|m| m["snapshot"] == true);
         self.last_number = number;
         if is_snapshot {
-            self.replaced_ranges.push((self.contiguous_number, number, shared.clock.now() / 1_000_000));
+            self.replaced_ranges.push(ReplacedRange {
+                after: self.contiguous_number,
+                snapshot: number,
+                applied_ms: unix_ms(),
+            });
             self.contiguous_number = number;
         } else if number == self.contiguous_number + 1 {
             self.contiguous_number = number;
@@ -253,13 +278,11 @@
             if was_applied {
                 continue;
             }
-            let replaced =
-                self.replaced_ranges.iter().find(|(from, to, _)| (from + 1..=*to).contains(&event.number));
-            match replaced {
-                Some((_, _, at)) if event.purged_ms == 0 || event.purged_ms + purge_retention_ms <= *at => {
-                    result.expired += 1
-                }
-                _ => result.missed += 1,
+            let replaced = self.replaced_ranges.iter().find(|range| range.contains(event.number));
+            if replaced.is_some_and(|range| range.may_leave_out(event, purge_retention_ms)) {
+                result.expired += 1;
+            } else {
+                result.missed += 1;
             }
         }
         let is_same = list.iter().enumerate().all(|(n, (change, gone))| {
