--- a/crates/director/tests/races.rs
+++ b/crates/director/tests/races.rs
@@ -319,6 +319,28 @@
     client.assert_success(2, b"once");
 }
 
+/// Guards against ids that are kept for each request with an effect: a director with 1 MB remembers the last 256.
+#[test]
+fn remembered_ids_are_bounded() {
+    let harness = Harness::with_config(|config| {
+        config
+            .replacen("\"idempotent\"", "\"at_most_once\"", 1)
+            .replace("\"memory_mb\": 192", "\"memory_mb\": 1")
+    });
+    let mut client = harness.client();
+    let mut serve = |object| {
+        client.send_request(1, object, 4_000);
+        let pull = harness.cache.pull_of(object);
+        pull.write(format!("{} ACK how=HIT,entity=t1,issued=1 1\r\n-\r\n", pull.request_id()).as_bytes());
+        client.assert_success(1, b"-");
+    };
+    (0..300).for_each(&mut serve);
+    // The id of the first request has been forgotten, those of the last 256 have not.
+    serve(0);
+    client.send_request(1, 299, 4_000);
+    assert_eq!(client.read_response(), (1, Response::Error("Failed".into(), vec![])));
+}
+
 /// Guards against attempts for a client that has left, of requests that were unread then: it sends them, and more than is
 /// read in one turn, and closes its connection while the process is stopped.
 #[test]
