--- a/crates/director/tests/races.rs
+++ b/crates/director/tests/races.rs
@@ -279,68 +279,6 @@
     }
 }
 
-/// Guards against an effect that runs twice because its id comes again: after its client has left, while the first request
-/// with the id is open, and after that one was answered. A request that no node has run may come again.
-#[test]
-fn an_id_that_may_have_taken_effect_is_not_sent_again() {
-    let deduplicated = "\"deduplicated\"";
-    for effect in ["\"at_most_once\"", deduplicated] {
-        let harness = Harness::with_config(|config| config.replacen("\"idempotent\"", effect, 1));
-        let failed = |call| (call, Response::Error("Failed".into(), vec![]));
-        let fields = |id| [("rid", id), ("token", "m1")];
-        let mut gone = harness.client();
-        gone.send_request_with(1, 0x77, 4_000, &fields("00000000000000aa"));
-        harness.cache.expect_pull();
-        drop(gone);
-        assert!(harness.cache.next_message().line.starts_with("KILL "));
-        harness.wait_for_counter("cancelled", 1);
-        let mut client = harness.client();
-        client.send_request_with(1, 0x77, 4_000, &fields("00000000000000aa"));
-        assert_eq!(client.read_response(), failed(1));
-        client.send_request_with(2, 0x77, 4_000, &fields("00000000000000bb"));
-        let pull = harness.cache.expect_pull();
-        client.send_request_with(3, 0x77, 4_000, &fields("00000000000000bb"));
-        assert_eq!(client.read_response(), failed(3));
-        pull.answer("ACK", "how=HIT,entity=t1,issued=1", b"once");
-        client.assert_success(2, b"once");
-        client.send_request_with(4, 0x77, 4_000, &fields("00000000000000bb"));
-        assert_eq!(client.read_response(), failed(4));
-        assert_eq!(harness.current_counters()["sends"], 2, "{effect}");
-    }
-    // Nodes that have no copy have run nothing.
-    let harness = Harness::with_config(|config| config.replacen("\"idempotent\"", "\"at_most_once\"", 1));
-    let mut client = harness.client();
-    client.send_request_with(1, 0x77, 400, &[("rid", "00000000000000aa")]);
-    harness.cache.expect_pull().answer("AGAIN", "-", b"");
-    harness.parent.expect_pull().answer("AGAIN", "-", b"");
-    assert_eq!(client.assert_rejected(), 1);
-    client.send_request_with(2, 0x77, 4_000, &[("rid", "00000000000000aa")]);
-    harness.cache.next_pull().answer("ACK", "how=HIT,entity=t1,issued=1", b"once");
-    client.assert_success(2, b"once");
-}
-
-/// Guards against ids that are kept for each request with an effect: a director with 1 MB remembers the last 256.
-#[test]
-fn remembered_ids_are_bounded() {
-    let harness = Harness::with_config(|config| {
-        config
-            .replacen("\"idempotent\"", "\"at_most_once\"", 1)
-            .replace("\"memory_mb\": 192", "\"memory_mb\": 1")
-    });
-    let mut client = harness.client();
-    let mut serve = |object| {
-        client.send_request(1, object, 4_000);
-        let pull = harness.cache.pull_of(object);
-        pull.write(format!("{} ACK how=HIT,entity=t1,issued=1 1\r\n-\r\n", pull.request_id()).as_bytes());
-        client.assert_success(1, b"-");
-    };
-    (0..300).for_each(&mut serve);
-    // The id of the first request has been forgotten, those of the last 256 have not.
-    serve(0);
-    client.send_request(1, 299, 4_000);
-    assert_eq!(client.read_response(), (1, Response::Error("Failed".into(), vec![])));
-}
-
 /// Guards against attempts for a client that has left, of requests that were unread then: it sends them, and more than is
 /// read in one turn, and closes its connection while the process is stopped.
 #[test]
