--- a/crates/director/tests/floods.rs
+++ b/crates/director/tests/floods.rs
@@ -48,7 +48,8 @@
 /// What a bad client writes in its `n`th turn.
 type BadBytes = fn(u64) -> Vec<u8>;
 
-/// Writes at full speed and reads whatever comes, on one connection after the other. Returns the number of turns.
+/// Writes at full speed and reads whatever comes, on one connection until the director closes it, and then on the next.
+/// Counts the turns, also across connections.
 fn flood(to: SocketAddr, bytes: BadBytes, stop: &AtomicBool, turns: &AtomicU64) {
     let mut buffer = vec![0; 64 << 10];
     while !stop.load(Ordering::Relaxed) {
